--- /dev/null
+++ b/cmd/sycamoretally/daemon.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/entry"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/sidecar"
+)
+
+// loadFor reads the settings named by --config and checks that they are for role.
+func loadFor(cmd *cobra.Command, role settings.Role) (*settings.Settings, error) {
+	path, err := cmd.Flags().GetString("config")
+	if err != nil || path == "" {
+		return nil, settings.ErrSettings.New("--config is missing")
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if s.Role != role {
+		return nil, settings.ErrSettings.New("%s: role is %q, this command needs %q", path, s.Role, role)
+	}
+	return s, nil
+}
+
+// daemon is a running role.
+type daemon interface {
+	Start() error
+	// Shutdown drains and stops.
+	Shutdown() error
+}
+
+// serve runs d until SIGTERM or an interrupt, and then shuts it down.
+func serve(d daemon) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if err := d.Start(); err != nil {
+		return err
+	}
+	sig := <-signals
+	klog.InfoS("signal received", "signal", sig)
+	return d.Shutdown()
+}
+
+func entryCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry: the callers' and operators' interface",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := loadFor(cmd, settings.RoleEntry)
+			if err != nil {
+				return err
+			}
+			e, err := entry.New(s, entry.Platform{
+				Log:       platform.NewHTTPLog(s.Platform.Log),
+				Instances: platform.NewHTTPInstanceList(s.Platform.Instances),
+			})
+			if err != nil {
+				return err
+			}
+			return serve(e)
+		},
+	}
+}
+
+func sidecarCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "sidecar",
+		Short: "Run a sidecar: the only door to its targets",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := loadFor(cmd, settings.RoleSidecar)
+			if err != nil {
+				return err
+			}
+			sc, err := sidecar.New(s, sidecar.Platform{
+				Log:       platform.NewHTTPLog(s.Platform.Log),
+				Instances: platform.NewHTTPInstanceList(s.Platform.Instances),
+			})
+			if err != nil {
+				return err
+			}
+			return serve(sc)
+		},
+	}
+}
+
+// standIn serves a stand-in's handler until it is told to stop.
+type standIn struct {
+	address string
+	handler http.Handler
+	server  *http.Server
+}
+
+// Start implements daemon.
+func (s *standIn) Start() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return settings.ErrSettings.Wrap(err, "standin.listen")
+	}
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	klog.InfoS("stand-in started", "address", s.address)
+	return nil
+}
+
+// Shutdown implements daemon.
+func (s *standIn) Shutdown() error { return s.server.Close() }
--- /dev/null
+++ b/coordination/commit/commit.go
@@ -0,0 +1,225 @@
+// Package commit appends records to one stream of the log in groups: records
+// that arrive while an append is on its way share the next one.
+package commit
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Appender is the part of the log that a writer needs.
+type Appender interface {
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+}
+
+// Params configure a writer.
+type Params struct {
+	Stream string
+	Log    Appender
+	// Gather is how long an append waits for more records to join it.
+	Gather time.Duration
+	// AppendTimeout bounds one append.
+	AppendTimeout time.Duration
+	// Retries is how often an append whose answer was lost is sent again.
+	Retries int
+	// Observe is told of every append that took effect; it may be nil.
+	Observe func(records, bytes int)
+}
+
+// The defaults of Params.
+const (
+	DefaultGather        = 2 * time.Millisecond
+	DefaultAppendTimeout = 2 * time.Second
+	DefaultRetries       = 3
+)
+
+// MaxGroupBytes bounds the bodies gathered into one append, in bytes.
+const MaxGroupBytes = 4 << 20
+
+// queueLength bounds the records that wait for an append.
+const queueLength = 1024
+
+// Writer appends records in groups. Its methods may be called at the same time.
+type Writer struct {
+	params Params
+	queue  chan *pending
+}
+
+type pending struct {
+	records []protocol.Record
+	done    chan result
+}
+
+type result struct {
+	last protocol.Position
+	err  error
+}
+
+// New returns a writer. Run starts it.
+func New(p Params) *Writer {
+	if p.Gather <= 0 {
+		p.Gather = DefaultGather
+	}
+	if p.AppendTimeout <= 0 {
+		p.AppendTimeout = DefaultAppendTimeout
+	}
+	if p.Retries <= 0 {
+		p.Retries = DefaultRetries
+	}
+	return &Writer{params: p, queue: make(chan *pending, queueLength)}
+}
+
+// Append adds records in one entry of the log and returns the position of the
+// last one. It fails with ErrLogUnavailable where none was or will be added,
+// and with ErrAnswerLost where that is not known.
+func (w *Writer) Append(ctx context.Context, records ...protocol.Record) (protocol.Position, error) {
+	p := &pending{records: records, done: make(chan result, 1)}
+	select {
+	case w.queue <- p:
+	case <-ctx.Done():
+		return 0, protocol.ErrLogUnavailable.New("append queue is full")
+	}
+	select {
+	case r := <-p.done:
+		return r.last, r.err
+	case <-ctx.Done():
+		return 0, protocol.ErrAnswerLost.New("append has not answered in time")
+	}
+}
+
+// Run appends until ctx ends. Records still queued then fail with ErrLogUnavailable.
+func (w *Writer) Run(ctx context.Context) error {
+	var carried *pending
+	for {
+		group, next := w.gather(ctx, carried)
+		if group == nil {
+			w.refuseQueued()
+			return nil
+		}
+		carried = next
+		w.commit(group)
+	}
+}
+
+func (w *Writer) refuseQueued() {
+	for {
+		select {
+		case p := <-w.queue:
+			p.done <- result{err: protocol.ErrLogUnavailable.New("process is stopping")}
+		default:
+			return
+		}
+	}
+}
+
+// gather collects a group. It returns the first append that no longer fits, to
+// open the next group, and a nil group once ctx has ended.
+func (w *Writer) gather(ctx context.Context, first *pending) (group []*pending, next *pending) {
+	if first == nil {
+		select {
+		case first = <-w.queue:
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+	group = []*pending{first}
+	count, size := len(first.records), sizeOf(first.records)
+	timer := time.NewTimer(w.params.Gather)
+	defer timer.Stop()
+	for {
+		select {
+		case p := <-w.queue:
+			count += len(p.records)
+			size += sizeOf(p.records)
+			if count > protocol.MaxBatchRecords || size > MaxGroupBytes {
+				return group, p
+			}
+			group = append(group, p)
+		case <-timer.C:
+			return group, nil
+		}
+	}
+}
+
+func (w *Writer) commit(group []*pending) {
+	var all []protocol.Record
+	for _, p := range group {
+		all = append(all, p.records...)
+	}
+	offset, err := w.append(all)
+	index := -1
+	for _, p := range group {
+		index += len(p.records)
+		r := result{err: err}
+		if err == nil {
+			r.last = protocol.PositionAt(offset, index)
+		}
+		p.done <- r
+	}
+}
+
+// append sends one entry, again where its answer was lost: a fold counts a
+// record that stands in the log twice once.
+func (w *Writer) append(records []protocol.Record) (uint64, error) {
+	data, err := protocol.EncodeBatch(records)
+	if err != nil {
+		return 0, err
+	}
+	var lost error
+	for range w.params.Retries {
+		offset, err := w.appendOnce(data)
+		if err == nil {
+			if w.params.Observe != nil {
+				w.params.Observe(len(records), len(data))
+			}
+			return offset, nil
+		}
+		if !errorx.IsOfType(err, protocol.ErrAnswerLost) {
+			if lost != nil {
+				return 0, lost
+			}
+			return 0, err
+		}
+		lost = err
+	}
+	return 0, lost
+}
+
+func (w *Writer) appendOnce(data []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.params.AppendTimeout)
+	defer cancel()
+	return w.params.Log.Append(ctx, w.params.Stream, data)
+}
+
+// sizeOf estimates the encoded size of records by their bodies.
+func sizeOf(records []protocol.Record) int {
+	const overhead = 128
+	size := 0
+	for i := range records {
+		size += overhead + bodySize(&records[i])
+	}
+	return size
+}
+
+func bodySize(r *protocol.Record) int {
+	size := 0
+	switch {
+	case r.Accept != nil:
+		size = len(r.Accept.Call.Body)
+	case r.Complete != nil:
+		size = len(r.Complete.Result.Body)
+	case r.File != nil:
+		for _, i := range r.File.Items {
+			size += len(i.Body)
+		}
+	case r.Items != nil:
+		for _, i := range r.Items.Items {
+			size += len(i.Result.Body)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/coordination/logcache/logcache.go
@@ -0,0 +1,96 @@
+// Package logcache reads single records back from the log by position, through
+// a cache of decoded entries of bounded size.
+package logcache
+
+import (
+	"container/list"
+	"context"
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// DefaultBytes is the size of the cache, in bytes of encoded entries.
+const DefaultBytes = 32 << 20
+
+// Cache reads records of one stream. Its methods may be called at the same time.
+type Cache struct {
+	log    platform.Log
+	stream string
+	limit  int
+
+	mu      sync.Mutex
+	size    int
+	order   *list.List
+	entries map[uint64]*list.Element
+}
+
+type cached struct {
+	offset  uint64
+	size    int
+	records []protocol.Record
+}
+
+// New returns an empty cache of limit bytes over a stream.
+func New(log platform.Log, stream string, limit int) *Cache {
+	return &Cache{log: log, stream: stream, limit: limit, order: list.New(), entries: map[uint64]*list.Element{}}
+}
+
+// Record reads the record at pos. It fails with ErrLogUnavailable or
+// ErrOffsetExpired.
+func (c *Cache) Record(ctx context.Context, pos protocol.Position) (*protocol.Record, error) {
+	records, err := c.entry(ctx, pos.Offset())
+	if err != nil {
+		return nil, err
+	}
+	if pos.Index() >= len(records) {
+		return nil, protocol.ErrInternal.New("entry %d has no record %d", pos.Offset(), pos.Index())
+	}
+	return &records[pos.Index()], nil
+}
+
+func (c *Cache) entry(ctx context.Context, offset uint64) ([]protocol.Record, error) {
+	if records := c.lookup(offset); records != nil {
+		return records, nil
+	}
+	page, err := c.log.Read(ctx, c.stream, offset, 1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Entries) == 0 {
+		return nil, protocol.ErrOffsetExpired.New("no entry at offset %d", offset)
+	}
+	records, err := protocol.DecodeBatch(page.Entries[0].Data)
+	if err != nil {
+		return nil, err
+	}
+	c.store(cached{offset: offset, size: len(page.Entries[0].Data), records: records})
+	return records, nil
+}
+
+func (c *Cache) lookup(offset uint64) []protocol.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entries[offset]
+	if e == nil {
+		return nil
+	}
+	c.order.MoveToFront(e)
+	return e.Value.(*cached).records
+}
+
+func (c *Cache) store(entry cached) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.entries[entry.offset] != nil || entry.size > c.limit {
+		return
+	}
+	c.entries[entry.offset] = c.order.PushFront(&entry)
+	c.size += entry.size
+	for c.size > c.limit {
+		oldest := c.order.Remove(c.order.Back()).(*cached)
+		delete(c.entries, oldest.offset)
+		c.size -= oldest.size
+	}
+}
--- /dev/null
+++ b/coordination/routing/owner.go
@@ -0,0 +1,16 @@
+package routing
+
+import "github.com/cespare/xxhash/v2"
+
+// Owner picks the member that owns key by rendezvous hashing: a change of the
+// members moves only the keys of those that came or went. It returns an empty
+// string where there are no members.
+func Owner(key string, members []string) string {
+	best, highest := "", uint64(0)
+	for _, m := range members {
+		if score := xxhash.Sum64String(m + "\x00" + key); best == "" || score > highest {
+			best, highest = m, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/demo/site.go
@@ -0,0 +1,206 @@
+// Package demo runs a whole site in one process, stand-ins for the platform
+// included, and plays the callers' and operators' parts against it. The script
+// works as well against separate processes.
+package demo
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/entry"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/sidecar"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
+	"github.com/sycamoretally/sycamoretally/standin/instancelist"
+	"github.com/sycamoretally/sycamoretally/standin/logservice"
+	"github.com/sycamoretally/sycamoretally/standin/service"
+)
+
+// Keys of the demo site.
+const (
+	PeerSecret  = "demo-peer-secret"
+	OperatorKey = "demo-operator-key"
+	CallerKey   = "demo-caller-key"
+)
+
+const host = "127.0.0.1"
+
+// Layout says how many of each process a site has.
+type Layout struct {
+	Entries int
+	Engines int
+	// Services is the number of booking services.
+	Services int
+	Slots    int
+	Engine   engine.Params
+}
+
+// DefaultLayout is the layout of the demo.
+func DefaultLayout() Layout {
+	return Layout{Entries: 2, Engines: 3, Services: 1, Slots: 8, Engine: engine.Params{
+		Width: 8, TokenTime: 5 * time.Millisecond, CacheTokens: 4096, RestartTime: time.Second,
+	}}
+}
+
+// Site is a running site.
+type Site struct {
+	Log      *logservice.Service
+	List     *instancelist.List
+	Engines  []*engine.Engine
+	Services []*service.Service
+	Entries  []*entry.Entry
+	Sidecars []*sidecar.Sidecar
+	// Client holds the settings with which a client reaches the site.
+	Client settings.Client
+
+	servers []*http.Server
+}
+
+// FreeAddress returns an address on loopback that was free a moment ago.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", protocol.ErrInternal.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// Start starts a site. Close must be called in the end, also after an error.
+func Start(layout Layout) (*Site, error) {
+	s := &Site{
+		Log:  logservice.New(logservice.Params{AppendsPerSecond: 300}),
+		List: instancelist.New(0, nil),
+	}
+	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
+	plan, err := s.plan(layout)
+	if err != nil {
+		return s, err
+	}
+	return s, s.run(plan)
+}
+
+func (s *Site) plan(layout Layout) ([]settings.Settings, error) {
+	var plan []settings.Settings
+	for range layout.Engines {
+		e := engine.New(layout.Engine)
+		s.Engines = append(s.Engines, e)
+		sc, err := s.sidecarFor(settings.TargetEngine, "drafting", e.Handler(), len(plan), layout.Slots)
+		if err != nil {
+			return nil, err
+		}
+		plan = append(plan, sc)
+	}
+	for range layout.Services {
+		svc := service.New()
+		s.Services = append(s.Services, svc)
+		sc, err := s.sidecarFor(settings.TargetService, "booking", svc.Handler(), len(plan), layout.Slots)
+		if err != nil {
+			return nil, err
+		}
+		plan = append(plan, sc)
+	}
+	for i := range layout.Entries {
+		en := settings.Default()
+		en.Role = settings.RoleEntry
+		if err := setProcess(&en, "entry-", i); err != nil {
+			return nil, err
+		}
+		en.Entry.OperatorKeys = []string{OperatorKey}
+		en.Entry.Callers = []settings.Caller{{Workspace: "demo", Key: CallerKey}}
+		plan = append(plan, en)
+	}
+	return plan, nil
+}
+
+func setProcess(s *settings.Settings, prefix string, index int) error {
+	s.Process.Instance = prefix + string(rune('a'+index))
+	s.Process.DataCentre = "dc-" + string(rune('a'+index%2))
+	s.Process.PeerSecret = PeerSecret
+	s.Process.DrainTimeout = settings.Duration(10 * time.Second)
+	var err error
+	if s.Process.HTTP, err = FreeAddress(); err != nil {
+		return err
+	}
+	s.Process.Peer, err = FreeAddress()
+	return err
+}
+
+func (s *Site) sidecarFor(kind settings.TargetType, label string, target http.Handler, index, slots int) (settings.Settings, error) {
+	sc := settings.Default()
+	sc.Role = settings.RoleSidecar
+	if err := setProcess(&sc, "sidecar-", index); err != nil {
+		return sc, err
+	}
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return sc, protocol.ErrInternal.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	sc.Targets = []settings.Target{{
+		Name:   "target-" + string(rune('a'+index)),
+		Type:   kind,
+		URL:    "http://" + l.Addr().String(),
+		Labels: map[string]string{"role": label, "unit": string(rune('a' + index))},
+		Slots:  slots,
+		Queue:  settings.DefaultQueue,
+	}}
+	return sc, nil
+}
+
+func (s *Site) run(plan []settings.Settings) error {
+	var rows []platform.Instance
+	for i := range plan {
+		p := &plan[i]
+		rows = append(rows, platform.Instance{
+			Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
+			HTTP: p.Process.HTTP, Peer: p.Process.Peer,
+		})
+	}
+	s.List.Set(rows)
+	for i := range plan {
+		if err := s.startOne(&plan[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startOne(p *settings.Settings) error {
+	if p.Role == settings.RoleSidecar {
+		sc, err := sidecar.New(p, sidecar.Platform{Log: s.Log, Instances: s.List})
+		if err != nil {
+			return err
+		}
+		s.Sidecars = append(s.Sidecars, sc)
+		return sc.Start()
+	}
+	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List})
+	if err != nil {
+		return err
+	}
+	s.Entries = append(s.Entries, en)
+	s.Client.Entries = append(s.Client.Entries, "http://"+p.Process.HTTP)
+	return en.Start()
+}
+
+// Close stops every process of the site.
+func (s *Site) Close() {
+	for _, e := range s.Entries {
+		_ = e.Kill()
+	}
+	for _, sc := range s.Sidecars {
+		_ = sc.Kill()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// SidecarHTTP returns the address on which a sidecar takes attempts.
+func (s *Site) SidecarHTTP(index int) string { return s.Sidecars[index].Address() }
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// serveChat answers an OpenAI-compatible chat completion, streamed or whole.
+func (e *Entry) serveChat(w http.ResponseWriter, r bunrouter.Request) error {
+	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	chat, err := protocol.ParseChat(body)
+	if err != nil {
+		return err
+	}
+	service := e.config.Current().Service(chat.Model)
+	if service == nil || service.Type != protocol.ServiceModel {
+		return protocol.ErrNotFound.New("no model service %q", chat.Model)
+	}
+	key := r.Header.Get(headerKey)
+	if key == "" {
+		key = protocol.NewID()
+	}
+	o := newOrder(keyIn(workspaceOf(r), key), traceOf(r.Request), chatCall(chat.Model, workspaceOf(r), body), service)
+	e.ring.Add(o.trace, "request received", "service", chat.Model)
+	if wantsReceipt(r.Request) {
+		return e.accept(w, r, key, o)
+	}
+	if chat.Stream {
+		return e.streamChat(w, r, key, o)
+	}
+	result, retained, err := e.execute(r.Context(), o)
+	if err != nil {
+		return err
+	}
+	writeResult(w, result, key, retained)
+	return nil
+}
+
+// chatPath is the path of chat completions, here and at the engines.
+const chatPath = "/v1/chat/completions"
+
+func chatCall(service, workspace string, body []byte) protocol.Call {
+	return protocol.Call{
+		Service:     service,
+		Workspace:   workspace,
+		Method:      http.MethodPost,
+		Path:        chatPath,
+		ContentType: "application/json",
+		Body:        body,
+		Model:       true,
+	}
+}
+
+// chatResult builds the whole completion that is stored and that callers who do
+// not stream get.
+func chatResult(o *order, tokens []string) *protocol.Result {
+	body, _ := json.Marshal(protocol.ChatChunk{
+		ID:     o.trace,
+		Object: "chat.completion",
+		Model:  o.call.Service,
+		Choices: []protocol.ChatChoice{{
+			Message:      &protocol.ChatMessage{Role: "assistant", Content: strings.Join(tokens, "")},
+			FinishReason: "stop",
+		}},
+	})
+	return &protocol.Result{
+		Outcome:     protocol.OutcomeCompleted,
+		Status:      http.StatusOK,
+		ContentType: "application/json",
+		Body:        body,
+	}
+}
+
+// streamChat sends the tokens as server-sent events. An error after the first
+// token ends the stream with a problem event and without the end marker.
+func (e *Entry) streamChat(w http.ResponseWriter, r bunrouter.Request, key string, o *order) error {
+	s := &chatStream{w: w, key: key, order: o, flush: http.NewResponseController(w), tokens: make(chan string)}
+	gone := r.Context().Done()
+	o.token = func(token string) error {
+		select {
+		case s.tokens <- token:
+			return nil
+		case <-gone: // others may have joined the request and go on
+			return nil
+		}
+	}
+	ended := make(chan chatEnd, 1)
+	go func() {
+		result, retained, err := e.execute(r.Context(), o)
+		ended <- chatEnd{result, retained, err}
+	}()
+	for {
+		select {
+		case token := <-s.tokens:
+			s.send(token)
+		case end := <-ended:
+			return s.finish(end)
+		}
+	}
+}
+
+type chatEnd struct {
+	result   *protocol.Result
+	retained bool
+	err      error
+}
+
+type chatStream struct {
+	w      http.ResponseWriter
+	key    string
+	order  *order
+	flush  *http.ResponseController
+	tokens chan string
+	sent   int
+}
+
+func (s *chatStream) begin() {
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set(headerKey, s.key)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *chatStream) send(token string) {
+	if s.sent == 0 {
+		s.begin()
+	}
+	s.sent++
+	s.event("", s.chunk(protocol.ChatChoice{Delta: &protocol.ChatMessage{Content: token}}))
+}
+
+func (s *chatStream) chunk(choice protocol.ChatChoice) *protocol.ChatChunk {
+	return &protocol.ChatChunk{
+		ID:      s.order.trace,
+		Object:  "chat.completion.chunk",
+		Model:   s.order.call.Service,
+		Choices: []protocol.ChatChoice{choice},
+	}
+}
+
+func (s *chatStream) event(name string, v any) {
+	if name != "" {
+		_, _ = fmt.Fprintf(s.w, "event: %s\n", name)
+	}
+	data, _ := json.Marshal(v)
+	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", data)
+	_ = s.flush.Flush()
+}
+
+// finish ends the stream. A result that was read back, or that another request
+// with the key streamed, goes out as one chunk.
+func (s *chatStream) finish(end chatEnd) error {
+	if end.err != nil {
+		if s.sent == 0 {
+			return end.err
+		}
+		p := protocol.ProblemOf(end.err)
+		p.Key = s.key
+		s.event("error", p)
+		return nil
+	}
+	if end.result.Outcome != protocol.OutcomeCompleted {
+		writeResult(s.w, end.result, s.key, end.retained)
+		return nil
+	}
+	if s.sent == 0 {
+		s.send(contentOf(end.result))
+	}
+	last := s.chunk(protocol.ChatChoice{Delta: &protocol.ChatMessage{}, FinishReason: "stop"})
+	last.Retained = &end.retained
+	s.event("", last)
+	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", protocol.ChatDone)
+	_ = s.flush.Flush()
+	return nil
+}
+
+func contentOf(result *protocol.Result) string {
+	var whole protocol.ChatChunk
+	if err := json.Unmarshal(result.Body, &whole); err != nil || len(whole.Choices) == 0 || whole.Choices[0].Message == nil {
+		return ""
+	}
+	return whole.Choices[0].Message.Content
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// ApplyRequest is the body of POST /config.
+type ApplyRequest struct {
+	// By names the operator.
+	By      string            `json:"by"`
+	Objects []protocol.Object `json:"objects"`
+}
+
+// ApplyAnswer says at which version a change was accepted.
+type ApplyAnswer struct {
+	Version protocol.Position `json:"version"`
+}
+
+// verdictWait bounds the wait for the verdict on a change.
+const verdictWait = 5 * time.Second
+
+// serveApply publishes a change. It answers "accepted" only after it has read
+// its own record back as valid.
+func (e *Entry) serveApply(w http.ResponseWriter, r bunrouter.Request) error {
+	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	var want ApplyRequest
+	if err := json.Unmarshal(body, &want); err != nil {
+		return protocol.ErrBadRequest.New("malformed JSON: %v", err)
+	}
+	if len(want.Objects) == 0 {
+		return protocol.ErrBadRequest.New("the change has no objects")
+	}
+	change := &protocol.Change{By: want.By, Objects: want.Objects}
+	if err := e.config.CheckChange(change); err != nil {
+		return err
+	}
+	version, err := e.publish(r.Context(), change)
+	if err != nil {
+		return err
+	}
+	e.ring.Add(traceOf(r.Request), "configuration changed", "version", version.String())
+	klog.InfoS("configuration changed", "by", want.By, "version", version, "objects", len(want.Objects))
+	transport.WriteJSON(w, http.StatusOK, ApplyAnswer{Version: version})
+	return nil
+}
+
+func (e *Entry) publish(ctx context.Context, change *protocol.Change) (protocol.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, verdictWait)
+	defer cancel()
+	rec := protocol.Record{ID: protocol.NewID(), Change: change}
+	last, err := e.conf.writer.Append(ctx, rec)
+	if err != nil {
+		return 0, err
+	}
+	if err := e.conf.follower.WaitFor(ctx, last.Offset()); err != nil {
+		return 0, protocol.ErrAnswerLost.Wrap(err, "the verdict is not known")
+	}
+	verdict := e.config.Verdict(rec.ID)
+	if verdict.Err != nil {
+		return 0, verdict.Err
+	}
+	first := change.Objects[0]
+	if o, found := e.config.Current().Lookup(first.Kind, first.Name); found {
+		return o.Version, nil
+	}
+	return last, nil
+}
+
+// serveObjects lists the configuration's objects, of one kind and name where
+// the query says so.
+func (e *Entry) serveObjects(w http.ResponseWriter, r bunrouter.Request) error {
+	kind, name := r.URL.Query().Get("kind"), r.URL.Query().Get("name")
+	found := []protocol.Object{}
+	for _, o := range e.config.Current().Objects() {
+		if (kind == "" || string(o.Kind) == kind) && (name == "" || o.Name == name) {
+			found = append(found, o)
+		}
+	}
+	transport.WriteJSON(w, http.StatusOK, found)
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,200 @@
+// Package entry is the role that callers and operators speak to. An entry
+// checks, routes and retries requests, hands out batch items, and keeps only
+// what it can rebuild from the log, so that any entry can take over any job.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/batch"
+	"github.com/sycamoretally/sycamoretally/coordination/commit"
+	"github.com/sycamoretally/sycamoretally/coordination/follow"
+	"github.com/sycamoretally/sycamoretally/coordination/logcache"
+	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/routing"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/state"
+	"github.com/sycamoretally/sycamoretally/timeline"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// Platform is what the entry uses of the platform.
+type Platform struct {
+	Log       platform.Log
+	Instances platform.InstanceList
+}
+
+// stream bundles what an entry has for one stream of the log.
+type stream struct {
+	follower *follow.Follower
+	writer   *commit.Writer
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings *settings.Settings
+	config   *state.ConfigFold
+	requests *state.Requests
+	jobs     *state.Jobs
+	conf     stream
+	work     stream
+	bodies   *logcache.Cache
+	members  *membership.Manager
+	peers    *transport.Peers
+	attempts *transport.AttemptClient
+	leases   *leases
+	flights  *flights
+	ring     *timeline.Ring
+	metrics  *metrics
+	callers  map[string]string
+
+	tomb    tomb.Tomb
+	server  *http.Server
+	httpL   net.Listener
+	peerL   net.Listener
+	leaving chan struct{}
+}
+
+// New builds an entry from its settings. It listens at once, so that a taken
+// address is found here, and fails with settings.ErrSettings.
+func New(s *settings.Settings, p Platform) (*Entry, error) {
+	e := &Entry{
+		settings: s,
+		config:   state.NewConfigFold(),
+		requests: state.NewRequests(),
+		jobs:     state.NewJobs(),
+		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
+		peers:    transport.NewPeers(s.Process.PeerSecret),
+		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
+		flights:  newFlights(),
+		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
+		metrics:  newMetrics(),
+		callers:  map[string]string{},
+		leaving:  make(chan struct{}),
+	}
+	for _, c := range s.Entry.Callers {
+		e.callers[c.Key] = c.Workspace
+	}
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
+	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
+	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
+	return e, e.listen()
+}
+
+func (e *Entry) newStream(log platform.Log, name string, folds ...follow.Fold) stream {
+	observe := func(records, bytes int) {
+		e.metrics.appends.WithLabelValues(name).Inc()
+		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
+		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
+	}
+	return stream{
+		follower: follow.New(follow.Params{Stream: name, Source: log}, folds...),
+		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
+	}
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.httpL, err = net.Listen("tcp", e.settings.Process.HTTP); err != nil {
+		return settings.ErrSettings.Wrap(err, "process.http")
+	}
+	if e.peerL, err = net.Listen("tcp", e.settings.Process.Peer); err != nil {
+		_ = e.httpL.Close()
+		return settings.ErrSettings.Wrap(err, "process.peer")
+	}
+	return nil
+}
+
+// Start runs the entry's goroutines.
+func (e *Entry) Start() error {
+	peers, err := transport.NewPeerServer(e.settings.Process.PeerSecret, protocol.PeerService, &peerAPI{e})
+	if err != nil {
+		return err
+	}
+	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: 5 * time.Second}
+	ctx := e.context()
+	e.tomb.Go(func() error { return e.conf.follower.Run(ctx) })
+	e.tomb.Go(func() error { return e.work.follower.Run(ctx) })
+	e.tomb.Go(func() error { return e.conf.writer.Run(ctx) })
+	e.tomb.Go(func() error { return e.work.writer.Run(ctx) })
+	e.tomb.Go(func() error { return e.members.Run(ctx) })
+	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
+	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error {
+		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
+			return protocol.ErrInternal.Wrap(err, "serve")
+		}
+		return nil
+	})
+	klog.InfoS("entry started", "instance", e.settings.Process.Instance, "http", e.settings.Process.HTTP, "peer", e.settings.Process.Peer)
+	return nil
+}
+
+// context ends when the entry stops.
+func (e *Entry) context() context.Context {
+	return e.tomb.Context(context.Background())
+}
+
+// Shutdown refuses new requests, waits for those in progress within the drain
+// timeout, and stops.
+func (e *Entry) Shutdown() error {
+	close(e.leaving)
+	e.ring.Add("", "leaving")
+	klog.InfoS("entry leaving", "instance", e.settings.Process.Instance)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Process.DrainTimeout))
+	defer cancel()
+	if err := e.server.Shutdown(ctx); err != nil {
+		klog.InfoS("drain timeout", "instance", e.settings.Process.Instance)
+	}
+	e.flights.wait(ctx)
+	return e.Kill()
+}
+
+// Kill stops at once and waits for the goroutines.
+func (e *Entry) Kill() error {
+	e.tomb.Kill(nil)
+	_ = e.server.Close()
+	_ = e.peerL.Close()
+	e.peers.Close()
+	e.attempts.Close()
+	return e.tomb.Wait()
+}
+
+func (e *Entry) isLeaving() bool {
+	select {
+	case <-e.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// ownsKey reports whether this entry owns the job or request with the key.
+func (e *Entry) ownsKey(key string) bool {
+	live := e.members.Entries()
+	names := make([]string, 0, len(live))
+	for _, i := range live {
+		names = append(names, i.Name)
+	}
+	return routing.Owner(key, names) == e.settings.Process.Instance
+}
+
+// reporter asks peers for their reports over net/rpc.
+type reporter struct{ peers *transport.Peers }
+
+// Report implements membership.Reporter.
+func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+	var reply protocol.ReportReply
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// recordWait bounds the appending and folding of a record for a peer.
+const recordWait = protocol.HeartbeatTimeout
+
+// Report answers with the entry's state.
+func (p *peerAPI) Report(args *protocol.ReportArgs, reply *protocol.ReportReply) error {
+	p.e.ring.Clock().Observe(args.Clock)
+	reply.Instance = p.e.settings.Process.Instance
+	reply.Leaving = p.e.isLeaving()
+	reply.Config = p.e.config.Current().At
+	reply.Clock = p.e.ring.Clock().Now()
+	return nil
+}
+
+// Events answers with the process's events.
+func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
+	reply.Events = p.e.ring.Events(*args)
+	return nil
+}
+
+// Start appends a start and says whether its attempt may run.
+func (p *peerAPI) Start(args *protocol.StartArgs, reply *protocol.StartReply) error {
+	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
+	defer cancel()
+	s := args.Start
+	if err := p.e.appendAndFold(ctx, protocol.Record{ID: args.RecordID, Start: &s}); err != nil {
+		reply.Problem = protocol.ProblemOf(err)
+		return nil
+	}
+	reply.Won = p.e.requests.MayRun(s.Key, s.Attempt, s.Holder)
+	return nil
+}
+
+// Append appends records to the work stream for a process that does not follow it.
+func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
+	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
+	defer cancel()
+	reply.Problem = protocol.ProblemOf(p.e.appendAndFold(ctx, args.Records...))
+	return nil
+}
--- /dev/null
+++ b/entry/routes.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// handler answers a request or returns the error to answer with.
+type handler func(w http.ResponseWriter, r bunrouter.Request) error
+
+func (e *Entry) routes() http.Handler {
+	router := bunrouter.New()
+	caller := func(h handler) bunrouter.HandlerFunc { return e.answer(e.forCaller(h)) }
+	operator := func(h handler) bunrouter.HandlerFunc { return e.answer(e.forOperator(h)) }
+
+	router.POST("/v1/chat/completions", caller(e.serveChat))
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		router.Handle(method, "/services/:service/*path", caller(e.serveService))
+	}
+	router.GET("/requests/:key", caller(e.serveResult))
+	router.POST("/v1/files", caller(e.serveUpload))
+	router.POST("/v1/batches", caller(e.serveSubmit))
+	router.GET("/v1/batches/:job", caller(e.serveJob))
+	router.POST("/v1/batches/:job/cancel", caller(e.serveCancel))
+	router.GET("/v1/batches/:job/results", caller(e.serveResults))
+
+	router.GET("/config", operator(e.serveObjects))
+	router.POST("/config", operator(e.serveApply))
+	router.GET("/status", operator(e.serveStatus))
+	router.GET("/events", operator(e.serveEvents))
+
+	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{})))
+	router.GET("/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
+	})
+	router.GET("/readyz", e.answer(e.serveReady))
+	return router
+}
+
+// answer turns a handler's error into a problem document.
+func (e *Entry) answer(h handler) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		err := h(w, r)
+		if err != nil {
+			p := protocol.ProblemOf(err)
+			e.metrics.problems.WithLabelValues(p.Title).Inc()
+			transport.WriteProblem(w, err, r.Header.Get(headerKey))
+		}
+		return nil
+	}
+}
+
+type workspaceKey struct{}
+
+// forCaller lets callers with a known key through, unless the entry is leaving.
+func (e *Entry) forCaller(h handler) handler {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		workspace, found := e.callers[bearer(r.Request)]
+		if !found {
+			return protocol.ErrUnauthorized.New("the caller's key is missing or unknown")
+		}
+		if e.isLeaving() {
+			return protocol.ErrLeaving.New("this entry is shutting down")
+		}
+		return h(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace)))
+	}
+}
+
+func workspaceOf(r bunrouter.Request) string {
+	w, _ := r.Context().Value(workspaceKey{}).(string)
+	return w
+}
+
+// forOperator lets operators with a known key through.
+func (e *Entry) forOperator(h handler) handler {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		token := bearer(r.Request)
+		for _, key := range e.settings.Entry.OperatorKeys {
+			if key == token {
+				return h(w, r)
+			}
+		}
+		return protocol.ErrUnauthorized.New("the operator's key is missing or unknown")
+	}
+}
+
+func bearer(r *http.Request) string {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return token
+}
+
+// readBody reads a body of at most limit bytes. It fails with ErrTooLarge or
+// ErrBadRequest.
+func readBody(w http.ResponseWriter, r bunrouter.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, protocol.ErrTooLarge.New("body above %d bytes", limit)
+	case err != nil:
+		return nil, protocol.ErrBadRequest.Wrap(err, "read body")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// serveService passes a call through to a plain service.
+func (e *Entry) serveService(w http.ResponseWriter, r bunrouter.Request) error {
+	name := r.Param("service")
+	service := e.config.Current().Service(name)
+	if service == nil || service.Type != protocol.ServicePlain {
+		return protocol.ErrNotFound.New("no plain service %q", name)
+	}
+	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	call := protocol.Call{
+		Service:     name,
+		Workspace:   workspaceOf(r),
+		Method:      r.Method,
+		Path:        pathWithQuery(r),
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+	}
+	key := r.Header.Get(headerKey)
+	if !service.Repeatable(r.Method) && key == "" {
+		return protocol.ErrKeyRequired.New("%s calls of service %q run at most once and need an Idempotency-Key", r.Method, name)
+	}
+	if key == "" {
+		key = protocol.NewID()
+	}
+	o := newOrder(keyIn(call.Workspace, key), traceOf(r.Request), call, service)
+	e.ring.Add(o.trace, "request received", "service", name)
+	if wantsReceipt(r.Request) {
+		return e.accept(w, r, key, o)
+	}
+	result, retained, err := e.execute(r.Context(), o)
+	if err != nil {
+		return err
+	}
+	writeResult(w, result, key, retained)
+	return nil
+}
+
+func pathWithQuery(r bunrouter.Request) string {
+	path := "/" + r.Param("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// serveReady reports whether the entry knows the configuration and the requests
+// well enough to serve.
+func (e *Entry) serveReady(w http.ResponseWriter, _ bunrouter.Request) error {
+	if e.isLeaving() {
+		return protocol.ErrLeaving.New("this entry is shutting down")
+	}
+	if !e.conf.follower.CaughtUp() || !e.work.follower.CaughtUp() {
+		return protocol.ErrBusy.New("the log has not been read yet")
+	}
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
--- /dev/null
+++ b/processtest/processtest.go
@@ -0,0 +1,385 @@
+// Package processtest runs a site as separate processes on loopback, for tests
+// that kill, stop and replace them.
+package processtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/sycamoretally/sycamoretally/demo"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+// ErrProcess is the type of failures to build, start or stop a process.
+var ErrProcess = protocol.Errors.NewType("process")
+
+// Build compiles the binary into dir and returns its path.
+func Build(dir string) (string, error) {
+	path := filepath.Join(dir, "sycamoretally")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/sycamoretally/sycamoretally/cmd/sycamoretally").CombinedOutput()
+	if err != nil {
+		return "", ErrProcess.Wrap(err, "build: %s", out)
+	}
+	return path, nil
+}
+
+// Process is one process of a site.
+type Process struct {
+	Settings settings.Settings
+	args     []string
+	path     string
+	binary   string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	log  bytes.Buffer
+	done chan struct{}
+}
+
+// Start starts the process, again after it has ended.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.binary, append(p.args, "--config", p.path)...)
+	cmd.Stdout, cmd.Stderr = &lockedBuffer{p}, &lockedBuffer{p}
+	if err := cmd.Start(); err != nil {
+		return ErrProcess.Wrap(err, "start %s", p.path)
+	}
+	p.cmd, p.done = cmd, make(chan struct{})
+	go func(done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.done)
+	return nil
+}
+
+// lockedBuffer writes to the process's log.
+type lockedBuffer struct{ p *Process }
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.p.mu.Lock()
+	defer b.p.mu.Unlock()
+	return b.p.log.Write(data)
+}
+
+// Log returns what the process has written so far.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return ErrProcess.Wrap(err, "signal %v", sig)
+	}
+	return nil
+}
+
+// Wait waits until the process has ended and returns its exit code.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	p.mu.Lock()
+	done, cmd := p.done, p.cmd
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return cmd.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return 0, ErrProcess.New("%s has not ended", p.path)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_, err := p.Wait(waitLimit)
+	return err
+}
+
+// waitLimit bounds the wait for a process to end or to answer.
+const waitLimit = 10 * time.Second
+
+// Site is a running site of separate processes.
+type Site struct {
+	Log      *Process
+	List     *Process
+	Entries  []*Process
+	Sidecars []*Process
+	Engines  []*Process
+	Services []*Process
+	// Client holds the settings with which a client reaches the site.
+	Client settings.Client
+
+	dir    string
+	binary string
+}
+
+// Layout says how many of each process a site has.
+type Layout struct {
+	Entries  int
+	Engines  int
+	Services int
+	Slots    int
+	Engine   settings.StandInEngine
+	Log      settings.StandInLog
+	ListLag  time.Duration
+	Service  settings.StandInService
+	Drain    time.Duration
+}
+
+// Start writes settings files into dir and starts every process. Close must be
+// called in the end, also after an error.
+func Start(binary, dir string, layout Layout) (*Site, error) {
+	s := &Site{dir: dir, binary: binary}
+	s.Client = settings.Client{OperatorKey: demo.OperatorKey, CallerKey: demo.CallerKey}
+	if err := s.startPlatform(layout); err != nil {
+		return s, err
+	}
+	for i := range layout.Engines {
+		if err := s.addEngine(i, layout); err != nil {
+			return s, err
+		}
+	}
+	for i := range layout.Services {
+		if err := s.addService(layout.Engines+i, layout); err != nil {
+			return s, err
+		}
+	}
+	for i := range layout.Entries {
+		if err := s.addEntry(i, layout); err != nil {
+			return s, err
+		}
+	}
+	return s, s.PublishList()
+}
+
+func (s *Site) startPlatform(layout Layout) error {
+	log, err := s.standIn("log", settings.RoleStandInLog, func(st *settings.StandIn) { st.Log = layout.Log })
+	if err != nil {
+		return err
+	}
+	s.Log = log
+	s.List, err = s.standIn("list", settings.RoleStandInList, func(st *settings.StandIn) {
+		st.List.Lag = settings.Duration(layout.ListLag)
+	})
+	return err
+}
+
+func (s *Site) standIn(name string, role settings.Role, set func(*settings.StandIn)) (*Process, error) {
+	st := settings.Default()
+	st.Role = role
+	set(&st.StandIn)
+	var err error
+	if st.StandIn.Listen, err = demo.FreeAddress(); err != nil {
+		return nil, err
+	}
+	kind := string(role)[len("standin-"):]
+	return s.launch(name, st, st.StandIn.Listen, "standin", kind)
+}
+
+// launch writes the settings file, starts the process and waits until it
+// accepts connections.
+func (s *Site) launch(name string, st settings.Settings, address string, args ...string) (*Process, error) {
+	data, err := toml.Marshal(st)
+	if err != nil {
+		return nil, ErrProcess.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(s.dir, name+".toml")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return nil, ErrProcess.Wrap(err, "write settings")
+	}
+	p := &Process{Settings: st, args: args, path: path, binary: s.binary}
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	return p, awaitListening(p, address)
+}
+
+func awaitListening(p *Process, address string) error {
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + address + "/healthz")
+		if err == nil {
+			_ = resp.Body.Close()
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return ErrProcess.New("%s does not answer: %s", p.path, p.Log())
+}
+
+func (s *Site) process(role settings.Role, name string, index int, layout Layout) (settings.Settings, error) {
+	st := settings.Default()
+	st.Role = role
+	st.Process.Instance = name
+	st.Process.DataCentre = fmt.Sprintf("dc-%d", index%2)
+	st.Process.PeerSecret = demo.PeerSecret
+	if layout.Drain > 0 {
+		st.Process.DrainTimeout = settings.Duration(layout.Drain)
+	}
+	st.Platform.Log = "http://" + s.Log.Settings.StandIn.Listen
+	st.Platform.Instances = "http://" + s.List.Settings.StandIn.Listen
+	var err error
+	if st.Process.HTTP, err = demo.FreeAddress(); err != nil {
+		return st, err
+	}
+	st.Process.Peer, err = demo.FreeAddress()
+	return st, err
+}
+
+func (s *Site) addEngine(i int, layout Layout) error {
+	engine, err := s.standIn(fmt.Sprintf("engine-%d", i), settings.RoleStandInEngine, func(st *settings.StandIn) { st.Engine = layout.Engine })
+	if err != nil {
+		return err
+	}
+	s.Engines = append(s.Engines, engine)
+	return s.addSidecar(i, layout, settings.Target{Type: settings.TargetEngine, URL: "http://" + engine.Settings.StandIn.Listen}, "drafting")
+}
+
+func (s *Site) addService(i int, layout Layout) error {
+	service, err := s.standIn(fmt.Sprintf("service-%d", i), settings.RoleStandInPlain, func(st *settings.StandIn) { st.Service = layout.Service })
+	if err != nil {
+		return err
+	}
+	s.Services = append(s.Services, service)
+	return s.addSidecar(i, layout, settings.Target{Type: settings.TargetService, URL: "http://" + service.Settings.StandIn.Listen}, "booking")
+}
+
+func (s *Site) addSidecar(i int, layout Layout, t settings.Target, role string) error {
+	name := fmt.Sprintf("sidecar-%d", i)
+	st, err := s.process(settings.RoleSidecar, name, i, layout)
+	if err != nil {
+		return err
+	}
+	t.Name = fmt.Sprintf("target-%d", i)
+	t.Labels = map[string]string{"role": role, "unit": string(rune('a' + i))}
+	t.Slots, t.Queue = layout.Slots, settings.DefaultQueue
+	st.Targets = []settings.Target{t}
+	p, err := s.launch(name, st, st.Process.HTTP, "sidecar")
+	if err == nil {
+		s.Sidecars = append(s.Sidecars, p)
+	}
+	return err
+}
+
+func (s *Site) addEntry(i int, layout Layout) error {
+	name := fmt.Sprintf("entry-%d", i)
+	st, err := s.process(settings.RoleEntry, name, i, layout)
+	if err != nil {
+		return err
+	}
+	st.Entry.OperatorKeys = []string{demo.OperatorKey}
+	st.Entry.Callers = []settings.Caller{{Workspace: "demo", Key: demo.CallerKey}}
+	p, err := s.launch(name, st, st.Process.HTTP, "entry")
+	if err == nil {
+		s.Entries = append(s.Entries, p)
+		s.Client.Entries = append(s.Client.Entries, "http://"+st.Process.HTTP)
+	}
+	return err
+}
+
+// PublishList writes all processes of the system to the instance list, and marks
+// those as leaving that leaving names.
+func (s *Site) PublishList(leaving ...string) error {
+	marked := map[string]bool{}
+	for _, name := range leaving {
+		marked[name] = true
+	}
+	var rows []platform.Instance
+	for _, group := range [][]*Process{s.Entries, s.Sidecars} {
+		for _, p := range group {
+			pr := p.Settings.Process
+			rows = append(rows, platform.Instance{
+				Name: pr.Instance, Role: platform.Role(p.Settings.Role), DataCentre: pr.DataCentre,
+				HTTP: pr.HTTP, Peer: pr.Peer, Leaving: marked[pr.Instance],
+			})
+		}
+	}
+	return send(http.MethodPut, "http://"+s.List.Settings.StandIn.Listen+"/instances", rows)
+}
+
+// SetFaults posts the failures of a stand-in.
+func (s *Site) SetFaults(p *Process, faults any) error {
+	return send(http.MethodPost, "http://"+p.Settings.StandIn.Listen+"/faults", faults)
+}
+
+func send(method, url string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return ErrProcess.Wrap(err, "encode")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return ErrProcess.Wrap(err, "%s", url)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ErrProcess.Wrap(err, "%s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return ErrProcess.New("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// Runs adds up how often each booking ran, from the booking services themselves.
+func (s *Site) Runs() (map[string]int, error) {
+	total := map[string]int{}
+	for _, p := range s.Services {
+		var runs map[string]int
+		if err := Read("http://"+p.Settings.StandIn.Listen+"/runs", &runs); err != nil {
+			return nil, err
+		}
+		for key, n := range runs {
+			total[key] += n
+		}
+	}
+	return total, nil
+}
+
+// Read decodes the JSON at a stand-in's URL.
+func Read(url string, v any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return ErrProcess.Wrap(err, "%s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return ErrProcess.Wrap(err, "%s", url)
+	}
+	return nil
+}
+
+// Close kills every process of the site, the system's before the platform's.
+func (s *Site) Close() {
+	for _, group := range [][]*Process{s.Entries, s.Sidecars, s.Engines, s.Services, {s.Log, s.List}} {
+		for _, p := range group {
+			if p != nil {
+				_ = p.Signal(syscall.SIGKILL)
+				_, _ = p.Wait(waitLimit)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/protocol/config.go
@@ -0,0 +1,154 @@
+package protocol
+
+import "time"
+
+// ObjectKind names a kind of configuration object.
+type ObjectKind string
+
+// The kinds of configuration object.
+const (
+	KindService   ObjectKind = "service"
+	KindLabel     ObjectKind = "label"
+	KindDrain     ObjectKind = "drain"
+	KindQuota     ObjectKind = "quota"
+	KindPlacement ObjectKind = "placement"
+)
+
+// Labels are key=value pairs attached to a target.
+type Labels map[string]string
+
+// Selector matches targets whose labels contain every pair in it. An empty
+// selector matches every target.
+type Selector map[string]string
+
+// Matches reports whether labels satisfy the selector.
+func (s Selector) Matches(labels Labels) bool {
+	for k, v := range s {
+		if labels[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Object is one configuration object. Exactly the member that its kind names
+// is set; a deleted object has none.
+type Object struct {
+	Kind    ObjectKind `json:"kind" toml:"kind" msgpack:"k"`
+	Name    string     `json:"name" toml:"name" msgpack:"n"`
+	Deleted bool       `json:"deleted,omitempty" toml:"deleted" msgpack:"x,omitempty"`
+	// Base is the version that the change was made from, zero for a new object.
+	Base Position `json:"base,omitempty" toml:"base" msgpack:"b,omitempty"`
+	// Version is the position of the record that set the object. The fold sets it.
+	Version Position `json:"version,omitempty" toml:"-" msgpack:"v,omitempty"`
+
+	Service   *Service   `json:"service,omitempty" toml:"service" msgpack:"s,omitempty"`
+	Label     *Label     `json:"label,omitempty" toml:"label" msgpack:"l,omitempty"`
+	Drain     *Drain     `json:"drain,omitempty" toml:"drain" msgpack:"d,omitempty"`
+	Quota     *Quota     `json:"quota,omitempty" toml:"quota" msgpack:"q,omitempty"`
+	Placement *Placement `json:"placement,omitempty" toml:"placement" msgpack:"p,omitempty"`
+}
+
+// ServiceType tells model services from plain ones.
+type ServiceType string
+
+// The types of service.
+const (
+	ServiceModel ServiceType = "model"
+	ServicePlain ServiceType = "plain"
+)
+
+// Service is something that callers address by name and targets carry out.
+type Service struct {
+	Type     ServiceType `json:"type" toml:"type" msgpack:"t"`
+	Selector Selector    `json:"selector" toml:"selector" msgpack:"s"`
+	// RepeatableMethods lists the HTTP methods of a plain service whose calls
+	// are idempotent. Calls with any other method run at most once.
+	RepeatableMethods []string `json:"repeatable_methods,omitempty" toml:"repeatable_methods" msgpack:"r,omitempty"`
+	// Discard turns off the retention of results of idempotent requests.
+	Discard bool `json:"discard,omitempty" toml:"discard" msgpack:"x,omitempty"`
+	// TimeoutMillis bounds one request, in milliseconds. Zero means DefaultRequestTimeout.
+	TimeoutMillis int `json:"timeout_ms,omitempty" toml:"timeout_ms" msgpack:"m,omitempty"`
+}
+
+// DefaultRequestTimeout bounds a request of a service that sets no timeout.
+const DefaultRequestTimeout = 60 * time.Second
+
+// Timeout gives the bound on one request.
+func (s *Service) Timeout() time.Duration {
+	if s.TimeoutMillis <= 0 {
+		return DefaultRequestTimeout
+	}
+	return time.Duration(s.TimeoutMillis) * time.Millisecond
+}
+
+// Repeatable reports whether a call with method may run more than once.
+func (s *Service) Repeatable(method string) bool {
+	if s.Type == ServiceModel {
+		return true
+	}
+	for _, m := range s.RepeatableMethods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// Label sets labels on every target that the selector matches.
+type Label struct {
+	Selector Selector `json:"selector" toml:"selector" msgpack:"s"`
+	Set      Labels   `json:"set" toml:"set" msgpack:"l"`
+}
+
+// Drain takes every target that the selector matches out of service.
+type Drain struct {
+	Selector Selector `json:"selector" toml:"selector" msgpack:"s"`
+}
+
+// Quota bounds what one workspace may use.
+type Quota struct {
+	// RequestsPerSecond is the sustained rate of online requests.
+	RequestsPerSecond float64 `json:"requests_per_second" toml:"requests_per_second" msgpack:"r"`
+	// BatchShare is the weight of the workspace's jobs among batch work.
+	BatchShare float64 `json:"batch_share" toml:"batch_share" msgpack:"b"`
+}
+
+// Placement asks for a model and version on every target that the selector matches.
+type Placement struct {
+	Selector Selector `json:"selector" toml:"selector" msgpack:"s"`
+	Model    string   `json:"model" toml:"model" msgpack:"m"`
+	Version  string   `json:"version" toml:"version" msgpack:"v"`
+	Adapters []string `json:"adapters,omitempty" toml:"adapters" msgpack:"a,omitempty"`
+	// MaxUnavailablePercent bounds the part of the matched targets that load at once.
+	MaxUnavailablePercent int `json:"max_unavailable_percent,omitempty" toml:"max_unavailable_percent" msgpack:"u,omitempty"`
+}
+
+// Validate reports the first fault of the object as ErrBadRequest.
+func (o *Object) Validate() error {
+	if o.Name == "" {
+		return ErrBadRequest.New("object of kind %q has no name", o.Kind)
+	}
+	if o.Deleted {
+		return nil
+	}
+	set := map[ObjectKind]bool{
+		KindService:   o.Service != nil,
+		KindLabel:     o.Label != nil,
+		KindDrain:     o.Drain != nil,
+		KindQuota:     o.Quota != nil,
+		KindPlacement: o.Placement != nil,
+	}
+	if _, known := set[o.Kind]; !known {
+		return ErrBadRequest.New("object %q has the unknown kind %q", o.Name, o.Kind)
+	}
+	for kind, present := range set {
+		if present != (kind == o.Kind) {
+			return ErrBadRequest.New("object %q of kind %q must have the section %q and no other", o.Name, o.Kind, o.Kind)
+		}
+	}
+	if o.Service != nil && o.Service.Type != ServiceModel && o.Service.Type != ServicePlain {
+		return ErrBadRequest.New("service %q: type must be %q or %q", o.Name, ServiceModel, ServicePlain)
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/errors.go
@@ -0,0 +1,156 @@
+package protocol
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Outcome says what became of a request, as far as the sender knows.
+type Outcome string
+
+// The outcomes that a problem document or a stored result can carry.
+const (
+	// OutcomeNotRun means that no target has run the request or ever will
+	// under this attempt.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that a target may have run the request.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeCompleted means that the request ran and its answer is whole.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeFailed means that the request ran, or was judged, and can never succeed.
+	OutcomeFailed Outcome = "failed"
+)
+
+// Errors is the namespace of every error type in this package.
+var Errors = errorx.NewNamespace("sycamoretally")
+
+// Error types that cross process boundaries. The HTTP status and the outcome
+// of each stand in the table faults.
+var (
+	ErrBadRequest     = Errors.NewType("bad_request")
+	ErrUnauthorized   = Errors.NewType("unauthorized")
+	ErrNotFound       = Errors.NewType("not_found")
+	ErrTooLarge       = Errors.NewType("too_large")
+	ErrKeyRequired    = Errors.NewType("key_required")
+	ErrKeyConflict    = Errors.NewType("key_conflict")
+	ErrVersion        = Errors.NewType("version_conflict")
+	ErrBusy           = Errors.NewType("busy")
+	ErrLeaving        = Errors.NewType("leaving")
+	ErrNoTarget       = Errors.NewType("no_target")
+	ErrNotSent        = Errors.NewType("not_sent")
+	ErrVoided         = Errors.NewType("attempt_void")
+	ErrLogUnavailable = Errors.NewType("log_unavailable")
+	ErrAnswerLost     = Errors.NewType("answer_lost")
+	ErrOffsetExpired  = Errors.NewType("offset_expired")
+	ErrTruncated      = Errors.NewType("truncated")
+	ErrTargetFailed   = Errors.NewType("target_failed")
+	ErrUnknownOutcome = Errors.NewType("outcome_unknown")
+	ErrCancelled      = Errors.NewType("cancelled")
+	ErrQuarantined    = Errors.NewType("quarantined")
+	ErrTimeout        = Errors.NewType("timeout", errorx.Timeout())
+	ErrInternal       = Errors.NewType("internal")
+)
+
+type fault struct {
+	kind    *errorx.Type
+	status  int
+	outcome Outcome
+}
+
+// faults lists every error type with its HTTP status and its outcome. The
+// first entry whose type matches an error describes it.
+var faults = []fault{
+	{ErrBadRequest, http.StatusBadRequest, OutcomeNotRun},
+	{ErrUnauthorized, http.StatusUnauthorized, OutcomeNotRun},
+	{ErrNotFound, http.StatusNotFound, OutcomeNotRun},
+	{ErrTooLarge, http.StatusRequestEntityTooLarge, OutcomeNotRun},
+	{ErrKeyRequired, http.StatusBadRequest, OutcomeNotRun},
+	{ErrKeyConflict, http.StatusConflict, OutcomeNotRun},
+	{ErrVersion, http.StatusConflict, OutcomeNotRun},
+	{ErrBusy, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrLeaving, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrNoTarget, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrNotSent, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrVoided, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrLogUnavailable, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrAnswerLost, http.StatusBadGateway, OutcomeUnknown},
+	{ErrOffsetExpired, http.StatusGone, OutcomeNotRun},
+	{ErrTruncated, http.StatusBadGateway, OutcomeUnknown},
+	{ErrTargetFailed, http.StatusBadGateway, OutcomeUnknown},
+	{ErrUnknownOutcome, http.StatusGatewayTimeout, OutcomeUnknown},
+	{ErrCancelled, http.StatusConflict, OutcomeFailed},
+	{ErrQuarantined, http.StatusUnprocessableEntity, OutcomeFailed},
+	{ErrTimeout, http.StatusGatewayTimeout, OutcomeUnknown},
+	{ErrInternal, http.StatusInternalServerError, OutcomeUnknown},
+}
+
+// RetryAfterBusy is the delay that refusals advise in their Retry-After header.
+const RetryAfterBusy = time.Second
+
+// Problem is an error in RFC 9457 form, with the member outcome added. It
+// travels in HTTP bodies and in peer replies.
+type Problem struct {
+	Type    string  `json:"type" msgpack:"t"`
+	Title   string  `json:"title" msgpack:"n"`
+	Status  int     `json:"status" msgpack:"s"`
+	Detail  string  `json:"detail,omitempty" msgpack:"d,omitempty"`
+	Outcome Outcome `json:"outcome" msgpack:"o"`
+	// Key names the request that the problem is about, where it has one.
+	Key string `json:"key,omitempty" msgpack:"k,omitempty"`
+}
+
+const problemTypePrefix = "urn:sycamoretally:problem:"
+
+// ProblemOf describes err. An error of a foreign type becomes ErrInternal. A
+// nil error gives nil.
+func ProblemOf(err error) *Problem {
+	if err == nil {
+		return nil
+	}
+	found := fault{ErrInternal, http.StatusInternalServerError, OutcomeUnknown}
+	for _, f := range faults {
+		if errorx.IsOfType(err, f.kind) {
+			found = f
+			break
+		}
+	}
+	name := found.kind.FullName()[len("sycamoretally."):]
+	return &Problem{
+		Type:    problemTypePrefix + name,
+		Title:   name,
+		Status:  found.status,
+		Detail:  detailOf(err),
+		Outcome: found.outcome,
+	}
+}
+
+func detailOf(err error) string {
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.Message()
+	}
+	return err.Error()
+}
+
+// Err turns a problem received from a peer back into an error of its type.
+// A nil problem gives nil.
+func (p *Problem) Err() error {
+	if p == nil {
+		return nil
+	}
+	for _, f := range faults {
+		if problemTypePrefix+f.kind.FullName()[len("sycamoretally."):] == p.Type {
+			return f.kind.New("%s", p.Detail)
+		}
+	}
+	return ErrInternal.New("%s: %s", p.Title, p.Detail)
+}
+
+// OutcomeOf gives the outcome that err stands for; nil stands for completed.
+func OutcomeOf(err error) Outcome {
+	if err == nil {
+		return OutcomeCompleted
+	}
+	return ProblemOf(err).Outcome
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,262 @@
+// Package settings reads the TOML settings of every role: defaults, strict keys
+// and checks that report all faults of a file at once, each with its key.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Role names what a process is.
+type Role string
+
+// The roles that a settings file can configure.
+const (
+	RoleEntry         Role = "entry"
+	RoleSidecar       Role = "sidecar"
+	RoleClient        Role = "client"
+	RoleStandInLog    Role = "standin-log"
+	RoleStandInList   Role = "standin-list"
+	RoleStandInStore  Role = "standin-store"
+	RoleStandInEngine Role = "standin-engine"
+	RoleStandInPlain  Role = "standin-service"
+)
+
+// Settings is one settings file. A section that its role does not use is ignored.
+type Settings struct {
+	Role     Role     `toml:"role"`
+	Process  Process  `toml:"process"`
+	Platform Platform `toml:"platform"`
+	Entry    Entry    `toml:"entry"`
+	Targets  []Target `toml:"target"`
+	Client   Client   `toml:"client"`
+	StandIn  StandIn  `toml:"standin"`
+}
+
+// Process holds what every process of the system needs.
+type Process struct {
+	Instance   string `toml:"instance"`
+	DataCentre string `toml:"data_centre"`
+	// HTTP and Peer are the addresses to listen on, as IP:port.
+	HTTP string `toml:"http"`
+	Peer string `toml:"peer"`
+	// PeerSecret authenticates the system's processes to each other.
+	PeerSecret string `toml:"peer_secret"`
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout Duration `toml:"drain_timeout"`
+}
+
+// Platform holds the URLs of the platform's services.
+type Platform struct {
+	Log       string `toml:"log"`
+	Instances string `toml:"instances"`
+	Weights   string `toml:"weights"`
+}
+
+// Entry holds what an entry needs besides.
+type Entry struct {
+	// OperatorKeys are the bearer tokens that may change configuration.
+	OperatorKeys []string `toml:"operator_keys"`
+	// Callers maps callers' bearer tokens to workspaces.
+	Callers []Caller `toml:"caller"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxFileBytes bounds an uploaded batch file.
+	MaxFileBytes int64 `toml:"max_file_bytes"`
+	// Attempts bounds the attempts of one request.
+	Attempts int `toml:"attempts"`
+}
+
+// Caller is one caller's key.
+type Caller struct {
+	Workspace string `toml:"workspace"`
+	Key       string `toml:"key"`
+}
+
+// TargetType tells model engines from plain services.
+type TargetType string
+
+// The types of target.
+const (
+	TargetEngine  TargetType = "engine"
+	TargetService TargetType = "service"
+)
+
+// Target is a target beside a sidecar.
+type Target struct {
+	Name   string            `toml:"name"`
+	Type   TargetType        `toml:"type"`
+	URL    string            `toml:"url"`
+	Labels map[string]string `toml:"labels"`
+	// Slots is the number of requests that the target runs at the same time.
+	Slots int `toml:"slots"`
+	// Reserve is the number of slots that batch work leaves free.
+	Reserve int `toml:"reserve"`
+	// Queue is the number of online requests that may wait for a slot.
+	Queue int `toml:"queue"`
+}
+
+// Client holds what the command line needs to reach the system.
+type Client struct {
+	// Entries are the base URLs of entries; the first that answers is used.
+	Entries     []string `toml:"entries"`
+	OperatorKey string   `toml:"operator_key"`
+	CallerKey   string   `toml:"caller_key"`
+}
+
+// StandIn holds the settings of the stand-ins.
+type StandIn struct {
+	Listen  string         `toml:"listen"`
+	Log     StandInLog     `toml:"log"`
+	List    StandInList    `toml:"list"`
+	Store   StandInStore   `toml:"store"`
+	Engine  StandInEngine  `toml:"engine"`
+	Service StandInService `toml:"service"`
+}
+
+// StandInLog holds the settings of the log service's stand-in.
+type StandInLog struct {
+	AppendsPerSecond float64  `toml:"appends_per_second"`
+	Retention        Duration `toml:"retention"`
+}
+
+// StandInList holds the settings of the instance list's stand-in.
+type StandInList struct {
+	Lag       Duration            `toml:"lag"`
+	Instances []platform.Instance `toml:"instance"`
+}
+
+// StandInStore holds the settings of the weight store's stand-in.
+type StandInStore struct {
+	FetchesPerSecond float64 `toml:"fetches_per_second"`
+	Burst            int     `toml:"burst"`
+	SizeBytes        int     `toml:"size_bytes"`
+}
+
+// StandInEngine holds the settings of an engine's stand-in.
+type StandInEngine struct {
+	Width       int      `toml:"width"`
+	TokenTime   Duration `toml:"token_time"`
+	PrefillTime Duration `toml:"prefill_time"`
+	CacheTokens int      `toml:"cache_tokens"`
+	ReportLag   Duration `toml:"report_lag"`
+	ChecksFence bool     `toml:"checks_fence"`
+	RestartTime Duration `toml:"restart_time"`
+}
+
+// StandInService holds the settings of a plain service's stand-in.
+type StandInService struct {
+	DelayMillis int `toml:"delay_ms"`
+}
+
+// Duration is a time in a settings file, written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return ErrSettings.New("%q is not a duration such as \"1.5s\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// ErrSettings is the type of every fault in a settings file.
+var ErrSettings = protocol.Errors.NewType("settings")
+
+// Default returns the values in force where a file is silent.
+func Default() Settings {
+	return Settings{
+		Process: Process{DrainTimeout: Duration(30 * time.Second)},
+		Entry: Entry{
+			MaxBodyBytes: 1 << 20,
+			MaxFileBytes: 128 << 20,
+			Attempts:     4,
+		},
+		StandIn: StandIn{
+			Log:    StandInLog{AppendsPerSecond: 300},
+			List:   StandInList{Lag: Duration(2 * time.Second)},
+			Store:  StandInStore{FetchesPerSecond: 1, Burst: 1, SizeBytes: 1 << 20},
+			Engine: StandInEngine{Width: 8, TokenTime: Duration(10 * time.Millisecond), CacheTokens: 4096, ReportLag: Duration(2 * time.Second), RestartTime: Duration(time.Second)},
+		},
+	}
+}
+
+// The defaults of a target.
+const (
+	DefaultSlots = 8
+	DefaultQueue = 64
+)
+
+// Load reads the file at path and checks it. The error, of type ErrSettings,
+// lists every fault, one a line.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrSettings.Wrap(err, "read settings")
+	}
+	s, faults := Parse(data)
+	if len(faults) > 0 {
+		return nil, ErrSettings.New("%s:\n%s", path, strings.Join(faults, "\n"))
+	}
+	return s, nil
+}
+
+// Parse reads settings and returns every fault found, each starting with its key.
+func Parse(data []byte) (*Settings, []string) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var faults []string
+	err := dec.Decode(&s)
+	var unknown *toml.StrictMissingError
+	switch {
+	case err == nil:
+	case errors.As(err, &unknown):
+		for _, e := range unknown.Errors {
+			faults = append(faults, strings.Join(e.Key(), ".")+": unknown key")
+		}
+	default:
+		return nil, []string{syntaxFault(err)}
+	}
+	for i := range s.Targets {
+		s.Targets[i].setDefaults()
+	}
+	return &s, append(faults, s.check()...)
+}
+
+func syntaxFault(err error) string {
+	var decode *toml.DecodeError
+	if !errors.As(err, &decode) {
+		return "file: " + err.Error()
+	}
+	row, col := decode.Position()
+	key := strings.Join(decode.Key(), ".")
+	if key == "" {
+		key = "file"
+	}
+	return strings.TrimSpace(key + ": " + decode.Error() + " at line " + itoa(row) + ", column " + itoa(col))
+}
+
+func (t *Target) setDefaults() {
+	if t.Slots == 0 {
+		t.Slots = DefaultSlots
+	}
+	if t.Queue == 0 {
+		t.Queue = DefaultQueue
+	}
+}
--- /dev/null
+++ b/sidecar/attempt.go
@@ -0,0 +1,73 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// maxAttemptBytes bounds an encoded attempt.
+const maxAttemptBytes = 64 << 20
+
+func (s *Sidecar) serveAttempt(w http.ResponseWriter, r *http.Request) {
+	var a protocol.AttemptRequest
+	if err := msgpack.NewDecoder(http.MaxBytesReader(w, r.Body, maxAttemptBytes)).Decode(&a); err != nil {
+		transport.WriteProblem(w, protocol.ErrBadRequest.Wrap(err, "decode attempt"), "")
+		return
+	}
+	s.ring.Clock().Observe(a.Clock)
+	runner := s.runners[a.Target]
+	if runner == nil {
+		transport.WriteProblem(w, protocol.ErrNoTarget.New("no target %s here", a.Target), "")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), a.TimeLeft())
+	defer cancel()
+	frames := transport.NewFrameWriter(w, a.Attempt, s.ring.Clock().Now)
+	defer frames.Close()
+	err := s.run(ctx, runner, &a, frames)
+	report := runner.report()
+	if err != nil {
+		s.ring.Add(a.Trace, "attempt failed", "attempt", a.Attempt, "target", a.Target, "error", protocol.ProblemOf(err).Title)
+		klog.V(2).InfoS("attempt failed", "trace", a.Trace, "attempt", a.Attempt, "target", a.Target, "error", err)
+		_ = frames.Fail(err, &report)
+		return
+	}
+	_ = frames.End(&report)
+}
+
+// run admits the attempt and runs it on its target.
+func (s *Sidecar) run(ctx context.Context, r *runner, a *protocol.AttemptRequest, frames *transport.FrameWriter) error {
+	ctx, release, err := r.admit(ctx, a)
+	if err != nil {
+		s.metrics.refused.Inc()
+		return err
+	}
+	defer release()
+	s.metrics.admitted.WithLabelValues(string(a.Class)).Inc()
+	s.ring.Add(a.Trace, "attempt admitted", "attempt", a.Attempt, "target", a.Target, "class", string(a.Class))
+	switch {
+	case a.Call.Model:
+		if err := frames.Head(http.StatusOK, "", nil); err != nil {
+			return err
+		}
+		return r.generate(ctx, a, frames.Token)
+	case a.Repeatable:
+		result, err := r.service.Do(ctx, a.Key, &a.Call, true)
+		if err != nil {
+			return err
+		}
+		return frames.Head(result.Status, result.ContentType, result.Body)
+	default:
+		result, err := s.runOnce(ctx, r, a)
+		if err != nil {
+			return err
+		}
+		return frames.Head(result.Status, result.ContentType, result.Body)
+	}
+}
--- /dev/null
+++ b/sidecar/runner.go
@@ -0,0 +1,268 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/sycamoretally/sycamoretally/coordination/slots"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+// errPreempted ends batch work that gives its slot to online work.
+var errPreempted = protocol.Errors.NewType("preempted")
+
+// runner is the only door to one target: it holds the target's slots and the
+// work that runs or waits.
+type runner struct {
+	target  settings.Target
+	engine  *platform.Engine
+	service *platform.PlainService
+	events  func(trace, name string, fields ...string)
+
+	mu      sync.Mutex
+	slots   *slots.Slots
+	waiting map[string]chan struct{}
+	cancels map[string]context.CancelCauseFunc
+	leaving bool
+	drained bool
+	healthy bool
+	seq     uint64
+	idle    chan struct{}
+}
+
+func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
+	return &runner{
+		target:  t,
+		engine:  platform.NewEngine(t.URL),
+		service: platform.NewPlainService(t.URL),
+		events:  events,
+		slots:   slots.New(slots.Params{Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue}),
+		waiting: map[string]chan struct{}{},
+		cancels: map[string]context.CancelCauseFunc{},
+		healthy: true,
+		idle:    make(chan struct{}, 1),
+	}
+}
+
+// admit waits for a slot. The returned context ends when the work must stop,
+// and release gives the slot back. It fails with ErrLeaving or ErrBusy, and
+// then nothing was sent to the target.
+func (r *runner) admit(ctx context.Context, a *protocol.AttemptRequest) (context.Context, func(), error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	granted, err := r.arrive(a, cancel)
+	if err != nil {
+		cancel(nil)
+		return nil, nil, err
+	}
+	release := func() {
+		cancel(nil)
+		r.done(a.Attempt)
+	}
+	select {
+	case <-granted:
+		return ctx, release, nil
+	case <-ctx.Done():
+		release()
+		return nil, nil, protocol.ErrBusy.New("target %s: no slot in time", r.target.Name)
+	}
+}
+
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+func (r *runner) arrive(a *protocol.AttemptRequest, cancel context.CancelCauseFunc) (<-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving || r.drained {
+		return nil, protocol.ErrLeaving.New("target %s takes no new work", r.target.Name)
+	}
+	decision, effects := r.decide(a)
+	if decision == slots.Refuse {
+		return nil, protocol.ErrBusy.New("target %s has no free slot", r.target.Name)
+	}
+	r.seq++
+	r.cancels[a.Attempt] = cancel
+	granted := closedChannel
+	if decision == slots.Wait {
+		granted = make(chan struct{})
+		r.waiting[a.Attempt] = granted
+	}
+	r.apply(effects)
+	return granted, nil
+}
+
+func (r *runner) decide(a *protocol.AttemptRequest) (slots.Decision, slots.Effects) {
+	if a.Class == protocol.ClassBatch {
+		return r.slots.ArriveBatch(a.Attempt), slots.Effects{}
+	}
+	return r.slots.ArriveOnline(a.Attempt)
+}
+
+func (r *runner) done(attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	delete(r.cancels, attempt)
+	delete(r.waiting, attempt)
+	r.apply(r.slots.Done(attempt))
+	select {
+	case r.idle <- struct{}{}:
+	default:
+	}
+}
+
+// apply carries out what the slots decided.
+func (r *runner) apply(e slots.Effects) {
+	for _, id := range e.Start {
+		close(r.waiting[id])
+		delete(r.waiting, id)
+	}
+	for _, id := range e.Preempt {
+		r.events("", "batch preempted", "attempt", id, "target", r.target.Name)
+		r.cancels[id](errPreempted.New("online work needs the slot"))
+	}
+}
+
+// cancel stops an attempt, if it is here.
+func (r *runner) cancel(attempt string, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cancel := r.cancels[attempt]; cancel != nil {
+		cancel(cause)
+	}
+}
+
+func (r *runner) setLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	r.seq++
+}
+
+func (r *runner) setDrained(drained bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.drained != drained {
+		r.drained = drained
+		r.seq++
+	}
+}
+
+// spare returns the number of slots open to batch work.
+func (r *runner) spare() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving || r.drained || !r.healthy {
+		return 0
+	}
+	return r.slots.Spare()
+}
+
+func (r *runner) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.cancels) > 0
+}
+
+func (r *runner) report() protocol.TargetReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	online, batch, waiting := r.slots.Counts()
+	return protocol.TargetReport{
+		Target:  r.target.Name,
+		Labels:  r.target.Labels,
+		Slots:   r.target.Slots,
+		Online:  online,
+		Batch:   batch,
+		Queued:  waiting,
+		Leaving: r.leaving || r.drained,
+		Healthy: r.healthy,
+		Seq:     r.seq,
+	}
+}
+
+// healthInterval is the time between two checks of a target.
+const healthInterval = 500 * time.Millisecond
+
+// watch checks the target's health until ctx ends.
+func (r *runner) watch(ctx context.Context) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		r.setHealthy(r.probe(ctx) == nil)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *runner) setHealthy(healthy bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.healthy == healthy {
+		return
+	}
+	r.healthy = healthy
+	r.seq++
+	r.events("", "target health", "target", r.target.Name, "healthy", boolText(healthy))
+}
+
+func boolText(b bool) string {
+	if b {
+		return "true"
+	}
+	return "false"
+}
+
+func (r *runner) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
+	defer cancel()
+	if r.target.Type == settings.TargetEngine {
+		_, err := r.engine.Load(ctx)
+		return err
+	}
+	u, err := url.Parse(r.target.URL)
+	if err != nil {
+		return protocol.ErrBadRequest.Wrap(err, "target URL")
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return protocol.ErrNotSent.Wrap(err, "probe")
+	}
+	return conn.Close()
+}
+
+// generate runs a model call and passes each token to sink.
+func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
+	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume}, sink)
+	if err == nil {
+		return nil
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		r.cancelAtEngine(ctx, a.Attempt)
+		if errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrCancelled) {
+			return cause
+		}
+	}
+	return err
+}
+
+// cancelAtEngine tells the engine too: it may not notice that the stream closed.
+func (r *runner) cancelAtEngine(ctx context.Context, attempt string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*healthInterval)
+	defer cancel()
+	_ = r.engine.Cancel(ctx, attempt)
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,195 @@
+// Package sidecar is the role that stands beside each target instance. It is
+// the only door to its targets: it holds their slots, starts each non-idempotent
+// call at most once, pulls batch items into spare slots, and refuses new work
+// before it leaves.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/follow"
+	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/state"
+	"github.com/sycamoretally/sycamoretally/timeline"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// Platform is what the sidecar uses of the platform.
+type Platform struct {
+	Log       platform.Log
+	Instances platform.InstanceList
+}
+
+// Sidecar is one running sidecar.
+type Sidecar struct {
+	settings *settings.Settings
+	config   *state.ConfigFold
+	follower *follow.Follower
+	members  *membership.Manager
+	peers    *transport.Peers
+	entries  *entries
+	runners  map[string]*runner
+	ring     *timeline.Ring
+	metrics  *metrics
+
+	tomb     tomb.Tomb
+	http     *http.Server
+	httpL    net.Listener
+	peerL    net.Listener
+	stopPull context.CancelFunc
+	pullCtx  context.Context
+}
+
+// New builds a sidecar from its settings. It listens at once, so that a taken
+// address is found here, and fails with settings.ErrSettings.
+func New(s *settings.Settings, p Platform) (*Sidecar, error) {
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	sc := &Sidecar{
+		settings: s,
+		config:   state.NewConfigFold(),
+		peers:    transport.NewPeers(s.Process.PeerSecret),
+		runners:  map[string]*runner{},
+		ring:     ring,
+		metrics:  newMetrics(),
+	}
+	for _, t := range s.Targets {
+		sc.runners[t.Name] = newRunner(t, ring.Add)
+	}
+	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
+	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
+	sc.entries = &entries{members: sc.members, peers: sc.peers}
+	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
+	return sc, sc.listen()
+}
+
+func (s *Sidecar) listen() error {
+	var err error
+	if s.httpL, err = net.Listen("tcp", s.settings.Process.HTTP); err != nil {
+		return settings.ErrSettings.Wrap(err, "process.http")
+	}
+	if s.peerL, err = net.Listen("tcp", s.settings.Process.Peer); err != nil {
+		_ = s.httpL.Close()
+		return settings.ErrSettings.Wrap(err, "process.peer")
+	}
+	return nil
+}
+
+// Start runs the sidecar's goroutines.
+func (s *Sidecar) Start() error {
+	server, err := transport.NewPeerServer(s.settings.Process.PeerSecret, protocol.PeerService, &peerAPI{s})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST "+transport.AttemptPath, transport.RequireSecret(s.settings.Process.PeerSecret, http.HandlerFunc(s.serveAttempt)))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	ctx := s.tomb.Context(context.Background())
+	s.tomb.Go(func() error { return s.follower.Run(ctx) })
+	s.tomb.Go(func() error { return s.members.Run(ctx) })
+	s.tomb.Go(func() error { return server.Serve(s.peerL) })
+	s.tomb.Go(func() error { return serveHTTP(s.http, s.httpL) })
+	for _, r := range s.runners {
+		s.tomb.Go(func() error { return r.watch(ctx) })
+		if r.target.Type == settings.TargetEngine {
+			s.tomb.Go(func() error { return s.pull(ctx, r) })
+		}
+	}
+	klog.InfoS("sidecar started", "instance", s.settings.Process.Instance, "http", s.settings.Process.HTTP, "peer", s.settings.Process.Peer, "targets", len(s.runners))
+	return nil
+}
+
+func serveHTTP(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return protocol.ErrInternal.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// Shutdown refuses new work, waits for what is in progress within the drain
+// timeout, and stops.
+func (s *Sidecar) Shutdown() error {
+	s.ring.Add("", "leaving")
+	klog.InfoS("sidecar leaving", "instance", s.settings.Process.Instance)
+	for _, r := range s.runners {
+		r.setLeaving()
+	}
+	s.stopPull()
+	s.awaitIdle(time.Duration(s.settings.Process.DrainTimeout))
+	return s.Kill()
+}
+
+func (s *Sidecar) awaitIdle(limit time.Duration) {
+	deadline := time.NewTimer(limit)
+	defer deadline.Stop()
+	for _, r := range s.runners {
+		for r.busy() {
+			select {
+			case <-r.idle:
+			case <-deadline.C:
+				klog.InfoS("drain timeout", "instance", s.settings.Process.Instance, "target", r.target.Name)
+				return
+			}
+		}
+	}
+}
+
+// Kill stops at once and waits for the goroutines.
+func (s *Sidecar) Kill() error {
+	s.stopPull()
+	s.tomb.Kill(nil)
+	_ = s.http.Close()
+	_ = s.peerL.Close()
+	s.peers.Close()
+	return s.tomb.Wait()
+}
+
+// Metrics returns the sidecar's registry.
+func (s *Sidecar) Metrics() *prometheus.Registry { return s.metrics.registry }
+
+func (s *Sidecar) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.follower.CaughtUp() {
+		transport.WriteProblem(w, protocol.ErrBusy.New("configuration has not been read yet"), "")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// drainWatch marks targets as drained after each configuration change.
+type drainWatch struct{ s *Sidecar }
+
+// Apply implements follow.Fold.
+func (d drainWatch) Apply(protocol.Position, *protocol.Record) {
+	config := d.s.config.Current()
+	for _, r := range d.s.runners {
+		r.setDrained(config.Drained(config.Labels(r.target.Labels)))
+	}
+}
+
+// reporter asks peers for their reports over net/rpc.
+type reporter struct{ peers *transport.Peers }
+
+// Report implements membership.Reporter.
+func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+	var reply protocol.ReportReply
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	return reply, err
+}
+
+// Address returns the address on which the sidecar takes attempts.
+func (s *Sidecar) Address() string { return s.httpL.Addr().String() }
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,219 @@
+// Package engine is a stand-in for a model engine: continuous batching of a set
+// width and speed, a prefix cache of limited size, streams that can be
+// cancelled and resumed, a load report that lags, and orders with fencing
+// numbers. Its answers are a function of the prompt, so that a test can tell a
+// whole answer from a damaged one.
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Params are the properties of an engine.
+type Params struct {
+	// Width is the number of requests that generate at the same time.
+	Width int
+	// TokenTime is the time of one decoding step.
+	TokenTime time.Duration
+	// PrefillTime is the time to read one prompt token that is not cached.
+	PrefillTime time.Duration
+	// CacheTokens is the size of the prefix cache, in tokens.
+	CacheTokens int
+	// ReportLag is how old the load report is.
+	ReportLag time.Duration
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+	// RestartTime is how long the engine is down after a crash.
+	RestartTime time.Duration
+}
+
+// DefaultMaxTokens is the length of an answer whose request sets none.
+const DefaultMaxTokens = 16
+
+// Run is a request that the engine executed.
+type Run struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	// Ended says how: done, cancelled, crashed or refused.
+	Ended string `json:"ended"`
+	// StartUnixMicros is when it began, in microseconds since the epoch.
+	StartUnixMicros int64 `json:"start_us"`
+}
+
+// Engine is the engine.
+type Engine struct {
+	params Params
+	slots  chan struct{}
+
+	mu        sync.Mutex
+	slow      float64
+	downUntil time.Time
+	down      chan struct{}
+	active    map[string]context.CancelFunc
+	waiting   int
+	runs      []Run
+	cache     *prefixCache
+	orders    []platform.Order
+	fence     uint64
+	reports   []report
+}
+
+type report struct {
+	at   time.Time
+	load platform.EngineLoad
+}
+
+// New returns an idle engine.
+func New(p Params) *Engine {
+	if p.Width <= 0 {
+		p.Width = 1
+	}
+	return &Engine{
+		params: p,
+		slots:  make(chan struct{}, p.Width),
+		slow:   1,
+		down:   make(chan struct{}),
+		active: map[string]context.CancelFunc{},
+		cache:  newPrefixCache(p.CacheTokens),
+	}
+}
+
+// SetSlowdown multiplies all times of the engine by factor.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = factor
+}
+
+// Crash cuts every request and refuses connections for the restart time.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.downUntil = time.Now().Add(e.params.RestartTime)
+	close(e.down)
+	e.down = make(chan struct{})
+}
+
+// Runs returns every request executed so far, in order of their starts.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Orders returns the orders that took effect.
+func (e *Engine) Orders() []platform.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]platform.Order(nil), e.orders...)
+}
+
+func (e *Engine) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.downUntil)
+}
+
+func (e *Engine) crashed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+func (e *Engine) begin(id, prompt string, cancel context.CancelFunc) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active[id] = cancel
+	e.runs = append(e.runs, Run{ID: id, Prompt: prompt, StartUnixMicros: time.Now().UnixMicro()})
+	return len(e.runs) - 1
+}
+
+func (e *Engine) end(run int, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.active, e.runs[run].ID)
+	e.runs[run].Ended = how
+}
+
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.active[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// acquire waits for a place in the running batch, first come, first served.
+func (e *Engine) acquire(ctx context.Context) bool {
+	e.addWaiting(1)
+	defer e.addWaiting(-1)
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) addWaiting(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting += n
+}
+
+// sleep waits for d at the engine's current speed. It reports whether the
+// request may go on.
+func (e *Engine) sleep(ctx context.Context, d time.Duration) bool {
+	e.mu.Lock()
+	d = time.Duration(float64(d) * e.slow)
+	e.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) order(o platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.params.ChecksFence && o.Fence < e.fence {
+		return protocol.ErrVersion.New("fencing number %d, have seen %d", o.Fence, e.fence)
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	return nil
+}
+
+// load returns the report of ReportLag ago.
+func (e *Engine) load() platform.EngineLoad {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	current := platform.EngineLoad{
+		Running:         len(e.slots),
+		Waiting:         e.waiting,
+		CacheHitTokens:  e.cache.hits,
+		CacheMissTokens: e.cache.misses,
+	}
+	if n := len(e.orders); n > 0 {
+		current.Model, current.Version = e.orders[n-1].Model, e.orders[n-1].Version
+	}
+	e.reports = append(e.reports, report{at: now, load: current})
+	old := 0
+	for i, r := range e.reports {
+		if now.Sub(r.at) >= e.params.ReportLag {
+			old = i
+		}
+	}
+	e.reports = e.reports[old:]
+	return e.reports[0].load
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Handler serves the engine's interface and what tests use: GET /runs and
+// POST /faults.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("POST /engine/cancel", e.serveCancel)
+	mux.HandleFunc("POST /engine/orders", e.serveOrder)
+	mux.HandleFunc("GET /engine/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.load()) })
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
+	mux.HandleFunc("POST /faults", e.serveFaults)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isDown() && r.URL.Path != "/runs" {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	chat, err := protocol.ParseChat(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var resume []string
+	if h := r.Header.Get(platform.HeaderResume); h != "" {
+		if err := json.Unmarshal([]byte(h), &resume); err != nil {
+			http.Error(w, "malformed resume tokens", http.StatusBadRequest)
+			return
+		}
+	}
+	e.run(w, r, chat, len(resume))
+}
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, chat *protocol.ChatRequest, from int) {
+	prompt := Prompt(chat.Messages)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	crashed := e.crashed()
+	go func() {
+		select {
+		case <-crashed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if !e.acquire(ctx) {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { <-e.slots }()
+	run := e.begin(r.Header.Get(platform.HeaderRequestID), prompt, cancel)
+	how := "crashed"
+	defer func() { e.end(run, how) }()
+	switch {
+	case strings.Contains(prompt, MarkerImpossible):
+		how = "refused"
+		http.Error(w, "the request can never be done", http.StatusUnprocessableEntity)
+		return
+	case strings.Contains(prompt, MarkerCrash):
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if e.stream(ctx, w, chat, prompt, from) {
+		how = "done"
+		return
+	}
+	if !isClosed(crashed) {
+		how = "cancelled"
+	}
+	panic(http.ErrAbortHandler) // cuts the stream without its end marker
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, chat *protocol.ChatRequest, prompt string, from int) bool {
+	if !e.sleep(ctx, time.Duration(e.prefill(prompt))*e.params.PrefillTime) {
+		return false
+	}
+	limit := chat.MaxTokens
+	if limit == 0 {
+		limit = DefaultMaxTokens
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for i := from; i < limit; i++ {
+		if !e.sleep(ctx, e.params.TokenTime) {
+			return false
+		}
+		chunk := protocol.ChatChunk{Object: "chat.completion.chunk", Choices: []protocol.ChatChoice{{
+			Delta: &protocol.ChatMessage{Content: Token(prompt, i)},
+		}}}
+		data, _ := json.Marshal(chunk)
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+			return false
+		}
+		_ = flush.Flush()
+	}
+	_, err := fmt.Fprintf(w, "data: %s\n\n", protocol.ChatDone)
+	return err == nil
+}
+
+func (e *Engine) prefill(prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.lookup(strings.Fields(prompt))
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var want struct {
+		ID string `json:"id"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&want); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.cancel(want.ID)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := e.order(o); err != nil {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f struct {
+		Slowdown float64 `json:"slowdown"`
+		Crash    bool    `json:"crash"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if f.Slowdown > 0 {
+		e.SetSlowdown(f.Slowdown)
+	}
+	if f.Crash {
+		e.Crash()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,118 @@
+// Package service is a stand-in for a plain service: a booking office that
+// counts how often each booking ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+)
+
+// Faults are the failures in force.
+type Faults struct {
+	// DelayMillis holds up every call after it took effect, in milliseconds.
+	DelayMillis int `json:"delay_ms"`
+	// LoseAnswers is the number of calls yet to take effect without an answer.
+	LoseAnswers int `json:"lose_answers"`
+	// Down closes every connection before a call takes effect.
+	Down bool `json:"down"`
+}
+
+// Booking is the answer to a booking.
+type Booking struct {
+	Slot string `json:"slot"`
+	Key  string `json:"key"`
+	Run  int    `json:"run"`
+}
+
+// Service is the booking office.
+type Service struct {
+	mu     sync.Mutex
+	faults Faults
+	runs   map[string]int
+}
+
+// New returns an office without bookings.
+func New() *Service { return &Service{runs: map[string]int{}} }
+
+// SetFaults replaces the failures in force.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often the booking of each key ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// Handler serves POST /bookings, GET /bookings, GET /runs and POST /faults.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /bookings", s.serveBook)
+	mux.HandleFunc("GET /bookings", s.serveRuns)
+	mux.HandleFunc("GET /runs", s.serveRuns)
+	mux.HandleFunc("POST /faults", s.serveFaults)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	return mux
+}
+
+func (s *Service) serveBook(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var want struct {
+		Slot string `json:"slot"`
+	}
+	if err != nil || json.Unmarshal(body, &want) != nil || want.Slot == "" {
+		http.Error(w, "a booking names its slot", http.StatusBadRequest)
+		return
+	}
+	booking, delay, lose := s.book(r.Header.Get(platform.HeaderKey), want.Slot)
+	if booking.Run == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(delay)
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(booking)
+}
+
+func (s *Service) book(key, slot string) (b Booking, delay time.Duration, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return b, 0, true
+	}
+	s.runs[key]++
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		lose = true
+	}
+	delay = time.Duration(s.faults.DelayMillis) * time.Millisecond
+	return Booking{Slot: slot, Key: key, Run: s.runs[key]}, delay, lose
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/state/config.go
@@ -0,0 +1,161 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// objectID names a configuration object.
+type objectID struct {
+	kind protocol.ObjectKind
+	name string
+}
+
+// Config is a snapshot of the configuration. It is immutable.
+type Config struct {
+	// At is the position of the last record folded, valid or not.
+	At      protocol.Position
+	objects map[objectID]protocol.Object
+	labels  []protocol.Object
+	drains  []protocol.Object
+}
+
+// Lookup returns the object of the kind with the name, also a deleted one.
+func (c *Config) Lookup(kind protocol.ObjectKind, name string) (protocol.Object, bool) {
+	o, found := c.objects[objectID{kind, name}]
+	return o, found
+}
+
+// Objects returns all objects in order of kind and name, deleted ones left out.
+func (c *Config) Objects() []protocol.Object {
+	var all []protocol.Object
+	for _, o := range c.objects {
+		if !o.Deleted {
+			all = append(all, o)
+		}
+	}
+	slices.SortFunc(all, compareObjects)
+	return all
+}
+
+func compareObjects(a, b protocol.Object) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+// Service returns the service with the given name, nil where there is none.
+func (c *Config) Service(name string) *protocol.Service {
+	o, _ := c.Lookup(protocol.KindService, name)
+	return o.Service
+}
+
+// Labels returns a target's own labels with those of all matching label objects
+// set over them, in order of the objects' names.
+func (c *Config) Labels(own protocol.Labels) protocol.Labels {
+	labels := maps.Clone(own)
+	if labels == nil {
+		labels = protocol.Labels{}
+	}
+	for _, o := range c.labels {
+		if o.Label.Selector.Matches(own) {
+			maps.Copy(labels, o.Label.Set)
+		}
+	}
+	return labels
+}
+
+// Drained reports whether a drain selects a target with these effective labels.
+func (c *Config) Drained(labels protocol.Labels) bool {
+	return slices.ContainsFunc(c.drains, func(o protocol.Object) bool {
+		return o.Drain.Selector.Matches(labels)
+	})
+}
+
+// ConfigFold folds changes of configuration. Reads go to immutable snapshots
+// and never wait for Apply.
+type ConfigFold struct {
+	current atomic.Pointer[Config]
+
+	mu       sync.Mutex
+	verdicts *verdicts
+}
+
+// NewConfigFold returns a fold without objects.
+func NewConfigFold() *ConfigFold {
+	f := &ConfigFold{verdicts: newVerdicts(maxVerdicts)}
+	f.current.Store(&Config{objects: map[objectID]protocol.Object{}})
+	return f
+}
+
+// Current returns the newest snapshot.
+func (f *ConfigFold) Current() *Config { return f.current.Load() }
+
+// Apply folds the record at position pos. Records of other kinds only advance
+// the position.
+func (f *ConfigFold) Apply(pos protocol.Position, rec *protocol.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	if pos <= old.At {
+		return
+	}
+	next := *old
+	next.At = pos
+	if rec.Change != nil && !f.verdicts.known(rec.ID) {
+		err := checkBases(old, rec.Change)
+		f.verdicts.add(rec.ID, err)
+		if err == nil {
+			next.set(pos, rec.Change)
+		}
+	}
+	f.current.Store(&next)
+}
+
+// Verdict returns the judgement of the change with the given record ID: no
+// error, ErrVersion or ErrBadRequest.
+func (f *ConfigFold) Verdict(recordID string) Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.verdicts.get(recordID)
+}
+
+// CheckChange reports whether the current snapshot would accept the change.
+func (f *ConfigFold) CheckChange(change *protocol.Change) error {
+	return checkBases(f.Current(), change)
+}
+
+func checkBases(c *Config, change *protocol.Change) error {
+	for i := range change.Objects {
+		o := &change.Objects[i]
+		if err := o.Validate(); err != nil {
+			return err
+		}
+		have := c.objects[objectID{o.Kind, o.Name}].Version
+		if o.Base != have {
+			return protocol.ErrVersion.New("%s %q was changed from version %s, but its version is %s", o.Kind, o.Name, o.Base, have)
+		}
+	}
+	return nil
+}
+
+// set replaces the objects of an accepted change and derives the sorted lists.
+func (c *Config) set(pos protocol.Position, change *protocol.Change) {
+	c.objects = maps.Clone(c.objects)
+	for _, o := range change.Objects {
+		o.Version = pos
+		c.objects[objectID{o.Kind, o.Name}] = o
+	}
+	c.labels, c.drains = nil, nil
+	for _, o := range c.Objects() {
+		switch o.Kind {
+		case protocol.KindLabel:
+			c.labels = append(c.labels, o)
+		case protocol.KindDrain:
+			c.drains = append(c.drains, o)
+		}
+	}
+}
--- /dev/null
+++ b/state/jobs.go
@@ -0,0 +1,228 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// File is an uploaded batch file. Its lines stay in the log.
+type File struct {
+	ID        string
+	Workspace string
+	Service   string
+	// Chunks holds the position of each chunk, zero for one not yet seen.
+	Chunks []protocol.Position
+	// Starts holds the index of the first item of each chunk, and the number of
+	// all items at its end; nil until every chunk was seen.
+	Starts []int
+	sizes  []int
+}
+
+// Complete reports whether every chunk was seen.
+func (f *File) Complete() bool { return f.Starts != nil }
+
+// Items returns the number of lines of a complete file.
+func (f *File) Items() int { return f.Starts[len(f.Chunks)] }
+
+// ChunkOf returns the chunk that holds the item and the item's place in it.
+func (f *File) ChunkOf(item int) (chunk, place int) {
+	chunk, exact := slices.BinarySearch(f.Starts, item)
+	if !exact {
+		chunk--
+	}
+	return chunk, item - f.Starts[chunk]
+}
+
+// JobStatus says how far a job is.
+type JobStatus string
+
+// The states of a job. All but running are final.
+const (
+	JobRunning   JobStatus = "running"
+	JobCompleted JobStatus = "completed"
+	JobCancelled JobStatus = "cancelled"
+)
+
+// Job is the state of one job.
+type Job struct {
+	protocol.JobAccept
+	Status     JobStatus
+	Items      int
+	Completed  int
+	Failed     int
+	AcceptedAt protocol.Position
+	ChangedAt  protocol.Position
+	// results holds the position of each item's first result, zero before it.
+	results []protocol.Position
+}
+
+// Done returns the number of items with a result.
+func (j *Job) Done() int { return j.Completed + j.Failed }
+
+// Jobs folds uploaded files and jobs.
+type Jobs struct {
+	mu    sync.RWMutex
+	files map[string]*File
+	jobs  map[string]*Job
+}
+
+// NewJobs returns a fold without jobs.
+func NewJobs() *Jobs {
+	return &Jobs{files: map[string]*File{}, jobs: map[string]*Job{}}
+}
+
+// Job returns a copy of a job's state.
+func (f *Jobs) Job(id string) (Job, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	j := f.jobs[id]
+	if j == nil {
+		return Job{}, false
+	}
+	c := *j
+	c.results = nil
+	return c, true
+}
+
+// Running returns copies of all running jobs, in order of their due times.
+func (f *Jobs) Running() []Job {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var running []Job
+	for _, j := range f.jobs {
+		if j.Status == JobRunning {
+			c := *j
+			c.results = nil
+			running = append(running, c)
+		}
+	}
+	slices.SortFunc(running, func(a, b Job) int {
+		return cmp.Or(cmp.Compare(a.DueUnixMillis, b.DueUnixMillis), cmp.Compare(a.AcceptedAt, b.AcceptedAt))
+	})
+	return running
+}
+
+// File returns a complete file.
+func (f *Jobs) File(id string) (File, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	file := f.files[id]
+	if file == nil || !file.Complete() {
+		return File{}, false
+	}
+	return *file, true
+}
+
+// ItemDone reports whether the item needs no more work: it has a result, or
+// its job is unknown or final.
+func (f *Jobs) ItemDone(job string, index int) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	j := f.jobs[job]
+	return j == nil || j.Status != JobRunning || j.results[index] != 0
+}
+
+// Results returns the positions of the results of items from index from on, at
+// most limit of them; zero stands for an item without one.
+func (f *Jobs) Results(job string, from, limit int) []protocol.Position {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	j := f.jobs[job]
+	if j == nil || from >= len(j.results) {
+		return nil
+	}
+	return slices.Clone(j.results[from:min(from+limit, len(j.results))])
+}
+
+// Apply folds the record at position pos.
+func (f *Jobs) Apply(pos protocol.Position, rec *protocol.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case rec.File != nil:
+		f.addChunk(pos, rec.File)
+	case rec.Job != nil:
+		f.accept(pos, rec.Job)
+	case rec.Items != nil:
+		f.addResults(pos, rec.Items)
+	case rec.Cancel != nil:
+		f.cancel(pos, rec.Cancel)
+	}
+}
+
+func (f *Jobs) addChunk(pos protocol.Position, c *protocol.FileChunk) {
+	file := f.files[c.File]
+	if file == nil {
+		file = &File{ID: c.File, Workspace: c.Workspace, Service: c.Service, Chunks: make([]protocol.Position, c.Chunks), sizes: make([]int, c.Chunks)}
+		f.files[c.File] = file
+	}
+	if c.Index >= len(file.Chunks) || file.Chunks[c.Index] != 0 {
+		return
+	}
+	file.Chunks[c.Index] = pos
+	file.sizes[c.Index] = len(c.Items)
+	if slices.Contains(file.Chunks, 0) {
+		return
+	}
+	file.Starts = make([]int, 0, len(file.sizes)+1)
+	total := 0
+	for _, n := range file.sizes {
+		file.Starts = append(file.Starts, total)
+		total += n
+	}
+	file.Starts = append(file.Starts, total)
+}
+
+// accept takes a job over a complete file; over any other it has no effect.
+func (f *Jobs) accept(pos protocol.Position, a *protocol.JobAccept) {
+	file := f.files[a.File]
+	if f.jobs[a.Job] != nil || file == nil || !file.Complete() {
+		return
+	}
+	f.jobs[a.Job] = &Job{
+		JobAccept:  *a,
+		Status:     JobRunning,
+		Items:      file.Items(),
+		AcceptedAt: pos,
+		ChangedAt:  pos,
+		results:    make([]protocol.Position, file.Items()),
+	}
+}
+
+func (f *Jobs) addResults(pos protocol.Position, r *protocol.ItemResults) {
+	j := f.jobs[r.Job]
+	if j == nil || j.Status != JobRunning {
+		return
+	}
+	for _, item := range r.Items {
+		j.addResult(pos, item)
+	}
+	if j.Done() == j.Items {
+		j.Status = JobCompleted
+	}
+}
+
+func (j *Job) addResult(pos protocol.Position, item protocol.ItemResult) {
+	if item.Index < 0 || item.Index >= j.Items || j.results[item.Index] != 0 {
+		return
+	}
+	j.results[item.Index] = pos
+	j.ChangedAt = pos
+	if item.Result.Outcome == protocol.OutcomeCompleted {
+		j.Completed++
+		return
+	}
+	j.Failed++
+}
+
+func (f *Jobs) cancel(pos protocol.Position, c *protocol.JobCancel) {
+	j := f.jobs[c.Job]
+	if j == nil || j.Status != JobRunning {
+		return
+	}
+	j.Status = JobCancelled
+	j.ChangedAt = pos
+}
--- /dev/null
+++ b/state/requests.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Request is the state of one key.
+type Request struct {
+	Key         string
+	Fingerprint string
+	// Accepted is set from the accept of an asynchronous request until its
+	// completion.
+	Accepted *protocol.RequestAccept
+	// Started is the one attempt that may run a non-idempotent request.
+	Started *protocol.RequestStart
+	// Voided holds the attempts that will never run.
+	Voided map[string]bool
+	// ResultAt is the position of the first completion, zero before it.
+	ResultAt protocol.Position
+	Outcome  protocol.Outcome
+	// ChangedAt is the position of the last record that had an effect.
+	ChangedAt protocol.Position
+}
+
+// Requests folds the lives of keyed requests.
+type Requests struct {
+	mu   sync.RWMutex
+	keys map[string]*Request
+}
+
+// NewRequests returns a fold without requests.
+func NewRequests() *Requests { return &Requests{keys: map[string]*Request{}} }
+
+// Get returns a copy of the state of key.
+func (f *Requests) Get(key string) (Request, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r := f.keys[key]
+	if r == nil {
+		return Request{}, false
+	}
+	return *r, true
+}
+
+// MayRun reports whether the attempt holds the key's one execution.
+func (f *Requests) MayRun(key, attempt, holder string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r := f.keys[key]
+	return r != nil && r.ResultAt == 0 && r.startedBy(attempt, holder)
+}
+
+// Voided reports whether the attempt will never run.
+func (f *Requests) Voided(key, attempt string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r := f.keys[key]
+	return r != nil && r.Voided[attempt]
+}
+
+// Pending returns the accepted asynchronous requests without a result.
+func (f *Requests) Pending() []protocol.RequestAccept {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var pending []protocol.RequestAccept
+	for _, r := range f.keys {
+		if r.Accepted != nil {
+			pending = append(pending, *r.Accepted)
+		}
+	}
+	return pending
+}
+
+// Len returns the number of keys.
+func (f *Requests) Len() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return len(f.keys)
+}
+
+// Apply folds the record at position pos.
+func (f *Requests) Apply(pos protocol.Position, rec *protocol.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case rec.Accept != nil:
+		f.accept(pos, rec.Accept)
+	case rec.Start != nil:
+		f.start(pos, rec.Start)
+	case rec.Void != nil:
+		f.void(pos, rec.Void)
+	case rec.Release != nil:
+		f.release(pos, rec.Release)
+	case rec.Complete != nil:
+		f.complete(pos, rec.Complete)
+	}
+}
+
+func (f *Requests) at(key string) *Request {
+	r := f.keys[key]
+	if r == nil {
+		r = &Request{Key: key}
+		f.keys[key] = r
+	}
+	return r
+}
+
+// claim binds the key to a fingerprint. It reports false where the key belongs
+// to another request.
+func (r *Request) claim(fingerprint string) bool {
+	if r.Fingerprint == "" {
+		r.Fingerprint = fingerprint
+	}
+	return r.Fingerprint == fingerprint
+}
+
+func (r *Request) startedBy(attempt, holder string) bool {
+	return r.Started != nil && r.Started.Attempt == attempt && r.Started.Holder == holder
+}
+
+func (f *Requests) accept(pos protocol.Position, a *protocol.RequestAccept) {
+	r := f.at(a.Key)
+	if r.Accepted != nil || r.ResultAt != 0 || !r.claim(a.Call.Fingerprint()) {
+		return
+	}
+	accepted := *a
+	r.Accepted = &accepted
+	r.ChangedAt = pos
+}
+
+func (f *Requests) start(pos protocol.Position, s *protocol.RequestStart) {
+	r := f.at(s.Key)
+	if !r.claim(s.Fingerprint) || r.Started != nil || r.ResultAt != 0 || r.Voided[s.Attempt] {
+		return
+	}
+	started := *s
+	r.Started = &started
+	r.ChangedAt = pos
+}
+
+func (f *Requests) void(pos protocol.Position, v *protocol.RequestVoid) {
+	r := f.at(v.Key)
+	if r.Started != nil && r.Started.Attempt == v.Attempt {
+		return
+	}
+	r.addVoid(pos, v.Attempt)
+}
+
+func (f *Requests) release(pos protocol.Position, rel *protocol.RequestRelease) {
+	r := f.at(rel.Key)
+	if r.ResultAt != 0 {
+		return
+	}
+	if r.startedBy(rel.Attempt, rel.Holder) {
+		r.Started = nil
+	}
+	r.addVoid(pos, rel.Attempt)
+}
+
+// addVoid replaces the set, since readers may hold the old one.
+func (r *Request) addVoid(pos protocol.Position, attempt string) {
+	voided := make(map[string]bool, len(r.Voided)+1)
+	for a := range r.Voided {
+		voided[a] = true
+	}
+	voided[attempt] = true
+	r.Voided = voided
+	r.ChangedAt = pos
+}
+
+func (f *Requests) complete(pos protocol.Position, c *protocol.RequestComplete) {
+	r := f.at(c.Key)
+	if r.ResultAt != 0 || !r.claim(c.Fingerprint) {
+		return
+	}
+	if r.Started != nil && r.Started.Attempt != c.Attempt {
+		return
+	}
+	r.ResultAt = pos
+	r.Outcome = c.Result.Outcome
+	r.Accepted = nil
+	r.ChangedAt = pos
+}
