Add the two harnesses for the proofs of the promises

Tests run against a site in one process or against separate processes; both publish the same services and wait until every target is ready.

--- a/demo/script.go
+++ b/demo/script.go
@@ -69,6 +69,15 @@
 
 func (s *Script) printf(format string, args ...any) { _, _ = fmt.Fprintf(s.Out, format, args...) }
 
+// Prepare publishes the demo's services and waits until each has a target that
+// is ready, where the site has targets for it.
+func (s *Script) Prepare(ctx context.Context) error {
+	if err := s.configure(ctx); err != nil {
+		return err
+	}
+	return s.awaitTargets(ctx)
+}
+
 func (s *Script) configure(ctx context.Context) error {
 	objects := []protocol.Object{
 		{Kind: protocol.KindService, Name: modelService, Service: &protocol.Service{
@@ -119,7 +128,7 @@
 				roles[t.Labels["role"]]++
 			}
 		}
-		if roles["drafting"] == 0 || roles["booking"] == 0 {
+		if len(roles) == 0 || roles["drafting"]+roles["booking"] < len(status.Targets) {
 			return protocol.ErrNoTarget.New("ready so far: %v", roles)
 		}
 		s.printf("      ready targets: %v\n", roles)
--- /dev/null
+++ b/promises/main_test.go
@@ -0,0 +1,109 @@
+package promises
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/demo"
+	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+// binary is the program under test, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sycamoretally")
+	if err != nil {
+		panic(err)
+	}
+	if binary, err = processtest.Build(dir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// startProcesses starts a site of separate processes and publishes its services.
+func startProcesses(t *testing.T, layout processtest.Layout) (*processtest.Site, *client.Client) {
+	t.Helper()
+	site, err := processtest.Start(binary, t.TempDir(), layout)
+	t.Cleanup(func() {
+		site.Close()
+		if t.Failed() {
+			logProcesses(t, site)
+		}
+	})
+	assert.NilError(t, err)
+	return site, configure(t, site.Client)
+}
+
+func logProcesses(t *testing.T, site *processtest.Site) {
+	for _, group := range [][]*processtest.Process{site.Entries, site.Sidecars} {
+		for _, p := range group {
+			t.Logf("%s:\n%s", p.Settings.Process.Instance, p.Log())
+		}
+	}
+}
+
+// startInProcess starts a site in this process and publishes its services.
+func startInProcess(t *testing.T, layout demo.Layout) (*demo.Site, *client.Client) {
+	t.Helper()
+	site, err := demo.Start(layout)
+	t.Cleanup(site.Close)
+	assert.NilError(t, err)
+	return site, configure(t, site.Client)
+}
+
+// configure publishes the services "drafting" and "booking" and waits until a
+// target of each that exists is ready.
+func configure(t *testing.T, s settings.Client) *client.Client {
+	t.Helper()
+	c := client.New(s)
+	t.Cleanup(c.Close)
+	script := demo.Script{Client: c, Out: testWriter{t}}
+	assert.NilError(t, script.Prepare(t.Context()))
+	return c
+}
+
+// testWriter writes to the test's log.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(data []byte) (int, error) {
+	w.t.Logf("%s", data)
+	return len(data), nil
+}
+
+// eventually polls until check gives no error, and fails the test with its last
+// error after the limit.
+func eventually(t *testing.T, limit time.Duration, check func() error) {
+	t.Helper()
+	const interval = 20 * time.Millisecond
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %v", limit, err)
+		}
+		<-time.After(interval)
+	}
+}
+
+// question is a chat whose whole answer engine.Answer knows.
+func question(text string, tokens int, stream bool) *protocol.ChatRequest {
+	return &protocol.ChatRequest{
+		Model:     "drafting",
+		Messages:  []protocol.ChatMessage{{Role: "user", Content: text}},
+		MaxTokens: tokens,
+		Stream:    stream,
+	}
+}
--- /dev/null
+++ b/promises/whole_site_test.go
@@ -0,0 +1,30 @@
+package promises
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/demo"
+	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
+)
+
+// TestSitesAnswer checks the two harnesses that the other tests use.
+func TestSitesAnswer(t *testing.T) {
+	ask := func(t *testing.T, c *client.Client) {
+		a, err := c.Chat(t.Context(), question("Is there heat?", 5, true), client.CallOptions{}, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), engine.Answer("Is there heat?", 5))
+	}
+	t.Run("in process", func(t *testing.T) {
+		_, c := startInProcess(t, demo.DefaultLayout())
+		ask(t, c)
+	})
+	t.Run("processes", func(t *testing.T) {
+		_, c := startProcesses(t, processtest.Layout{Entries: 1, Engines: 1, Slots: 4, Engine: settings.StandInEngine{Width: 4}})
+		ask(t, c)
+	})
+}
