--- a/coordination/commit/commit.go
+++ b/coordination/commit/commit.go
@@ -200,26 +200,7 @@
 	const overhead = 128
 	size := 0
 	for i := range records {
-		size += overhead + bodySize(&records[i])
-	}
-	return size
-}
-
-func bodySize(r *protocol.Record) int {
-	size := 0
-	switch {
-	case r.Accept != nil:
-		size = len(r.Accept.Call.Body)
-	case r.Complete != nil:
-		size = len(r.Complete.Result.Body)
-	case r.File != nil:
-		for _, i := range r.File.Items {
-			size += len(i.Body)
-		}
-	case r.Items != nil:
-		for _, i := range r.Items.Items {
-			size += len(i.Result.Body)
-		}
+		size += overhead + records[i].BodySize()
 	}
 	return size
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -1,5 +1,6 @@
 // Package follow tails one stream of the log and applies its records to folds
-// in order.
+// in order. Where the log fails or is silent it reads from peers, and where the
+// entry that it needs has expired it starts again from a snapshot.
 package follow
 
 import (
@@ -24,20 +25,65 @@
 	Apply(pos protocol.Position, rec *protocol.Record)
 }
 
+// Stateful is a fold whose state a snapshot carries. Restore either replaces
+// the whole state or fails and changes nothing.
+type Stateful interface {
+	Fold
+	SnapshotName() string
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Restored is a fold that is told when other folds were restored from a snapshot.
+type Restored interface {
+	Restored()
+}
+
+// Peers reads the stream from other processes that follow it.
+type Peers interface {
+	// Addresses returns the peers to read from, the preferred ones first.
+	Addresses() []string
+	// Authorities returns the addresses of the processes that acknowledge
+	// records: a process that is level with all of them is current, also while
+	// the log is down.
+	Authorities() []string
+	// Listed reports whether the platform has listed this process's peers yet.
+	Listed() bool
+	// TailsLog reports whether this process is one of those that read the log
+	// itself while they can.
+	TailsLog() bool
+	ReadLog(ctx context.Context, addr string, args protocol.ReadLogArgs) (protocol.ReadLogReply, error)
+}
+
 // Params configure a follower.
 type Params struct {
 	Stream string
 	Source Source
+	// Peers is read where the log fails or is silent; it may be nil.
+	Peers Peers
 	// PollWait bounds one read that waits for new entries.
 	PollWait time.Duration
 	// RetryDelay is the time between a failed read and the next one.
 	RetryDelay time.Duration
+	// PeerAfter is the age from which on peers are read beside the log.
+	PeerAfter time.Duration
+	// RecentBytes bounds the entries kept for peers, in bytes.
+	RecentBytes int
 }
 
 // The defaults of Params.
 const (
-	DefaultPollWait   = 2 * time.Second
-	DefaultRetryDelay = 100 * time.Millisecond
+	DefaultPollWait    = time.Second
+	DefaultRetryDelay  = 100 * time.Millisecond
+	DefaultPeerAfter   = 1500 * time.Millisecond
+	DefaultRecentBytes = 4 << 20
+)
+
+// The times after its wait in which a read must answer: the connection may have
+// gone silent.
+const (
+	readTimeout = 3 * time.Second
+	peerTimeout = time.Second
 )
 
 // Follower tails one stream. Its methods may be called at the same time.
@@ -45,12 +91,26 @@
 	params Params
 	folds  []Fold
 
+	// foldMu serialises folding, restoring and snapshots.
+	foldMu sync.Mutex
+
 	mu sync.Mutex
 	// next is the first offset not yet folded; zero before the first read.
 	next uint64
-	// current is the time of the last read that reached the end of the stream.
+	// current is the newest time at which the follower is known to have held
+	// the whole stream.
 	current time.Time
+	started time.Time
 	changed chan struct{}
+	recent  recent
+	// oldest is the oldest offset that the log still held at the last read.
+	oldest uint64
+	// logFailed is set while the last read of the log failed.
+	logFailed bool
+	// behind is set while the log is known to have dropped entries not folded.
+	behind bool
+	// bytesRead counts the bytes of entries taken from the log or from peers.
+	bytesRead uint64
 }
 
 // New returns a follower that applies records to folds. Run starts it.
@@ -61,45 +121,121 @@
 	if p.RetryDelay <= 0 {
 		p.RetryDelay = DefaultRetryDelay
 	}
-	return &Follower{params: p, folds: folds, changed: make(chan struct{})}
+	if p.PeerAfter <= 0 {
+		p.PeerAfter = DefaultPeerAfter
+	}
+	if p.RecentBytes <= 0 {
+		p.RecentBytes = DefaultRecentBytes
+	}
+	return &Follower{params: p, folds: folds, changed: make(chan struct{}), recent: recent{limit: p.RecentBytes}}
 }
 
-// Run tails the stream until ctx ends.
+// Run tails the stream until ctx ends. Peers are read at the same time as the
+// log, so that a silent log holds nothing up.
 func (f *Follower) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.started = time.Now()
+	f.mu.Unlock()
+	var group sync.WaitGroup
+	if f.params.Peers != nil {
+		group.Go(func() { f.tailPeers(ctx) })
+	}
+	f.tailLog(ctx)
+	group.Wait()
+	return nil
+}
+
+func (f *Follower) tailLog(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		if !f.readsLog() {
+			sleep(ctx, f.params.RetryDelay)
+			continue
+		}
+		err := f.readLog(ctx)
+		f.mu.Lock()
+		f.logFailed = err != nil
+		f.behind = errorx.IsOfType(err, protocol.ErrOffsetExpired)
+		f.mu.Unlock()
+		if err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("log read failed", "stream", f.params.Stream, "error", err)
 			sleep(ctx, f.params.RetryDelay)
 		}
 	}
-	return nil
 }
 
-func (f *Follower) step(ctx context.Context) error {
+// readsLog reports whether this process reads the log itself: always where it
+// is one of the chosen, and otherwise once its peers leave it behind.
+func (f *Follower) readsLog() bool {
+	if f.params.Peers == nil || f.params.Peers.TailsLog() {
+		return true
+	}
 	f.mu.Lock()
-	from := f.next
-	f.mu.Unlock()
-	// A read that never answers is given up: the connection may have gone silent.
-	readCtx, cancel := context.WithTimeout(ctx, f.params.PollWait+protocol.HeartbeatTimeout)
-	defer cancel()
-	wait := f.params.PollWait
-	if !f.CaughtUp() {
-		wait = 0
+	defer f.mu.Unlock()
+	return time.Since(latest(f.started, f.current)) > 2*f.params.PeerAfter
+}
+
+func (f *Follower) readLog(ctx context.Context) error {
+	from := f.position()
+	if from == 0 {
+		return f.bootstrap(ctx)
+	}
+	begun := time.Now()
+	page, err := f.read(ctx, from, f.params.PollWait)
+	if errorx.IsOfType(err, protocol.ErrOffsetExpired) {
+		klog.InfoS("log offset expired", "stream", f.params.Stream, "from", from)
+		return f.bootstrap(ctx)
 	}
-	page, err := f.params.Source.Read(readCtx, f.params.Stream, from, platform.PageLimit, wait)
 	if err != nil {
-		if errorx.IsOfType(err, protocol.ErrOffsetExpired) {
-			klog.ErrorS(err, "log offset expired", "stream", f.params.Stream, "from", from)
-		}
 		return err
 	}
-	for _, e := range page.Entries {
-		f.fold(e)
+	f.mu.Lock()
+	f.oldest = page.First
+	f.mu.Unlock()
+	if f.take(page.Entries) >= page.Next {
+		f.setCurrent(begun)
 	}
-	f.advance(page)
 	return nil
 }
 
+// read reads one page. A read that never answers is given up.
+func (f *Follower) read(ctx context.Context, from uint64, wait time.Duration) (platform.LogPage, error) {
+	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	return f.params.Source.Read(readCtx, f.params.Stream, from, platform.PageLimit, wait)
+}
+
+// take folds the entries that follow on and returns the first offset not folded.
+func (f *Follower) take(entries []platform.LogEntry) uint64 {
+	f.foldMu.Lock()
+	defer f.foldMu.Unlock()
+	next := f.position()
+	for _, e := range entries {
+		if e.Offset > next {
+			klog.V(1).InfoS("gap in log entries", "stream", f.params.Stream, "expected", next, "offset", e.Offset)
+			break
+		}
+		if e.Offset < next {
+			continue
+		}
+		f.fold(e)
+		next++
+		f.mu.Lock()
+		f.next = next
+		f.recent.add(e)
+		f.bytesRead += uint64(len(e.Data))
+		f.mu.Unlock()
+	}
+	f.announce()
+	return next
+}
+
+func (f *Follower) announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *Follower) fold(e platform.LogEntry) {
 	records, err := protocol.DecodeBatch(e.Data)
 	if err != nil {
@@ -114,21 +250,43 @@
 	}
 }
 
-func (f *Follower) advance(page platform.LogPage) {
+func (f *Follower) position() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = max(f.next, page.First)
-	if n := len(page.Entries); n > 0 {
-		f.next = page.Entries[n-1].Offset + 1
+	return f.next
+}
+
+// setCurrent records that the follower held the whole stream at a time.
+func (f *Follower) setCurrent(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.current) {
+		f.current = at
 	}
-	if f.next >= page.Next {
-		f.current = time.Now()
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	close(f.changed)
-	f.changed = make(chan struct{})
+	return b
+}
+
+// Oldest returns the oldest offset that the log held when it was last read.
+func (f *Follower) Oldest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.oldest
+}
+
+// BytesRead returns the bytes of entries and snapshots taken so far.
+func (f *Follower) BytesRead() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bytesRead
 }
 
-// CaughtUp reports whether a read has ever reached the end of the stream.
+// CaughtUp reports whether the follower has ever held the whole stream.
 func (f *Follower) CaughtUp() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/logcache/logcache.go
+++ b/coordination/logcache/logcache.go
@@ -19,6 +19,7 @@
 	log    platform.Log
 	stream string
 	limit  int
+	locate func(protocol.Position) protocol.Position
 
 	mu      sync.Mutex
 	size    int
@@ -32,14 +33,16 @@
 	records []protocol.Record
 }
 
-// New returns an empty cache of limit bytes over a stream.
-func New(log platform.Log, stream string, limit int) *Cache {
-	return &Cache{log: log, stream: stream, limit: limit, order: list.New(), entries: map[uint64]*list.Element{}}
+// New returns an empty cache of limit bytes over a stream. locate gives the
+// position at which the body of a record can be read.
+func New(log platform.Log, stream string, limit int, locate func(protocol.Position) protocol.Position) *Cache {
+	return &Cache{log: log, stream: stream, limit: limit, locate: locate, order: list.New(), entries: map[uint64]*list.Element{}}
 }
 
-// Record reads the record at pos. It fails with ErrLogUnavailable or
-// ErrOffsetExpired.
-func (c *Cache) Record(ctx context.Context, pos protocol.Position) (*protocol.Record, error) {
+// Record reads the record at its original position, wherever it was carried. It
+// fails with ErrLogUnavailable or ErrOffsetExpired.
+func (c *Cache) Record(ctx context.Context, original protocol.Position) (*protocol.Record, error) {
+	pos := c.locate(original)
 	records, err := c.entry(ctx, pos.Offset())
 	if err != nil {
 		return nil, err
@@ -47,7 +50,14 @@
 	if pos.Index() >= len(records) {
 		return nil, protocol.ErrInternal.New("entry %d has no record %d", pos.Offset(), pos.Index())
 	}
-	return &records[pos.Index()], nil
+	rec := &records[pos.Index()]
+	if pos == original {
+		return rec, nil
+	}
+	if rec.Carry == nil || rec.Carry.Original != original || rec.Carry.Record == nil {
+		return nil, protocol.ErrInternal.New("record %s does not carry %s", pos, original)
+	}
+	return rec.Carry.Record, nil
 }
 
 func (c *Cache) entry(ctx context.Context, offset uint64) ([]protocol.Record, error) {
--- a/demo/site.go
+++ b/demo/site.go
@@ -36,6 +36,8 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// MaxAge replaces the default of the setting, where above zero.
+	MaxAge time.Duration
 }
 
 // DefaultLayout is the layout of the demo.
@@ -53,10 +55,16 @@
 	Services []*service.Service
 	Entries  []*entry.Entry
 	Sidecars []*sidecar.Sidecar
+	// Paths holds each process's way to the log by its instance.
+	Paths map[string]*logservice.Path
 	// Client holds the settings with which a client reaches the site.
 	Client settings.Client
 
 	servers []*http.Server
+	rows    []platform.Instance
+	// startState is the state of the path of the next process to start.
+	startState logservice.PathState
+	maxAge     time.Duration
 }
 
 // FreeAddress returns an address on loopback that was free a moment ago.
@@ -72,10 +80,12 @@
 // Start starts a site. Close must be called in the end, also after an error.
 func Start(layout Layout) (*Site, error) {
 	s := &Site{
-		Log:  logservice.New(logservice.Params{AppendsPerSecond: 300}),
-		List: instancelist.New(0, nil),
+		Log:   logservice.New(logservice.Params{AppendsPerSecond: 300}),
+		List:  instancelist.New(0, nil),
+		Paths: map[string]*logservice.Path{},
 	}
 	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
+	s.maxAge = layout.MaxAge
 	plan, err := s.plan(layout)
 	if err != nil {
 		return s, err
@@ -153,16 +163,34 @@
 	return sc, nil
 }
 
+// AddSidecar starts a further sidecar, with its way to the log in a state, and
+// lists it.
+func (s *Site) AddSidecar(layout Layout, state logservice.PathState) (*sidecar.Sidecar, error) {
+	e := engine.New(layout.Engine)
+	s.Engines = append(s.Engines, e)
+	p, err := s.sidecarFor(settings.TargetEngine, "drafting", e.Handler(), len(s.Sidecars)+len(s.Entries), layout.Slots)
+	if err != nil {
+		return nil, err
+	}
+	s.rows = append(s.rows, rowOf(&p))
+	s.List.Set(s.rows)
+	s.startState = state
+	err = s.startOne(&p)
+	return s.Sidecars[len(s.Sidecars)-1], err
+}
+
+func rowOf(p *settings.Settings) platform.Instance {
+	return platform.Instance{
+		Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
+		HTTP: p.Process.HTTP, Peer: p.Process.Peer,
+	}
+}
+
 func (s *Site) run(plan []settings.Settings) error {
-	var rows []platform.Instance
 	for i := range plan {
-		p := &plan[i]
-		rows = append(rows, platform.Instance{
-			Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
-			HTTP: p.Process.HTTP, Peer: p.Process.Peer,
-		})
+		s.rows = append(s.rows, rowOf(&plan[i]))
 	}
-	s.List.Set(rows)
+	s.List.Set(s.rows)
 	for i := range plan {
 		if err := s.startOne(&plan[i]); err != nil {
 			return err
@@ -172,15 +200,21 @@
 }
 
 func (s *Site) startOne(p *settings.Settings) error {
+	if s.maxAge > 0 {
+		p.Process.MaxAge = settings.Duration(s.maxAge)
+	}
+	path := logservice.NewPath(s.Log)
+	path.Set(s.startState)
+	s.Paths[p.Process.Instance] = path
 	if p.Role == settings.RoleSidecar {
-		sc, err := sidecar.New(p, sidecar.Platform{Log: s.Log, Instances: s.List})
+		sc, err := sidecar.New(p, sidecar.Platform{Log: path, Instances: s.List})
 		if err != nil {
 			return err
 		}
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List})
+	en, err := entry.New(p, entry.Platform{Log: path, Instances: s.List})
 	if err != nil {
 		return err
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/uptrace/bunrouter"
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/state"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
 
@@ -29,7 +31,8 @@
 const verdictWait = 5 * time.Second
 
 // serveApply publishes a change. It answers "accepted" only after it has read
-// its own record back as valid.
+// its own record back as valid. The log alone judges versions: this entry may
+// lag behind the version that the change was made from.
 func (e *Entry) serveApply(w http.ResponseWriter, r bunrouter.Request) error {
 	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
 	if err != nil {
@@ -43,7 +46,7 @@
 		return protocol.ErrBadRequest.New("the change has no objects")
 	}
 	change := &protocol.Change{By: want.By, Objects: want.Objects}
-	if err := e.config.CheckChange(change); err != nil {
+	if err := change.Validate(); err != nil {
 		return err
 	}
 	version, err := e.publish(r.Context(), change)
@@ -61,21 +64,30 @@
 	defer cancel()
 	rec := protocol.Record{ID: protocol.NewID(), Change: change}
 	last, err := e.conf.writer.Append(ctx, rec)
-	if err != nil {
+	if err != nil && !errorx.IsOfType(err, protocol.ErrAnswerLost) {
 		return 0, err
 	}
-	if err := e.conf.follower.WaitFor(ctx, last.Offset()); err != nil {
-		return 0, protocol.ErrAnswerLost.Wrap(err, "the verdict is not known")
+	if err == nil {
+		err = e.conf.follower.WaitFor(ctx, last.Offset())
+	}
+	if err != nil {
+		e.awaitVerdict(ctx, rec.ID)
 	}
 	verdict := e.config.Verdict(rec.ID)
-	if verdict.Err != nil {
-		return 0, verdict.Err
+	if !verdict.Known {
+		return 0, protocol.ErrAnswerLost.Wrap(err, "the verdict is not known")
 	}
-	first := change.Objects[0]
-	if o, found := e.config.Current().Lookup(first.Kind, first.Name); found {
-		return o.Version, nil
+	return verdict.At, verdict.Err
+}
+
+// awaitVerdict waits until the record was folded or ctx ends: an append whose
+// answer was lost is settled by reading on.
+func (e *Entry) awaitVerdict(ctx context.Context, recordID string) {
+	for !e.config.Verdict(recordID).Known {
+		if e.conf.follower.WaitFor(ctx, e.conf.follower.Folded()+1) != nil {
+			return
+		}
 	}
-	return last, nil
 }
 
 // serveObjects lists the configuration's objects, of one kind and name where
@@ -91,3 +103,6 @@
 	transport.WriteJSON(w, http.StatusOK, found)
 	return nil
 }
+
+// Config returns the configuration in force.
+func (e *Entry) Config() *state.Config { return e.config.Current() }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,15 +47,19 @@
 	jobs     *state.Jobs
 	conf     stream
 	work     stream
-	bodies   *logcache.Cache
-	members  *membership.Manager
-	peers    *transport.Peers
-	attempts *transport.AttemptClient
-	leases   *leases
-	flights  *flights
-	ring     *timeline.Ring
-	metrics  *metrics
-	callers  map[string]string
+	// moved locates the bodies of records of the work stream.
+	moved *state.Bodies
+	// confMarks holds the marks of the configuration stream.
+	confMarks *state.Bodies
+	bodies    *logcache.Cache
+	members   *membership.Manager
+	peers     *transport.Peers
+	attempts  *transport.AttemptClient
+	leases    *leases
+	flights   *flights
+	ring      *timeline.Ring
+	metrics   *metrics
+	callers   map[string]string
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -68,24 +72,27 @@
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
 	e := &Entry{
-		settings: s,
-		config:   state.NewConfigFold(),
-		requests: state.NewRequests(),
-		jobs:     state.NewJobs(),
-		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
-		peers:    transport.NewPeers(s.Process.PeerSecret),
-		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
-		flights:  newFlights(),
-		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
-		metrics:  newMetrics(),
-		callers:  map[string]string{},
-		leaving:  make(chan struct{}),
+		settings:  s,
+		config:    state.NewConfigFold(),
+		requests:  state.NewRequests(),
+		jobs:      state.NewJobs(),
+		moved:     state.NewBodies(),
+		confMarks: state.NewBodies(),
+		peers:     transport.NewPeers(s.Process.PeerSecret),
+		attempts:  transport.NewAttemptClient(s.Process.PeerSecret),
+		flights:   newFlights(),
+		ring:      timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
+		metrics:   newMetrics(),
+		callers:   map[string]string{},
+		leaving:   make(chan struct{}),
 	}
+	e.bodies = logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes, e.moved.Locate)
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
-	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
+	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget)
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
 	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
 	return e, e.listen()
@@ -97,8 +104,10 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name)}, folds...)
+	e.metrics.registry.MustRegister(follower.Metrics()...)
 	return stream{
-		follower: follow.New(follow.Params{Stream: name, Source: log}, folds...),
+		follower: follower,
 		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
 	}
 }
@@ -130,6 +139,7 @@
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.retain(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
 			return protocol.ErrInternal.Wrap(err, "serve")
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -45,3 +45,16 @@
 	reply.Problem = protocol.ProblemOf(p.e.appendAndFold(ctx, args.Records...))
 	return nil
 }
+
+// ReadLog answers with entries of a stream.
+func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
+	switch args.Stream {
+	case protocol.StreamConfig:
+		*reply = p.e.conf.follower.Serve(p.e.context(), args)
+	case protocol.StreamWork:
+		*reply = p.e.work.follower.Serve(p.e.context(), args)
+	default:
+		reply.Problem = protocol.ProblemOf(protocol.ErrNotFound.New("this process does not follow stream %q", args.Stream))
+	}
+	return nil
+}
--- a/entry/services.go
+++ b/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -61,8 +62,10 @@
 	if e.isLeaving() {
 		return protocol.ErrLeaving.New("this entry is shutting down")
 	}
-	if !e.conf.follower.CaughtUp() || !e.work.follower.CaughtUp() {
-		return protocol.ErrBusy.New("the log has not been read yet")
+	for _, st := range []stream{e.conf, e.work} {
+		if err := st.follower.CheckAge(time.Duration(e.settings.Process.MaxAge)); err != nil {
+			return err
+		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 	return nil
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -236,6 +236,9 @@
 	if layout.Drain > 0 {
 		st.Process.DrainTimeout = settings.Duration(layout.Drain)
 	}
+	if layout.Log.Retention > 0 {
+		st.Platform.LogRetention = layout.Log.Retention
+	}
 	st.Platform.Log = "http://" + s.Log.Settings.StandIn.Listen
 	st.Platform.Instances = "http://" + s.List.Settings.StandIn.Listen
 	var err error
--- /dev/null
+++ b/promises/configuration_test.go
@@ -0,0 +1,281 @@
+package promises
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/demo"
+	"github.com/sycamoretally/sycamoretally/history"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
+	"github.com/sycamoretally/sycamoretally/standin/logservice"
+)
+
+// inForceLimit is the time within which an accepted change is in force in every
+// process.
+const inForceLimit = 5 * time.Second
+
+func configurationLayout() demo.Layout {
+	l := demo.DefaultLayout()
+	l.Engines, l.Services = 7, 1
+	l.Engine = engine.Params{Width: 8, TokenTime: time.Millisecond, CacheTokens: 4096, RestartTime: time.Second}
+	return l
+}
+
+// observer samples the versions that every process of a site has in force.
+type observer struct {
+	site *demo.Site
+	mu   sync.Mutex
+	seen []history.Observation
+}
+
+func (o *observer) sample(objects []string) {
+	for i, sc := range o.site.Sidecars {
+		for _, name := range objects {
+			at := time.Now()
+			object, _ := sc.Config().Lookup(protocol.KindLabel, name)
+			o.add(history.Observation{Process: fmt.Sprint("sidecar ", i), Object: name, Version: object.Version, At: at})
+		}
+	}
+	for i, en := range o.site.Entries {
+		for _, name := range objects {
+			at := time.Now()
+			object, _ := en.Config().Lookup(protocol.KindLabel, name)
+			o.add(history.Observation{Process: fmt.Sprint("entry ", i), Object: name, Version: object.Version, At: at})
+		}
+	}
+}
+
+func (o *observer) add(seen history.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.seen = append(o.seen, seen)
+}
+
+func (o *observer) processes() []string {
+	var names []string
+	for i := range o.site.Sidecars {
+		names = append(names, fmt.Sprint("sidecar ", i))
+	}
+	for i := range o.site.Entries {
+		names = append(names, fmt.Sprint("entry ", i))
+	}
+	return names
+}
+
+// operator races on objects through one entry and records what it was told.
+type operator struct {
+	id       int
+	client   *client.Client
+	random   *rand.Rand
+	recorder *history.Recorder
+	known    map[string]protocol.Position
+	accepted []history.Observation
+}
+
+func (p *operator) change(t *testing.T, name string) {
+	in := history.ConfigInput{Object: name, Base: p.known[name]}
+	o := protocol.Object{Kind: protocol.KindLabel, Name: name, Base: in.Base, Label: &protocol.Label{
+		Selector: protocol.Selector{"unit": "none"}, Set: protocol.Labels{"by": fmt.Sprint(p.id, p.random.Int())},
+	}}
+	op := p.recorder.Invoke(p.id, in)
+	answer, err := p.client.Apply(t.Context(), fmt.Sprint("operator-", p.id), []protocol.Object{o})
+	out := outputOf(answer.Version, err)
+	op.Return(out)
+	switch {
+	case out.Accepted != 0:
+		p.known[name] = out.Accepted
+		p.accepted = append(p.accepted, history.Observation{Object: name, Version: out.Accepted, At: time.Now()})
+	case out.Current != 0:
+		p.known[name] = out.Current
+	}
+}
+
+func outputOf(version protocol.Position, err error) history.ConfigOutput {
+	conflict := protocol.ConflictOf(err)
+	switch {
+	case err == nil:
+		return history.ConfigOutput{Accepted: version}
+	case conflict != nil:
+		return history.ConfigOutput{Current: conflict.Current}
+	case protocol.OutcomeOf(err) == protocol.OutcomeNotRun:
+		return history.ConfigOutput{NotRun: true}
+	default:
+		return history.ConfigOutput{Unknown: true}
+	}
+}
+
+// TestConfigurationUnderFaults races operators on two objects through both
+// entries while answers of the log are lost, the log is slow and down, and
+// single processes are cut from it.
+func TestConfigurationUnderFaults(t *testing.T) {
+	const operators, changes = 6, 25
+	objects := []string{"one", "two"}
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			site, _ := startInProcess(t, configurationLayout())
+			recorder := history.NewRecorder()
+			watch := &observer{site: site}
+			stop := make(chan struct{})
+			var watching, racing sync.WaitGroup
+			watching.Go(func() {
+				for {
+					watch.sample(objects)
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+					}
+				}
+			})
+			site.Paths["sidecar-b"].Set(logservice.PathCut)
+			site.Paths["sidecar-c"].Set(logservice.PathSilent)
+			crew := make([]*operator, operators)
+			for i := range crew {
+				entries := []string{site.Client.Entries[i%len(site.Client.Entries)]}
+				c := client.New(settings.Client{Entries: entries, OperatorKey: demo.OperatorKey})
+				t.Cleanup(c.Close)
+				crew[i] = &operator{
+					id: i, client: c, random: rand.New(rand.NewPCG(seed, uint64(i))), recorder: recorder, known: map[string]protocol.Position{},
+				}
+				racing.Go(func() {
+					for n := range changes {
+						if i == 0 {
+							setLogFault(site, crew[0].random, n)
+						}
+						crew[i].change(t, objects[crew[i].random.IntN(len(objects))])
+					}
+				})
+			}
+			racing.Wait()
+			site.Log.SetFaults(logservice.Faults{})
+			site.Paths["entry-b"].Set(logservice.PathCut)
+			<-time.After(inForceLimit + time.Second)
+			close(stop)
+			watching.Wait()
+			assert.NilError(t, history.Check(history.ConfigModel(), recorder.Operations(history.ConfigOutput{Unknown: true})))
+			assert.NilError(t, history.CheckMonotone(watch.seen))
+			total := 0
+			for _, p := range crew {
+				for _, a := range p.accepted {
+					total++
+					assert.NilError(t, history.CheckInForce(a, watch.processes(), watch.seen, inForceLimit))
+				}
+			}
+			assert.Assert(t, total > 0)
+			t.Logf("seed %d: %d changes, %d accepted, %d observations", seed, operators*changes, total, len(watch.seen))
+		})
+	}
+}
+
+// TestChangeThroughLaggingEntry sends a change to an entry that has not seen the
+// version it was made from: the entry must not judge it by its own state.
+func TestChangeThroughLaggingEntry(t *testing.T) {
+	site, _ := startInProcess(t, demo.DefaultLayout())
+	recorder := history.NewRecorder()
+	known := map[string]protocol.Position{}
+	crew := make([]*operator, len(site.Client.Entries))
+	for i, entry := range site.Client.Entries {
+		c := client.New(settings.Client{Entries: []string{entry}, OperatorKey: demo.OperatorKey})
+		t.Cleanup(c.Close)
+		crew[i] = &operator{id: i, client: c, random: rand.New(rand.NewPCG(1, uint64(i))), recorder: recorder, known: known}
+	}
+	site.Paths["entry-b"].Set(logservice.PathSilent)
+	for range 3 {
+		crew[0].change(t, "one")
+	}
+	crew[1].change(t, "one")
+	site.Paths["entry-b"].Set(logservice.PathOpen)
+	crew[1].change(t, "one")
+	assert.NilError(t, history.Check(history.ConfigModel(), recorder.Operations(history.ConfigOutput{Unknown: true})))
+	assert.Equal(t, len(crew[0].accepted), 3)
+}
+
+// setLogFault puts another failure of the log in force.
+func setLogFault(site *demo.Site, random *rand.Rand, round int) {
+	faults := []logservice.Faults{{}, {LoseAnswers: 2}, {DelayMillis: 20}, {Outage: true}, {LoseAnswers: 5, DelayMillis: 5}}
+	chosen := faults[random.IntN(len(faults))]
+	if round == 0 {
+		chosen = logservice.Faults{}
+	}
+	site.Log.SetFaults(chosen)
+	site.Paths["entry-b"].Set(logservice.PathState(random.IntN(2)))
+}
+
+// TestFreshProcessDuringOutage starts a sidecar while the log is down.
+func TestFreshProcessDuringOutage(t *testing.T) {
+	for name, state := range map[string]logservice.PathState{"outage": logservice.PathOpen, "cut": logservice.PathCut, "silent": logservice.PathSilent} {
+		t.Run(name, func(t *testing.T) {
+			layout := demo.DefaultLayout()
+			site, c := startInProcess(t, layout)
+			if name == "outage" {
+				site.Log.SetFaults(logservice.Faults{Outage: true})
+			}
+			fresh, err := site.AddSidecar(layout, state)
+			assert.NilError(t, err)
+			objects, err := c.Objects(t.Context(), "", "")
+			assert.NilError(t, err)
+			eventually(t, inForceLimit, func() error {
+				if err := ready("http://" + fresh.Address()); err != nil {
+					return err
+				}
+				if have := fresh.Config().Objects(); len(have) != len(objects) || len(objects) == 0 {
+					return protocol.ErrBusy.New("%d objects, not %d", len(have), len(objects))
+				}
+				return nil
+			})
+		})
+	}
+}
+
+func ready(base string) error {
+	resp, err := http.Get(base + "/readyz")
+	if err != nil {
+		return protocol.ErrNotSent.Wrap(err, "ready")
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return protocol.ErrBusy.New("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// TestUnknownAgeFailsReadiness cuts processes from the log: they stay ready as
+// long as entries show that nothing is missing, and no longer.
+func TestUnknownAgeFailsReadiness(t *testing.T) {
+	layout := demo.DefaultLayout()
+	layout.MaxAge = 4 * time.Second
+	site, _ := startInProcess(t, layout)
+	sidecar := "http://" + site.SidecarHTTP(0)
+	site.Paths["sidecar-a"].Set(logservice.PathSilent)
+	begun := time.Now()
+	eventually(t, 4*layout.MaxAge, func() error {
+		assert.NilError(t, ready(sidecar))
+		if time.Since(begun) < 2*layout.MaxAge {
+			return protocol.ErrBusy.New("too early")
+		}
+		return nil
+	})
+	for _, e := range site.Entries {
+		_ = e.Kill()
+	}
+	site.Entries = nil
+	for _, p := range site.Paths {
+		p.Set(logservice.PathCut)
+	}
+	eventually(t, 4*layout.MaxAge, func() error {
+		if err := ready(sidecar); !errorx.IsOfType(err, protocol.ErrBusy) {
+			return protocol.ErrBusy.New("still ready: %v", err)
+		}
+		return nil
+	})
+}
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -152,3 +152,13 @@
 	}
 	return nil
 }
+
+// Validate reports the first fault of the change's objects as ErrBadRequest.
+func (c *Change) Validate() error {
+	for i := range c.Objects {
+		if err := c.Objects[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -53,6 +53,34 @@
 	ErrInternal       = Errors.NewType("internal")
 )
 
+// VersionConflict says which object a stale change named and shows both versions.
+type VersionConflict struct {
+	Kind ObjectKind `json:"kind" msgpack:"k"`
+	Name string     `json:"name" msgpack:"n"`
+	// Base is the version that the change was made from.
+	Base Position `json:"base" msgpack:"b"`
+	// Current is the version in force.
+	Current Position `json:"current" msgpack:"c"`
+}
+
+var propertyConflict = errorx.RegisterProperty("version conflict")
+
+// NewVersionConflict returns an ErrVersion that carries c.
+func NewVersionConflict(c VersionConflict) error {
+	return ErrVersion.New("%s %q was changed from version %s, but its version is %s", c.Kind, c.Name, c.Base, c.Current).
+		WithProperty(propertyConflict, c)
+}
+
+// ConflictOf returns the conflict that err carries, nil where it carries none.
+func ConflictOf(err error) *VersionConflict {
+	value, found := errorx.ExtractProperty(err, propertyConflict)
+	if !found {
+		return nil
+	}
+	c := value.(VersionConflict)
+	return &c
+}
+
 type fault struct {
 	kind    *errorx.Type
 	status  int
@@ -99,6 +127,8 @@
 	Outcome Outcome `json:"outcome" msgpack:"o"`
 	// Key names the request that the problem is about, where it has one.
 	Key string `json:"key,omitempty" msgpack:"k,omitempty"`
+	// Conflict shows both versions where a change was made from a stale one.
+	Conflict *VersionConflict `json:"conflict,omitempty" msgpack:"v,omitempty"`
 }
 
 const problemTypePrefix = "urn:sycamoretally:problem:"
@@ -118,11 +148,12 @@
 	}
 	name := found.kind.FullName()[len("sycamoretally."):]
 	return &Problem{
-		Type:    problemTypePrefix + name,
-		Title:   name,
-		Status:  found.status,
-		Detail:  detailOf(err),
-		Outcome: found.outcome,
+		Type:     problemTypePrefix + name,
+		Title:    name,
+		Status:   found.status,
+		Detail:   detailOf(err),
+		Outcome:  found.outcome,
+		Conflict: ConflictOf(err),
 	}
 }
 
@@ -139,6 +170,9 @@
 	if p == nil {
 		return nil
 	}
+	if p.Conflict != nil {
+		return NewVersionConflict(*p.Conflict)
+	}
 	for _, f := range faults {
 		if problemTypePrefix+f.kind.FullName()[len("sycamoretally."):] == p.Type {
 			return f.kind.New("%s", p.Detail)
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -3,16 +3,17 @@
 // PeerService is the name under which every process serves its net/rpc methods.
 const PeerService = "Peer"
 
-// The net/rpc methods. Both roles serve the first two, sidecars the third, entries the others.
+// The net/rpc methods. Both roles serve the first three, sidecars the fourth, entries the others.
 const (
-	MethodReport = PeerService + ".Report"
-	MethodEvents = PeerService + ".Events"
-	MethodCancel = PeerService + ".Cancel"
-	MethodStart  = PeerService + ".Start"
-	MethodAppend = PeerService + ".Append"
-	MethodPull   = PeerService + ".Pull"
-	MethodFinish = PeerService + ".Finish"
-	MethodRenew  = PeerService + ".Renew"
+	MethodReadLog = PeerService + ".ReadLog"
+	MethodReport  = PeerService + ".Report"
+	MethodEvents  = PeerService + ".Events"
+	MethodCancel  = PeerService + ".Cancel"
+	MethodStart   = PeerService + ".Start"
+	MethodAppend  = PeerService + ".Append"
+	MethodPull    = PeerService + ".Pull"
+	MethodFinish  = PeerService + ".Finish"
+	MethodRenew   = PeerService + ".Renew"
 )
 
 // TargetReport is the state of one target as its sidecar knows it.
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -27,6 +27,9 @@
 	Job      *JobAccept       `msgpack:"ja,omitempty"`
 	Items    *ItemResults     `msgpack:"ji,omitempty"`
 	Cancel   *JobCancel       `msgpack:"jc,omitempty"`
+	Snapshot *SnapshotChunk   `msgpack:"sn,omitempty"`
+	Carry    *Carry           `msgpack:"sc,omitempty"`
+	Forget   *Forget          `msgpack:"sf,omitempty"`
 }
 
 // Change sets or deletes configuration objects, all or none.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -52,13 +52,18 @@
 	PeerSecret string `toml:"peer_secret"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `toml:"drain_timeout"`
+	// MaxAge is the time after which a process that cannot tell whether it is
+	// current counts as not ready.
+	MaxAge Duration `toml:"max_age"`
 }
 
 // Platform holds the URLs of the platform's services.
 type Platform struct {
-	Log       string `toml:"log"`
-	Instances string `toml:"instances"`
-	Weights   string `toml:"weights"`
+	Log string `toml:"log"`
+	// LogRetention is how long the log keeps an entry; zero means for ever.
+	LogRetention Duration `toml:"log_retention"`
+	Instances    string   `toml:"instances"`
+	Weights      string   `toml:"weights"`
 }
 
 // Entry holds what an entry needs besides.
@@ -73,6 +78,8 @@
 	MaxFileBytes int64 `toml:"max_file_bytes"`
 	// Attempts bounds the attempts of one request.
 	Attempts int `toml:"attempts"`
+	// KeepResults is how long the result of a finished request or job can be read.
+	KeepResults Duration `toml:"keep_results"`
 }
 
 // Caller is one caller's key.
@@ -181,11 +188,13 @@
 // Default returns the values in force where a file is silent.
 func Default() Settings {
 	return Settings{
-		Process: Process{DrainTimeout: Duration(30 * time.Second)},
+		Process:  Process{DrainTimeout: Duration(30 * time.Second), MaxAge: Duration(10 * time.Second)},
+		Platform: Platform{LogRetention: Duration(24 * time.Hour)},
 		Entry: Entry{
 			MaxBodyBytes: 1 << 20,
 			MaxFileBytes: 128 << 20,
 			Attempts:     4,
+			KeepResults:  Duration(7 * 24 * time.Hour),
 		},
 		StandIn: StandIn{
 			Log:    StandInLog{AppendsPerSecond: 300},
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -32,3 +34,13 @@
 	reply.Events = p.s.ring.Events(*args)
 	return nil
 }
+
+// ReadLog answers with entries of the configuration stream.
+func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
+	if args.Stream != protocol.StreamConfig {
+		reply.Problem = protocol.ProblemOf(protocol.ErrNotFound.New("this process does not follow stream %q", args.Stream))
+		return nil
+	}
+	*reply = p.s.follower.Serve(p.s.tomb.Context(context.Background()), args)
+	return nil
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,7 +68,12 @@
 		sc.runners[t.Name] = newRunner(t, ring.Add)
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
-	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
+	group := &follow.Group{
+		Self: s.Process.Instance, DataCentre: s.Process.DataCentre, Stream: protocol.StreamConfig,
+		Instances: sc.instances, Follows: func(platform.Instance) bool { return true }, Call: sc.peers.ReadLog,
+	}
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
+	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
@@ -163,8 +168,8 @@
 func (s *Sidecar) Metrics() *prometheus.Registry { return s.metrics.registry }
 
 func (s *Sidecar) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.follower.CaughtUp() {
-		transport.WriteProblem(w, protocol.ErrBusy.New("configuration has not been read yet"), "")
+	if err := s.follower.CheckAge(time.Duration(s.settings.Process.MaxAge)); err != nil {
+		transport.WriteProblem(w, err, "")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -174,7 +179,10 @@
 type drainWatch struct{ s *Sidecar }
 
 // Apply implements follow.Fold.
-func (d drainWatch) Apply(protocol.Position, *protocol.Record) {
+func (d drainWatch) Apply(protocol.Position, *protocol.Record) { d.Restored() }
+
+// Restored implements follow.Restored.
+func (d drainWatch) Restored() {
 	config := d.s.config.Current()
 	for _, r := range d.s.runners {
 		r.setDrained(config.Drained(config.Labels(r.target.Labels)))
@@ -191,5 +199,11 @@
 	return reply, err
 }
 
+// instances returns the processes that the platform lists.
+func (s *Sidecar) instances() []platform.Instance { return s.members.Instances() }
+
+// Config returns the configuration in force.
+func (s *Sidecar) Config() *state.Config { return s.config.Current() }
+
 // Address returns the address on which the sidecar takes attempts.
 func (s *Sidecar) Address() string { return s.httpL.Addr().String() }
--- a/state/config.go
+++ b/state/config.go
@@ -107,7 +107,7 @@
 	next.At = pos
 	if rec.Change != nil && !f.verdicts.known(rec.ID) {
 		err := checkBases(old, rec.Change)
-		f.verdicts.add(rec.ID, err)
+		f.verdicts.add(rec.ID, Verdict{Known: true, At: pos, Err: err})
 		if err == nil {
 			next.set(pos, rec.Change)
 		}
@@ -123,20 +123,14 @@
 	return f.verdicts.get(recordID)
 }
 
-// CheckChange reports whether the current snapshot would accept the change.
-func (f *ConfigFold) CheckChange(change *protocol.Change) error {
-	return checkBases(f.Current(), change)
-}
-
 func checkBases(c *Config, change *protocol.Change) error {
-	for i := range change.Objects {
-		o := &change.Objects[i]
-		if err := o.Validate(); err != nil {
-			return err
-		}
+	if err := change.Validate(); err != nil {
+		return err
+	}
+	for _, o := range change.Objects {
 		have := c.objects[objectID{o.Kind, o.Name}].Version
 		if o.Base != have {
-			return protocol.ErrVersion.New("%s %q was changed from version %s, but its version is %s", o.Kind, o.Name, o.Base, have)
+			return protocol.NewVersionConflict(protocol.VersionConflict{Kind: o.Kind, Name: o.Name, Base: o.Base, Current: have})
 		}
 	}
 	return nil
@@ -149,6 +143,11 @@
 		o.Version = pos
 		c.objects[objectID{o.Kind, o.Name}] = o
 	}
+	c.derive()
+}
+
+// derive sorts the label and drain objects that are in force.
+func (c *Config) derive() {
 	c.labels, c.drains = nil, nil
 	for _, o := range c.Objects() {
 		switch o.Kind {
--- /dev/null
+++ b/state/snapshot_test.go
@@ -0,0 +1,163 @@
+package state
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// stateful is a fold that snapshots cover.
+type stateful interface {
+	Apply(pos protocol.Position, rec *protocol.Record)
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+func newFolds() []stateful {
+	return []stateful{NewConfigFold(), NewRequests(), NewJobs(), NewBodies()}
+}
+
+var recordKinds = map[string]func(t *rapid.T, pos protocol.Position) protocol.Record{
+	"change": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		o := protocol.Object{Kind: protocol.KindDrain, Name: drawName(t), Drain: &protocol.Drain{}}
+		o.Base = protocol.Position(rapid.Uint64Range(0, uint64(pos)).Draw(t, "base"))
+		if rapid.Bool().Draw(t, "fresh") {
+			o.Base = 0
+		}
+		return protocol.Record{Change: &protocol.Change{By: "op", Objects: []protocol.Object{o}}}
+	},
+	"accept": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Accept: &protocol.RequestAccept{Key: drawName(t), Entry: "e", Call: protocol.Call{Body: []byte(drawName(t))}}}
+	},
+	"start": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Start: &protocol.RequestStart{Key: drawName(t), Attempt: drawName(t), Holder: "h", Fingerprint: "f"}}
+	},
+	"void": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Void: &protocol.RequestVoid{Key: drawName(t), Attempt: drawName(t)}}
+	},
+	"release": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Release: &protocol.RequestRelease{Key: drawName(t), Attempt: drawName(t), Holder: "h"}}
+	},
+	"complete": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Complete: &protocol.RequestComplete{Key: drawName(t), Attempt: drawName(t), Fingerprint: "f", Result: drawResult(t)}}
+	},
+	"file": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{File: &protocol.FileChunk{File: drawName(t), Index: rapid.IntRange(0, 1).Draw(t, "chunk"), Chunks: 2, Items: make([]protocol.Item, 2)}}
+	},
+	"job": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Job: &protocol.JobAccept{Job: drawName(t), File: drawName(t), DueUnixMillis: 7}}
+	},
+	"items": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		item := protocol.ItemResult{Index: rapid.IntRange(0, 4).Draw(t, "index"), Result: drawResult(t)}
+		return protocol.Record{Items: &protocol.ItemResults{Job: drawName(t), Items: []protocol.ItemResult{item}}}
+	},
+	"cancel": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Cancel: &protocol.JobCancel{Job: drawName(t)}}
+	},
+	"snapshot": func(_ *rapid.T, pos protocol.Position) protocol.Record {
+		return protocol.Record{Snapshot: &protocol.SnapshotChunk{Next: pos.Offset(), Chunks: 1, UnixMillis: int64(pos.Offset())}}
+	},
+	"carry": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		original := protocol.PositionAt(rapid.Uint64Range(1, pos.Offset()).Draw(t, "original"), 0)
+		return protocol.Record{Carry: &protocol.Carry{Original: original}}
+	},
+	"forget": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		before := rapid.Uint64Range(1, pos.Offset()).Draw(t, "before")
+		return protocol.Record{Forget: &protocol.Forget{Before: protocol.PositionAt(before, 0), Expired: before}}
+	},
+}
+
+func drawName(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name") }
+
+func drawResult(t *rapid.T) protocol.Result {
+	return protocol.Result{Outcome: rapid.SampledFrom([]protocol.Outcome{protocol.OutcomeCompleted, protocol.OutcomeFailed}).Draw(t, "outcome")}
+}
+
+func drawRecords(t *rapid.T) []protocol.Record {
+	kinds := []string{"accept", "cancel", "carry", "change", "complete", "file", "forget", "items", "job", "release", "snapshot", "start", "void"}
+	n := rapid.IntRange(0, 60).Draw(t, "records")
+	records := make([]protocol.Record, n)
+	for i := range records {
+		kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+		records[i] = recordKinds[kind](t, protocol.PositionAt(uint64(i+1), 0))
+		records[i].ID = fmt.Sprint("r", i)
+		if i > 0 && rapid.IntRange(0, 9).Draw(t, "again") == 0 {
+			records[i] = records[rapid.IntRange(0, i-1).Draw(t, "which")]
+		}
+	}
+	return records
+}
+
+func applyAll(folds []stateful, records []protocol.Record, from int) {
+	forget := ForgetFold{Requests: folds[1].(*Requests), Jobs: folds[2].(*Jobs)}
+	for i := from; i < len(records); i++ {
+		forget.Apply(protocol.PositionAt(uint64(i+1), 0), &records[i])
+		for _, f := range folds {
+			f.Apply(protocol.PositionAt(uint64(i+1), 0), &records[i])
+		}
+	}
+}
+
+// sameState compares two folds deeply, locks and pointers left out.
+func sameState(a, b stateful) error {
+	var left, right any
+	switch fold := a.(type) {
+	case *ConfigFold:
+		other := b.(*ConfigFold)
+		left, right = fold.current.Load(), other.current.Load()
+		if err := sameVerdicts(fold.verdicts, other.verdicts); err != nil {
+			return err
+		}
+	case *Requests:
+		left, right = fold.keys, b.(*Requests).keys
+	case *Jobs:
+		other := b.(*Jobs)
+		left, right = []any{fold.files, fold.jobs}, []any{other.files, other.jobs}
+	case *Bodies:
+		other := b.(*Bodies)
+		left, right = []any{fold.moved, fold.marks}, []any{other.moved, other.marks}
+	}
+	if !reflect.DeepEqual(left, right) {
+		return protocol.ErrInternal.New("%T: %+v\nis not\n%+v", a, left, right)
+	}
+	return nil
+}
+
+func sameVerdicts(a, b *verdicts) error {
+	if !reflect.DeepEqual(a.order, b.order) {
+		return protocol.ErrInternal.New("verdicts on %v, not on %v", a.order, b.order)
+	}
+	for _, id := range a.order {
+		x, y := a.get(id), b.get(id)
+		if x.At != y.At || !reflect.DeepEqual(protocol.ProblemOf(x.Err), protocol.ProblemOf(y.Err)) {
+			return protocol.ErrInternal.New("verdict on %s: %v, not %v", id, x, y)
+		}
+	}
+	return nil
+}
+
+// TestSnapshotAndRest checks that a reader that starts from a snapshot at any
+// point holds the state of one that folded every record.
+func TestSnapshotAndRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawRecords(t)
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		whole, first, restored := newFolds(), newFolds(), newFolds()
+		applyAll(whole, records, 0)
+		applyAll(first, records[:cut], 0)
+		for i := range first {
+			data, err := first[i].Snapshot()
+			assert.NilError(t, err)
+			assert.NilError(t, restored[i].Restore(data))
+		}
+		applyAll(restored, records, cut)
+		for i := range whole {
+			assert.NilError(t, sameState(whole[i], restored[i]))
+		}
+	})
+}
--- a/state/verdicts.go
+++ b/state/verdicts.go
@@ -1,5 +1,7 @@
 package state
 
+import "github.com/sycamoretally/sycamoretally/protocol"
+
 // maxVerdicts is the number of recent verdicts that a fold remembers.
 const maxVerdicts = 4096
 
@@ -7,7 +9,9 @@
 // effect. It is not known for records that are too old or not yet folded.
 type Verdict struct {
 	Known bool
-	Err   error
+	// At is the position of the record.
+	At  protocol.Position
+	Err error
 }
 
 // verdicts remembers the verdicts on recent records by record ID and forgets
@@ -15,11 +19,11 @@
 type verdicts struct {
 	limit int
 	order []string
-	byID  map[string]error
+	byID  map[string]Verdict
 }
 
 func newVerdicts(limit int) *verdicts {
-	return &verdicts{limit: limit, byID: map[string]error{}}
+	return &verdicts{limit: limit, byID: map[string]Verdict{}}
 }
 
 func (v *verdicts) known(id string) bool {
@@ -28,12 +32,11 @@
 }
 
 func (v *verdicts) get(id string) Verdict {
-	err, found := v.byID[id]
-	return Verdict{Known: found, Err: err}
+	return v.byID[id]
 }
 
-func (v *verdicts) add(id string, err error) {
-	v.byID[id] = err
+func (v *verdicts) add(id string, verdict Verdict) {
+	v.byID[id] = verdict
 	v.order = append(v.order, id)
 	if len(v.order) > v.limit {
 		delete(v.byID, v.order[0])
