--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -191,6 +191,7 @@
 	f.mu.Lock()
 	f.oldest = page.First
 	f.mu.Unlock()
+	f.count(page.Entries)
 	if f.take(page.Entries) >= page.Next {
 		f.setCurrent(begun)
 	}
@@ -222,7 +223,6 @@
 		f.mu.Lock()
 		f.next = next
 		f.recent.add(e)
-		f.bytesRead += uint64(len(e.Data))
 		f.mu.Unlock()
 	}
 	f.announce()
@@ -272,6 +272,14 @@
 	return b
 }
 
+func (f *Follower) count(entries []platform.LogEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		f.bytesRead += uint64(len(e.Data))
+	}
+}
+
 // Oldest returns the oldest offset that the log held when it was last read.
 func (f *Follower) Oldest() uint64 {
 	f.mu.Lock()
--- a/coordination/follow/peers.go
+++ b/coordination/follow/peers.go
@@ -100,12 +100,15 @@
 }
 
 func (f *Follower) takeReply(reply *protocol.ReadLogReply) (uint64, error) {
+	f.mu.Lock()
+	f.bytesRead += uint64(len(reply.Snapshot))
+	f.mu.Unlock()
 	if len(reply.Snapshot) > 0 {
 		snapshot, err := protocol.DecodeSnapshot(reply.Snapshot, reply.Sum)
 		if err != nil {
 			return 0, err
 		}
-		if err := f.restore(snapshot, len(reply.Snapshot)); err != nil {
+		if err := f.restore(snapshot); err != nil {
 			return 0, err
 		}
 	}
@@ -113,6 +116,7 @@
 	for _, e := range reply.Entries {
 		entries = append(entries, platform.LogEntry{Offset: e.Offset, Data: e.Data})
 	}
+	f.count(entries)
 	return f.take(entries), nil
 }
 
--- a/coordination/follow/snapshot.go
+++ b/coordination/follow/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -32,7 +33,7 @@
 
 // restore replaces the folds' state by a newer snapshot; an older one has no
 // effect, so that no state ever goes back.
-func (f *Follower) restore(s *protocol.Snapshot, size int) error {
+func (f *Follower) restore(s *protocol.Snapshot) error {
 	f.foldMu.Lock()
 	defer f.foldMu.Unlock()
 	if s.Next <= f.position() {
@@ -58,7 +59,6 @@
 	f.mu.Lock()
 	f.next = s.Next
 	f.recent.clear()
-	f.bytesRead += uint64(size)
 	f.mu.Unlock()
 	for _, fold := range f.folds {
 		if told, ok := fold.(Restored); ok {
@@ -66,7 +66,7 @@
 		}
 	}
 	f.announce()
-	klog.InfoS("snapshot restored", "stream", f.params.Stream, "next", s.Next, "bytes", size)
+	klog.InfoS("snapshot restored", "stream", f.params.Stream, "next", s.Next)
 	return nil
 }
 
@@ -78,12 +78,16 @@
 	if err != nil {
 		return err
 	}
-	snapshot, size, err := f.findSnapshot(ctx, page.First, page.Next)
+	snapshot, after, err := f.findSnapshot(ctx, page.First, page.Next)
 	if err != nil {
 		return err
 	}
 	if snapshot != nil {
-		return f.restore(snapshot, size)
+		if err := f.restore(snapshot); err != nil {
+			return err
+		}
+		f.take(after)
+		return nil
 	}
 	if page.First > 1 {
 		return protocol.ErrOffsetExpired.New("stream %s begins at %d and holds no usable snapshot", f.params.Stream, page.First)
@@ -102,15 +106,17 @@
 
 // findSnapshot reads pages from the end of the stream backwards until it has
 // the newest snapshot whose chunks are all retained and after which no entry
-// has expired. It returns nil where there is none.
-func (f *Follower) findSnapshot(ctx context.Context, first, next uint64) (*protocol.Snapshot, int, error) {
+// has expired. It returns nil where there is none, and the entries that it read.
+func (f *Follower) findSnapshot(ctx context.Context, first, next uint64) (*protocol.Snapshot, []platform.LogEntry, error) {
 	collected := collector{}
+	var read backlog
 	for end := next; end > first; {
 		begin := max(first, end-min(end, backwardPage))
 		page, err := f.readRange(ctx, begin, end)
 		if err != nil {
-			return nil, 0, err
+			return nil, nil, err
 		}
+		read.add(page)
 		for i := len(page) - 1; i >= 0; i-- {
 			whole := collected.add(page[i], first)
 			if whole == nil {
@@ -118,13 +124,13 @@
 			}
 			snapshot, err := protocol.DecodeSnapshot(whole.data, whole.sum)
 			if err == nil {
-				return snapshot, len(whole.data), nil
+				return snapshot, read.entries(), nil
 			}
 			klog.ErrorS(err, "snapshot skipped", "stream", f.params.Stream)
 		}
 		end = begin
 	}
-	return nil, 0, nil
+	return nil, nil, nil
 }
 
 // backwardPage is the number of entries in one read towards the beginning.
@@ -150,14 +156,39 @@
 		entries = append(entries, page.Entries...)
 		begin = entries[len(entries)-1].Offset + 1
 	}
-	f.mu.Lock()
-	for _, e := range entries {
-		f.bytesRead += uint64(len(e.Data))
-	}
-	f.mu.Unlock()
+	f.count(entries)
 	return entries, nil
 }
 
+// backlogBytes bounds what a backlog keeps, in bytes.
+const backlogBytes = 64 << 20
+
+// backlog keeps pages read towards the beginning of a stream, so that they need
+// not be read again. Past its bound it keeps nothing.
+type backlog struct {
+	pages [][]platform.LogEntry
+	size  int
+}
+
+func (b *backlog) add(page []platform.LogEntry) {
+	for _, e := range page {
+		b.size += len(e.Data)
+	}
+	b.pages = append(b.pages, page)
+	if b.size > backlogBytes {
+		b.pages = nil
+	}
+}
+
+// entries returns what was kept, in order of offsets.
+func (b *backlog) entries() []platform.LogEntry {
+	if b.size > backlogBytes {
+		return nil
+	}
+	slices.Reverse(b.pages)
+	return slices.Concat(b.pages...)
+}
+
 // collector gathers the chunks of snapshots.
 type collector map[string]*chunks
 
