Add the load tool: open-loop scenarios over policies side by side

Cause: the policies are to be decided by measurement, and nothing could compare two of them in one run. Each policy gets a site of its own; all play the same arrivals at the same time, latencies count from the intended start, delays between data centres sit in the connections.

Also: two sites in one process once failed with a taken address, since a port that was free could become the source of an outgoing connection; addresses now come from below that range, each once.

--- a/cmd/sycamoretally/main.go
+++ b/cmd/sycamoretally/main.go
@@ -33,7 +33,7 @@
 	root.AddCommand(
 		entryCommand(), sidecarCommand(), standInCommand(),
 		applyCommand(), getCommand(), jobCommand(), statusCommand(), timelineCommand(),
-		settingsCommand(), demoCommand(),
+		settingsCommand(), demoCommand(), loadCommand(),
 	)
 	return root
 }
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -31,12 +31,6 @@
 	Targets []*Target
 }
 
-// Random is a source of random numbers.
-type Random interface {
-	// IntN returns a number from 0 to n-1.
-	IntN(n int) int
-}
-
 // Query says what an attempt needs.
 type Query struct {
 	Selector protocol.Selector
@@ -44,19 +38,13 @@
 	Tried map[string]bool
 }
 
-// Pick chooses the less loaded of two random candidates. It fails with
-// ErrNoTarget.
-func (t *Table) Pick(q Query, config *state.Config, rng Random) (*Target, error) {
+// Pick chooses among the candidates by the chooser. It fails with ErrNoTarget.
+func (t *Table) Pick(q Query, config *state.Config, choose Chooser) (*Target, error) {
 	candidates := t.candidates(q, config)
 	if len(candidates) == 0 {
 		return nil, protocol.ErrNoTarget.New("none of %d targets can take the request", len(t.Targets))
 	}
-	a := candidates[rng.IntN(len(candidates))]
-	b := candidates[rng.IntN(len(candidates))]
-	if b.load() < a.load() {
-		return b, nil
-	}
-	return a, nil
+	return choose.Choose(candidates), nil
 }
 
 func (t *Table) candidates(q Query, config *state.Config) []*Target {
--- a/demo/site.go
+++ b/demo/site.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/entry"
@@ -17,6 +18,7 @@
 	"github.com/sycamoretally/sycamoretally/standin/instancelist"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
 	"github.com/sycamoretally/sycamoretally/standin/service"
+	"github.com/sycamoretally/sycamoretally/transport"
 )
 
 // Keys of the demo site.
@@ -26,8 +28,6 @@
 	CallerKey   = "demo-caller-key"
 )
 
-const host = "127.0.0.1"
-
 // Layout says how many of each process a site has.
 type Layout struct {
 	Entries int
@@ -36,6 +36,13 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// DataCentres is the number of data centres; zero means two.
+	DataCentres int
+	// Policy is in force in every process.
+	Policy settings.Policy
+	// Dial makes the connections of a process in a data centre to its peers; nil
+	// means the ordinary dialer.
+	Dial func(s *settings.Settings) transport.Dial
 }
 
 // DefaultLayout is the layout of the demo.
@@ -56,24 +63,16 @@
 	// Client holds the settings with which a client reaches the site.
 	Client settings.Client
 
+	layout  Layout
 	servers []*http.Server
 }
 
-// FreeAddress returns an address on loopback that was free a moment ago.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", protocol.ErrInternal.Wrap(err, "find a free port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // Start starts a site. Close must be called in the end, also after an error.
 func Start(layout Layout) (*Site, error) {
 	s := &Site{
-		Log:  logservice.New(logservice.Params{AppendsPerSecond: 300}),
-		List: instancelist.New(0, nil),
+		layout: layout,
+		Log:    logservice.New(logservice.Params{AppendsPerSecond: 300}),
+		List:   instancelist.New(0, nil),
 	}
 	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
 	plan, err := s.plan(layout)
@@ -106,7 +105,7 @@
 	for i := range layout.Entries {
 		en := settings.Default()
 		en.Role = settings.RoleEntry
-		if err := setProcess(&en, "entry-", i); err != nil {
+		if err := s.setProcess(&en, "entry-", i); err != nil {
 			return nil, err
 		}
 		en.Entry.OperatorKeys = []string{OperatorKey}
@@ -116,23 +115,41 @@
 	return plan, nil
 }
 
-func setProcess(s *settings.Settings, prefix string, index int) error {
-	s.Process.Instance = prefix + string(rune('a'+index))
-	s.Process.DataCentre = "dc-" + string(rune('a'+index%2))
-	s.Process.PeerSecret = PeerSecret
-	s.Process.DrainTimeout = settings.Duration(10 * time.Second)
+// defaultDataCentres is the number of data centres of a layout that sets none.
+const defaultDataCentres = 2
+
+func (s *Site) setProcess(st *settings.Settings, prefix string, index int) error {
+	centres := s.layout.DataCentres
+	if centres == 0 {
+		centres = defaultDataCentres
+	}
+	st.Process.Instance = prefix + suffix(index)
+	st.Process.DataCentre = "dc-" + suffix(index%centres)
+	st.Process.PeerSecret = PeerSecret
+	st.Policy = s.layout.Policy
+	st.Process.DrainTimeout = settings.Duration(10 * time.Second)
 	var err error
-	if s.Process.HTTP, err = FreeAddress(); err != nil {
+	if st.Process.HTTP, err = FreeAddress(); err != nil {
 		return err
 	}
-	s.Process.Peer, err = FreeAddress()
+	st.Process.Peer, err = FreeAddress()
 	return err
 }
 
+// suffix names the process with an index by a letter, and by a number once the
+// letters are used up.
+func suffix(index int) string {
+	const letters = 26
+	if index < letters {
+		return string(rune('a' + index))
+	}
+	return strconv.Itoa(index)
+}
+
 func (s *Site) sidecarFor(kind settings.TargetType, label string, target http.Handler, index, slots int) (settings.Settings, error) {
 	sc := settings.Default()
 	sc.Role = settings.RoleSidecar
-	if err := setProcess(&sc, "sidecar-", index); err != nil {
+	if err := s.setProcess(&sc, "sidecar-", index); err != nil {
 		return sc, err
 	}
 	l, err := net.Listen("tcp", host+":0")
@@ -143,12 +160,13 @@
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	sc.Targets = []settings.Target{{
-		Name:   "target-" + string(rune('a'+index)),
-		Type:   kind,
-		URL:    "http://" + l.Addr().String(),
-		Labels: map[string]string{"role": label, "unit": string(rune('a' + index))},
-		Slots:  slots,
-		Queue:  settings.DefaultQueue,
+		Name:    "target-" + suffix(index),
+		Type:    kind,
+		URL:     "http://" + l.Addr().String(),
+		Labels:  map[string]string{"role": label, "unit": suffix(index)},
+		Slots:   slots,
+		Reserve: s.layout.Policy.Reserve,
+		Queue:   settings.DefaultQueue,
 	}}
 	return sc, nil
 }
@@ -171,16 +189,23 @@
 	return nil
 }
 
+func (s *Site) dialOf(p *settings.Settings) transport.Dial {
+	if s.layout.Dial == nil {
+		return nil
+	}
+	return s.layout.Dial(p)
+}
+
 func (s *Site) startOne(p *settings.Settings) error {
 	if p.Role == settings.RoleSidecar {
-		sc, err := sidecar.New(p, sidecar.Platform{Log: s.Log, Instances: s.List})
+		sc, err := sidecar.New(p, sidecar.Platform{Log: s.Log, Instances: s.List, Dial: s.dialOf(p)})
 		if err != nil {
 			return err
 		}
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List})
+	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List, Dial: s.dialOf(p)})
 	if err != nil {
 		return err
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -117,20 +117,14 @@
 	return nil, err
 }
 
-// sharedRandom draws from the runtime's source, which any goroutine may use.
-type sharedRandom struct{}
-
-// IntN implements routing.Random.
-func (sharedRandom) IntN(n int) int { return rand.IntN(n) }
-
 // pick chooses a target not yet tried, and starts over once all were.
 func (d *dispatchRun) pick() (*routing.Target, error) {
 	table, config := d.entry.members.Table(), d.entry.config.Current()
 	query := routing.Query{Selector: d.order.service.Selector, Tried: d.tried}
-	target, err := table.Pick(query, config, sharedRandom{})
+	target, err := table.Pick(query, config, d.entry.chooser)
 	if err != nil && len(d.tried) > 0 {
 		clear(d.tried)
-		target, err = table.Pick(query, config, sharedRandom{})
+		target, err = table.Pick(query, config, d.entry.chooser)
 	}
 	return target, err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 type Platform struct {
 	Log       platform.Log
 	Instances platform.InstanceList
+	// Dial makes connections to peers; nil means the ordinary dialer.
+	Dial transport.Dial
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -56,6 +58,7 @@
 	ring     *timeline.Ring
 	metrics  *metrics
 	callers  map[string]string
+	chooser  routing.Chooser
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -79,8 +82,13 @@
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
 		callers:  map[string]string{},
+		chooser:  newChooser(s.Policy),
 		leaving:  make(chan struct{}),
 	}
+	if p.Dial != nil {
+		e.peers.UseDial(p.Dial)
+		e.attempts.UseDial(p.Dial)
+	}
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
--- /dev/null
+++ b/load/scenario.go
@@ -0,0 +1,173 @@
+// Package load drives a site with a scenario: open-loop arrivals, batch jobs and
+// faults at set times. It runs the same scenario against several policies side
+// by side, and reports their latencies and throughput as a table, as JSON and
+// as SVG plots.
+package load
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+// ErrScenario is the type of faults in a scenario and of failures to run it.
+var ErrScenario = protocol.Errors.NewType("scenario")
+
+// Scenario is a scenario file.
+type Scenario struct {
+	Name string `toml:"name"`
+	// Seed fixes arrivals, sizes and prompts.
+	Seed     uint64            `toml:"seed"`
+	Duration settings.Duration `toml:"duration"`
+	// WarmUp is the time at the beginning whose requests are not counted.
+	WarmUp   settings.Duration `toml:"warm_up"`
+	Site     Site              `toml:"site"`
+	Requests []Requests        `toml:"requests"`
+	Jobs     []Job             `toml:"job"`
+	Faults   []Fault           `toml:"fault"`
+	Policies []Policy          `toml:"policy"`
+}
+
+// Site describes the fleet.
+type Site struct {
+	Entries int `toml:"entries"`
+	// Engines and Services are the numbers of model and booking targets.
+	Engines  int `toml:"engines"`
+	Services int `toml:"services"`
+	// Slots is the number of requests that a target runs at the same time.
+	Slots       int               `toml:"slots"`
+	TokenTime   settings.Duration `toml:"token_time"`
+	PrefillTime settings.Duration `toml:"prefill_time"`
+	CacheTokens int               `toml:"cache_tokens"`
+	ReportLag   settings.Duration `toml:"report_lag"`
+	// RestartTime is how long a crashed engine is down.
+	RestartTime settings.Duration `toml:"restart_time"`
+	DataCentres int               `toml:"data_centres"`
+	// Between and Callers are the one-way delays between data centres and to
+	// callers.
+	Between settings.Duration `toml:"between"`
+	Callers settings.Duration `toml:"callers"`
+}
+
+// Requests is a stream of online requests.
+type Requests struct {
+	Name    string `toml:"name"`
+	Service string `toml:"service"`
+	// Rate is the mean number of arrivals a second.
+	Rate float64 `toml:"rate"`
+	// BurstRate replaces Rate during the last BurstTime of every BurstEvery.
+	BurstRate  float64           `toml:"burst_rate"`
+	BurstEvery settings.Duration `toml:"burst_every"`
+	BurstTime  settings.Duration `toml:"burst_time"`
+	// Tokens is the length of an answer.
+	Tokens int `toml:"tokens"`
+	// LongShare of the requests have LongFactor times as many tokens.
+	LongShare  float64 `toml:"long_share"`
+	LongFactor int     `toml:"long_factor"`
+	// Prefixes is the number of shared prompt prefixes of PrefixWords words,
+	// drawn by a Zipf distribution with exponent Skew.
+	Prefixes    int     `toml:"prefixes"`
+	PrefixWords int     `toml:"prefix_words"`
+	Skew        float64 `toml:"skew"`
+}
+
+// Job is a batch job submitted at a set time.
+type Job struct {
+	At         settings.Duration `toml:"at"`
+	Items      int               `toml:"items"`
+	Tokens     int               `toml:"tokens"`
+	LongShare  float64           `toml:"long_share"`
+	LongFactor int               `toml:"long_factor"`
+	Due        settings.Duration `toml:"due"`
+}
+
+// FaultKind names what goes wrong.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	// FaultSlow multiplies the times of some engines by Factor.
+	FaultSlow FaultKind = "slow"
+	// FaultCrash crashes some engines once.
+	FaultCrash FaultKind = "crash"
+	// FaultCut cuts one data centre off from the entries in the others.
+	FaultCut FaultKind = "cut"
+)
+
+// Fault is a failure at a set time.
+type Fault struct {
+	Kind    FaultKind         `toml:"kind"`
+	At      settings.Duration `toml:"at"`
+	For     settings.Duration `toml:"for"`
+	Targets int               `toml:"targets"`
+	Factor  float64           `toml:"factor"`
+}
+
+// Policy is one way to run the site.
+type Policy struct {
+	Name string `toml:"name"`
+	// NoJobs leaves the scenario's jobs out, for a run without batch work.
+	NoJobs bool `toml:"no_jobs"`
+	// NoFaults leaves the scenario's faults out.
+	NoFaults bool `toml:"no_faults"`
+	// NoLong leaves out the long requests.
+	NoLong   bool            `toml:"no_long"`
+	Settings settings.Policy `toml:"settings"`
+}
+
+// LoadScenario reads a scenario file. It fails with ErrScenario.
+func LoadScenario(path string) (*Scenario, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrScenario.Wrap(err, "read scenario")
+	}
+	return ParseScenario(data)
+}
+
+// ParseScenario decodes and checks a scenario.
+func ParseScenario(data []byte) (*Scenario, error) {
+	s := Scenario{Seed: 1, Site: Site{Entries: 2, Slots: 8, DataCentres: 1}}
+	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, ErrScenario.Wrap(err, "decode scenario")
+	}
+	return &s, s.check()
+}
+
+func (s *Scenario) check() error {
+	switch {
+	case s.Duration <= 0:
+		return ErrScenario.New("duration must be above zero")
+	case s.Site.Entries <= 0 || s.Site.Engines < 0 || s.Site.Slots <= 0 || s.Site.DataCentres <= 0:
+		return ErrScenario.New("site needs entries, slots and data_centres above zero")
+	case len(s.Policies) == 0:
+		return ErrScenario.New("at least one policy is needed")
+	}
+	for i := range s.Policies {
+		if err := s.Policies[i].Settings.Validate(); err != nil {
+			return ErrScenario.Wrap(err, "policy %q", s.Policies[i].Name)
+		}
+	}
+	for _, r := range s.Requests {
+		if r.Rate <= 0 || r.Service == "" {
+			return ErrScenario.New("requests %q need a service and a rate above zero", r.Name)
+		}
+		if r.Prefixes > 0 && r.Skew <= 1 {
+			return ErrScenario.New("requests %q: skew must be above one", r.Name)
+		}
+	}
+	for _, f := range s.Faults {
+		if f.Kind != FaultSlow && f.Kind != FaultCrash && f.Kind != FaultCut {
+			return ErrScenario.New("fault %q is unknown", f.Kind)
+		}
+	}
+	return nil
+}
+
+// duration shortens a conversion.
+func duration(d settings.Duration) time.Duration { return time.Duration(d) }
--- a/promises/whole_site_test.go
+++ b/promises/whole_site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,6 +26,10 @@
 	})
 	t.Run("processes", func(t *testing.T) {
 		_, c := startProcesses(t, processtest.Layout{Entries: 1, Engines: 1, Slots: 4, Engine: settings.StandInEngine{Width: 4}})
+		eventually(t, 5*time.Second, func() error {
+			_, err := c.Status(t.Context())
+			return err
+		})
 		ask(t, c)
 	})
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -57,6 +58,9 @@
 // check returns every fault of the sections that the role uses.
 func (s *Settings) check() []string {
 	f := &faultList{addresses: map[string]string{}}
+	if err := s.Policy.Validate(); err != nil {
+		f.faults = append(f.faults, protocol.ProblemOf(err).Detail)
+	}
 	switch s.Role {
 	case RoleEntry:
 		s.checkProcess(f)
--- /dev/null
+++ b/settings/policy.go
@@ -0,0 +1,35 @@
+package settings
+
+// Routing names a way to choose a target.
+type Routing string
+
+// The ways to choose a target.
+const (
+	RoutingTwoChoices    Routing = "two_choices"
+	RoutingRoundRobin    Routing = "round_robin"
+	RoutingLeastInFlight Routing = "least_in_flight"
+)
+
+// Policy holds the choices between ways to route and schedule. The zero value
+// is the recommended policy; the others exist to compare with.
+type Policy struct {
+	Routing Routing `toml:"routing"`
+	// Reserve is the number of slots of each target that batch work leaves free,
+	// where the target's own setting is zero.
+	Reserve int `toml:"reserve"`
+	// NoPreemption lets batch work finish when online work waits.
+	NoPreemption bool `toml:"no_preemption"`
+}
+
+// Validate reports the first fault as ErrSettings.
+func (p *Policy) Validate() error {
+	switch p.Routing {
+	case "", RoutingTwoChoices, RoutingRoundRobin, RoutingLeastInFlight:
+	default:
+		return ErrSettings.New("policy.routing: %q is unknown", p.Routing)
+	}
+	if p.Reserve < 0 {
+		return ErrSettings.New("policy.reserve: must not be negative")
+	}
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,7 @@
 	Targets  []Target `toml:"target"`
 	Client   Client   `toml:"client"`
 	StandIn  StandIn  `toml:"standin"`
+	Policy   Policy   `toml:"policy"`
 }
 
 // Process holds what every process of the system needs.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -30,6 +30,8 @@
 type Platform struct {
 	Log       platform.Log
 	Instances platform.InstanceList
+	// Dial makes connections to peers; nil means the ordinary dialer.
+	Dial transport.Dial
 }
 
 // Sidecar is one running sidecar.
@@ -64,6 +66,9 @@
 		ring:     ring,
 		metrics:  newMetrics(),
 	}
+	if p.Dial != nil {
+		sc.peers.UseDial(p.Dial)
+	}
 	for _, t := range s.Targets {
 		sc.runners[t.Name] = newRunner(t, ring.Add)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -217,3 +217,11 @@
 	e.reports = e.reports[old:]
 	return e.reports[0].load
 }
+
+// CacheTokens returns how many prompt tokens were found in the prefix cache, and
+// how many were not.
+func (e *Engine) CacheTokens() (hits, misses uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.hits, e.cache.misses
+}
--- a/transport/peers.go
+++ b/transport/peers.go
@@ -21,7 +21,8 @@
 // Peers keeps one net/rpc connection to each peer address. Its methods may be
 // called at the same time.
 type Peers struct {
-	secret string
+	secret   string
+	dialFunc Dial
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -30,7 +31,7 @@
 
 // NewPeers returns a pool that authenticates with secret.
 func NewPeers(secret string) *Peers {
-	return &Peers{secret: secret, clients: map[string]*rpc.Client{}}
+	return &Peers{secret: secret, dialFunc: defaultDial, clients: map[string]*rpc.Client{}}
 }
 
 // Call calls method at the peer. It fails with ErrNotSent where the peer cannot
@@ -92,8 +93,7 @@
 }
 
 func (p *Peers) dial(ctx context.Context, addr string) (*rpc.Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := p.dialFunc(ctx, "tcp", addr)
 	if err != nil {
 		return nil, protocol.ErrNotSent.Wrap(err, "dial peer %s", addr)
 	}
