Add the routing decisions to be compared: ejection, affinity, budgets

Added: an estimate of each target's time between tokens with ejection and slow return, an affinity key with a load bound, a remembered last owner, and a budget for extra attempts.

Not yet measured under load: the entry does not feed the estimate yet, and the default choice is unchanged.

--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -10,7 +10,8 @@
 
 // Chooser picks one of at least one candidate. It may be called at the same time.
 type Chooser interface {
-	Choose(candidates []*Target) *Target
+	// Choose takes the affinity key of the request, zero where it has none.
+	Choose(candidates []*Target, key uint64) *Target
 }
 
 // TwoChoices picks the less loaded of two random candidates.
@@ -19,7 +20,7 @@
 }
 
 // Choose implements Chooser.
-func (c TwoChoices) Choose(candidates []*Target) *Target {
+func (c TwoChoices) Choose(candidates []*Target, _ uint64) *Target {
 	a := candidates[c.Random.IntN(len(candidates))]
 	b := candidates[c.Random.IntN(len(candidates))]
 	if b.load() < a.load() {
@@ -34,7 +35,7 @@
 }
 
 // Choose implements Chooser.
-func (c *RoundRobin) Choose(candidates []*Target) *Target {
+func (c *RoundRobin) Choose(candidates []*Target, _ uint64) *Target {
 	return candidates[c.turn.Add(1)%uint64(len(candidates))]
 }
 
@@ -45,7 +46,7 @@
 }
 
 // Choose implements Chooser.
-func (c LeastInFlight) Choose(candidates []*Target) *Target {
+func (c LeastInFlight) Choose(candidates []*Target, _ uint64) *Target {
 	begin := c.Random.IntN(len(candidates))
 	best := candidates[begin]
 	for i := range candidates {
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -36,15 +36,46 @@
 	Selector protocol.Selector
 	// Tried holds the names of targets that refused or failed already.
 	Tried map[string]bool
+	// Affinity is the key that keeps related requests together, or zero.
+	Affinity uint64
 }
 
-// Pick chooses among the candidates by the chooser. It fails with ErrNoTarget.
-func (t *Table) Pick(q Query, config *state.Config, choose Chooser) (*Target, error) {
+// Policy is how an entry chooses.
+type Policy struct {
+	Choose Chooser
+	// Share returns the part of its ordinary work that a target should get now;
+	// nil means all of it.
+	Share  func(target string) float64
+	Random Random
+}
+
+// Pick chooses among the candidates by the policy. It fails with ErrNoTarget.
+func (t *Table) Pick(q Query, config *state.Config, p *Policy) (*Target, error) {
 	candidates := t.candidates(q, config)
 	if len(candidates) == 0 {
 		return nil, protocol.ErrNoTarget.New("none of %d targets can take the request", len(t.Targets))
 	}
-	return choose.Choose(candidates), nil
+	return p.Choose.Choose(p.thin(candidates), q.Affinity), nil
+}
+
+// thin leaves out targets that should get less than their share, each as often
+// as its share says. It leaves all in where it would leave none.
+func (p *Policy) thin(candidates []*Target) []*Target {
+	if p.Share == nil {
+		return candidates
+	}
+	const steps = 1 << 16
+	kept := make([]*Target, 0, len(candidates))
+	for _, t := range candidates {
+		share := p.Share(t.Name)
+		if share >= 1 || share > 0 && float64(p.Random.IntN(steps)) < share*steps {
+			kept = append(kept, t)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
 }
 
 func (t *Table) candidates(q Query, config *state.Config) []*Target {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -121,10 +121,10 @@
 func (d *dispatchRun) pick() (*routing.Target, error) {
 	table, config := d.entry.members.Table(), d.entry.config.Current()
 	query := routing.Query{Selector: d.order.service.Selector, Tried: d.tried}
-	target, err := table.Pick(query, config, d.entry.chooser)
+	target, err := table.Pick(query, config, d.entry.policy.routing)
 	if err != nil && len(d.tried) > 0 {
 		clear(d.tried)
-		target, err = table.Pick(query, config, d.entry.chooser)
+		target, err = table.Pick(query, config, d.entry.policy.routing)
 	}
 	return target, err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,7 +58,7 @@
 	ring     *timeline.Ring
 	metrics  *metrics
 	callers  map[string]string
-	chooser  routing.Chooser
+	policy   *policy
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -82,7 +82,7 @@
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
 		callers:  map[string]string{},
-		chooser:  newChooser(s.Policy),
+		policy:   newPolicy(s.Policy),
 		leaving:  make(chan struct{}),
 	}
 	if p.Dial != nil {
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -8,12 +8,16 @@
 	RoutingTwoChoices    Routing = "two_choices"
 	RoutingRoundRobin    Routing = "round_robin"
 	RoutingLeastInFlight Routing = "least_in_flight"
+	RoutingAffinity      Routing = "affinity"
+	RoutingLastOwner     Routing = "last_owner"
 )
 
 // Policy holds the choices between ways to route and schedule. The zero value
 // is the recommended policy; the others exist to compare with.
 type Policy struct {
 	Routing Routing `toml:"routing"`
+	// NoEjection keeps sending work to targets that are much slower than others.
+	NoEjection bool `toml:"no_ejection"`
 	// Reserve is the number of slots of each target that batch work leaves free,
 	// where the target's own setting is zero.
 	Reserve int `toml:"reserve"`
@@ -24,7 +28,7 @@
 // Validate reports the first fault as ErrSettings.
 func (p *Policy) Validate() error {
 	switch p.Routing {
-	case "", RoutingTwoChoices, RoutingRoundRobin, RoutingLeastInFlight:
+	case "", RoutingTwoChoices, RoutingRoundRobin, RoutingLeastInFlight, RoutingAffinity, RoutingLastOwner:
 	default:
 		return ErrSettings.New("policy.routing: %q is unknown", p.Routing)
 	}
