--- a/cmd/sycamoretally/load.go
+++ b/cmd/sycamoretally/load.go
@@ -10,6 +10,7 @@
 
 func loadCommand() *cobra.Command {
 	var path, dir string
+	var seeds int
 	cmd := &cobra.Command{
 		Use:   "load --scenario FILE --out DIR",
 		Short: "Run a load scenario against one or more policies, side by side",
@@ -19,9 +20,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), s.Limit())
-			defer cancel()
-			result, err := load.Run(ctx, s)
+			result, err := runSeeds(cmd.Context(), s, seeds)
 			if err != nil {
 				return err
 			}
@@ -35,6 +34,22 @@
 	}
 	cmd.Flags().StringVar(&path, "scenario", "", "scenario file in TOML")
 	cmd.Flags().StringVar(&dir, "out", "", "directory for the table, JSON and plots")
+	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds to run, one after the other; figures are medians over them")
 	_ = cmd.MarkFlagRequired("scenario")
 	return cmd
 }
+
+func runSeeds(ctx context.Context, s *load.Scenario, seeds int) (*load.Result, error) {
+	results := make([]*load.Result, 0, seeds)
+	for range max(1, seeds) {
+		runCtx, cancel := context.WithTimeout(ctx, s.Limit())
+		result, err := load.Run(runCtx, s)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+		s.Seed++
+	}
+	return load.Median(results), nil
+}
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -21,6 +21,12 @@
 	// Reserve is the number of slots of each target that batch work leaves free,
 	// where the target's own setting is zero.
 	Reserve int `toml:"reserve"`
+	// NoHedges never opens a second attempt beside a stalled one.
+	NoHedges bool `toml:"no_hedges"`
+	// NoLanes lets long work take every slot of a target.
+	NoLanes bool `toml:"no_lanes"`
+	// NoAdmission queues online work however long it will wait.
+	NoAdmission bool `toml:"no_admission"`
 	// NoPreemption lets batch work finish when online work waits.
 	NoPreemption bool `toml:"no_preemption"`
 }
