--- a/protocol/record.go
+++ b/protocol/record.go
@@ -27,6 +27,21 @@
 	Job      *JobAccept       `msgpack:"ja,omitempty"`
 	Items    *ItemResults     `msgpack:"ji,omitempty"`
 	Cancel   *JobCancel       `msgpack:"jc,omitempty"`
+	Announce *Announce        `msgpack:"an,omitempty"`
+}
+
+// Announce says which targets stand behind a sidecar. Each sidecar appends one
+// to the configuration stream when it starts.
+type Announce struct {
+	Instance string       `msgpack:"i"`
+	Targets  []TargetInfo `msgpack:"t"`
+}
+
+// TargetInfo is what does not change of a target while its sidecar runs.
+type TargetInfo struct {
+	Name   string `msgpack:"n"`
+	Labels Labels `msgpack:"l"`
+	Slots  int    `msgpack:"s"`
 }
 
 // Change sets or deletes configuration objects, all or none.
