Hedge stalled answers and eject slow targets

Cause: a slow target's report lags two seconds, and an answer once begun there was read to its end: whole answers took 4.8 s at p99 beside two of twenty targets ten times slower, against 0.62 s without a fault.

Change: an idempotent answer whose next token is late is continued on a second target from the tokens that the caller has, the first to deliver goes on; hedges have a budget of 5%, retries one of 10%, earned from each entry's own requests; targets much slower than the median are ejected and return slowly; leaving an ejected target costs no budget.

--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -14,6 +14,9 @@
 	Gain float64
 	// Deviations is the number of mean deviations above the mean to wait.
 	Deviations float64
+	// Multiple is the smallest wait as a multiple of the mean. An answer has many
+	// tokens, so a wait that one pause in a hundred exceeds hedges most answers.
+	Multiple float64
 	// Min and Max bound the wait.
 	Min time.Duration
 	Max time.Duration
@@ -23,7 +26,7 @@
 
 // DefaultParams returns the parameters of an entry.
 func DefaultParams() Params {
-	return Params{Gain: 0.1, Deviations: 4, Min: 30 * time.Millisecond, Max: 2 * time.Second, MinSamples: 20}
+	return Params{Gain: 0.1, Deviations: 6, Multiple: 3, Min: 30 * time.Millisecond, Max: 2 * time.Second, MinSamples: 20}
 }
 
 // Timer estimates one duration of a service: the mean, and the mean deviation
@@ -64,6 +67,6 @@
 	if t.samples < t.params.MinSamples {
 		return 0, false
 	}
-	wait := time.Duration(t.mean + t.params.Deviations*t.deviation)
-	return min(max(wait, t.params.Min), t.params.Max), true
+	wait := max(t.mean+t.params.Deviations*t.deviation, t.params.Multiple*t.mean)
+	return min(max(time.Duration(wait), t.params.Min), t.params.Max), true
 }
--- a/coordination/latency/latency.go
+++ b/coordination/latency/latency.go
@@ -92,6 +92,16 @@
 	e.judge(target, t, now)
 }
 
+// Stall takes the sample of a target that another one overtook after it had
+// delivered nothing for silent. How slow it was is not known, only that it was
+// much slower, so it counts as twice the factor at least.
+func (e *Estimator) Stall(group, target string, silent time.Duration, now time.Time) {
+	e.mu.Lock()
+	least := 2 * e.params.Factor * e.medianOf(group)
+	e.mu.Unlock()
+	e.Observe(group, target, max(silent, time.Duration(least)), now)
+}
+
 // judge ejects the target where it is much slower than its peers.
 func (e *Estimator) judge(name string, t *estimate, now time.Time) {
 	if t.samples < e.params.MinSamples || now.Before(t.ejection.until) {
--- a/coordination/routing/affinity.go
+++ b/coordination/routing/affinity.go
@@ -6,9 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// prefixBytes is the length of the part of a prompt that decides where it goes.
+// PrefixBytes is the length of the part of a prompt that decides where it goes.
 // Requests that share it share blocks of an engine's prefix cache.
-const prefixBytes = 256
+const PrefixBytes = 256
 
 // AffinityKey returns the key that keeps related requests together: the same for
 // requests of one workspace and service whose prompts begin alike. It is never
@@ -16,7 +16,7 @@
 // owner, is that of Lee et al., "CISS: An efficient object clustering framework
 // for DHT-based peer-to-peer applications" (2007).
 func AffinityKey(workspace, service, prompt string) uint64 {
-	prefix := prompt[:min(len(prompt), prefixBytes)]
+	prefix := prompt[:min(len(prompt), PrefixBytes)]
 	return xxhash.Sum64String(workspace+"\x00"+service+"\x00"+prefix) | 1
 }
 
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -30,6 +31,7 @@
 		key = protocol.NewID()
 	}
 	o := newOrder(keyIn(workspaceOf(r), key), traceOf(r.Request), chatCall(chat.Model, workspaceOf(r), body), service)
+	o.affinity = routing.AffinityKey(o.call.Workspace, chat.Model, promptOf(chat))
 	e.ring.Add(o.trace, "request received", "service", chat.Model)
 	if wantsReceipt(r.Request) {
 		return e.accept(w, r, key, o)
@@ -45,6 +47,19 @@
 	return nil
 }
 
+// promptOf joins the messages of a chat up to where they can still decide where
+// it goes.
+func promptOf(chat *protocol.ChatRequest) string {
+	var b strings.Builder
+	for _, m := range chat.Messages {
+		b.WriteString(m.Content)
+		if b.Len() >= routing.PrefixBytes {
+			break
+		}
+	}
+	return b.String()
+}
+
 // chatPath is the path of chat completions, here and at the engines.
 const chatPath = "/v1/chat/completions"
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/coordination/race"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
@@ -17,6 +18,8 @@
 	trace   string
 	call    protocol.Call
 	service *protocol.Service
+	// affinity keeps requests with the same prompt prefix together; zero for none.
+	affinity uint64
 	// repeatable is false for calls that must run at most once.
 	repeatable bool
 	// token receives each token of a model's answer; it may be nil.
@@ -30,12 +33,12 @@
 // dispatch runs the order on targets until one gives a whole answer or no
 // further attempt is allowed.
 func (e *Entry) dispatch(ctx context.Context, o *order) (*protocol.Result, error) {
-	run := &dispatchRun{entry: e, order: o, tried: map[string]bool{}}
+	run := newDispatchRun(ctx, e, o)
+	e.policy.earn()
 	var err error
 	for n := range e.settings.Entry.Attempts {
-		if n > 0 {
-			e.metrics.retries.Inc()
-			pause(ctx, time.Duration(rand.Int64N(int64(retryPause<<n))))
+		if n > 0 && !run.again(ctx, n) {
+			break
 		}
 		var result *protocol.Result
 		result, err = run.attempt(ctx)
@@ -73,91 +76,136 @@
 
 // dispatchRun is the state of one order over its attempts.
 type dispatchRun struct {
-	entry *Entry
-	order *order
-	tried map[string]bool
-	// tokens is what the caller has already got; a later attempt goes on after it.
-	tokens []string
-	head   *protocol.Frame
+	entry    *Entry
+	order    *order
+	tried    map[string]bool
+	race     *race.Race
+	pace     *pace
+	steps    stepSample
+	deadline time.Time
+}
+
+func newDispatchRun(ctx context.Context, e *Entry, o *order) *dispatchRun {
+	d := &dispatchRun{entry: e, order: o, tried: map[string]bool{}, pace: e.policy.paceOf(o.call.Service)}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(protocol.DefaultRequestTimeout)
+	}
+	d.deadline = deadline
+	p := race.Params{Executor: e.attempts, Build: d.build, Wait: d.pace.wait, Token: o.token, Progress: d.progress, Stalled: d.stalled}
+	if o.repeatable && !e.settings.Policy.NoHedges {
+		p.Second = d.second
+	}
+	d.race = race.New(p)
+	return d
 }
 
+// again spends one retry and pauses before it.
+func (d *dispatchRun) again(ctx context.Context, n int) bool {
+	if !d.entry.policy.retries.Spend() {
+		return false
+	}
+	d.entry.metrics.retries.Inc()
+	pause(ctx, time.Duration(rand.Int64N(int64(retryPause<<n))))
+	return true
+}
+
+// attempt runs the order once, or twice beside each other where the first stalls.
 func (d *dispatchRun) attempt(ctx context.Context) (*protocol.Result, error) {
-	e, o := d.entry, d.order
 	target, err := d.pick()
 	if err != nil {
 		return nil, err
 	}
+	begun := time.Now()
+	out := d.race.Run(ctx, target)
+	if out.Err == nil {
+		if !d.order.call.Model {
+			d.pace.observe(true, time.Since(begun))
+		}
+		d.entry.members.Observe(out.Target.Instance, out.End.Report)
+		return d.result(&out), nil
+	}
+	d.tried[out.Target.Name] = true
+	d.entry.ring.Add(d.order.trace, "attempt failed", "attempt", out.Attempt, "target", out.Target.Name, "error", protocol.ProblemOf(out.Err).Title)
+	if !d.order.repeatable && protocol.OutcomeOf(out.Err) != protocol.OutcomeNotRun {
+		return d.entry.settle(d.order, out.Attempt, out.Err)
+	}
+	return nil, out.Err
+}
+
+// build makes the attempt for a target.
+func (d *dispatchRun) build(t *routing.Target, resume []string) *protocol.AttemptRequest {
+	e, o := d.entry, d.order
 	a := &protocol.AttemptRequest{
 		Attempt:        protocol.NewID(),
 		Key:            o.key,
 		Trace:          o.trace,
-		Target:         target.Name,
+		Target:         t.Name,
 		Class:          protocol.ClassOnline,
 		Repeatable:     o.repeatable,
 		Call:           o.call,
-		Resume:         d.tokens,
-		TimeLeftMillis: timeLeft(ctx).Milliseconds(),
+		Resume:         resume,
+		TimeLeftMillis: time.Until(d.deadline).Milliseconds(),
 		Coordinator:    e.settings.Process.Peer,
 		Clock:          e.ring.Clock().Now(),
 	}
-	e.ring.Add(o.trace, "attempt sent", "attempt", a.Attempt, "target", target.Name)
-	target.InFlight.Add(1)
-	end, err := e.attempts.Execute(ctx, target.HTTP, a, d.take)
-	target.InFlight.Add(-1)
-	if err == nil {
-		e.ring.Clock().Observe(end.Clock)
-		e.members.Observe(target.Instance, end.Report)
-		return d.result(), nil
-	}
-	d.tried[target.Name] = true
-	e.ring.Add(o.trace, "attempt failed", "attempt", a.Attempt, "target", target.Name, "error", protocol.ProblemOf(err).Title)
-	if !o.repeatable && protocol.OutcomeOf(err) != protocol.OutcomeNotRun {
-		return e.settle(o, a.Attempt, err)
-	}
-	return nil, err
+	e.ring.Add(o.trace, "attempt sent", "attempt", a.Attempt, "target", t.Name)
+	return a
 }
 
 // pick chooses a target not yet tried, and starts over once all were.
 func (d *dispatchRun) pick() (*routing.Target, error) {
-	table, config := d.entry.members.Table(), d.entry.config.Current()
-	query := routing.Query{Selector: d.order.service.Selector, Tried: d.tried}
-	target, err := table.Pick(query, config, d.entry.policy.routing)
+	target, err := d.choose(d.tried)
 	if err != nil && len(d.tried) > 0 {
 		clear(d.tried)
-		target, err = table.Pick(query, config, d.entry.policy.routing)
+		target, err = d.choose(d.tried)
 	}
 	return target, err
 }
 
-func timeLeft(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return protocol.DefaultRequestTimeout
-	}
-	return time.Until(deadline)
+func (d *dispatchRun) choose(tried map[string]bool) (*routing.Target, error) {
+	query := routing.Query{Selector: d.order.service.Selector, Tried: tried, Affinity: d.order.affinity}
+	return d.entry.members.Table().Pick(query, d.entry.config.Current(), d.entry.policy.routing)
 }
 
-// take receives the frames of an attempt.
-func (d *dispatchRun) take(f *protocol.Frame) error {
-	if f.Kind == protocol.FrameHead {
-		d.head = f
-		return nil
+// second chooses a target beside a stalled one, within the budget of hedges. To
+// leave a target that is ejected as slow costs no budget: those requests are as
+// few as the target's slots.
+func (d *dispatchRun) second(first *routing.Target) (*routing.Target, bool) {
+	others := map[string]bool{first.Name: true}
+	for name := range d.tried {
+		others[name] = true
 	}
-	d.tokens = append(d.tokens, f.Token)
-	if d.order.token == nil {
-		return nil
+	target, err := d.choose(others)
+	if err != nil || !d.entry.policy.ejected(first.Name) && !d.entry.policy.hedges.Spend() {
+		return nil, false
 	}
-	return d.order.token(f.Token)
+	d.entry.metrics.hedges.Inc()
+	d.entry.ring.Add(d.order.trace, "attempt hedged", "stalled", first.Name, "target", target.Name)
+	return target, true
+}
+
+// progress learns from the pace of an answer.
+func (d *dispatchRun) progress(t *routing.Target, first bool, took time.Duration) {
+	d.pace.observe(first, took)
+	if step, full := d.steps.add(t.Name, first, took); full {
+		d.entry.policy.latency.Observe(d.order.call.Service, t.Name, step, time.Now())
+	}
+}
+
+// stalled counts against a target that another one overtook.
+func (d *dispatchRun) stalled(t *routing.Target, silent time.Duration) {
+	d.entry.policy.latency.Stall(d.order.call.Service, t.Name, silent, time.Now())
 }
 
-func (d *dispatchRun) result() *protocol.Result {
+func (d *dispatchRun) result(out *race.Outcome) *protocol.Result {
 	if d.order.call.Model {
-		return chatResult(d.order, d.tokens)
+		return chatResult(d.order, d.race.Tokens)
 	}
 	return &protocol.Result{
 		Outcome:     protocol.OutcomeCompleted,
-		Status:      d.head.Status,
-		ContentType: d.head.ContentType,
-		Body:        d.head.Body,
+		Status:      out.Head.Status,
+		ContentType: out.Head.ContentType,
+		Body:        out.Head.Body,
 	}
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	problems        *prometheus.CounterVec
 	seconds         *prometheus.HistogramVec
 	retries         prometheus.Counter
+	hedges          prometheus.Counter
 	items           *prometheus.CounterVec
 	appends         *prometheus.CounterVec
 	appendedRecords *prometheus.CounterVec
@@ -30,11 +31,17 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sycamoretally_entry_retries_total", Help: "Attempts after a request's first.",
 		}),
+		hedges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamoretally_entry_hedges_total", Help: "Attempts made beside a stalled one.",
+		}),
 		items:           counter("sycamoretally_entry_batch_items_total", "Batch items with a durable result, by outcome.", "outcome"),
 		appends:         counter("sycamoretally_entry_log_appends_total", "Appends to the log, by stream.", "stream"),
 		appendedRecords: counter("sycamoretally_entry_log_records_total", "Records appended to the log, by stream.", "stream"),
 		appendedBytes:   counter("sycamoretally_entry_log_bytes_total", "Bytes appended to the log, by stream.", "stream"),
 	}
-	m.registry.MustRegister(m.requests, m.problems, m.seconds, m.retries, m.items, m.appends, m.appendedRecords, m.appendedBytes)
+	m.registry.MustRegister(m.requests, m.problems, m.seconds, m.retries, m.hedges, m.items, m.appends, m.appendedRecords, m.appendedBytes)
 	return m
 }
+
+// Metrics returns the entry's registry.
+func (e *Entry) Metrics() *prometheus.Registry { return e.metrics.registry }
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -2,8 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/sycamoretally/sycamoretally/coordination/budget"
 	"github.com/sycamoretally/sycamoretally/coordination/latency"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -22,14 +24,29 @@
 	affinitySlack      = 0.5
 )
 
+// The budgets of extra attempts: what one request earns, and what can be saved.
+const (
+	retryRatio = 0.1
+	hedgeRatio = 0.05
+	extraBurst = 10
+)
+
 // policy bundles the decisions that requests share.
 type policy struct {
 	routing *routing.Policy
 	latency *latency.Estimator
+	retries *budget.Budget
+	hedges  *budget.Budget
+	// paces holds a *pace for each service.
+	paces sync.Map
 }
 
 func newPolicy(s settings.Policy) *policy {
-	p := &policy{latency: latency.New(latency.DefaultParams())}
+	p := &policy{
+		latency: latency.New(latency.DefaultParams()),
+		retries: budget.New(budget.Params{Ratio: retryRatio, Burst: extraBurst}),
+		hedges:  budget.New(budget.Params{Ratio: hedgeRatio, Burst: extraBurst}),
+	}
 	p.routing = &routing.Policy{Choose: newChooser(s), Random: sharedRandom{}}
 	if !s.NoEjection {
 		p.routing.Share = func(target string) float64 { return p.latency.Share(target, time.Now()) }
@@ -37,6 +54,25 @@
 	return p
 }
 
+// earn counts a request towards the budgets of extra attempts.
+func (p *policy) earn() {
+	p.retries.Earn()
+	p.hedges.Earn()
+}
+
+// ejected reports whether a target gets no work for being slow.
+func (p *policy) ejected(target string) bool {
+	return p.routing.Share != nil && p.routing.Share(target) == 0
+}
+
+func (p *policy) paceOf(service string) *pace {
+	if found, ok := p.paces.Load(service); ok {
+		return found.(*pace)
+	}
+	found, _ := p.paces.LoadOrStore(service, newPace())
+	return found.(*pace)
+}
+
 // newChooser returns the chooser that the settings name.
 func newChooser(s settings.Policy) routing.Chooser {
 	two := routing.TwoChoices{Random: sharedRandom{}}
--- a/load/report.go
+++ b/load/report.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -29,6 +31,9 @@
 	CacheHitShare float64 `json:"prefix_cache_hit_share"`
 	// Runs counts the requests that all engines executed.
 	Runs int `json:"engine_runs"`
+	// Retries and Hedges count the entries' extra attempts.
+	Retries int `json:"retries"`
+	Hedges  int `json:"hedges"`
 	// Appends and AppendBytes count what the site wrote to the log.
 	Appends     uint64 `json:"log_appends"`
 	AppendBytes uint64 `json:"log_bytes"`
@@ -49,21 +54,39 @@
 	if hits+misses > 0 {
 		res.CacheHitShare = float64(hits) / float64(hits+misses)
 	}
+	for _, e := range r.site.Entries {
+		res.Retries += int(counter(e.Metrics(), "sycamoretally_entry_retries_total"))
+		res.Hedges += int(counter(e.Metrics(), "sycamoretally_entry_hedges_total"))
+	}
 	res.Appends, res.AppendBytes = r.site.Log.Appends()
 	return res
 }
 
+// counter reads a counter without labels from a registry.
+func counter(registry *prometheus.Registry, name string) float64 {
+	families, err := registry.Gather()
+	if err != nil {
+		return 0
+	}
+	for _, f := range families {
+		if f.GetName() == name && len(f.GetMetric()) == 1 {
+			return f.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return 0
+}
+
 // WriteTable writes the results for people.
 func (r *Result) WriteTable(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "scenario %s, seed %d\n", r.Scenario, r.Seed)
-	_, _ = fmt.Fprintln(w, "POLICY\tSTREAM\tFIRST p50\tp95\tp99\tGAP p95\tWHOLE p99\tCOMPLETED\tNOT RUN\tOTHER\tWRONG\tITEMS/s\tCACHE")
+	_, _ = fmt.Fprintln(w, "POLICY\tSTREAM\tFIRST p50\tp95\tp99\tGAP p95\tWHOLE p99\tCOMPLETED\tNOT RUN\tOTHER\tWRONG\tITEMS/s\tCACHE\tRETRIES\tHEDGES")
 	for _, p := range r.Policies {
 		for _, s := range p.Streams {
 			other := s.Outcomes[protocol.OutcomeUnknown] + s.Outcomes[protocol.OutcomeFailed]
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%.1f\t%.2f\n",
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%.1f\t%.2f\t%d\t%d\n",
 				p.Policy, s.Stream, s.First.P50, s.First.P95, s.First.P99, s.Gap.P95, s.Whole.P99,
-				s.Outcomes[protocol.OutcomeCompleted], s.Outcomes[protocol.OutcomeNotRun], other, s.Wrong, p.ItemsASecond, p.CacheHitShare)
+				s.Outcomes[protocol.OutcomeCompleted], s.Outcomes[protocol.OutcomeNotRun], other, s.Wrong, p.ItemsASecond, p.CacheHitShare, p.Retries, p.Hedges)
 		}
 	}
 	if err := w.Flush(); err != nil {
