--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -50,6 +50,9 @@
 	next uint64
 	// current is the time of the last read that reached the end of the stream.
 	current time.Time
+	// begun is the time at which that read began: the fold holds everything
+	// that was appended before it.
+	begun   time.Time
 	changed chan struct{}
 }
 
@@ -86,6 +89,7 @@
 	if !f.CaughtUp() {
 		wait = 0
 	}
+	begun := time.Now()
 	page, err := f.params.Source.Read(readCtx, f.params.Stream, from, platform.PageLimit, wait)
 	if err != nil {
 		if errorx.IsOfType(err, protocol.ErrOffsetExpired) {
@@ -96,7 +100,7 @@
 	for _, e := range page.Entries {
 		f.fold(e)
 	}
-	f.advance(page)
+	f.advance(page, begun)
 	return nil
 }
 
@@ -114,7 +118,7 @@
 	}
 }
 
-func (f *Follower) advance(page platform.LogPage) {
+func (f *Follower) advance(page platform.LogPage, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next = max(f.next, page.First)
@@ -123,6 +127,7 @@
 	}
 	if f.next >= page.Next {
 		f.current = time.Now()
+		f.begun = begun
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -142,6 +147,21 @@
 	return time.Since(f.current)
 }
 
+// Staleness bounds the age of what the fold may lack: it holds everything that
+// was appended before that long ago, also after a pause of the process.
+func (f *Follower) Staleness() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.begun)
+}
+
+// Next returns the first offset that was not folded; zero before the first read.
+func (f *Follower) Next() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
 // Folded returns the last offset that was folded.
 func (f *Follower) Folded() uint64 {
 	f.mu.Lock()
--- a/demo/site.go
+++ b/demo/site.go
@@ -36,6 +36,8 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// Log, where set, gives the log that the instance uses in place of the site's.
+	Log func(instance string, log platform.Log) platform.Log
 }
 
 // DefaultLayout is the layout of the demo.
@@ -57,6 +59,7 @@
 	Client settings.Client
 
 	servers []*http.Server
+	wrapLog func(instance string, log platform.Log) platform.Log
 }
 
 // FreeAddress returns an address on loopback that was free a moment ago.
@@ -75,6 +78,7 @@
 		Log:  logservice.New(logservice.Params{AppendsPerSecond: 300}),
 		List: instancelist.New(0, nil),
 	}
+	s.wrapLog = layout.Log
 	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
 	plan, err := s.plan(layout)
 	if err != nil {
@@ -180,7 +184,7 @@
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List})
+	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance), Instances: s.List})
 	if err != nil {
 		return err
 	}
@@ -189,6 +193,13 @@
 	return en.Start()
 }
 
+func (s *Site) logOf(instance string) platform.Log {
+	if s.wrapLog == nil {
+		return s.Log
+	}
+	return s.wrapLog(instance, s.Log)
+}
+
 // Close stops every process of the site.
 func (s *Site) Close() {
 	for _, e := range s.Entries {
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -41,8 +41,8 @@
 	if e.isLeaving() {
 		return nil, protocol.ErrLeaving.New("this entry is shutting down")
 	}
-	if !e.work.follower.CaughtUp() {
-		return nil, protocol.ErrBusy.New("the log has not been read yet")
+	if stale := e.work.follower.Staleness(); stale > protocol.PullStaleness {
+		return nil, protocol.ErrBusy.New("the log was last read %v ago", stale)
 	}
 	config := e.config.Current()
 	labels := config.Labels(args.Labels)
@@ -116,11 +116,14 @@
 			Body:        []byte(args.Failure),
 		}
 	}
+	ctx, cancel := context.WithTimeout(e.context(), protocol.DefaultRequestTimeout)
+	defer cancel()
+	if err := e.awaitJobKnown(ctx, args.Job); err != nil {
+		return err
+	}
 	if e.jobs.ItemDone(args.Job, args.Index) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(e.context(), protocol.DefaultRequestTimeout)
-	defer cancel()
 	rec := protocol.Record{ID: args.Lease + "/result", Items: &protocol.ItemResults{
 		Job:   args.Job,
 		Items: []protocol.ItemResult{{Index: args.Index, CustomID: args.CustomID, Result: *result}},
@@ -135,6 +138,18 @@
 	return nil
 }
 
+// awaitJobKnown makes sure that a job which this entry does not know is not
+// merely one that it has not read yet. It fails with ErrBusy.
+func (e *Entry) awaitJobKnown(ctx context.Context, job string) error {
+	if _, known := e.jobs.Job(job); known {
+		return nil
+	}
+	if !e.work.follower.CaughtUp() {
+		return protocol.ErrBusy.New("the log has not been read yet")
+	}
+	return e.catchUp(ctx)
+}
+
 // takeBack returns an item without a result to the scheduler. It reports whether
 // the item has failed for good.
 func (e *Entry) takeBack(args *protocol.FinishArgs) bool {
@@ -155,7 +170,7 @@
 	defer p.e.leases.mu.Unlock()
 	for _, l := range args.Leases {
 		p.e.leases.scheduler.Renew(time.Now(), l.Job, l.Index, l.Lease)
-		if p.e.jobs.ItemDone(l.Job, l.Index) {
+		if _, known := p.e.jobs.Job(l.Job); known && p.e.jobs.ItemDone(l.Job, l.Index) {
 			reply.Stop = append(reply.Stop, l)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	flights  *flights
 	ring     *timeline.Ring
 	metrics  *metrics
+	log      platform.Log
 	callers  map[string]string
 
 	tomb    tomb.Tomb
@@ -78,6 +79,7 @@
 		flights:  newFlights(),
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
+		log:      p.Log,
 		callers:  map[string]string{},
 		leaving:  make(chan struct{}),
 	}
@@ -91,6 +93,10 @@
 	return e, e.listen()
 }
 
+// pollWait bounds one read of the log that waits for new entries. It is well
+// below protocol.PullStaleness, so that a quiet log does not hold up batch work.
+const pollWait = protocol.PullStaleness / 4
+
 func (e *Entry) newStream(log platform.Log, name string, folds ...follow.Fold) stream {
 	observe := func(records, bytes int) {
 		e.metrics.appends.WithLabelValues(name).Inc()
@@ -98,7 +104,7 @@
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
 	return stream{
-		follower: follow.New(follow.Params{Stream: name, Source: log}, folds...),
+		follower: follow.New(follow.Params{Stream: name, Source: log, PollWait: pollWait}, folds...),
 		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
 	}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -67,6 +68,9 @@
 			return err
 		}
 	}
+	if err := e.catchUp(r.Context()); err != nil {
+		return err
+	}
 	j, found := e.jobs.Job(accept.Job)
 	if !found {
 		return protocol.ErrInternal.New("the job was not accepted")
@@ -114,8 +118,31 @@
 	}, nil
 }
 
-// findJob returns the job that the request names, if its caller may see it.
+// catchUp waits until this entry has folded everything that the log held when
+// it was called, so that an answer never goes back behind one that another entry
+// gave before. Without the log the fold must do. It fails with ErrBusy where the
+// log answers and the fold lags.
+func (e *Entry) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	page, err := e.log.Read(ctx, protocol.StreamWork, e.work.follower.Next(), 1, 0)
+	if err != nil {
+		return nil
+	}
+	if err := e.work.follower.WaitFor(ctx, page.Next-1); err != nil {
+		return protocol.ErrBusy.Wrap(err, "this entry lags behind the log")
+	}
+	return nil
+}
+
+// findJob returns the job that the request names, if its caller may see it. The
+// state of a job that runs or is not known is checked against the log first.
 func (e *Entry) findJob(r bunrouter.Request) (state.Job, error) {
+	if j, found := e.jobs.Job(r.Param("job")); !found || j.Status == state.JobRunning {
+		if err := e.catchUp(r.Context()); err != nil {
+			return j, err
+		}
+	}
 	j, found := e.jobs.Job(r.Param("job"))
 	if !found || j.Workspace != workspaceOf(r) {
 		return j, protocol.ErrNotFound.New("no job %q", r.Param("job"))
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "time"
+
 // PeerService is the name under which every process serves its net/rpc methods.
 const PeerService = "Peer"
 
@@ -76,6 +78,17 @@
 	Problem *Problem
 }
 
+// The two parts of the bound on the start of an item after its job's cancel
+// was acknowledged.
+const (
+	// PullStaleness bounds the staleness of the fold from which an entry hands
+	// out items.
+	PullStaleness = time.Second
+	// StartLimit is the longest time from the sending of a pull to the start of
+	// an item from its reply.
+	StartLimit = time.Second
+)
+
 // PullArgs asks an entry for batch items that a target can run.
 type PullArgs struct {
 	Instance string
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -37,8 +37,9 @@
 			continue
 		}
 		entry := live[turn%len(live)].Peer
+		startBy := time.Now().Add(protocol.StartLimit)
 		for _, item := range s.pullFrom(entry, r, spare) {
-			items.Go(func() { s.runItem(ctx, r, entry, item) })
+			items.Go(func() { s.runItem(ctx, r, entry, startBy, item) })
 		}
 	}
 	return nil
@@ -73,8 +74,9 @@
 	}
 }
 
-// runItem runs one leased item and returns it to an entry.
-func (s *Sidecar) runItem(ctx context.Context, r *runner, entry string, item protocol.WorkItem) {
+// runItem runs one leased item and returns it to an entry. After startBy it
+// returns the item without starting it: its job may be cancelled by then.
+func (s *Sidecar) runItem(ctx context.Context, r *runner, entry string, startBy time.Time, item protocol.WorkItem) {
 	a := &protocol.AttemptRequest{
 		Attempt: item.Lease,
 		Trace:   item.Trace,
@@ -90,7 +92,11 @@
 		CustomID: item.CustomID,
 		Lease:    item.Lease,
 	}
-	s.generateItem(ctx, r, entry, a, finish)
+	if time.Now().Before(startBy) {
+		s.generateItem(ctx, r, entry, a, finish)
+	} else {
+		finish.Resume = a.Resume
+	}
 	s.finish(ctx, entry, finish)
 }
 
@@ -134,7 +140,8 @@
 			ContentType: "text/plain; charset=utf-8",
 			Body:        []byte(protocol.ProblemOf(err).Detail),
 		}
-	case errorx.IsOfType(err, errPreempted), errorx.IsOfType(err, protocol.ErrBusy):
+	case errorx.IsOfType(err, errPreempted), errorx.IsOfType(err, protocol.ErrBusy),
+		errorx.IsOfType(err, protocol.ErrNotSent), errorx.IsOfType(err, protocol.ErrCancelled):
 		finish.Resume = tokens
 	default:
 		finish.Failure = protocol.ProblemOf(err).Detail
