Serve batch pulls from an ordered index, with shares, and without idle waits

Pulls went round robin over the entries, and an entry that owned no job with items held each pull for 200 ms. Running() cloned and sorted all jobs on every pull.

Excluded: the slot is not held while a result is made durable.

Change: a sidecar waits at every entry for the news of items (one held call for 10 s) and pulls, without waiting, from entries that have some, as slots come free. Results are appended in groups of 250 ms, one record for a job. The fold keeps the running jobs in order until one starts or ends; the scheduler keeps them by service and workspace, in a heap of virtual times weighted by the quota's batch share, each workspace's jobs by due time; a job that will be late at its rate gets four times the share. The last items go to many targets. An item whose attempt failed runs alone the next time, and a target is drained for it: before, items beside one that crashes its target could fail with it three times. A sidecar that leaves waits until entries have taken its results.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -1,28 +1,58 @@
 // Package batch hands out the items of jobs under leases. A lease saves double
 // effort and decides nothing: the first result of an item in the log counts,
 // whoever computed it.
+//
+// Workspaces share the targets by weight, and a workspace's jobs are served in
+// order of their due times. Items whose attempt failed beside others are run
+// again alone, so that an item that crashes its target cannot make its
+// neighbours fail for good.
 package batch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/state"
 )
 
-// LeaseTime is how long an item is kept from others without a renewal.
-const LeaseTime = 10 * time.Second
-
-// MaxAttempts is how often an item may fail before it gets a failed result.
-const MaxAttempts = 3
+const (
+	// LeaseTime is how long an item is kept from others without a renewal.
+	LeaseTime = 10 * time.Second
+	// MaxAttempts is how often an item may fail before it gets a failed result.
+	MaxAttempts = 3
+	// expireInterval is the time between two searches for lapsed leases.
+	expireInterval = 500 * time.Millisecond
+	// pullerMemory is how long a target counts as pulling after its last pull.
+	pullerMemory = 2 * time.Second
+)
 
 // Jobs is the view of the folded jobs that the scheduler needs.
 type Jobs interface {
-	// Running returns the running jobs in the order in which to serve them.
-	Running() []state.Job
+	// Running returns the running jobs: the same slice until a job starts or ends.
+	Running() []state.RunningJob
 	// ItemDone reports whether the item needs no more work.
 	ItemDone(job string, index int) bool
 }
 
+// Params configure a scheduler.
+type Params struct {
+	Jobs Jobs
+	// Self is the member that this scheduler works for; it hands out the items
+	// of the jobs that rendezvous hashing gives to it.
+	Self string
+	// Members returns the live members in order.
+	Members func() []string
+	// Share returns the weight of a workspace among batch work. At most zero
+	// means DefaultShare.
+	Share func(workspace string) float64
+	// NewID names leases.
+	NewID func() string
+}
+
+// DefaultShare is the weight of a workspace that has none of its own.
+const DefaultShare = 1
+
 // Ref names an item under a lease.
 type Ref struct {
 	Job     string
@@ -31,123 +61,188 @@
 	Lease   string
 	// Resume is the text that an earlier holder generated.
 	Resume []string
+	// Alone is set where no other batch item may run beside the item.
+	Alone bool
 }
 
-// Scheduler hands out items. It is not safe for concurrent use.
-type Scheduler struct {
-	jobs  Jobs
-	owned func(job string) bool
-	newID func() string
-	byJob map[string]*jobState
+// Pull asks for items for one target.
+type Pull struct {
+	Target string
+	Want   int
+	// Idle is set where the target runs no batch item.
+	Idle bool
+	// Serves reports whether the target can run items of the service.
+	Serves func(service string) bool
 }
 
-type jobState struct {
-	// next is the first item never handed out.
-	next   int
-	again  []int
-	leases map[int]*lease
-	// failures counts failed attempts by item.
-	failures map[int]int
-	resume   map[int][]string
+// Handout answers a pull.
+type Handout struct {
+	Refs []Ref
+	// Drain asks the target to finish its batch items and to pull again then:
+	// an item waits to be run alone.
+	Drain bool
 }
 
-type lease struct {
-	id      string
-	expires time.Time
+// Scheduler hands out items. It is not safe for concurrent use.
+type Scheduler struct {
+	params  Params
+	running []state.RunningJob
+	members []string
+	byJob   map[string]*job
+	ready   ready
+	// pullers holds the time of each target's last pull.
+	pullers map[string]time.Time
+	drains  drains
+	// suspected holds the jobs with items that must run alone.
+	suspected map[string]*job
+	expired   time.Time
 }
 
-// New returns a scheduler over the jobs for which owned reports true. newID
-// names leases.
-func New(jobs Jobs, owned func(job string) bool, newID func() string) *Scheduler {
-	return &Scheduler{jobs: jobs, owned: owned, newID: newID, byJob: map[string]*jobState{}}
+// New returns a scheduler.
+func New(p Params) *Scheduler {
+	return &Scheduler{
+		params:    p,
+		byJob:     map[string]*job{},
+		ready:     ready{},
+		pullers:   map[string]time.Time{},
+		drains:    drains{},
+		suspected: map[string]*job{},
+	}
 }
 
-// Next hands out at most want items of services for which serves reports true.
-func (s *Scheduler) Next(now time.Time, want int, serves func(service string) bool) []Ref {
+// Next hands out items.
+func (s *Scheduler) Next(now time.Time, p Pull) Handout {
+	s.refresh(now)
+	s.notePuller(now, p.Target)
+	if h, decided := s.nextAlone(now, p); decided {
+		return h
+	}
 	var refs []Ref
-	running := s.jobs.Running()
-	s.forgetOthers(running)
-	for i := range running {
-		j := &running[i]
-		if !s.owned(j.Job) || !serves(j.Service) {
-			continue
-		}
-		st := s.at(j.Job)
-		st.expire(now)
-		for len(refs) < want {
-			index, found := s.pending(st, j)
-			if !found {
-				break
-			}
-			id := s.newID()
-			st.leases[index] = &lease{id: id, expires: now.Add(LeaseTime)}
-			refs = append(refs, Ref{Job: j.Job, Index: index, Service: j.Service, Lease: id, Resume: st.resume[index]})
-		}
-		if len(refs) == want {
+	limit := s.spread(p)
+	for len(refs) < limit {
+		j, index, found := s.pick(now, p.Serves)
+		if !found {
 			break
 		}
+		refs = append(refs, s.lease(now, j, index))
 	}
-	return refs
+	return Handout{Refs: refs}
 }
 
-func (s *Scheduler) at(job string) *jobState {
-	st := s.byJob[job]
-	if st == nil {
-		st = &jobState{leases: map[int]*lease{}, failures: map[int]int{}, resume: map[int][]string{}}
-		s.byJob[job] = st
+// Available reports whether an item waits that a target can run.
+func (s *Scheduler) Available(now time.Time, serves func(service string) bool) bool {
+	s.refresh(now)
+	for service, q := range s.ready {
+		if serves(service) && q.pending(1) > 0 {
+			return true
+		}
 	}
-	return st
+	return s.suspect(serves) != nil
 }
 
-func (s *Scheduler) forgetOthers(running []state.Job) {
-	keep := make(map[string]bool, len(running))
-	for i := range running {
-		keep[running[i].Job] = true
-	}
-	for job := range s.byJob {
-		if !keep[job] {
-			delete(s.byJob, job)
+func (s *Scheduler) lease(now time.Time, j *job, index int) Ref {
+	id := s.params.NewID()
+	j.leases[index] = &lease{id: id, expires: now.Add(LeaseTime)}
+	return Ref{Job: j.Job, Index: index, Service: j.Service, Lease: id, Resume: j.resume[index]}
+}
+
+func (s *Scheduler) notePuller(now time.Time, target string) {
+	s.pullers[target] = now
+	for other, last := range s.pullers {
+		if now.Sub(last) > pullerMemory {
+			delete(s.pullers, other)
 		}
 	}
 }
 
-// pending takes the next item that nobody holds: returned ones first.
-func (s *Scheduler) pending(st *jobState, j *state.Job) (int, bool) {
-	for len(st.again) > 0 {
-		index := st.again[0]
-		st.again = st.again[1:]
-		if st.leases[index] == nil && !s.jobs.ItemDone(j.Job, index) {
-			return index, true
+// spread bounds the items for one pull, so that the last ones of a job go to
+// many targets.
+func (s *Scheduler) spread(p Pull) int {
+	n := len(s.pullers)
+	pending := 0
+	for service, q := range s.ready {
+		if p.Serves(service) {
+			pending += q.pending(p.Want*n - pending)
 		}
 	}
-	for st.next < j.Items {
-		index := st.next
-		st.next++
-		if !s.jobs.ItemDone(j.Job, index) {
-			return index, true
+	return min(p.Want, (pending+n-1)/n)
+}
+
+// refresh takes over changes of the running jobs and of the members, and
+// searches for lapsed leases.
+func (s *Scheduler) refresh(now time.Time) {
+	running, members := s.params.Jobs.Running(), s.params.Members()
+	moved := !slices.Equal(members, s.members)
+	if moved || !sameSlice(running, s.running) {
+		s.running, s.members = running, members
+		s.replaceJobs(moved)
+	}
+	if now.Sub(s.expired) < expireInterval {
+		return
+	}
+	s.expired = now
+	for _, j := range s.byJob {
+		if j.expire(now) {
+			s.returned(j)
 		}
 	}
-	return 0, false
 }
 
-func (st *jobState) expire(now time.Time) {
-	for index, l := range st.leases {
-		if now.After(l.expires) {
-			delete(st.leases, index)
-			st.again = append(st.again, index)
+func sameSlice(a, b []state.RunningJob) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// returned notes that items of the job came back.
+func (s *Scheduler) returned(j *job) {
+	s.ready.add(j)
+	if len(j.suspects) > 0 {
+		s.suspected[j.Job] = j
+	}
+}
+
+// replaceJobs keeps the state of the jobs that still run and are owned.
+func (s *Scheduler) replaceJobs(moved bool) {
+	old := s.byJob
+	s.byJob = make(map[string]*job, len(s.running))
+	s.ready.clear()
+	clear(s.suspected)
+	for i := range s.running {
+		r := &s.running[i]
+		j := old[r.Job]
+		switch {
+		case j == nil:
+			j = newJob(r)
+			j.owned = s.owns(r.Job)
+		case moved && s.owns(r.Job) != j.owned:
+			owned := !j.owned
+			j = newJob(r)
+			j.owned = owned
+		}
+		s.byJob[r.Job] = j
+		if j.owned {
+			s.returned(j)
+		}
+	}
+	for id := range s.drains {
+		if s.byJob[id.job] == nil {
+			delete(s.drains, id)
 		}
 	}
 }
 
+func (s *Scheduler) owns(job string) bool {
+	return routing.Owner(job, s.members) == s.params.Self
+}
+
 // Renew extends a lease. It reports false where the item must stop: its job is
 // final, it has a result, or another holds it.
-func (s *Scheduler) Renew(now time.Time, job string, index int, id string) bool {
-	st := s.byJob[job]
-	if st == nil || s.jobs.ItemDone(job, index) {
+func (s *Scheduler) Renew(now time.Time, id string, index int, leaseID string) bool {
+	j := s.byJob[id]
+	if j == nil || s.params.Jobs.ItemDone(id, index) {
 		return false
 	}
-	l := st.leases[index]
-	if l == nil || l.id != id {
+	l := j.leases[index]
+	if l == nil || l.id != leaseID {
 		return false
 	}
 	l.expires = now.Add(LeaseTime)
@@ -156,39 +251,38 @@
 
 // Yield takes back an item that its holder gave up, with the text that it
 // generated so far.
-func (s *Scheduler) Yield(job string, index int, id string, resume []string) {
-	if st := s.giveBack(job, index, id); st != nil {
-		st.resume[index] = resume
+func (s *Scheduler) Yield(id string, index int, leaseID string, resume []string) {
+	j := s.byJob[id]
+	if j == nil || !j.release(index, leaseID) {
+		return
 	}
+	j.resume[index] = resume
+	j.putBack(index)
+	s.returned(j)
 }
 
 // Fail takes back an item whose attempt failed. It reports whether the item has
-// failed for good.
-func (s *Scheduler) Fail(job string, index int, id string) bool {
-	st := s.giveBack(job, index, id)
-	if st == nil {
+// failed for good; the lease then lasts, so that nobody runs the item before
+// its result is durable.
+func (s *Scheduler) Fail(id string, index int, leaseID string) bool {
+	j := s.byJob[id]
+	if j == nil || !j.holds(index, leaseID) {
 		return false
 	}
-	delete(st.resume, index)
-	st.failures[index]++
-	return st.failures[index] >= MaxAttempts
-}
-
-// Finish drops the lease of an item that has a result.
-func (s *Scheduler) Finish(job string, index int) {
-	if st := s.byJob[job]; st != nil {
-		delete(st.leases, index)
-		delete(st.resume, index)
-		delete(st.failures, index)
+	delete(j.resume, index)
+	j.failures[index]++
+	if j.failures[index] >= MaxAttempts {
+		return true
 	}
+	j.release(index, leaseID)
+	j.putBack(index)
+	s.returned(j)
+	return false
 }
 
-func (s *Scheduler) giveBack(job string, index int, id string) *jobState {
-	st := s.byJob[job]
-	if st == nil || st.leases[index] == nil || st.leases[index].id != id {
-		return nil
+// Finish drops what is kept about an item that has a result.
+func (s *Scheduler) Finish(now time.Time, id string, index int) {
+	if j := s.byJob[id]; j != nil {
+		j.finish(now, index)
 	}
-	delete(st.leases, index)
-	st.again = append(st.again, index)
-	return st
 }
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -16,48 +16,132 @@
 type leases struct {
 	mu        sync.Mutex
 	scheduler *batch.Scheduler
+	// changed is closed when items may have become available.
+	changed chan struct{}
 }
 
-// pullPoll is how often a waiting pull looks for items.
-const pullPoll = 10 * time.Millisecond
+func newLeases(s *batch.Scheduler) *leases {
+	return &leases{scheduler: s, changed: make(chan struct{})}
+}
+
+// wake lets waiting pulls look again.
+func (l *leases) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (e *Entry) batchParams() batch.Params {
+	return batch.Params{
+		Jobs:    e.jobs,
+		Self:    e.settings.Process.Instance,
+		Members: e.liveEntries,
+		Share:   e.batchShare,
+		NewID:   protocol.NewID,
+	}
+}
+
+func (e *Entry) batchShare(workspace string) float64 {
+	o, _ := e.config.Current().Lookup(protocol.KindQuota, workspace)
+	if o.Quota == nil {
+		return batch.DefaultShare
+	}
+	return o.Quota.BatchShare
+}
+
+// jobWatch wakes waiting pulls after each accepted job.
+type jobWatch struct{ e *Entry }
+
+// Apply implements follow.Fold.
+func (w jobWatch) Apply(_ protocol.Position, rec *protocol.Record) {
+	if rec.Job != nil {
+		w.e.leases.wake()
+	}
+}
+
+// watchInterval is how often a waiting pull looks for items that no event
+// announced: a lapsed lease, a job taken over, a changed label.
+const watchInterval = time.Second
 
 // peerAPI is what other processes may call over net/rpc.
 type peerAPI struct{ e *Entry }
 
-// Pull hands out batch items that the target can run.
+// Pull hands out batch items that the target can run, or waits for some.
 func (p *peerAPI) Pull(args *protocol.PullArgs, reply *protocol.PullReply) error {
-	deadline := time.Now().Add(time.Duration(args.WaitMillis) * time.Millisecond)
-	for {
-		items, err := p.e.handOut(args)
-		reply.Items, reply.Problem = items, protocol.ProblemOf(err)
-		if err != nil || len(items) > 0 || time.Now().After(deadline) {
-			return nil
-		}
-		pause(p.e.context(), pullPoll)
+	err := p.e.mayHandOut()
+	switch {
+	case err != nil:
+		reply.Problem = protocol.ProblemOf(err)
+	case args.Want == 0:
+		reply.Available = p.e.awaitItems(args)
+	default:
+		p.e.handOut(args, reply)
 	}
+	return nil
 }
 
-func (e *Entry) handOut(args *protocol.PullArgs) ([]protocol.WorkItem, error) {
+// mayHandOut fails with ErrLeaving or ErrBusy.
+func (e *Entry) mayHandOut() error {
 	if e.isLeaving() {
-		return nil, protocol.ErrLeaving.New("this entry is shutting down")
+		return protocol.ErrLeaving.New("this entry is shutting down")
 	}
 	if stale := e.work.follower.Staleness(); stale > protocol.PullStaleness {
-		return nil, protocol.ErrBusy.New("the log was last read %v ago", stale)
+		return protocol.ErrBusy.New("the log was last read %v ago", stale)
+	}
+	return nil
+}
+
+// awaitItems reports whether there are items, waiting for them as long as args say.
+func (e *Entry) awaitItems(args *protocol.PullArgs) bool {
+	deadline := time.NewTimer(time.Duration(args.WaitMillis) * time.Millisecond)
+	defer deadline.Stop()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		serves := e.servedBy(args.Labels)
+		e.leases.mu.Lock()
+		available := e.leases.scheduler.Available(time.Now(), serves)
+		changed := e.leases.changed
+		e.leases.mu.Unlock()
+		if available {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-deadline.C:
+			return false
+		case <-e.leaving:
+			return false
+		case <-e.tomb.Dying():
+			return false
+		}
 	}
+}
+
+// servedBy tells which services a target with the labels can run.
+func (e *Entry) servedBy(own protocol.Labels) func(service string) bool {
 	config := e.config.Current()
-	labels := config.Labels(args.Labels)
+	labels := config.Labels(own)
 	if config.Drained(labels) {
-		return nil, nil
+		return func(string) bool { return false }
 	}
-	serves := func(name string) bool {
+	return func(name string) bool {
 		service := config.Service(name)
 		return service != nil && service.Selector.Matches(labels)
 	}
+}
+
+func (e *Entry) handOut(args *protocol.PullArgs, reply *protocol.PullReply) {
+	serves := e.servedBy(args.Labels)
 	e.leases.mu.Lock()
-	refs := e.leases.scheduler.Next(time.Now(), args.Want, serves)
+	now := time.Now()
+	h := e.leases.scheduler.Next(now, batch.Pull{Target: args.Target, Want: args.Want, Idle: args.Idle, Serves: serves})
+	reply.Available = e.leases.scheduler.Available(now, serves)
 	e.leases.mu.Unlock()
-	items := make([]protocol.WorkItem, 0, len(refs))
-	for _, ref := range refs {
+	reply.Drain = h.Drain
+	for _, ref := range h.Refs {
 		item, err := e.workItem(ref)
 		if err != nil {
 			klog.InfoS("item not handed out", "job", ref.Job, "index", ref.Index, "error", err)
@@ -66,9 +150,8 @@
 			e.leases.mu.Unlock()
 			continue
 		}
-		items = append(items, item)
+		reply.Items = append(reply.Items, item)
 	}
-	return items, nil
 }
 
 // workItem reads the line of the file that a lease names.
@@ -93,6 +176,7 @@
 		Lease:    ref.Lease,
 		Call:     chatCall(ref.Service, job.Workspace, line.Body),
 		Resume:   ref.Resume,
+		Alone:    ref.Alone,
 		Trace:    ref.Job,
 	}, nil
 }
@@ -124,17 +208,14 @@
 	if e.jobs.ItemDone(args.Job, args.Index) {
 		return nil
 	}
-	rec := protocol.Record{ID: args.Lease + "/result", Items: &protocol.ItemResults{
-		Job:   args.Job,
-		Items: []protocol.ItemResult{{Index: args.Index, CustomID: args.CustomID, Result: *result}},
-	}}
-	if err := e.appendAndFold(ctx, rec); err != nil {
+	item := protocol.ItemResult{Index: args.Index, CustomID: args.CustomID, Result: *result}
+	if err := e.results.store(ctx, args.Job, item); err != nil {
 		return err
 	}
 	e.metrics.items.WithLabelValues(string(result.Outcome)).Inc()
 	e.leases.mu.Lock()
 	defer e.leases.mu.Unlock()
-	e.leases.scheduler.Finish(args.Job, args.Index)
+	e.leases.scheduler.Finish(time.Now(), args.Job, args.Index)
 	return nil
 }
 
@@ -153,6 +234,7 @@
 // takeBack returns an item without a result to the scheduler. It reports whether
 // the item has failed for good.
 func (e *Entry) takeBack(args *protocol.FinishArgs) bool {
+	defer e.leases.wake()
 	e.leases.mu.Lock()
 	defer e.leases.mu.Unlock()
 	if args.Failure == "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	peers    *transport.Peers
 	attempts *transport.AttemptClient
 	leases   *leases
+	results  *resultGatherer
 	flights  *flights
 	ring     *timeline.Ring
 	metrics  *metrics
@@ -87,9 +88,10 @@
 		e.callers[c.Key] = c.Workspace
 	}
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, jobWatch{e})
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
-	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
+	e.leases = newLeases(batch.New(e.batchParams()))
+	e.results = newResultGatherer(e)
 	return e, e.listen()
 }
 
@@ -136,6 +138,7 @@
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
 			return protocol.ErrInternal.Wrap(err, "serve")
@@ -187,12 +190,17 @@
 
 // ownsKey reports whether this entry owns the job or request with the key.
 func (e *Entry) ownsKey(key string) bool {
+	return routing.Owner(key, e.liveEntries()) == e.settings.Process.Instance
+}
+
+// liveEntries returns the names of the live entries in order.
+func (e *Entry) liveEntries() []string {
 	live := e.members.Entries()
 	names := make([]string, 0, len(live))
 	for _, i := range live {
 		names = append(names, i.Name)
 	}
-	return routing.Owner(key, names) == e.settings.Process.Instance
+	return names
 }
 
 // reporter asks peers for their reports over net/rpc.
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -14,59 +14,12 @@
 )
 
 const (
-	// pullWait is how long an entry may hold a pull that finds nothing.
-	pullWait = 200 * time.Millisecond
-	// pullPause is the time before the next pull where there is no spare slot.
-	pullPause = 20 * time.Millisecond
 	// renewInterval is the time between two renewals of a running item's lease.
 	renewInterval = time.Second
 	// itemTimeout bounds one attempt of a batch item.
 	itemTimeout = 10 * time.Minute
 )
 
-// pull fills the target's spare slots with batch items until ctx ends or the
-// sidecar leaves, and then waits for its running items.
-func (s *Sidecar) pull(ctx context.Context, r *runner) error {
-	var items sync.WaitGroup
-	defer items.Wait()
-	for turn := 0; s.pullCtx.Err() == nil && ctx.Err() == nil; turn++ {
-		spare := r.spare()
-		live := s.members.Entries()
-		if spare == 0 || len(live) == 0 {
-			pause(s.pullCtx, pullPause)
-			continue
-		}
-		entry := live[turn%len(live)].Peer
-		startBy := time.Now().Add(protocol.StartLimit)
-		for _, item := range s.pullFrom(entry, r, spare) {
-			items.Go(func() { s.runItem(ctx, r, entry, startBy, item) })
-		}
-	}
-	return nil
-}
-
-func (s *Sidecar) pullFrom(entry string, r *runner, want int) []protocol.WorkItem {
-	ctx, cancel := context.WithTimeout(s.pullCtx, pullWait+protocol.HeartbeatTimeout)
-	defer cancel()
-	args := &protocol.PullArgs{
-		Instance:   s.settings.Process.Instance,
-		Target:     r.target.Name,
-		Labels:     r.target.Labels,
-		Want:       want,
-		WaitMillis: pullWait.Milliseconds(),
-	}
-	var reply protocol.PullReply
-	err := s.peers.Call(ctx, entry, protocol.MethodPull, args, &reply)
-	if err == nil {
-		err = reply.Problem.Err()
-	}
-	if err != nil {
-		pause(s.pullCtx, pullPause)
-		return nil
-	}
-	return reply.Items
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -74,52 +27,52 @@
 	}
 }
 
-// runItem runs one leased item and returns it to an entry. After startBy it
-// returns the item without starting it: its job may be cancelled by then.
-func (s *Sidecar) runItem(ctx context.Context, r *runner, entry string, startBy time.Time, item protocol.WorkItem) {
-	a := &protocol.AttemptRequest{
-		Attempt: item.Lease,
-		Trace:   item.Trace,
-		Target:  r.target.Name,
-		Class:   protocol.ClassBatch,
-		Call:    item.Call,
-		Resume:  item.Resume,
-	}
-	finish := &protocol.FinishArgs{
-		Instance: s.settings.Process.Instance,
-		Job:      item.Job,
-		Index:    item.Index,
-		CustomID: item.CustomID,
-		Lease:    item.Lease,
-	}
-	if time.Now().Before(startBy) {
-		s.generateItem(ctx, r, entry, a, finish)
-	} else {
-		finish.Resume = a.Resume
-	}
-	s.finish(ctx, entry, finish)
+// batchItem is one leased item on its way through the sidecar.
+type batchItem struct {
+	entry   string
+	attempt *protocol.AttemptRequest
+	finish  *protocol.FinishArgs
 }
 
-func (s *Sidecar) generateItem(ctx context.Context, r *runner, entry string, a *protocol.AttemptRequest, finish *protocol.FinishArgs) {
-	ctx, cancel := context.WithTimeout(ctx, itemTimeout)
-	defer cancel()
-	itemCtx, release, err := r.admit(ctx, a)
-	if err != nil {
-		finish.Resume = a.Resume
-		return
+func (s *Sidecar) newItem(r *runner, entry string, item protocol.WorkItem) *batchItem {
+	return &batchItem{
+		entry: entry,
+		attempt: &protocol.AttemptRequest{
+			Attempt: item.Lease,
+			Trace:   item.Trace,
+			Target:  r.target.Name,
+			Class:   protocol.ClassBatch,
+			Call:    item.Call,
+			Resume:  item.Resume,
+		},
+		finish: &protocol.FinishArgs{
+			Instance: s.settings.Process.Instance,
+			Job:      item.Job,
+			Index:    item.Index,
+			CustomID: item.CustomID,
+			Lease:    item.Lease,
+			Resume:   item.Resume,
+		},
 	}
-	defer release()
+}
+
+// generate runs an admitted item and notes its outcome. It returns the error of
+// the target.
+func (s *Sidecar) generate(ctx context.Context, r *runner, i *batchItem) error {
+	a, finish := i.attempt, i.finish
 	s.metrics.admitted.WithLabelValues(string(protocol.ClassBatch)).Inc()
 	s.ring.Add(a.Trace, "item started", "job", finish.Job, "target", a.Target, "lease", a.Attempt)
-	stop := s.renew(itemCtx, r, entry, finish)
+	stop := s.renew(ctx, r, i.entry, finish)
 	defer stop()
 	tokens := append([]string(nil), a.Resume...)
-	err = r.generate(itemCtx, a, func(token string) error {
+	finish.Resume = nil
+	err := r.generate(ctx, a, func(token string) error {
 		tokens = append(tokens, token)
 		return nil
 	})
 	setOutcome(finish, tokens, err)
 	s.ring.Add(a.Trace, "item ended", "job", finish.Job, "target", a.Target, "lease", a.Attempt)
+	return err
 }
 
 // setOutcome fills in the result, the text so far of an item that yielded, or
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -35,6 +35,8 @@
 	healthy bool
 	seq     uint64
 	idle    chan struct{}
+	// freed tells the puller that a slot may have become free.
+	freed chan struct{}
 }
 
 func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
@@ -48,6 +50,7 @@
 		cancels: map[string]context.CancelCauseFunc{},
 		healthy: true,
 		idle:    make(chan struct{}, 1),
+		freed:   make(chan struct{}, 1),
 	}
 }
 
@@ -115,8 +118,14 @@
 	delete(r.cancels, attempt)
 	delete(r.waiting, attempt)
 	r.apply(r.slots.Done(attempt))
+	signal(r.idle)
+	signal(r.freed)
+}
+
+// signal leaves a token in ch, unless one is there.
+func signal(ch chan<- struct{}) {
 	select {
-	case r.idle <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -168,6 +177,14 @@
 	return r.slots.Spare()
 }
 
+// batchIdle reports whether the target runs no batch item.
+func (r *runner) batchIdle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, batch, _ := r.slots.Counts()
+	return batch == 0
+}
+
 func (r *runner) busy() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,8 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
+	// items counts batch items that no entry has taken back yet.
+	items sync.WaitGroup
 }
 
 // New builds a sidecar from its settings. It listens at once, so that a taken
@@ -130,10 +133,26 @@
 		r.setLeaving()
 	}
 	s.stopPull()
-	s.awaitIdle(time.Duration(s.settings.Process.DrainTimeout))
+	limit := time.Now().Add(time.Duration(s.settings.Process.DrainTimeout))
+	s.awaitIdle(time.Until(limit))
+	s.awaitItems(time.Until(limit))
 	return s.Kill()
 }
 
+// awaitItems waits until entries have taken the results of all batch items.
+func (s *Sidecar) awaitItems(limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		s.items.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
+	}
+}
+
 func (s *Sidecar) awaitIdle(limit time.Duration) {
 	deadline := time.NewTimer(limit)
 	defer deadline.Stop()
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -59,6 +59,22 @@
 	results []protocol.Position
 }
 
+// RunningJob is what never changes about a running job.
+type RunningJob struct {
+	Job       string
+	Workspace string
+	Service   string
+	Items     int
+	// DueUnixMillis is when the job is due, in milliseconds since the epoch.
+	DueUnixMillis int64
+	AcceptedAt    protocol.Position
+}
+
+// Compare orders jobs by their due times, and those due together by their acceptance.
+func (r *RunningJob) Compare(other *RunningJob) int {
+	return cmp.Or(cmp.Compare(r.DueUnixMillis, other.DueUnixMillis), cmp.Compare(r.AcceptedAt, other.AcceptedAt))
+}
+
 // Done returns the number of items with a result.
 func (j *Job) Done() int { return j.Completed + j.Failed }
 
@@ -67,6 +83,8 @@
 	mu    sync.RWMutex
 	files map[string]*File
 	jobs  map[string]*Job
+	// running is built when it is asked for, and nil after a change.
+	running []RunningJob
 }
 
 // NewJobs returns a fold without jobs.
@@ -87,21 +105,31 @@
 	return c, true
 }
 
-// Running returns copies of all running jobs, in order of their due times.
-func (f *Jobs) Running() []Job {
+// Running returns all running jobs in order of their due times. The slice must
+// not be changed; it stays the same until a job starts or ends.
+func (f *Jobs) Running() []RunningJob {
 	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var running []Job
+	running := f.running
+	f.mu.RUnlock()
+	if running != nil {
+		return running
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running == nil {
+		f.running = f.listRunning()
+	}
+	return f.running
+}
+
+func (f *Jobs) listRunning() []RunningJob {
+	running := []RunningJob{}
 	for _, j := range f.jobs {
 		if j.Status == JobRunning {
-			c := *j
-			c.results = nil
-			running = append(running, c)
+			running = append(running, RunningJob{j.Job, j.Workspace, j.Service, j.Items, j.DueUnixMillis, j.AcceptedAt})
 		}
 	}
-	slices.SortFunc(running, func(a, b Job) int {
-		return cmp.Or(cmp.Compare(a.DueUnixMillis, b.DueUnixMillis), cmp.Compare(a.AcceptedAt, b.AcceptedAt))
-	})
+	slices.SortFunc(running, func(a, b RunningJob) int { return a.Compare(&b) })
 	return running
 }
 
@@ -182,6 +210,7 @@
 	if f.jobs[a.Job] != nil || file == nil || !file.Complete() {
 		return
 	}
+	f.running = nil
 	f.jobs[a.Job] = &Job{
 		JobAccept:  *a,
 		Status:     JobRunning,
@@ -202,6 +231,7 @@
 	}
 	if j.Done() == j.Items {
 		j.Status = JobCompleted
+		f.running = nil
 	}
 }
 
@@ -224,5 +254,6 @@
 		return
 	}
 	j.Status = JobCancelled
+	f.running = nil
 	j.ChangedAt = pos
 }
