--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 type Platform struct {
 	Log       platform.Log
 	Instances platform.InstanceList
+	// Dial makes connections to peers; nil means the ordinary dialer.
+	Dial transport.Dial
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -58,6 +60,7 @@
 	metrics  *metrics
 	log      platform.Log
 	callers  map[string]string
+	policy   *policy
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -82,8 +85,13 @@
 		metrics:  newMetrics(),
 		log:      p.Log,
 		callers:  map[string]string{},
+		policy:   newPolicy(s.Policy),
 		leaving:  make(chan struct{}),
 	}
+	if p.Dial != nil {
+		e.peers.UseDial(p.Dial)
+		e.attempts.UseDial(p.Dial)
+	}
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
