--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -4,9 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,8 +19,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
+	"github.com/sycamoretally/sycamoretally/transport"
 )
 
 func startBench(b *testing.B, layout Layout) (*Site, *Script) {
@@ -89,4 +96,86 @@
 	possible := float64(layout.Engines*layout.Slots) / (tokens * layout.Engine.TokenTime.Seconds())
 	b.ReportMetric(rate, "items/s")
 	b.ReportMetric(rate/possible, "of-capacity")
+	b.ReportMetric(rate/directRate(b, layout, tokens), "of-direct")
+}
+
+// directRate runs items on engines of the layout without entries or sidecars,
+// as many at the same time as there are slots, and returns items a second.
+func directRate(b *testing.B, layout Layout, tokens int) float64 {
+	const perSlot = 40
+	var group sync.WaitGroup
+	begun := time.Now()
+	for range layout.Engines {
+		server := httptest.NewServer(engine.New(layout.Engine).Handler())
+		defer server.Close()
+		client := platform.NewEngine(server.URL)
+		for slot := range layout.Slots {
+			group.Go(func() { generateAll(b, client, fmt.Sprintf("slot %d", slot), tokens, perSlot) })
+		}
+	}
+	group.Wait()
+	return float64(layout.Engines*layout.Slots*perSlot) / time.Since(begun).Seconds()
+}
+
+func generateAll(b *testing.B, e *platform.Engine, prompt string, tokens, n int) {
+	request := chat(prompt, true)
+	request.MaxTokens = tokens
+	body, err := json.Marshal(request)
+	assert.Check(b, err)
+	for range n {
+		g := platform.Generation{ID: protocol.NewID(), Body: body}
+		assert.Check(b, e.Generate(b.Context(), g, func(string) error { return nil }))
+	}
+}
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkIdlePull measures the bytes of one wait for items that finds none. A
+// sidecar without batch work makes one such call to each entry in 10 s.
+func BenchmarkIdlePull(b *testing.B) {
+	site, _ := startBench(b, DefaultLayout())
+	var bytes atomic.Int64
+	peers := transport.NewPeers(PeerSecret)
+	defer peers.Close()
+	peers.UseDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &countingConn{conn, &bytes}, err
+	})
+	entries, err := site.List.Instances(b.Context())
+	assert.NilError(b, err)
+	entry := entries[slices.IndexFunc(entries, func(i platform.Instance) bool { return i.Role == platform.RoleEntry })]
+	args := &protocol.PullArgs{
+		Instance: "sidecar-a", Target: "target-a", WaitMillis: 1,
+		Labels: protocol.Labels{"role": "drafting", "unit": "a", "zone": "north", "model": "large"},
+	}
+	pull := func() {
+		var reply protocol.PullReply
+		assert.NilError(b, peers.Call(b.Context(), entry.Peer, protocol.MethodPull, args, &reply))
+	}
+	pull()
+	bytes.Store(0)
+	calls := 0
+	for b.Loop() {
+		pull()
+		calls++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(calls), "bytes/call")
 }
--- a/processtest/usage.go
+++ b/processtest/usage.go
@@ -8,7 +8,13 @@
 )
 
 // ResidentBytes reads the process's resident memory.
-func (p *Process) ResidentBytes() (int64, error) {
+func (p *Process) ResidentBytes() (int64, error) { return p.statusBytes("VmRSS:") }
+
+// PeakBytes reads the largest resident memory that the process has had.
+func (p *Process) PeakBytes() (int64, error) { return p.statusBytes("VmHWM:") }
+
+// statusBytes reads a size from the process's status.
+func (p *Process) statusBytes(name string) (int64, error) {
 	p.mu.Lock()
 	pid := p.cmd.Process.Pid
 	p.mu.Unlock()
@@ -18,7 +24,7 @@
 	}
 	for _, line := range strings.Split(string(data), "\n") {
 		fields := strings.Fields(line)
-		if len(fields) == 3 && fields[0] == "VmRSS:" {
+		if len(fields) == 3 && fields[0] == name {
 			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
 			if err != nil {
 				return 0, ErrProcess.Wrap(err, "parse status")
@@ -26,5 +32,5 @@
 			return kilobytes << 10, nil
 		}
 	}
-	return 0, ErrProcess.New("no resident size in the status of %d", pid)
+	return 0, ErrProcess.New("no %s in the status of %d", name, pid)
 }
