--- a/demo/site.go
+++ b/demo/site.go
@@ -36,6 +36,8 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// Log, where set, gives the log that the instance uses in place of the site's.
+	Log func(instance string, log platform.Log) platform.Log
 	// DataCentres is the number of data centres; zero means two.
 	DataCentres int
 	// Policy is in force in every process.
@@ -205,7 +207,7 @@
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.Log, Instances: s.List, Dial: s.dialOf(p)})
+	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance), Instances: s.List, Dial: s.dialOf(p)})
 	if err != nil {
 		return err
 	}
@@ -214,6 +216,13 @@
 	return en.Start()
 }
 
+func (s *Site) logOf(instance string) platform.Log {
+	if s.layout.Log == nil {
+		return s.Log
+	}
+	return s.layout.Log(instance, s.Log)
+}
+
 // Close stops every process of the site.
 func (s *Site) Close() {
 	for _, e := range s.Entries {
