Refuse log entries that declare more than they hold

Cause: the codec allocates what an encoded length declares. FuzzDecodeBatch found within a second an entry of five bytes whose array declares 3.3 billion records: every process that reads such an entry ends with "runtime: out of memory", and again after each restart, for as long as the log retains it.

Excluded: the codec's own allocation limit, which the decoder of a slice of structs does not apply here. A check by Decoder.Skip alone recurses, and a megabyte of nested arrays ends it by stack overflow.

Change: before decoding, a pass without allocation and with bounded depth checks that every declared element is there.

--- a/protocol/record.go
+++ b/protocol/record.go
@@ -162,6 +162,9 @@
 
 // DecodeBatch decodes a log entry. It fails with ErrBadRequest on malformed data.
 func DecodeBatch(data []byte) ([]Record, error) {
+	if err := checkEncoding(data); err != nil {
+		return nil, err
+	}
 	var records []Record
 	if err := msgpack.Unmarshal(data, &records); err != nil {
 		return nil, ErrBadRequest.Wrap(err, "decode batch")
--- a/protocol/snapshot.go
+++ b/protocol/snapshot.go
@@ -30,6 +30,9 @@
 	if Fingerprint(data) != sum {
 		return nil, ErrTruncated.New("snapshot of %d bytes has another hash", len(data))
 	}
+	if err := checkEncoding(data); err != nil {
+		return nil, err
+	}
 	var s Snapshot
 	if err := msgpack.Unmarshal(data, &s); err != nil {
 		return nil, ErrBadRequest.Wrap(err, "decode snapshot")
