Forget voided keys, and check the new settings

Excluded: forgetting accepted or started keys; the first must still be run, the second never again.

Change: whatever is neither accepted nor started is forgotten after entry.keep_results. process.max_age must be at least 4 s, the time that a read through a peer which itself reads through one may take; negative times are refused.

--- a/settings/check.go
+++ b/settings/check.go
@@ -4,11 +4,15 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// minMaxAge leaves time for a read through a peer that itself reads through one.
+const minMaxAge = 4 * time.Second
+
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // faultList collects faults by key.
@@ -92,9 +96,18 @@
 	if s.Process.DrainTimeout <= 0 {
 		f.add("process.drain_timeout", "must be above zero")
 	}
+	if time.Duration(s.Process.MaxAge) < minMaxAge {
+		f.add("process.max_age", "must be at least "+minMaxAge.String())
+	}
+	if s.Platform.LogRetention < 0 {
+		f.add("platform.log_retention", "must not be negative")
+	}
 }
 
 func (s *Settings) checkEntry(f *faultList) {
+	if s.Entry.KeepResults < 0 {
+		f.add("entry.keep_results", "must not be negative")
+	}
 	if len(s.Entry.OperatorKeys) == 0 {
 		f.add("entry.operator_keys", "must name at least one key")
 	}
--- a/state/retain.go
+++ b/state/retain.go
@@ -20,13 +20,14 @@
 	return needed
 }
 
-// Forget drops the requests that completed before a position. One that was
-// started and has no result is kept: it must never run again.
+// Forget drops the requests that last changed before a position. One that was
+// accepted or started and has no result is kept: it must be run, or never again.
 func (f *Requests) Forget(before protocol.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.keys, func(_ string, r *Request) bool {
-		return r.ResultAt != 0 && r.ChangedAt < before
+		open := r.ResultAt == 0 && (r.Accepted != nil || r.Started != nil)
+		return !open && r.ChangedAt < before
 	})
 }
 
