Append batch files as they arrive

Cause: an entry read a whole file, and copied its lines once more, before it appended the first chunk: a peak of 223 MiB for 53,000 items of 1 KiB, over the 128 MB that a daemon has. A form above 32 MB went to a temporary file, and the instances have no disks.

Excluded: handing out and reading results; the peak was reached before.

Change: lines are checked and appended as they arrive, under the name of the upload. The last chunk carries the file's name, made from its bytes; the fold renames the complete upload, and the first complete file of a name stays. Broken uploads have no effect, and the fold forgets the oldest above 1,024. Forms are read as streams.

Eight bytes an item stay in every entry's fold.

--- a/coordination/logcache/logcache.go
+++ b/coordination/logcache/logcache.go
@@ -12,7 +12,7 @@
 )
 
 // DefaultBytes is the size of the cache, in bytes of encoded entries.
-const DefaultBytes = 32 << 20
+const DefaultBytes = 8 << 20
 
 // Cache reads records of one stream. Its methods may be called at the same time.
 type Cache struct {
--- a/entry/files.go
+++ b/entry/files.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"mime"
 	"net/http"
@@ -35,135 +38,179 @@
 // serveUpload stores a batch file in JSON Lines, as the body itself or as the
 // part "file" of a form. The same content gets the same ID.
 func (e *Entry) serveUpload(w http.ResponseWriter, r bunrouter.Request) error {
-	data, err := e.readUpload(w, r)
+	source, err := e.uploadSource(w, r)
 	if err != nil {
 		return err
 	}
-	lines, err := parseLines(data)
-	if err != nil {
+	u := newUpload(e, workspaceOf(r))
+	if err := u.read(r.Context(), source); err != nil {
 		return err
 	}
-	id := "file-" + protocol.Fingerprint([]byte(workspaceOf(r)), data)
-	if _, found := e.jobs.File(id); !found {
-		if err := e.storeFile(r.Context(), id, workspaceOf(r), lines); err != nil {
-			return err
-		}
-	}
-	transport.WriteJSON(w, http.StatusOK, fileAnswer{ID: id, Object: "file", Items: len(lines.items)})
+	transport.WriteJSON(w, http.StatusOK, fileAnswer{ID: u.content, Object: "file", Items: u.count})
 	return nil
 }
 
-func (e *Entry) readUpload(w http.ResponseWriter, r bunrouter.Request) ([]byte, error) {
+// uploadSource returns the file's bytes as they arrive.
+func (e *Entry) uploadSource(w http.ResponseWriter, r bunrouter.Request) (io.Reader, error) {
+	r.Body = http.MaxBytesReader(w, r.Body, e.settings.Entry.MaxFileBytes)
 	media, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
 	if media != "multipart/form-data" {
-		return readBody(w, r, e.settings.Entry.MaxFileBytes)
+		return r.Body, nil
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, e.settings.Entry.MaxFileBytes)
-	file, _, err := r.FormFile("file")
+	form, err := r.MultipartReader()
 	if err != nil {
-		return nil, protocol.ErrBadRequest.New("the form has no readable part \"file\": %v", err)
+		return nil, protocol.ErrBadRequest.New("malformed form: %v", err)
 	}
-	defer func() { _ = file.Close() }()
-	data, err := io.ReadAll(file)
-	if err != nil {
-		return nil, protocol.ErrTooLarge.Wrap(err, "read file")
+	for {
+		part, err := form.NextPart()
+		if err != nil {
+			return nil, protocol.ErrBadRequest.New("the form has no readable part \"file\": %v", err)
+		}
+		if part.FormName() == "file" {
+			return part, nil
+		}
 	}
-	return data, nil
 }
 
-// batchLine is one line of a batch file.
-type batchLine struct {
-	CustomID string          `json:"custom_id"`
-	Method   string          `json:"method"`
-	URL      string          `json:"url"`
-	Body     json.RawMessage `json:"body"`
+// upload checks a batch file line by line and appends it in chunks as it
+// arrives, so that its memory does not grow with the file but for the names of
+// its items.
+type upload struct {
+	e         *Entry
+	id        string
+	workspace string
+	service   string
+	seen      map[string]bool
+	// chunk holds the items not yet appended, of size bytes.
+	chunk  []protocol.Item
+	size   int
+	chunks int
+	count  int
+	// content is the file's ID, from its bytes and the workspace.
+	content string
 }
 
-// batchLines is a checked batch file.
-type batchLines struct {
-	service string
-	items   []protocol.Item
+func newUpload(e *Entry, workspace string) *upload {
+	return &upload{e: e, id: "upload-" + protocol.NewID(), workspace: workspace, seen: map[string]bool{}}
 }
 
-// parseLines checks every line. It fails with ErrBadRequest, which names the line.
-func parseLines(data []byte) (*batchLines, error) {
-	lines := &batchLines{}
-	seen := map[string]bool{}
-	scanner := bufio.NewScanner(bytes.NewReader(data))
+// read takes the whole file. It fails with ErrBadRequest, which names the line,
+// and then the chunks appended so far have no effect.
+func (u *upload) read(ctx context.Context, source io.Reader) error {
+	digest := sha256.New()
+	_, _ = io.WriteString(digest, u.workspace+"\x00")
+	scanner := bufio.NewScanner(io.TeeReader(source, digest))
 	scanner.Buffer(nil, maxLineBytes)
 	for n := 1; scanner.Scan(); n++ {
 		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
 			continue
 		}
-		if err := lines.add(n, scanner.Bytes(), seen); err != nil {
-			return nil, err
+		item, err := u.check(n, scanner.Bytes())
+		if err != nil {
+			return err
+		}
+		if err := u.add(ctx, item); err != nil {
+			return err
 		}
 	}
-	if err := scanner.Err(); err != nil {
-		return nil, protocol.ErrBadRequest.New("a line is longer than %d bytes", maxLineBytes)
+	if err := scanError(scanner.Err()); err != nil {
+		return err
 	}
-	if len(lines.items) == 0 {
-		return nil, protocol.ErrBadRequest.New("the file has no lines")
+	if u.count == 0 {
+		return protocol.ErrBadRequest.New("the file has no lines")
 	}
-	return lines, nil
+	const idBytes = 16
+	u.content = "file-" + hex.EncodeToString(digest.Sum(nil)[:idBytes])
+	return u.finish(ctx)
 }
 
-func (l *batchLines) add(n int, data []byte, seen map[string]bool) error {
+// scanError gives the reason for which the lines ended early.
+func scanError(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, bufio.ErrTooLong):
+		return protocol.ErrBadRequest.New("a line is longer than %d bytes", maxLineBytes)
+	case errors.As(err, &tooLarge):
+		return protocol.ErrTooLarge.New("file above %d bytes", tooLarge.Limit)
+	default:
+		return protocol.ErrBadRequest.Wrap(err, "read file")
+	}
+}
+
+func (u *upload) add(ctx context.Context, item protocol.Item) error {
+	full := len(u.chunk) == chunkItems || u.size+len(item.Body) > chunkBytes
+	if full && len(u.chunk) > 0 {
+		if err := u.append(ctx, 0); err != nil {
+			return err
+		}
+	}
+	u.chunk = append(u.chunk, item)
+	u.size += len(item.Body)
+	u.count++
+	return nil
+}
+
+// finish appends the last chunk, unless the same file is there already.
+func (u *upload) finish(ctx context.Context) error {
+	if _, found := u.e.jobs.File(u.content); found {
+		return nil
+	}
+	return u.append(ctx, u.chunks+1)
+}
+
+// append stores the gathered items as one chunk. Total is the number of all
+// chunks with the last one, zero before.
+func (u *upload) append(ctx context.Context, total int) error {
+	rec := protocol.Record{ID: protocol.NewID(), File: &protocol.FileChunk{
+		File: u.id, Workspace: u.workspace, Service: u.service, Index: u.chunks, Chunks: total, Items: u.chunk,
+	}}
+	if total > 0 {
+		rec.File.Content = u.content
+	}
+	u.chunks++
+	u.chunk, u.size = nil, 0
+	return u.e.appendAndFold(ctx, rec)
+}
+
+// batchLine is one line of a batch file.
+type batchLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// check reads one line.
+func (u *upload) check(n int, data []byte) (protocol.Item, error) {
+	var none protocol.Item
 	var line batchLine
 	if err := json.Unmarshal(data, &line); err != nil {
-		return protocol.ErrBadRequest.New("line %d: malformed JSON: %v", n, err)
+		return none, protocol.ErrBadRequest.New("line %d: malformed JSON: %v", n, err)
 	}
 	switch {
 	case line.CustomID == "":
-		return protocol.ErrBadRequest.New("line %d: custom_id is missing", n)
-	case seen[line.CustomID]:
-		return protocol.ErrBadRequest.New("line %d: custom_id %q stands twice", n, line.CustomID)
+		return none, protocol.ErrBadRequest.New("line %d: custom_id is missing", n)
+	case u.seen[line.CustomID]:
+		return none, protocol.ErrBadRequest.New("line %d: custom_id %q stands twice", n, line.CustomID)
 	case line.URL != "" && line.URL != chatPath:
-		return protocol.ErrBadRequest.New("line %d: url must be %s", n, chatPath)
+		return none, protocol.ErrBadRequest.New("line %d: url must be %s", n, chatPath)
 	case line.Method != "" && line.Method != http.MethodPost:
-		return protocol.ErrBadRequest.New("line %d: method must be POST", n)
-	case len(l.items) == maxItems:
-		return protocol.ErrTooLarge.New("line %d: a file has at most %d lines", n, maxItems)
+		return none, protocol.ErrBadRequest.New("line %d: method must be POST", n)
+	case u.count == maxItems:
+		return none, protocol.ErrTooLarge.New("line %d: a file has at most %d lines", n, maxItems)
 	}
 	chat, err := protocol.ParseChat(line.Body)
 	if err != nil {
-		return protocol.ErrBadRequest.New("line %d: body: %s", n, protocol.ProblemOf(err).Detail)
+		return none, protocol.ErrBadRequest.New("line %d: body: %s", n, protocol.ProblemOf(err).Detail)
 	}
-	if l.service == "" {
-		l.service = chat.Model
+	if u.service == "" {
+		u.service = chat.Model
 	}
-	if chat.Model != l.service {
-		return protocol.ErrBadRequest.New("line %d: model %q, but the file began with %q", n, chat.Model, l.service)
-	}
-	seen[line.CustomID] = true
-	l.items = append(l.items, protocol.Item{CustomID: line.CustomID, Body: bytes.Clone(line.Body)})
-	return nil
-}
-
-// storeFile appends the file in chunks and waits until this entry has folded
-// them.
-func (e *Entry) storeFile(ctx context.Context, id, workspace string, lines *batchLines) error {
-	chunks := splitChunks(lines.items)
-	for i, items := range chunks {
-		rec := protocol.Record{ID: protocol.NewID(), File: &protocol.FileChunk{
-			File: id, Workspace: workspace, Service: lines.service, Index: i, Chunks: len(chunks), Items: items,
-		}}
-		if err := e.appendAndFold(ctx, rec); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func splitChunks(items []protocol.Item) [][]protocol.Item {
-	var chunks [][]protocol.Item
-	begin, size := 0, 0
-	for i, item := range items {
-		if i > begin && (size+len(item.Body) > chunkBytes || i-begin == chunkItems) {
-			chunks = append(chunks, items[begin:i])
-			begin, size = i, 0
-		}
-		size += len(item.Body)
+	if chat.Model != u.service {
+		return none, protocol.ErrBadRequest.New("line %d: model %q, but the file began with %q", n, chat.Model, u.service)
 	}
-	return append(chunks, items[begin:])
+	u.seen[line.CustomID] = true
+	return protocol.Item{CustomID: line.CustomID, Body: line.Body}, nil
 }
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -98,16 +98,24 @@
 	Body        []byte  `msgpack:"b" json:"body"`
 }
 
+// MaxFileChunks bounds the chunks of one batch file.
+const MaxFileChunks = 1 << 17
+
 // FileChunk stores consecutive lines of an uploaded batch file.
 type FileChunk struct {
+	// File names the file, or the upload where the last chunk has a Content.
 	File      string `msgpack:"f"`
 	Workspace string `msgpack:"w"`
 	// Service is the model service that every line names.
 	Service string `msgpack:"s"`
 	Index   int    `msgpack:"i"`
-	// Chunks is the number of chunks of the whole file.
-	Chunks int    `msgpack:"n"`
-	Items  []Item `msgpack:"l"`
+	// Chunks is the number of chunks of the whole file, zero where it is not
+	// known yet. The last chunk has it.
+	Chunks int `msgpack:"n"`
+	// Content becomes the file's name once the file is complete. The first
+	// complete file of a name stays.
+	Content string `msgpack:"c,omitempty"`
+	Items   []Item `msgpack:"l"`
 }
 
 // Item is one line of a batch file.
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -13,6 +13,10 @@
 	ID        string
 	Workspace string
 	Service   string
+	// Content becomes the ID once the file is complete, where it is set.
+	Content string
+	// Total is the number of chunks, zero where it is not known yet.
+	Total int
 	// Chunks holds the position of each chunk, zero for one not yet seen.
 	Chunks []protocol.Position
 	// Starts holds the index of the first item of each chunk, and the number of
@@ -181,27 +185,86 @@
 	}
 }
 
+// maxOpenUploads bounds the incomplete files that are kept. An upload that was
+// broken off is never completed.
+const maxOpenUploads = 1024
+
 func (f *Jobs) addChunk(pos protocol.Position, c *protocol.FileChunk) {
+	if c.Index < 0 || c.Index >= protocol.MaxFileChunks || c.Chunks < 0 || c.Chunks > protocol.MaxFileChunks {
+		return
+	}
 	file := f.files[c.File]
 	if file == nil {
-		file = &File{ID: c.File, Workspace: c.Workspace, Service: c.Service, Chunks: make([]protocol.Position, c.Chunks), sizes: make([]int, c.Chunks)}
+		f.forgetUpload()
+		file = &File{ID: c.File, Workspace: c.Workspace, Service: c.Service}
 		f.files[c.File] = file
 	}
-	if c.Index >= len(file.Chunks) || file.Chunks[c.Index] != 0 {
+	if file.Complete() || !file.add(pos, c) {
 		return
 	}
-	file.Chunks[c.Index] = pos
-	file.sizes[c.Index] = len(c.Items)
-	if slices.Contains(file.Chunks, 0) {
+	if file.Content == "" {
 		return
 	}
-	file.Starts = make([]int, 0, len(file.sizes)+1)
+	delete(f.files, file.ID)
+	file.ID = file.Content
+	if f.files[file.ID] == nil {
+		f.files[file.ID] = file
+	}
+}
+
+// forgetUpload drops the oldest incomplete file where there are too many.
+func (f *Jobs) forgetUpload() {
+	var oldest *File
+	open := 0
+	for _, file := range f.files {
+		if file.Complete() {
+			continue
+		}
+		open++
+		if oldest == nil || file.latest() < oldest.latest() {
+			oldest = file
+		}
+	}
+	if open >= maxOpenUploads {
+		delete(f.files, oldest.ID)
+	}
+}
+
+// latest returns the position of the newest chunk seen.
+func (f *File) latest() protocol.Position { return slices.Max(f.Chunks) }
+
+// add notes a chunk. It reports whether the file is complete now.
+func (f *File) add(pos protocol.Position, c *protocol.FileChunk) bool {
+	if f.Total > 0 && c.Index >= f.Total {
+		return false
+	}
+	if missing := max(c.Index+1, c.Chunks) - len(f.Chunks); missing > 0 {
+		f.Chunks = append(f.Chunks, make([]protocol.Position, missing)...)
+		f.sizes = append(f.sizes, make([]int, missing)...)
+	}
+	if f.Chunks[c.Index] != 0 {
+		return false
+	}
+	f.Chunks[c.Index] = pos
+	f.sizes[c.Index] = len(c.Items)
+	f.Total = max(f.Total, c.Chunks)
+	f.Content = cmp.Or(f.Content, c.Content)
+	if f.Total != len(f.Chunks) || slices.Contains(f.Chunks, 0) {
+		return false
+	}
+	f.close()
+	return true
+}
+
+// close computes where each chunk starts.
+func (f *File) close() {
+	f.Starts = make([]int, 0, len(f.sizes)+1)
 	total := 0
-	for _, n := range file.sizes {
-		file.Starts = append(file.Starts, total)
+	for _, n := range f.sizes {
+		f.Starts = append(f.Starts, total)
 		total += n
 	}
-	file.Starts = append(file.Starts, total)
+	f.Starts = append(f.Starts, total)
 }
 
 // accept takes a job over a complete file; over any other it has no effect.
--- a/state/jobs_test.go
+++ b/state/jobs_test.go
@@ -197,3 +197,58 @@
 	assert.Equal(t, len(f.Running()), 2)
 	assert.Equal(t, len(before), 3)
 }
+
+// uploadChunk folds a chunk of an upload; content is set on the last one.
+func uploadChunk(f *Jobs, offset uint64, upload string, index, total int, content string) {
+	f.Apply(protocol.PositionAt(offset, 0), &protocol.Record{File: &protocol.FileChunk{
+		File: upload, Workspace: "w", Index: index, Chunks: total, Content: content, Items: make([]protocol.Item, 2),
+	}})
+}
+
+func TestUploadIsAFileOnceComplete(t *testing.T) {
+	f := NewJobs()
+	uploadChunk(f, 1, "u1", 0, 0, "")
+	uploadChunk(f, 2, "u1", 0, 0, "")
+	uploadChunk(f, 3, "u1", 2, 3, "content")
+	_, found := f.File("content")
+	assert.Assert(t, !found, "a chunk is missing")
+	uploadChunk(f, 4, "u1", 1, 0, "")
+	file, found := f.File("content")
+	assert.Assert(t, found)
+	assert.Equal(t, file.Items(), 6)
+	assert.DeepEqual(t, file.Chunks, []protocol.Position{protocol.PositionAt(1, 0), protocol.PositionAt(4, 0), protocol.PositionAt(3, 0)})
+}
+
+func TestFirstCompleteFileStays(t *testing.T) {
+	f := NewJobs()
+	uploadChunk(f, 1, "u1", 0, 0, "")
+	uploadChunk(f, 2, "u2", 0, 1, "content")
+	uploadChunk(f, 3, "u1", 1, 2, "content")
+	file, _ := f.File("content")
+	assert.DeepEqual(t, file.Chunks, []protocol.Position{protocol.PositionAt(2, 0)})
+	assert.Equal(t, len(f.files), 1)
+}
+
+func TestBrokenUploadsAreForgotten(t *testing.T) {
+	f := NewJobs()
+	for i := range maxOpenUploads + 10 {
+		uploadChunk(f, uint64(i+1), fmt.Sprintf("u%d", i), 0, 0, "")
+	}
+	assert.Equal(t, len(f.files), maxOpenUploads)
+	uploadChunk(f, 5000, "u0", 1, 2, "content")
+	_, found := f.File("content")
+	assert.Assert(t, !found, "the first chunk was forgotten")
+	uploadChunk(f, 5001, fmt.Sprintf("u%d", maxOpenUploads), 1, 2, "content")
+	_, found = f.File("content")
+	assert.Assert(t, found)
+}
+
+func TestChunkOutsideTheFileHasNoEffect(t *testing.T) {
+	f := NewJobs()
+	uploadChunk(f, 1, "u", -1, 0, "")
+	uploadChunk(f, 2, "u", protocol.MaxFileChunks, 0, "")
+	assert.Equal(t, len(f.files), 0)
+	uploadChunk(f, 3, "u", 0, 1, "content")
+	_, found := f.File("content")
+	assert.Assert(t, found)
+}
