Renew the leases of a target's items in one call, and prove that they end

Cause: each running item renewed its lease with a call of its own every second, so that the calls grew with the slots.

Change: one call a second to each entry that gave items. A test cancels a job of items that run far longer than the bound, and demands that the engines' own records show all of them cancelled within 3 s.

--- a/promises/cancel_test.go
+++ b/promises/cancel_test.go
@@ -172,6 +172,41 @@
 	}
 }
 
+// endBound is the time after a cancel's acknowledgement in which running items
+// end: one renewal of their leases and its answer.
+const endBound = 3 * time.Second
+
+// TestCancelEndsRunningItems cancels a job whose items run much longer than the
+// bound.
+func TestCancelEndsRunningItems(t *testing.T) {
+	const seed, tokens = 1, 8000
+	t.Logf("seed %d", seed)
+	site, _ := startInProcess(t, demo.DefaultLayout())
+	job := &jobItems{name: "endless", items: 30, tokens: tokens}
+	c := newJobCallers(t, site.Client, job.name, job.file(t))
+	id := c.submit(t, rand.New(rand.NewPCG(seed, 0))).ID
+	allRuns := func() []engine.Run {
+		var runs []engine.Run
+		for _, e := range site.Engines {
+			runs = append(runs, e.Runs()...)
+		}
+		return runs
+	}
+	eventually(t, recoveryLimit, func() error {
+		if n := len(allRuns()); n < len(site.Engines) {
+			return history.ErrHistory.New("%d items run", n)
+		}
+		return nil
+	})
+	acknowledged := c.cancelAt(t, 1, id)
+	eventually(t, endBound, func() error { return checkStarts(allRuns(), job.name, acknowledged) })
+	for _, run := range allRuns() {
+		assert.Equal(t, run.Ended, "cancelled")
+	}
+	assert.Equal(t, c.awaitFinal(t, id).Counts.Failed, 0)
+	c.check(t)
+}
+
 // cutLog is an entry's log whose reads can be made to find nothing new.
 type cutLog struct {
 	platform.Log
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -13,12 +12,8 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-const (
-	// renewInterval is the time between two renewals of a running item's lease.
-	renewInterval = time.Second
-	// itemTimeout bounds one attempt of a batch item.
-	itemTimeout = 10 * time.Minute
-)
+// itemTimeout bounds one attempt of a batch item.
+const itemTimeout = 10 * time.Minute
 
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -62,8 +57,6 @@
 	a, finish := i.attempt, i.finish
 	s.metrics.admitted.WithLabelValues(string(protocol.ClassBatch)).Inc()
 	s.ring.Add(a.Trace, "item started", "job", finish.Job, "target", a.Target, "lease", a.Attempt)
-	stop := s.renew(ctx, r, i.entry, finish)
-	defer stop()
 	tokens := append([]string(nil), a.Resume...)
 	finish.Resume = nil
 	err := r.generate(ctx, a, func(token string) error {
@@ -101,37 +94,6 @@
 	}
 }
 
-// renew keeps the item's lease and cancels the item when an entry says that it
-// must stop. The returned function ends the renewals.
-func (s *Sidecar) renew(ctx context.Context, r *runner, entry string, finish *protocol.FinishArgs) func() {
-	ctx, cancel := context.WithCancel(ctx)
-	lease := protocol.LeaseRef{Job: finish.Job, Index: finish.Index, Lease: finish.Lease}
-	args := &protocol.RenewArgs{Instance: finish.Instance, Leases: []protocol.LeaseRef{lease}}
-	var group sync.WaitGroup
-	group.Go(func() {
-		ticker := time.NewTicker(renewInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return
-			}
-			var reply protocol.RenewReply
-			callCtx, done := context.WithTimeout(ctx, renewInterval)
-			err := s.entries.call(callCtx, entry, protocol.MethodRenew, args, &reply)
-			done()
-			if err == nil && len(reply.Stop) > 0 {
-				r.cancel(lease.Lease, protocol.ErrCancelled.New("the lease has ended"))
-			}
-		}
-	})
-	return func() {
-		cancel()
-		group.Wait()
-	}
-}
-
 // finish returns an item until an entry has taken it.
 func (s *Sidecar) finish(ctx context.Context, entry string, args *protocol.FinishArgs) {
 	for ctx.Err() == nil {
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -24,8 +24,9 @@
 // free. An answer to a wait carries no items: an item must start soon after its
 // pull was sent.
 type puller struct {
-	s *Sidecar
-	r *runner
+	s        *Sidecar
+	r        *runner
+	renewals *renewals
 	// news is signalled when an entry has items.
 	news  chan struct{}
 	group sync.WaitGroup
@@ -43,8 +44,12 @@
 // pull runs batch items on the target until ctx ends or the sidecar leaves, and
 // then waits for those that run.
 func (s *Sidecar) pull(ctx context.Context, r *runner) error {
-	p := &puller{s: s, r: r, news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{}}
+	p := &puller{
+		s: s, r: r, renewals: newRenewals(s, r),
+		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{},
+	}
 	defer p.group.Wait()
+	s.tomb.Go(func() error { return p.renewals.run(ctx) })
 	for s.pullCtx.Err() == nil && ctx.Err() == nil {
 		live := p.liveEntries()
 		p.watchAll(live)
@@ -173,7 +178,9 @@
 		defer cancel()
 		if err == nil {
 			if time.Now().Before(startBy) {
+				stop := p.renewals.add(i)
 				p.note(p.s.generate(itemCtx, p.r, i))
+				stop()
 			}
 			release()
 		}
