--- a/cmd/sycamoretally/job_memory_test.go
+++ b/cmd/sycamoretally/job_memory_test.go
@@ -36,28 +36,25 @@
 // BenchmarkJobMemory reports the largest resident memory of an entry that takes
 // a job, hands out all its items and reads all its results.
 func BenchmarkJobMemory(b *testing.B) {
-	dir := b.TempDir()
-	binary, err := processtest.Build(dir)
-	assert.NilError(b, err)
 	for _, items := range []int{1_000, 10_000, 53_000} {
 		b.Run(strconv.Itoa(items), func(b *testing.B) {
 			for b.Loop() {
-				measureJob(b, binary, items)
+				measureJob(b, items)
 			}
 		})
 	}
 }
 
-func measureJob(b *testing.B, binary string, items int) {
+func measureJob(b *testing.B, items int) {
 	const engines = 4
 	site, err := processtest.Start(binary, b.TempDir(), processtest.Layout{
 		Entries: 1, Engines: engines, Slots: 64,
 		Engine: settings.StandInEngine{Width: 64, TokenTime: settings.Duration(time.Millisecond)},
 	})
-	defer site.Close()
+	b.Cleanup(site.Close)
 	assert.NilError(b, err)
 	c := client.New(site.Client)
-	defer c.Close()
+	b.Cleanup(c.Close)
 	script := demo.Script{Client: c, Out: io.Discard}
 	assert.NilError(b, script.Prepare(b.Context()))
 	file, err := c.Upload(b.Context(), memoryJob(b, items))
--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -156,7 +156,7 @@
 }
 
 // BenchmarkIdlePull measures the bytes of one wait for items that finds none. A
-// sidecar without batch work makes one such call to each entry in 10 s.
+// sidecar without batch work makes one such call to each entry in 30 s.
 func BenchmarkIdlePull(b *testing.B) {
 	site, _ := startBench(b, DefaultLayout())
 	var bytes atomic.Int64
--- a/promises/exactly_once_jobs_test.go
+++ b/promises/exactly_once_jobs_test.go
@@ -1,9 +1,11 @@
 package promises
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/entry"
+	"github.com/sycamoretally/sycamoretally/history"
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -130,6 +133,35 @@
 	callers.check(t)
 }
 
+// TestResultsOutliveAllProcesses reads a job's results before and after every
+// entry and sidecar was replaced, and during a log outage after that.
+func TestResultsOutliveAllProcesses(t *testing.T) {
+	const seed = 1
+	t.Logf("seed %d", seed)
+	site, _ := startProcesses(t, processtest.Layout{
+		Entries: 2, Engines: 1, Slots: 4, Engine: settings.StandInEngine{Width: 4, TokenTime: settings.Duration(time.Millisecond)},
+	})
+	job := &jobItems{name: "kept", items: 40, tokens: 5, refused: map[int]bool{9: true}}
+	callers := newJobCallers(t, site.Client, "kept", job.file(t))
+	id := callers.submit(t, rand.New(rand.NewPCG(seed, 0))).ID
+	callers.awaitFinal(t, id)
+	callers.checkAtAll(t, id, job, true)
+	var before, after bytes.Buffer
+	assert.NilError(t, callers.clients[0].Results(t.Context(), id, &before))
+	for _, p := range slices.Concat(site.Entries, site.Sidecars) {
+		restart(t, p)
+	}
+	callers.awaitFinal(t, id)
+	callers.checkAtAll(t, id, job, true)
+	assert.NilError(t, callers.clients[1].Results(t.Context(), id, &after))
+	assert.Equal(t, before.String(), after.String())
+	assert.NilError(t, site.SetFaults(site.Log, logservice.Faults{Outage: true}))
+	a, err := callers.do(t.Context(), 0, 1, history.JobRead, id)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, "completed")
+	callers.check(t)
+}
+
 // TestJobResultChecksFindFaults hands the counting check one forged fault each.
 func TestJobResultChecksFindFaults(t *testing.T) {
 	job := &jobItems{name: "review", items: 2, tokens: 3}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -98,7 +98,7 @@
 func (s *Sidecar) finish(ctx context.Context, entry string, args *protocol.FinishArgs) {
 	for ctx.Err() == nil {
 		var reply protocol.FinishReply
-		err := s.entries.call(ctx, entry, protocol.MethodFinish, args, &reply)
+		err := s.batch.call(ctx, entry, protocol.MethodFinish, args, &reply)
 		if err == nil {
 			err = reply.Problem.Err()
 		}
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -12,7 +12,7 @@
 
 const (
 	// watchWait is how long an entry may hold a call that waits for items.
-	watchWait = 10 * time.Second
+	watchWait = 30 * time.Second
 	// watchRetry is the time between a failed wait for items and the next one.
 	watchRetry = 250 * time.Millisecond
 	// pullTick is how often the puller looks for changed entries.
@@ -113,7 +113,7 @@
 	args.Target = p.r.target.Name
 	args.Labels = p.r.target.Labels
 	var reply protocol.PullReply
-	if err := p.s.peers.Call(ctx, entry, protocol.MethodPull, args, &reply); err != nil {
+	if err := p.s.batch.peers.Call(ctx, entry, protocol.MethodPull, args, &reply); err != nil {
 		return protocol.PullReply{}, err
 	}
 	return reply, reply.Problem.Err()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,10 +42,13 @@
 	follower *follow.Follower
 	members  *membership.Manager
 	peers    *transport.Peers
-	entries  *entries
-	runners  map[string]*runner
-	ring     *timeline.Ring
-	metrics  *metrics
+	// batch carries items, waits and results on connections of their own, so
+	// that neither their size nor their timeouts touch other calls.
+	batch   *entries
+	entries *entries
+	runners map[string]*runner
+	ring    *timeline.Ring
+	metrics *metrics
 
 	tomb     tomb.Tomb
 	http     *http.Server
@@ -69,8 +72,10 @@
 		ring:     ring,
 		metrics:  newMetrics(),
 	}
+	batchPeers := transport.NewPeers(s.Process.PeerSecret)
 	if p.Dial != nil {
 		sc.peers.UseDial(p.Dial)
+		batchPeers.UseDial(p.Dial)
 	}
 	for _, t := range s.Targets {
 		sc.runners[t.Name] = newRunner(t, ring.Add)
@@ -79,6 +84,7 @@
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
 	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
+	sc.batch = &entries{members: sc.members, peers: batchPeers}
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	return sc, sc.listen()
 }
@@ -180,6 +186,7 @@
 	_ = s.http.Close()
 	_ = s.peerL.Close()
 	s.peers.Close()
+	s.batch.peers.Close()
 	return s.tomb.Wait()
 }
 
