Go on from the text of a failed attempt, and test pairs of faults

Cause: in a trial of ten more seeds, seed 40 (engines killed, twice over) gave 3 failed results where 2 are right: an item of 3 s was on an engine at three of the four kills, and began again from its first token each time.

Excluded: neighbours of crashing items, which the test of crashing items still covers: the item was alone the second time.

Change: the text of a failed attempt comes back with the failure, and the next attempt resumes from it. Four pairs of faults and seed 40 stand in the test; at most five sites run at the same time.

Before: seed 40 '{300 297 3} != {300 298 2}'; the other nine trial seeds passed. After: seeds 21 to 24 and 40 pass, and so does the test of crashing items.

Conclusion: an item still gets a failed result where its target dies three times under it. The system cannot tell that from a crash that it caused.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -261,15 +261,16 @@
 	s.returned(j)
 }
 
-// Fail takes back an item whose attempt failed. It reports whether the item has
+// Fail takes back an item whose attempt failed, with the text that it generated
+// so far: the next attempt goes on from there. It reports whether the item has
 // failed for good; the lease then lasts, so that nobody runs the item before
 // its result is durable.
-func (s *Scheduler) Fail(id string, index int, leaseID string) bool {
+func (s *Scheduler) Fail(id string, index int, leaseID string, resume []string) bool {
 	j := s.byJob[id]
 	if j == nil || !j.holds(index, leaseID) {
 		return false
 	}
-	delete(j.resume, index)
+	j.resume[index] = resume
 	j.failures[index]++
 	if j.failures[index] >= MaxAttempts {
 		return true
--- a/coordination/batch/batch_test.go
+++ b/coordination/batch/batch_test.go
@@ -172,7 +172,7 @@
 	second := f.pull("t", 1, false).Refs[0]
 	assert.Assert(t, second.Lease != first.Lease)
 	assert.Assert(t, !f.Renew(f.now, "j", 0, first.Lease))
-	assert.Assert(t, !f.Fail("j", 0, first.Lease))
+	assert.Assert(t, !f.Fail("j", 0, first.Lease, nil))
 }
 
 // TestNeighboursOfCrashingItemSurvive runs items on one target that crashes
@@ -192,7 +192,7 @@
 			crashes++
 		}
 		for _, r := range refs {
-			if crash && f.Fail(r.Job, r.Index, r.Lease) {
+			if crash && f.Fail(r.Job, r.Index, r.Lease, nil) {
 				failed[r.Index] = true
 				f.finish(r)
 			} else if !crash {
@@ -209,7 +209,7 @@
 	f := newFixture()
 	f.jobs.add("j", "w", 1000, epoch)
 	r := f.pull("t", 1, false).Refs[0]
-	f.Fail(r.Job, r.Index, r.Lease)
+	f.Fail(r.Job, r.Index, r.Lease, []string{"half"})
 	assert.Equal(t, len(f.pull("t", 1, false).Refs), 1)
 	f.now = f.now.Add(drainAfter)
 	assert.Assert(t, f.pull("t", 1, false).Drain)
@@ -218,6 +218,7 @@
 	assert.Equal(t, len(h.Refs), 1)
 	assert.Assert(t, h.Refs[0].Alone)
 	assert.Equal(t, h.Refs[0].Index, r.Index)
+	assert.DeepEqual(t, h.Refs[0].Resume, []string{"half"})
 }
 
 func TestLeaseOfFailedItemLastsUntilItsResult(t *testing.T) {
@@ -226,10 +227,10 @@
 	var last Ref
 	for range MaxAttempts {
 		last = f.pull("t", 1, true).Refs[0]
-		f.Fail(last.Job, 0, last.Lease)
+		f.Fail(last.Job, 0, last.Lease, nil)
 	}
 	assert.Equal(t, len(f.pull("t", 1, true).Refs), 0)
-	assert.Assert(t, f.Fail(last.Job, 0, last.Lease), "a resent failure must give the same verdict")
+	assert.Assert(t, f.Fail(last.Job, 0, last.Lease, nil), "a resent failure must give the same verdict")
 }
 
 func TestOwnershipMoves(t *testing.T) {
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -241,7 +241,7 @@
 		e.leases.scheduler.Yield(args.Job, args.Index, args.Lease, args.Resume)
 		return false
 	}
-	return e.leases.scheduler.Fail(args.Job, args.Index, args.Lease)
+	return e.leases.scheduler.Fail(args.Job, args.Index, args.Lease, args.Resume)
 }
 
 // Renew extends leases and names those whose items must stop. A lease that this
--- a/promises/exactly_once_jobs_test.go
+++ b/promises/exactly_once_jobs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -95,19 +96,24 @@
 			runJobUnder(t, seed, fault)
 		})
 	}
-	t.Run("two faults", func(t *testing.T) {
-		t.Parallel()
-		const seed = 21
-		t.Logf("seed %d", seed)
-		faults := jobFaults()
-		rng := rand.New(rand.NewPCG(seed, 1))
-		first, second := faults[rng.IntN(len(faults))], faults[rng.IntN(len(faults))]
-		t.Logf("%s and %s", first.name, second.name)
-		runJobUnder(t, seed, first, second)
-	})
+	for _, seed := range []uint64{21, 22, 23, 24, 40} {
+		t.Run(fmt.Sprintf("two faults, seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			faults := jobFaults()
+			rng := rand.New(rand.NewPCG(seed, 1))
+			first, second := faults[rng.IntN(len(faults))], faults[rng.IntN(len(faults))]
+			t.Logf("seed %d: %s, then %s", seed, first.name, second.name)
+			runJobUnder(t, seed, first, second)
+		})
+	}
 }
 
+// sites bounds the sites that run at the same time.
+var sites = make(chan struct{}, 5)
+
 func runJobUnder(t *testing.T, seed uint64, faults ...jobFault) {
+	sites <- struct{}{}
+	defer func() { <-sites }()
 	site, _ := startProcesses(t, processtest.Layout{
 		Entries: 2, Engines: 2, Slots: 4,
 		Engine: settings.StandInEngine{Width: 4, TokenTime: settings.Duration(10 * time.Millisecond), RestartTime: settings.Duration(time.Second)},
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -68,8 +68,8 @@
 	return err
 }
 
-// setOutcome fills in the result, the text so far of an item that yielded, or
-// the reason of a failure.
+// setOutcome fills in the result, or the text so far and, where the target
+// failed, the reason.
 func setOutcome(finish *protocol.FinishArgs, tokens []string, err error) {
 	switch {
 	case err == nil:
@@ -90,6 +90,7 @@
 		errorx.IsOfType(err, protocol.ErrNotSent), errorx.IsOfType(err, protocol.ErrCancelled):
 		finish.Resume = tokens
 	default:
+		finish.Resume = tokens
 		finish.Failure = protocol.ProblemOf(err).Detail
 	}
 }
--- a/sidecar/batch_test.go
+++ b/sidecar/batch_test.go
@@ -23,9 +23,9 @@
 		"busy":       {protocol.ErrBusy.New("full"), "", true, false},
 		"not sent":   {protocol.ErrNotSent.New("down"), "", true, false},
 		"lease over": {protocol.ErrCancelled.New("stop"), "", true, false},
-		"crashed":    {protocol.ErrTargetFailed.New("reset"), "", false, true},
-		"truncated":  {protocol.ErrTruncated.New("cut"), "", false, true},
-		"timeout":    {protocol.ErrTimeout.New("late"), "", false, true},
+		"crashed":    {protocol.ErrTargetFailed.New("reset"), "", true, true},
+		"truncated":  {protocol.ErrTruncated.New("cut"), "", true, true},
+		"timeout":    {protocol.ErrTimeout.New("late"), "", true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			finish := &protocol.FinishArgs{}
