Keep a start when another holder releases it; bound log decoding

Cause 1: RequestRelease voided an attempt that another holder had started, so an entry that gave the attempt up afterwards read it back as void and would have said not_run of a call that runs. Cause 2: the msgpack decoder applies no limit to arrays of structs (it compares its flag with 1), so a log entry of five bytes (dd ff ff ff ff) made every reader ask for 6 TB and die. Change: a release counts only from the holder that started the attempt, or before any start. Refusal tells the reasons apart for which a start loses. DecodeBatch walks over the entry first, which fails at its end.

--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -41,6 +41,9 @@
 	ErrNoTarget       = Errors.NewType("no_target")
 	ErrNotSent        = Errors.NewType("not_sent")
 	ErrVoided         = Errors.NewType("attempt_void")
+	ErrKeyInUse       = Errors.NewType("key_in_use")
+	ErrNoResult       = Errors.NewType("no_result")
+	ErrResultUnread   = Errors.NewType("result_unreadable")
 	ErrLogUnavailable = Errors.NewType("log_unavailable")
 	ErrAnswerLost     = Errors.NewType("answer_lost")
 	ErrOffsetExpired  = Errors.NewType("offset_expired")
@@ -74,6 +77,9 @@
 	{ErrNoTarget, http.StatusServiceUnavailable, OutcomeNotRun},
 	{ErrNotSent, http.StatusServiceUnavailable, OutcomeNotRun},
 	{ErrVoided, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrKeyInUse, http.StatusGatewayTimeout, OutcomeUnknown},
+	{ErrNoResult, http.StatusNotFound, OutcomeUnknown},
+	{ErrResultUnread, http.StatusServiceUnavailable, OutcomeCompleted},
 	{ErrLogUnavailable, http.StatusServiceUnavailable, OutcomeNotRun},
 	{ErrAnswerLost, http.StatusBadGateway, OutcomeUnknown},
 	{ErrOffsetExpired, http.StatusGone, OutcomeNotRun},
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -1,6 +1,10 @@
 package protocol
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Names of the log's streams.
 const (
@@ -144,12 +148,29 @@
 
 // DecodeBatch decodes a log entry. It fails with ErrBadRequest on malformed data.
 func DecodeBatch(data []byte) ([]Record, error) {
+	if err := checkLengths(data); err != nil {
+		return nil, err
+	}
 	var records []Record
 	if err := msgpack.Unmarshal(data, &records); err != nil {
 		return nil, ErrBadRequest.Wrap(err, "decode batch")
 	}
-	if len(records) > MaxBatchRecords {
-		return nil, ErrBadRequest.New("entry of %d records, at most %d", len(records), MaxBatchRecords)
-	}
 	return records, nil
 }
+
+// checkLengths walks over an entry without keeping anything. The decoder makes
+// room for as many elements as an array claims, so that a few bytes could ask
+// for all memory: here such a claim runs into the end of the data.
+func checkLengths(data []byte) error {
+	n, err := msgpack.NewDecoder(bytes.NewReader(data)).DecodeArrayLen()
+	if err != nil {
+		return ErrBadRequest.Wrap(err, "decode batch")
+	}
+	if n > MaxBatchRecords {
+		return ErrBadRequest.New("entry of %d records, at most %d", n, MaxBatchRecords)
+	}
+	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+		return ErrBadRequest.Wrap(err, "decode batch")
+	}
+	return nil
+}
--- a/state/requests.go
+++ b/state/requests.go
@@ -44,6 +44,28 @@
 	return *r, true
 }
 
+// Refusal returns what keeps an attempt with the call's fingerprint from running:
+// ErrKeyConflict where the key belongs to another call, ErrVoided where the
+// attempt was given up, ErrKeyInUse where another attempt has started or
+// completed, and nil where the attempt of holder may run.
+func (f *Requests) Refusal(s *protocol.RequestStart) error {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r := f.keys[s.Key]
+	switch {
+	case r == nil:
+		return protocol.ErrInternal.New("the start was not folded")
+	case r.Fingerprint != s.Fingerprint:
+		return protocol.ErrKeyConflict.New("the key belongs to a request with another body")
+	case r.Voided[s.Attempt]:
+		return protocol.ErrVoided.New("the attempt was given up before it started")
+	case r.ResultAt != 0 || !r.startedBy(s.Attempt, s.Holder):
+		return protocol.ErrKeyInUse.New("another attempt has the key")
+	default:
+		return nil
+	}
+}
+
 // MayRun reports whether the attempt holds the key's one execution.
 func (f *Requests) MayRun(key, attempt, holder string) bool {
 	f.mu.RLock()
@@ -153,7 +175,10 @@
 	if r.ResultAt != 0 {
 		return
 	}
-	if r.startedBy(rel.Attempt, rel.Holder) {
+	if r.Started != nil && r.Started.Attempt == rel.Attempt {
+		if r.Started.Holder != rel.Holder {
+			return // another process may run the attempt
+		}
 		r.Started = nil
 	}
 	r.addVoid(pos, rel.Attempt)
