Make not_run true for keys that were sent before, and join running calls

Change: the sidecar's start says why it lost (key_in_use, void, conflict); the entry then waits for the other attempt for as long as its sidecar runs it. Resends find the running entry through the key's owner, a hint. A refusal of a key that the caller chose is checked against the end of the log first, or with the other entries in an outage. Each delivery of an attempt is a holder of its own. Conclusion: the order of Start and Void was right; what was said of it was not.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -30,6 +30,7 @@
 		key = protocol.NewID()
 	}
 	o := newOrder(keyIn(workspaceOf(r), key), traceOf(r.Request), chatCall(chat.Model, workspaceOf(r), body), service)
+	o.named = r.Header.Get(headerKey) != ""
 	e.ring.Add(o.trace, "request received", "service", chat.Model)
 	if wantsReceipt(r.Request) {
 		return e.accept(w, r, key, o)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -19,6 +19,8 @@
 	service *protocol.Service
 	// repeatable is false for calls that must run at most once.
 	repeatable bool
+	// named is set where the caller chose the key, and may have sent it before.
+	named bool
 	// token receives each token of a model's answer; it may be nil.
 	token func(string) error
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,9 @@
 	attempts *transport.AttemptClient
 	leases   *leases
 	flights  *flights
+	claims   *claims
+	end      *endOfLog
+	tasks    tasks
 	ring     *timeline.Ring
 	metrics  *metrics
 	callers  map[string]string
@@ -76,6 +79,8 @@
 		peers:    transport.NewPeers(s.Process.PeerSecret),
 		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
 		flights:  newFlights(),
+		claims:   newClaims(),
+		end:      &endOfLog{log: p.Log, stream: protocol.StreamWork},
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
 		callers:  map[string]string{},
@@ -129,6 +134,7 @@
 	e.tomb.Go(func() error { return e.work.writer.Run(ctx) })
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
+	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -9,14 +9,20 @@
 
 // flight is one request in progress at this entry. Resends with its key join it.
 type flight struct {
+	key         string
 	fingerprint string
-	ctx         context.Context
-	cancel      context.CancelFunc
-	callers     int
-	done        chan struct{}
-	// result and err are set before done is closed.
-	result *protocol.Result
-	err    error
+	// abandon is set where the work stops once no caller is left.
+	abandon bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	callers int
+	// running is set once the request is this entry's to run, rather than one
+	// that it waits for elsewhere.
+	running bool
+	done    chan struct{}
+	// ending and err are set before done is closed.
+	ending
+	err error
 }
 
 // flights holds the requests in progress by key.
@@ -28,25 +34,55 @@
 
 func newFlights() *flights { return &flights{byKey: map[string]*flight{}} }
 
-// join returns the flight of key, and whether the caller must run it. It fails
-// with ErrKeyConflict where the key belongs to another request.
-func (f *flights) join(key, fingerprint string) (*flight, bool, error) {
+// join returns the flight of the order's key, and whether the caller must run
+// it; its work ends with ctx at the latest. It fails with ErrKeyConflict where
+// the key belongs to another request.
+func (f *flights) join(ctx context.Context, o *order) (*flight, bool, error) {
+	fingerprint := o.call.Fingerprint()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if fl := f.byKey[key]; fl != nil {
+	if fl := f.byKey[o.key]; fl != nil {
 		if fl.fingerprint != fingerprint {
-			return nil, false, protocol.ErrKeyConflict.New("the key belongs to a request with another body")
+			return nil, false, errKeyConflict()
 		}
 		fl.callers++
 		return fl, false, nil
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	fl := &flight{fingerprint: fingerprint, ctx: ctx, cancel: cancel, callers: 1, done: make(chan struct{})}
-	f.byKey[key] = fl
+	fl := &flight{key: o.key, fingerprint: fingerprint, abandon: o.repeatable, callers: 1, done: make(chan struct{})}
+	fl.ctx, fl.cancel = context.WithCancel(ctx)
+	f.byKey[o.key] = fl
 	f.group.Add(1)
 	return fl, true, nil
 }
 
+// joinRunning returns the flight of key where this entry runs it itself, and
+// nil otherwise. It fails with ErrKeyConflict like join.
+func (f *flights) joinRunning(key, fingerprint string) (*flight, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fl := f.byKey[key]
+	switch {
+	case fl == nil:
+		return nil, nil
+	case fl.fingerprint != fingerprint:
+		return nil, errKeyConflict()
+	case !fl.running:
+		return nil, nil // two entries must not wait for each other
+	}
+	fl.callers++
+	return fl, nil
+}
+
+func errKeyConflict() error {
+	return protocol.ErrKeyConflict.New("the key belongs to a request with another body")
+}
+
+func (f *flights) setRunning(fl *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fl.running = true
+}
+
 // has reports whether a request with the key is in progress here.
 func (f *flights) has(key string) bool {
 	f.mu.Lock()
@@ -55,23 +91,30 @@
 }
 
 // finish publishes the outcome and ends the flight.
-func (f *flights) finish(key string, fl *flight, result *protocol.Result, err error) {
+func (f *flights) finish(fl *flight, end ending, err error) {
 	f.mu.Lock()
-	delete(f.byKey, key)
+	f.remove(fl)
 	f.mu.Unlock()
-	fl.result, fl.err = result, err
+	fl.ending, fl.err = end, err
 	close(fl.done)
 	fl.cancel()
 	f.group.Done()
 }
 
-// leave counts a caller out. The work stops once no caller is left, where
-// abandon allows it.
-func (f *flights) leave(fl *flight, abandon bool) {
+func (f *flights) remove(fl *flight) {
+	if f.byKey[fl.key] == fl {
+		delete(f.byKey, fl.key)
+	}
+}
+
+// leave counts a caller out. Work that may be abandoned stops once no caller is
+// left, and a later caller starts anew.
+func (f *flights) leave(fl *flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fl.callers--
-	if fl.callers == 0 && abandon {
+	if fl.callers == 0 && fl.abandon {
+		f.remove(fl)
 		fl.cancel()
 	}
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -34,7 +34,8 @@
 		reply.Problem = protocol.ProblemOf(err)
 		return nil
 	}
-	reply.Won = p.e.requests.MayRun(s.Key, s.Attempt, s.Holder)
+	err := p.e.requests.Refusal(&s)
+	reply.Won, reply.Problem = err == nil, protocol.ProblemOf(err)
 	return nil
 }
 
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/uptrace/bunrouter"
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
-	"github.com/sycamoretally/sycamoretally/transport"
 )
 
 // keyIn scopes a caller's key to its workspace.
@@ -21,73 +18,60 @@
 // sent to the caller.
 const storeWait = time.Second
 
+func newOrder(key, trace string, call protocol.Call, service *protocol.Service) *order {
+	return &order{key: key, trace: trace, call: call, service: service, repeatable: service.Repeatable(call.Method)}
+}
+
+// ending is the outcome of a flight.
+type ending struct {
+	result *protocol.Result
+	// retained says whether every later read shows the result.
+	retained bool
+}
+
 // execute runs a keyed request, joins the running one, or reads the result of
-// an earlier one. It reports whether the result is retained. token, where set,
-// receives the tokens as they come, and is not called for a result read back.
+// an earlier one. It reports whether the result is retained.
 func (e *Entry) execute(ctx context.Context, o *order) (result *protocol.Result, retained bool, err error) {
 	earlier, err := e.earlier(ctx, o)
 	if err != nil || earlier != nil {
 		return earlier, true, err
 	}
-	fl, first, err := e.flights.join(o.key, o.call.Fingerprint())
+	fl, first, err := e.flights.join(e.context(), o)
 	if err != nil {
 		return nil, false, err
 	}
-	defer e.flights.leave(fl, o.repeatable)
+	defer e.flights.leave(fl)
 	if first {
 		e.tombGo(func() { e.fly(fl, o) })
 	}
 	select {
 	case <-fl.done:
-		return fl.result, fl.err == nil && e.isStored(o.key), fl.err
+		return fl.result, fl.retained, fl.err
 	case <-ctx.Done():
 		return nil, false, protocol.ErrTimeout.New("the caller has gone or the time is up")
 	}
 }
 
-// tombGo runs f as one of the entry's goroutines, inline once the entry stops.
-func (e *Entry) tombGo(f func()) {
-	if !e.tomb.Alive() {
-		f()
-		return
-	}
-	e.tomb.Go(func() error {
-		f()
-		return nil
-	})
-}
-
-func (e *Entry) isStored(key string) bool {
-	r, _ := e.requests.Get(key)
-	return r.ResultAt != 0
+// isStored reports whether the order has a result in the log.
+func (e *Entry) isStored(o *order) bool {
+	r, _ := e.requests.Get(o.key)
+	return r.ResultAt != 0 && r.Fingerprint == o.call.Fingerprint()
 }
 
 // earlier returns the result of an earlier request with the key, if there is
-// one. It fails with ErrKeyConflict, or with ErrUnknownOutcome where a call was
-// started elsewhere and has no result yet.
+// one. It fails with ErrKeyConflict, or with ErrResultUnread.
 func (e *Entry) earlier(ctx context.Context, o *order) (*protocol.Result, error) {
 	r, found := e.requests.Get(o.key)
-	if !found {
+	switch {
+	case !found:
 		return nil, nil
-	}
-	if r.Fingerprint != "" && r.Fingerprint != o.call.Fingerprint() {
-		return nil, protocol.ErrKeyConflict.New("the key belongs to a request with another body")
-	}
-	if r.ResultAt != 0 {
+	case r.Fingerprint != "" && r.Fingerprint != o.call.Fingerprint():
+		return nil, errKeyConflict()
+	case r.ResultAt != 0:
 		return e.stored(ctx, r.ResultAt)
-	}
-	if r.Started == nil {
-		return nil, nil
-	}
-	waitCtx, cancel := context.WithTimeout(ctx, lateAnswerWait)
-	defer cancel()
-	if result := e.awaitResult(waitCtx, o.key); result != nil {
-		return result, nil
-	}
-	if r, _ = e.requests.Get(o.key); r.Started == nil {
+	default:
 		return nil, nil
 	}
-	return nil, protocol.ErrUnknownOutcome.New("an earlier attempt was started and has no result yet")
 }
 
 // fly carries a flight through to its outcome.
@@ -95,22 +79,50 @@
 	ctx, cancel := context.WithTimeout(fl.ctx, o.service.Timeout())
 	defer cancel()
 	begun := time.Now()
-	result, err := e.dispatch(ctx, o)
+	end, err := e.resolve(ctx, fl, o)
 	if err != nil && errorx.IsOfType(err, protocol.ErrBadRequest) {
-		result, err = failedResult(err), nil
+		end, err = e.store(o, failedResult(err)), nil
 	}
-	if err == nil && o.repeatable {
-		result = e.store(o, result)
+	if err != nil {
+		end, err = e.confirm(o, err)
 	}
 	outcome := protocol.OutcomeOf(err)
 	if err == nil {
-		outcome = result.Outcome
+		outcome = end.result.Outcome
 	}
 	e.metrics.requests.WithLabelValues(o.call.Service, string(outcome)).Inc()
 	e.metrics.seconds.WithLabelValues(o.call.Service).Observe(time.Since(begun).Seconds())
 	e.ring.Add(o.trace, "request ended", "outcome", string(outcome))
 	klog.V(1).InfoS("request ended", "trace", o.trace, "service", o.call.Service, "outcome", outcome, "seconds", time.Since(begun).Seconds())
-	e.flights.finish(o.key, fl, result, err)
+	e.flights.finish(fl, end, err)
+	if o.named {
+		e.unclaim(o.key)
+	}
+}
+
+// resolve waits for the attempt that has started, joins the request at the
+// entry that runs it, or runs it.
+func (e *Entry) resolve(ctx context.Context, fl *flight, o *order) (ending, error) {
+	if r, _ := e.requests.Get(o.key); r.Started != nil {
+		result, err := e.awaitStarted(ctx, o)
+		if err == nil || !errorx.IsOfType(err, protocol.ErrVoided) {
+			return ending{result, err == nil}, err
+		}
+	}
+	if o.named {
+		if end, joined, err := e.joinElsewhere(ctx, o); joined {
+			return end, err
+		}
+	}
+	e.flights.setRunning(fl)
+	result, err := e.dispatch(ctx, o)
+	if err != nil {
+		return ending{}, err
+	}
+	if o.repeatable {
+		return e.store(o, result), nil
+	}
+	return ending{result, e.isStored(o)}, nil
 }
 
 // failedResult is the result of a request that its target refused for good.
@@ -125,10 +137,11 @@
 
 // store makes the result of an idempotent request durable and returns the one
 // that every later read shows: the first in the log. Where the log does not
-// take it in time, the result itself is returned and is not retained.
-func (e *Entry) store(o *order, result *protocol.Result) *protocol.Result {
+// take it in time, the result itself is returned and is not retained; so it is
+// where the key turns out to belong to another request.
+func (e *Entry) store(o *order, result *protocol.Result) ending {
 	if o.service.Discard {
-		return result
+		return ending{result: result}
 	}
 	ctx, cancel := context.WithTimeout(e.context(), storeWait)
 	defer cancel()
@@ -137,119 +150,15 @@
 	}}
 	if err := e.appendAndFold(ctx, rec); err != nil {
 		klog.InfoS("result not retained", "trace", o.trace, "error", err)
-		return result
+		return ending{result: result}
 	}
 	r, _ := e.requests.Get(o.key)
-	if first, err := e.stored(ctx, r.ResultAt); err == nil {
-		return first
+	if r.ResultAt == 0 || r.Fingerprint != o.call.Fingerprint() {
+		return ending{result: result}
 	}
-	return result
-}
-
-// accept makes an asynchronous request durable and starts it. The receipt names
-// where its result will be.
-func (e *Entry) accept(w http.ResponseWriter, r bunrouter.Request, key string, o *order) error {
-	rec := protocol.Record{ID: protocol.NewID(), Accept: &protocol.RequestAccept{
-		Key: o.key, Entry: e.settings.Process.Instance, Call: o.call,
-	}}
-	if err := e.appendAndFold(r.Context(), rec); err != nil {
-		return err
-	}
-	state, _ := e.requests.Get(o.key)
-	if state.Fingerprint != o.call.Fingerprint() {
-		return protocol.ErrKeyConflict.New("the key belongs to a request with another body")
-	}
-	e.tombGo(func() { _, _, _ = e.execute(e.context(), o) })
-	w.Header().Set("Location", "/requests/"+key)
-	transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "accepted"})
-	return nil
-}
-
-// adoptInterval is the time between two searches for accepted requests that
-// nobody runs.
-const adoptInterval = 2 * time.Second
-
-// adopt runs accepted requests whose entry has gone. The owner of a key by
-// rendezvous hashing adopts it.
-func (e *Entry) adopt(ctx context.Context) error {
-	ticker := time.NewTicker(adoptInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-		if e.isLeaving() || !e.work.follower.CaughtUp() {
-			continue
-		}
-		e.adoptPending(ctx)
-	}
-}
-
-func (e *Entry) adoptPending(ctx context.Context) {
-	alive := map[string]bool{}
-	for _, i := range e.members.Entries() {
-		alive[i.Name] = i.Name != e.settings.Process.Instance
-	}
-	for _, a := range e.requests.Pending() {
-		service := e.config.Current().Service(a.Call.Service)
-		if service == nil || alive[a.Entry] || !e.ownsKey(a.Key) || e.flights.has(a.Key) {
-			continue
-		}
-		o := newOrder(a.Key, protocol.NewID(), a.Call, service)
-		e.tombGo(func() { _, _, _ = e.execute(ctx, o) })
-	}
-}
-
-func newOrder(key, trace string, call protocol.Call, service *protocol.Service) *order {
-	return &order{key: key, trace: trace, call: call, service: service, repeatable: service.Repeatable(call.Method)}
-}
-
-// wantsReceipt reports whether the caller asked for an asynchronous answer.
-func wantsReceipt(r *http.Request) bool {
-	return strings.Contains(r.Header.Get(headerPrefer), "respond-async")
-}
-
-// serveResult answers GET /requests/{key} with the stored answer, or with what
-// is known of the request.
-func (e *Entry) serveResult(w http.ResponseWriter, r bunrouter.Request) error {
-	key := r.Param("key")
-	state, found := e.requests.Get(keyIn(workspaceOf(r), key))
-	switch {
-	case !found:
-		return protocol.ErrNotFound.New("no request with this key is known")
-	case state.ResultAt != 0:
-		result, err := e.stored(r.Context(), state.ResultAt)
-		if err != nil {
-			return err
-		}
-		writeResult(w, result, key, true)
-		return nil
-	case state.Started != nil:
-		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "started", "outcome": string(protocol.OutcomeUnknown)})
-		return nil
-	case state.Accepted != nil:
-		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "accepted"})
-		return nil
-	default:
-		return protocol.ErrNotFound.New("the request has not run")
-	}
-}
-
-func writeResult(w http.ResponseWriter, result *protocol.Result, key string, retained bool) {
-	w.Header().Set(headerKey, key)
-	w.Header().Set(headerRetained, boolText(retained))
-	if result.ContentType != "" {
-		w.Header().Set("Content-Type", result.ContentType)
-	}
-	w.WriteHeader(result.Status)
-	_, _ = w.Write(result.Body)
-}
-
-func boolText(b bool) string {
-	if b {
-		return "true"
+	first, err := e.stored(ctx, r.ResultAt)
+	if err != nil {
+		return ending{result: result}
 	}
-	return "false"
+	return ending{first, true}
 }
--- /dev/null
+++ b/entry/results.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// readWait bounds the wait of a read for the records before it.
+const readWait = 2 * time.Second
+
+// serveResult answers GET /requests/{key} with the stored answer, or with what
+// is known of the request. It says that there is none only of a key that has
+// none anywhere in the log.
+func (e *Entry) serveResult(w http.ResponseWriter, r bunrouter.Request) error {
+	key := r.Param("key")
+	state, found := e.requests.Get(keyIn(workspaceOf(r), key))
+	if state.ResultAt == 0 {
+		ctx, cancel := context.WithTimeout(r.Context(), readWait)
+		defer cancel()
+		if err := e.catchUp(ctx); err != nil {
+			return protocol.ErrUnknownOutcome.Wrap(err, "the log cannot tell what became of the request")
+		}
+		state, found = e.requests.Get(keyIn(workspaceOf(r), key))
+	}
+	switch {
+	case !found:
+		return protocol.ErrNoResult.New("no request with this key is known")
+	case state.ResultAt != 0:
+		result, err := e.stored(r.Context(), state.ResultAt)
+		if err != nil {
+			return err
+		}
+		writeResult(w, result, key, true)
+		return nil
+	case state.Started != nil:
+		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "started", "outcome": string(protocol.OutcomeUnknown)})
+		return nil
+	case state.Accepted != nil:
+		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "accepted"})
+		return nil
+	default:
+		return protocol.ErrNoResult.New("no attempt of the request has run")
+	}
+}
+
+// stored reads a result back from the log. It fails with ErrResultUnread: the
+// request has ended, whatever keeps its result from being read.
+func (e *Entry) stored(ctx context.Context, pos protocol.Position) (*protocol.Result, error) {
+	rec, err := e.bodies.Record(ctx, pos)
+	if err != nil {
+		return nil, protocol.ErrResultUnread.Wrap(err, "the request has ended; its result cannot be read now")
+	}
+	if rec.Complete == nil {
+		return nil, protocol.ErrInternal.New("record %s is not a completion", pos)
+	}
+	return &rec.Complete.Result, nil
+}
+
+func writeResult(w http.ResponseWriter, result *protocol.Result, key string, retained bool) {
+	w.Header().Set(headerKey, key)
+	w.Header().Set(headerRetained, boolText(retained))
+	if result.ContentType != "" {
+		w.Header().Set("Content-Type", result.ContentType)
+	}
+	w.WriteHeader(result.Status)
+	_, _ = w.Write(result.Body)
+}
+
+func boolText(b bool) string {
+	if b {
+		return "true"
+	}
+	return "false"
+}
--- a/entry/services.go
+++ b/entry/services.go
@@ -35,6 +35,7 @@
 		key = protocol.NewID()
 	}
 	o := newOrder(keyIn(call.Workspace, key), traceOf(r.Request), call, service)
+	o.named = r.Header.Get(headerKey) != ""
 	e.ring.Add(o.trace, "request received", "service", name)
 	if wantsReceipt(r.Request) {
 		return e.accept(w, r, key, o)
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -4,60 +4,154 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-// lateAnswerWait is how long an entry waits for the result of a call that was
-// started and whose answer is lost.
-const lateAnswerWait = 2 * time.Second
+const (
+	// lateAnswerWait is how long an entry waits for the result of a call that was
+	// started and is not known to run.
+	lateAnswerWait = 2 * time.Second
+	// holderInterval is the time between two questions whether a call still runs.
+	holderInterval = 500 * time.Millisecond
+	// confirmWait bounds the look for an earlier result before a refusal.
+	confirmWait = 2 * time.Second
+)
 
 // settle finds out what became of a non-idempotent attempt whose answer is lost.
 // It returns the result where the log has one, ErrVoided where the attempt will
-// never run, and ErrUnknownOutcome otherwise.
+// never run, and ErrUnknownOutcome otherwise. An attempt that lost its key to
+// another one waits for that one.
 func (e *Entry) settle(o *order, attempt string, cause error) (*protocol.Result, error) {
-	ctx, cancel := context.WithTimeout(e.context(), lateAnswerWait)
+	ctx, cancel := context.WithTimeout(e.context(), o.service.Timeout())
 	defer cancel()
+	if errorx.IsOfType(cause, protocol.ErrKeyInUse) {
+		return e.awaitStarted(ctx, o)
+	}
 	rec := protocol.Record{ID: attempt + "/void", Void: &protocol.RequestVoid{Key: o.key, Attempt: attempt}}
-	if err := e.appendAndFold(ctx, rec); err != nil {
+	voidCtx, cancelVoid := context.WithTimeout(ctx, lateAnswerWait)
+	defer cancelVoid()
+	if err := e.appendAndFold(voidCtx, rec); err != nil {
 		return nil, protocol.ErrUnknownOutcome.Wrap(cause, "the log cannot tell whether the call ran")
 	}
 	if e.requests.Voided(o.key, attempt) {
 		return nil, protocol.ErrVoided.New("the attempt was given up before it started")
 	}
-	if result := e.awaitResult(ctx, o.key); result != nil {
-		return result, nil
-	}
-	return nil, protocol.ErrUnknownOutcome.Wrap(cause, "the call was started and its answer is lost")
+	return e.awaitStarted(ctx, o)
 }
 
-// awaitResult waits until the log has a result for key, and returns nil when
-// ctx ends first.
-func (e *Entry) awaitResult(ctx context.Context, key string) *protocol.Result {
-	const interval = 10 * time.Millisecond
+// awaitStarted waits for the result of the attempt that has started, as long as
+// its sidecar runs it and a little longer. It fails with ErrVoided where the
+// attempt turns out never to run, and with ErrUnknownOutcome.
+func (e *Entry) awaitStarted(ctx context.Context, o *order) (*protocol.Result, error) {
+	if err := e.catchUp(ctx); err != nil {
+		return nil, protocol.ErrUnknownOutcome.Wrap(err, "the log cannot tell whether the call ran")
+	}
+	lastRunning := time.Now()
 	for {
-		if r, _ := e.requests.Get(key); r.ResultAt != 0 {
-			result, err := e.stored(ctx, r.ResultAt)
-			if err == nil {
-				return result
-			}
+		r, _ := e.requests.Get(o.key)
+		switch {
+		case r.Fingerprint != "" && r.Fingerprint != o.call.Fingerprint():
+			return nil, errKeyConflict()
+		case r.ResultAt != 0:
+			return e.stored(ctx, r.ResultAt)
+		case r.Started == nil:
+			return nil, protocol.ErrVoided.New("the attempt that had the key never runs")
+		}
+		if e.runs(ctx, r.Started) {
+			lastRunning = time.Now()
 		}
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() != nil || time.Since(lastRunning) >= lateAnswerWait {
+			klog.InfoS("outcome unknown", "trace", o.trace, "attempt", r.Started.Attempt, "holder", r.Started.Holder)
+			return nil, protocol.ErrUnknownOutcome.New("a call was started and has no result yet")
+		}
+		e.awaitChange(ctx, o.key, r.ChangedAt)
+	}
+}
+
+// runs asks the sidecar of a started attempt whether it runs.
+func (e *Entry) runs(ctx context.Context, s *protocol.RequestStart) bool {
+	instance := protocol.InstanceOf(s.Holder)
+	for _, i := range e.members.Instances() {
+		if i.Name != instance {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, holderInterval)
+		defer cancel()
+		var reply protocol.RunningReply
+		err := e.peers.Call(ctx, i.Peer, protocol.MethodRunning, &protocol.RunningArgs{Attempt: s.Attempt}, &reply)
+		return err == nil && reply.Running
+	}
+	return false
+}
+
+// awaitChange waits until a record later than at changed the key, for as long as
+// the holder's next question.
+func (e *Entry) awaitChange(ctx context.Context, key string, at protocol.Position) {
+	const interval = 10 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, holderInterval)
+	defer cancel()
+	for ctx.Err() == nil {
+		if r, _ := e.requests.Get(key); r.ChangedAt != at {
+			return
 		}
 		pause(ctx, interval)
 	}
 }
 
-// stored reads a result back from the log.
-func (e *Entry) stored(ctx context.Context, pos protocol.Position) (*protocol.Result, error) {
-	rec, err := e.bodies.Record(ctx, pos)
-	if err != nil {
-		return nil, err
+// confirm checks a refusal that says not_run of a key that the caller may have
+// sent before: it returns the result of the earlier request where there is one,
+// and ErrUnknownOutcome where it may have run.
+func (e *Entry) confirm(o *order, refusal error) (ending, error) {
+	if !o.named || protocol.OutcomeOf(refusal) != protocol.OutcomeNotRun || errorx.IsOfType(refusal, protocol.ErrKeyConflict) {
+		return ending{}, refusal
+	}
+	ctx, cancel := context.WithTimeout(e.context(), confirmWait)
+	defer cancel()
+	if err := e.catchUp(ctx); err != nil {
+		return ending{}, e.askPeers(ctx, o.key, refusal)
+	}
+	r, _ := e.requests.Get(o.key)
+	if r.Started == nil && r.ResultAt == 0 {
+		return ending{}, refusal
+	}
+	result, err := e.awaitStarted(ctx, o)
+	switch {
+	case err == nil:
+		return ending{result, true}, nil
+	case errorx.IsOfType(err, protocol.ErrVoided):
+		return ending{}, refusal
+	default:
+		return ending{}, err
+	}
+}
+
+// askPeers checks a refusal while the log cannot be read: an entry that has
+// shown a result has folded it.
+func (e *Entry) askPeers(ctx context.Context, key string, refusal error) error {
+	own, _ := e.requests.Get(key)
+	known := protocol.KnownReply{Started: own.Started != nil, Completed: own.ResultAt != 0}
+	for _, i := range e.members.Entries() {
+		if i.Peer == e.settings.Process.Peer {
+			continue
+		}
+		var reply protocol.KnownReply
+		if err := e.peers.Call(ctx, i.Peer, protocol.MethodKnown, &protocol.KnownArgs{Key: key}, &reply); err != nil {
+			return protocol.ErrUnknownOutcome.Wrap(err, "entry %s cannot say whether the key has run", i.Name)
+		}
+		known.Started = known.Started || reply.Started
+		known.Completed = known.Completed || reply.Completed
 	}
-	if rec.Complete == nil {
-		return nil, protocol.ErrInternal.New("record %s is not a completion", pos)
+	switch {
+	case known.Completed:
+		return protocol.ErrResultUnread.New("the request has ended; its result cannot be read now")
+	case known.Started:
+		return protocol.ErrUnknownOutcome.New("an earlier call was started and has no result yet")
+	default:
+		return refusal
 	}
-	return &rec.Complete.Result, nil
 }
 
 // appendAndFold appends a record to the work stream and waits until this
--- a/protocol/ids.go
+++ b/protocol/ids.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 )
 
 // NewID returns a random identifier of 128 bits in hexadecimal.
@@ -26,3 +27,16 @@
 	}
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
+
+// HolderOf names one execution at an instance.
+func HolderOf(instance string) string { return instance + holderSeparator + NewID() }
+
+// InstanceOf gives the instance of a holder.
+func InstanceOf(holder string) string {
+	if i := strings.LastIndex(holder, holderSeparator); i >= 0 {
+		return holder[:i]
+	}
+	return holder
+}
+
+const holderSeparator = "#"
--- a/sidecar/entries.go
+++ b/sidecar/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 
 	"github.com/joomcode/errorx"
 
@@ -22,9 +23,15 @@
 	err := protocol.ErrNotSent.New("no entry is known")
 	for _, addr := range e.order(preferred) {
 		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
-		callErr := e.peers.Call(callCtx, addr, method, args, reply)
+		// A call that was given up may still write into its reply.
+		own := reflect.New(reflect.TypeOf(reply).Elem())
+		callErr := e.peers.Call(callCtx, addr, method, args, own.Interface())
 		cancel()
 		if callErr == nil {
+			callErr = logTrouble(own.Interface())
+		}
+		if callErr == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
 			return nil
 		}
 		err = errorx.Cast(callErr)
@@ -35,6 +42,20 @@
 	return err
 }
 
+// logTrouble returns the error of a reply that says that the entry could not
+// reach the log, where another entry might.
+func logTrouble(reply any) error {
+	r, ok := reply.(interface{ Err() error })
+	if !ok {
+		return nil
+	}
+	err := r.Err()
+	if errorx.IsOfType(err, protocol.ErrLogUnavailable) || errorx.IsOfType(err, protocol.ErrAnswerLost) || errorx.IsOfType(err, protocol.ErrTimeout) {
+		return err
+	}
+	return nil
+}
+
 func (e *entries) order(preferred string) []string {
 	var order []string
 	if preferred != "" {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -33,6 +33,13 @@
 		"Whether the target answers its health check.", []string{"target"}, nil)
 )
 
+func newOutboxGauge(o *outbox) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sycamoretally_sidecar_outbox_records",
+		Help: "Records that wait for the log: results and releases of calls that run at most once.",
+	}, func() float64 { return float64(o.waiting()) })
+}
+
 // slotCollector reads the slots when metrics are scraped.
 type slotCollector struct{ sidecar *Sidecar }
 
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -10,14 +10,31 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-// recordTimeout bounds one try to append a record through an entry.
-const recordTimeout = 5 * time.Second
+const (
+	// recordTimeout bounds one try to append a record through an entry.
+	recordTimeout = 5 * time.Second
+	// completeWait bounds how long an answer waits for its result to be durable.
+	completeWait = 2 * time.Second
+)
+
+// execution is one delivery of an attempt. Its holder is unique, so that an
+// attempt that is delivered twice, or again after this process was replaced,
+// does not find the start of the other delivery to be its own.
+type execution struct {
+	*protocol.AttemptRequest
+	holder string
+}
 
 // runOnce runs a call that must not run twice: it calls the target only after
 // the log shows that this attempt holds the key's one execution. An error whose
 // outcome is not_run means that the target never got the call from here.
 func (s *Sidecar) runOnce(ctx context.Context, r *runner, a *protocol.AttemptRequest) (protocol.Result, error) {
-	if err := s.start(ctx, a); err != nil {
+	if err := s.outbox.reserve(); err != nil {
+		return protocol.Result{}, err
+	}
+	defer s.outbox.free()
+	x := &execution{AttemptRequest: a, holder: protocol.HolderOf(s.settings.Process.Instance)}
+	if err := s.start(ctx, x); err != nil {
 		return protocol.Result{}, err
 	}
 	s.ring.Add(a.Trace, "call started", "attempt", a.Attempt, "target", a.Target)
@@ -27,88 +44,75 @@
 	result, err := r.service.Do(callCtx, a.Key, &a.Call, false)
 	switch {
 	case err == nil:
-	case errorx.IsOfType(err, protocol.ErrNotSent):
-		s.release(a)
+	case errorx.IsOfType(err, protocol.ErrNotSent), errorx.IsOfType(err, protocol.ErrBadRequest):
+		s.release(x)
 		return result, err
 	default:
 		return result, protocol.ErrUnknownOutcome.Wrap(err, "the call may have run")
 	}
 	s.ring.Add(a.Trace, "call completed", "attempt", a.Attempt, "target", a.Target)
-	s.complete(ctx, a, result)
+	s.complete(ctx, x, result)
 	return result, nil
 }
 
 // start appends the start of the attempt and reads back whether it was first.
 // Where it fails, the attempt never runs, and a release says so.
-func (s *Sidecar) start(ctx context.Context, a *protocol.AttemptRequest) error {
+func (s *Sidecar) start(ctx context.Context, x *execution) error {
 	args := &protocol.StartArgs{
-		RecordID: a.Attempt + "/start",
+		RecordID: x.holder + "/start",
 		Start: protocol.RequestStart{
-			Key:         a.Key,
-			Attempt:     a.Attempt,
-			Holder:      s.settings.Process.Instance,
-			Fingerprint: a.Call.Fingerprint(),
+			Key:         x.Key,
+			Attempt:     x.Attempt,
+			Holder:      x.holder,
+			Fingerprint: x.Call.Fingerprint(),
 		},
 	}
 	var reply protocol.StartReply
-	err := s.entries.call(ctx, a.Coordinator, protocol.MethodStart, args, &reply)
+	err := s.entries.call(ctx, x.Coordinator, protocol.MethodStart, args, &reply)
 	if err == nil {
 		err = reply.Problem.Err()
 	}
-	if err == nil && reply.Won {
+	switch {
+	case err == nil && reply.Won:
 		return nil
+	case err == nil:
+		err = protocol.ErrInternal.New("the start has no verdict")
+	case errorx.IsOfType(err, protocol.ErrVoided), errorx.IsOfType(err, protocol.ErrKeyConflict):
+		return err // the log will never let this attempt start
 	}
-	s.release(a)
-	if err != nil {
-		return protocol.ErrLogUnavailable.Wrap(err, "the start is not certain")
+	s.release(x)
+	if errorx.IsOfType(err, protocol.ErrKeyInUse) {
+		return err
 	}
-	return protocol.ErrVoided.New("the log gives the key to another attempt")
+	return protocol.ErrLogUnavailable.Wrap(err, "the start is not certain")
 }
 
-// release says in the log that this sidecar will never run the attempt. It goes
-// on in the background until an entry has taken it.
-func (s *Sidecar) release(a *protocol.AttemptRequest) {
-	rec := protocol.Record{ID: a.Attempt + "/release", Release: &protocol.RequestRelease{
-		Key: a.Key, Attempt: a.Attempt, Holder: s.settings.Process.Instance,
-	}}
-	s.appendInBackground(a, rec)
+// release says in the log that this delivery will never run the attempt.
+func (s *Sidecar) release(x *execution) {
+	s.outbox.add(protocol.Record{ID: x.holder + "/release", Release: &protocol.RequestRelease{
+		Key: x.Key, Attempt: x.Attempt, Holder: x.holder,
+	}})
 }
 
 // complete stores the result of a call. Without a durable result the caller
 // still gets its answer, and the append goes on in the background.
-func (s *Sidecar) complete(ctx context.Context, a *protocol.AttemptRequest, result protocol.Result) {
-	rec := protocol.Record{ID: a.Attempt + "/complete", Complete: &protocol.RequestComplete{
-		Key: a.Key, Attempt: a.Attempt, Fingerprint: a.Call.Fingerprint(), Result: result,
+func (s *Sidecar) complete(ctx context.Context, x *execution, result protocol.Result) {
+	rec := protocol.Record{ID: x.holder + "/complete", Complete: &protocol.RequestComplete{
+		Key: x.Key, Attempt: x.Attempt, Fingerprint: x.Call.Fingerprint(), Result: result,
 	}}
-	if err := s.append(context.WithoutCancel(ctx), a.Coordinator, rec); err != nil {
-		klog.InfoS("result not stored yet", "trace", a.Trace, "attempt", a.Attempt, "error", err)
-		s.appendInBackground(a, rec)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeWait)
+	defer cancel()
+	if err := s.append(ctx, x.Coordinator, []protocol.Record{rec}); err != nil {
+		klog.InfoS("result not stored yet", "trace", x.Trace, "attempt", x.Attempt, "error", err)
+		s.outbox.add(rec)
 	}
 }
 
-func (s *Sidecar) append(ctx context.Context, coordinator string, rec protocol.Record) error {
+func (s *Sidecar) append(ctx context.Context, coordinator string, records []protocol.Record) error {
 	var reply protocol.AppendReply
-	err := s.entries.call(ctx, coordinator, protocol.MethodAppend, &protocol.AppendArgs{Records: []protocol.Record{rec}}, &reply)
+	err := s.entries.call(ctx, coordinator, protocol.MethodAppend, &protocol.AppendArgs{Records: records}, &reply)
 	if err != nil {
 		return err
 	}
 	return reply.Problem.Err()
 }
-
-// appendRetryDelay is the time between two tries of a background append.
-const appendRetryDelay = 500 * time.Millisecond
-
-func (s *Sidecar) appendInBackground(a *protocol.AttemptRequest, rec protocol.Record) {
-	s.tomb.Go(func() error {
-		ctx := s.tomb.Context(context.Background())
-		for s.append(ctx, a.Coordinator, rec) != nil {
-			select {
-			case <-time.After(appendRetryDelay):
-			case <-ctx.Done():
-				klog.InfoS("record given up", "trace", a.Trace, "record", rec.ID)
-				return nil
-			}
-		}
-		return nil
-	})
-}
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -27,6 +27,14 @@
 	return nil
 }
 
+// Running reports whether an attempt is in progress here.
+func (p *peerAPI) Running(args *protocol.RunningArgs, reply *protocol.RunningReply) error {
+	for _, r := range p.s.runners {
+		reply.Running = reply.Running || r.has(args.Attempt)
+	}
+	return nil
+}
+
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
 	reply.Events = p.s.ring.Events(*args)
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -168,6 +168,13 @@
 	return r.slots.Spare()
 }
 
+// has reports whether the attempt runs or waits here.
+func (r *runner) has(attempt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cancels[attempt] != nil
+}
+
 func (r *runner) busy() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -40,6 +40,7 @@
 	members  *membership.Manager
 	peers    *transport.Peers
 	entries  *entries
+	outbox   *outbox
 	runners  map[string]*runner
 	ring     *timeline.Ring
 	metrics  *metrics
@@ -71,6 +72,8 @@
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
 	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
+	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.append(ctx, "", records) })
+	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox))
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	return sc, sc.listen()
 }
@@ -102,6 +105,7 @@
 	ctx := s.tomb.Context(context.Background())
 	s.tomb.Go(func() error { return s.follower.Run(ctx) })
 	s.tomb.Go(func() error { return s.members.Run(ctx) })
+	s.tomb.Go(func() error { return s.outbox.run(ctx) })
 	s.tomb.Go(func() error { return server.Serve(s.peerL) })
 	s.tomb.Go(func() error { return serveHTTP(s.http, s.httpL) })
 	for _, r := range s.runners {
@@ -130,18 +134,19 @@
 		r.setLeaving()
 	}
 	s.stopPull()
-	s.awaitIdle(time.Duration(s.settings.Process.DrainTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.Process.DrainTimeout))
+	defer cancel()
+	s.awaitIdle(ctx)
+	s.outbox.drain(ctx)
 	return s.Kill()
 }
 
-func (s *Sidecar) awaitIdle(limit time.Duration) {
-	deadline := time.NewTimer(limit)
-	defer deadline.Stop()
+func (s *Sidecar) awaitIdle(ctx context.Context) {
 	for _, r := range s.runners {
 		for r.busy() {
 			select {
 			case <-r.idle:
-			case <-deadline.C:
+			case <-ctx.Done():
 				klog.InfoS("drain timeout", "instance", s.settings.Process.Instance, "target", r.target.Name)
 				return
 			}
