Check refusals made before the key was read; prove at most once

Cause: net/http repeats a request that carries an Idempotency-Key when a reused connection breaks, and a failed dial of the repetition then looked as if nothing had been sent: the client, and the sidecar's client for repeatable calls, said not_sent of a call that had run. An entry that was leaving or had not read its configuration yet refused a key that had a result. Change: whether a request ever had a connection is traced; such refusals are checked against the end of the log.

--- a/client/client.go
+++ b/client/client.go
@@ -81,6 +81,7 @@
 }
 
 func (c *Client) send(ctx context.Context, base string, r request) (*http.Response, error) {
+	ctx, connected := platform.TraceConnection(ctx)
 	req, err := http.NewRequestWithContext(ctx, r.method, base+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, protocol.ErrBadRequest.Wrap(err, "%s %s", r.method, r.path)
@@ -105,7 +106,7 @@
 	if err == nil {
 		return resp, nil
 	}
-	if platform.IsDialError(err) {
+	if platform.IsDialError(err) && !connected() {
 		return nil, protocol.ErrNotSent.Wrap(err, "entry %s", base)
 	}
 	return nil, protocol.ErrAnswerLost.Wrap(err, "entry %s", base)
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
 
@@ -70,12 +71,24 @@
 			return protocol.ErrUnauthorized.New("the caller's key is missing or unknown")
 		}
 		if e.isLeaving() {
-			return protocol.ErrLeaving.New("this entry is shutting down")
+			return e.confirmRefusal(r, workspace, protocol.ErrLeaving.New("this entry is shutting down"))
 		}
-		return h(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace)))
+		return e.confirmRefusal(r, workspace, h(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace))))
 	}
 }
 
+// confirmRefusal checks a refusal that was made before the key of the request
+// was looked at: the caller may have sent the same key before.
+func (e *Entry) confirmRefusal(r bunrouter.Request, workspace string, err error) error {
+	key := r.Header.Get(headerKey)
+	for _, kind := range []*errorx.Type{protocol.ErrLeaving, protocol.ErrNotFound, protocol.ErrTooLarge, protocol.ErrBadRequest} {
+		if key != "" && errorx.IsOfType(err, kind) {
+			return e.refuse(keyIn(workspace, key), err)
+		}
+	}
+	return err
+}
+
 func workspaceOf(r bunrouter.Request) string {
 	w, _ := r.Context().Value(workspaceKey{}).(string)
 	return w
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -110,12 +110,9 @@
 	}
 	ctx, cancel := context.WithTimeout(e.context(), confirmWait)
 	defer cancel()
-	if err := e.catchUp(ctx); err != nil {
-		return ending{}, e.askPeers(ctx, o.key, refusal)
-	}
-	r, _ := e.requests.Get(o.key)
-	if r.Started == nil && r.ResultAt == 0 {
-		return ending{}, refusal
+	err := e.refuse(o.key, refusal)
+	if err == refusal || e.catchUp(ctx) != nil {
+		return ending{}, err
 	}
 	result, err := e.awaitStarted(ctx, o)
 	switch {
@@ -128,11 +125,33 @@
 	}
 }
 
-// askPeers checks a refusal while the log cannot be read: an entry that has
-// shown a result has folded it.
-func (e *Entry) askPeers(ctx context.Context, key string, refusal error) error {
+// refuse returns the refusal, or what stands against it: a result or a start of
+// the key up to the end of the log. While the log cannot be read it asks the
+// other entries, since one that has shown a result has folded it.
+func (e *Entry) refuse(key string, refusal error) error {
+	ctx, cancel := context.WithTimeout(e.context(), confirmWait)
+	defer cancel()
+	logErr := e.catchUp(ctx)
 	own, _ := e.requests.Get(key)
 	known := protocol.KnownReply{Started: own.Started != nil, Completed: own.ResultAt != 0}
+	if logErr != nil {
+		if err := e.askEntries(ctx, key, &known); err != nil {
+			return err
+		}
+	}
+	switch {
+	case known.Completed:
+		return protocol.ErrResultUnread.New("the request has ended; its result cannot be read here now")
+	case known.Started:
+		return protocol.ErrUnknownOutcome.New("an earlier call was started and has no result yet")
+	default:
+		return refusal
+	}
+}
+
+// askEntries adds what the other entries have folded of the key. It fails with
+// ErrUnknownOutcome where one does not answer.
+func (e *Entry) askEntries(ctx context.Context, key string, known *protocol.KnownReply) error {
 	for _, i := range e.members.Entries() {
 		if i.Peer == e.settings.Process.Peer {
 			continue
@@ -144,14 +163,7 @@
 		known.Started = known.Started || reply.Started
 		known.Completed = known.Completed || reply.Completed
 	}
-	switch {
-	case known.Completed:
-		return protocol.ErrResultUnread.New("the request has ended; its result cannot be read now")
-	case known.Started:
-		return protocol.ErrUnknownOutcome.New("an earlier call was started and has no result yet")
-	default:
-		return refusal
-	}
+	return nil
 }
 
 // appendAndFold appends a record to the work stream and waits until this
--- a/history/requests.go
+++ b/history/requests.go
@@ -6,6 +6,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -27,6 +28,8 @@
 	AnswerResult RequestAnswer = "result"
 	// AnswerNotRun is a refusal that says not_run.
 	AnswerNotRun RequestAnswer = "not_run"
+	// AnswerNotSent says that the call reached no entry.
+	AnswerNotSent RequestAnswer = "not_sent"
 	// AnswerUnknown leaves open whether the call ran, now or later.
 	AnswerUnknown RequestAnswer = "unknown"
 	// AnswerConflict says that the key belongs to another body.
@@ -86,6 +89,9 @@
 }
 
 func stepRequest(s requestState, in RequestInput, out RequestOutput) (bool, requestState) {
+	if out.Answer == AnswerNotSent {
+		return true, s
+	}
 	if in.Read {
 		return stepRead(s, out)
 	}
@@ -184,6 +190,8 @@
 		return AnswerResult
 	case p.Title == protocol.ProblemOf(protocol.ErrKeyConflict.New("")).Title:
 		return AnswerConflict
+	case platform.IsDialError(err): // the caller's own; a problem document has no cause
+		return AnswerNotSent
 	case p.Outcome == protocol.OutcomeNotRun:
 		return AnswerNotRun
 	case p.Outcome == protocol.OutcomeUnknown:
--- a/history/requests_test.go
+++ b/history/requests_test.go
@@ -52,6 +52,7 @@
 		{"refused, then resent", []step{call("x", AnswerNotRun, ""), read(AnswerNone, ""), call("x", AnswerResult, "1")}, true},
 		{"unknown becomes known late", []step{call("x", AnswerUnknown, ""), read(AnswerNone, ""), read(AnswerResult, "1")}, true},
 		{"read while the call runs", []step{open(call("x", AnswerResult, "1")), read(AnswerNone, ""), read(AnswerResult, "1")}, true},
+		{"not sent after a result", []step{call("x", AnswerResult, "1"), call("x", AnswerNotSent, "")}, true},
 		{"another body", []step{call("x", AnswerResult, "1"), call("y", AnswerConflict, "")}, true},
 		{"a second result", []step{call("x", AnswerResult, "1"), call("x", AnswerResult, "2")}, false},
 		{"a read of another result", []step{call("x", AnswerResult, "1"), read(AnswerResult, "2")}, false},
@@ -85,6 +86,7 @@
 		{"ran twice, unknown", []step{call("x", AnswerUnknown, "")}, 2, false},
 		{"a result without a run", []step{call("x", AnswerResult, "1")}, 0, false},
 		{"refused and ran", []step{call("x", AnswerNotRun, ""), read(AnswerNone, "")}, 1, false},
+		{"not sent and ran", []step{call("x", AnswerNotSent, "")}, 1, false},
 		{"conflict and ran", []step{call("x", AnswerConflict, "")}, 1, false},
 	}
 	for _, tt := range tests {
--- a/promises/requests_load_test.go
+++ b/promises/requests_load_test.go
@@ -1,11 +1,13 @@
 package promises
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +26,9 @@
 // workspacePrefix is what the entries put before the keys of the test's caller.
 const workspacePrefix = "demo/"
 
+// thinkMillis is the mean time between two operations of a caller.
+const thinkMillis = 80
+
 // requestLoad is a set of callers that call and read keyed requests through
 // random entries, give up early now and then, and resend.
 type requestLoad struct {
@@ -42,7 +47,7 @@
 // newRequestLoad returns a load on the site with one client for each entry.
 func newRequestLoad(t *testing.T, seed uint64, site settings.Client) *requestLoad {
 	t.Logf("seed %d", seed)
-	l := &requestLoad{seed: seed, callers: 6, calls: 25, keys: 30, patience: 4 * time.Second, history: history.NewRecorder()}
+	l := &requestLoad{seed: seed, callers: 6, calls: 50, keys: 60, patience: 4 * time.Second, history: history.NewRecorder()}
 	for _, url := range site.Entries {
 		one := site
 		one.Entries = []string{url}
@@ -68,6 +73,7 @@
 
 func (l *requestLoad) caller(ctx context.Context, id int, random *rand.Rand) {
 	for range l.calls {
+		wait(ctx, time.Duration(random.IntN(2*thinkMillis))*time.Millisecond)
 		key := fmt.Sprintf("k%d", random.IntN(l.keys))
 		entry := l.entries[random.IntN(len(l.entries))]
 		patience := l.patience
@@ -159,7 +165,11 @@
 	t.Helper()
 	ops := l.history.Operations(history.RequestOutput{Answer: history.AnswerUnknown})
 	t.Logf("%d operations, %d bookings, answers %v", len(ops), len(runs), answerCounts(ops))
-	assert.NilError(t, history.Check(history.RequestModel, ops))
+	for _, part := range history.RequestModel.Partition(ops) {
+		if err := history.Check(history.RequestModel, part); err != nil {
+			t.Errorf("%v:\n%s", err, describe(part))
+		}
+	}
 	byKey := map[string]int{}
 	for key, n := range runs {
 		byKey[strings.TrimPrefix(key, workspacePrefix)] = n
@@ -167,6 +177,17 @@
 	assert.NilError(t, history.CheckRuns(bookings(ops), byKey))
 }
 
+// describe lists operations in order of their calls, with times in milliseconds.
+func describe(ops []porcupine.Operation) string {
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	var text strings.Builder
+	for _, op := range ops {
+		ms := int64(time.Millisecond)
+		fmt.Fprintf(&text, "%6d..%6d client %d %+v -> %+v\n", op.Call/ms, op.Return/ms, op.ClientId, op.Input, op.Output)
+	}
+	return text.String()
+}
+
 func answerCounts(ops []porcupine.Operation) map[history.RequestAnswer]int {
 	counts := map[history.RequestAnswer]int{}
 	for _, op := range ops {
