--- a/entry/endoflog.go
+++ b/entry/endoflog.go
@@ -25,8 +25,8 @@
 }
 
 // after returns the offset of the first entry that does not exist yet, as of a
-// time after the call.
-func (l *endOfLog) after(ctx context.Context, folded uint64) (uint64, error) {
+// time after the call. from is the first offset that the caller has not folded.
+func (l *endOfLog) after(ctx context.Context, from uint64) (uint64, error) {
 	arrived := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,14 +39,15 @@
 	l.begun = time.Now()
 	readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endReadTimeout)
 	defer cancel()
-	page, err := l.log.Read(readCtx, l.stream, folded+1, 1, 0)
+	page, err := l.log.Read(readCtx, l.stream, from, 1, 0)
 	l.next, l.err = page.Next, err
 	return l.next, l.err
 }
 
-// catchUp folds every record that stood in the work stream when it was called.
-func (e *Entry) catchUp(ctx context.Context) error {
-	next, err := e.end.after(ctx, e.work.follower.Folded())
+// readToEnd folds every record that stood in the work stream when it was called.
+// Unlike catchUp it fails where the log cannot be read.
+func (e *Entry) readToEnd(ctx context.Context) error {
+	next, err := e.end.after(ctx, e.work.follower.Next())
 	if err != nil || next <= 1 {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 type Platform struct {
 	Log       platform.Log
 	Instances platform.InstanceList
+	// Dial makes connections to peers; nil means the ordinary dialer.
+	Dial transport.Dial
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -52,6 +54,7 @@
 	peers    *transport.Peers
 	attempts *transport.AttemptClient
 	leases   *leases
+	results  *resultGatherer
 	flights  *flights
 	claims   *claims
 	end      *endOfLog
@@ -59,6 +62,7 @@
 	ring     *timeline.Ring
 	metrics  *metrics
 	callers  map[string]string
+	policy   *policy
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -84,18 +88,28 @@
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
 		callers:  map[string]string{},
+		policy:   newPolicy(s.Policy),
 		leaving:  make(chan struct{}),
 	}
+	if p.Dial != nil {
+		e.peers.UseDial(p.Dial)
+		e.attempts.UseDial(p.Dial)
+	}
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, jobWatch{e})
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
-	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
+	e.leases = newLeases(batch.New(e.batchParams()))
+	e.results = newResultGatherer(e)
 	return e, e.listen()
 }
 
+// pollWait bounds one read of the log that waits for new entries. It is well
+// below protocol.PullStaleness, so that a quiet log does not hold up batch work.
+const pollWait = protocol.PullStaleness / 4
+
 func (e *Entry) newStream(log platform.Log, name string, folds ...follow.Fold) stream {
 	observe := func(records, bytes int) {
 		e.metrics.appends.WithLabelValues(name).Inc()
@@ -103,7 +117,7 @@
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
 	return stream{
-		follower: follow.New(follow.Params{Stream: name, Source: log}, folds...),
+		follower: follow.New(follow.Params{Stream: name, Source: log, PollWait: pollWait}, folds...),
 		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
 	}
 }
@@ -136,6 +150,7 @@
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
 			return protocol.ErrInternal.Wrap(err, "serve")
@@ -187,12 +202,17 @@
 
 // ownsKey reports whether this entry owns the job or request with the key.
 func (e *Entry) ownsKey(key string) bool {
+	return routing.Owner(key, e.liveEntries()) == e.settings.Process.Instance
+}
+
+// liveEntries returns the names of the live entries in order.
+func (e *Entry) liveEntries() []string {
 	live := e.members.Entries()
 	names := make([]string, 0, len(live))
 	for _, i := range live {
 		names = append(names, i.Name)
 	}
-	return routing.Owner(key, names) == e.settings.Process.Instance
+	return names
 }
 
 // reporter asks peers for their reports over net/rpc.
--- a/entry/results.go
+++ b/entry/results.go
@@ -2,79 +2,115 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/uptrace/bunrouter"
-
 	"github.com/sycamoretally/sycamoretally/protocol"
-	"github.com/sycamoretally/sycamoretally/transport"
 )
 
-// readWait bounds the wait of a read for the records before it.
-const readWait = 2 * time.Second
+const (
+	// resultGather is how long item results wait for others before they are
+	// appended in one entry of the log. Nobody waits for a single item.
+	resultGather = 250 * time.Millisecond
+	// resultGroup is the number of results that are appended without waiting.
+	resultGroup = 256
+	// resultGroupBytes is the size of the bodies that are appended without
+	// waiting, in bytes.
+	resultGroupBytes = 1 << 20
+)
 
-// serveResult answers GET /requests/{key} with the stored answer, or with what
-// is known of the request. It says that there is none only of a key that has
-// none anywhere in the log.
-func (e *Entry) serveResult(w http.ResponseWriter, r bunrouter.Request) error {
-	key := r.Param("key")
-	state, found := e.requests.Get(keyIn(workspaceOf(r), key))
-	if state.ResultAt == 0 {
-		ctx, cancel := context.WithTimeout(r.Context(), readWait)
-		defer cancel()
-		if err := e.catchUp(ctx); err != nil {
-			return protocol.ErrUnknownOutcome.Wrap(err, "the log cannot tell what became of the request")
-		}
-		state, found = e.requests.Get(keyIn(workspaceOf(r), key))
+// resultGatherer appends item results in groups, one record for each job.
+type resultGatherer struct {
+	e     *Entry
+	queue chan *gatheredResult
+}
+
+type gatheredResult struct {
+	job  string
+	item protocol.ItemResult
+	done chan error
+}
+
+func newResultGatherer(e *Entry) *resultGatherer {
+	return &resultGatherer{e: e, queue: make(chan *gatheredResult, resultGroup)}
+}
+
+// store returns once the result is durable and folded.
+func (g *resultGatherer) store(ctx context.Context, job string, item protocol.ItemResult) error {
+	r := &gatheredResult{job: job, item: item, done: make(chan error, 1)}
+	select {
+	case g.queue <- r:
+	case <-ctx.Done():
+		return protocol.ErrBusy.New("too many results wait for the log")
 	}
-	switch {
-	case !found:
-		return protocol.ErrNoResult.New("no request with this key is known")
-	case state.ResultAt != 0:
-		result, err := e.stored(r.Context(), state.ResultAt)
-		if err != nil {
-			return err
-		}
-		writeResult(w, result, key, true)
-		return nil
-	case state.Started != nil:
-		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "started", "outcome": string(protocol.OutcomeUnknown)})
-		return nil
-	case state.Accepted != nil:
-		transport.WriteJSON(w, http.StatusAccepted, map[string]string{"key": key, "status": "accepted"})
-		return nil
-	default:
-		return protocol.ErrNoResult.New("no attempt of the request has run")
+	select {
+	case err := <-r.done:
+		return err
+	case <-ctx.Done():
+		return protocol.ErrAnswerLost.New("the result is not yet durable")
 	}
 }
 
-// stored reads a result back from the log. It fails with ErrResultUnread: the
-// request has ended, whatever keeps its result from being read.
-func (e *Entry) stored(ctx context.Context, pos protocol.Position) (*protocol.Result, error) {
-	rec, err := e.bodies.Record(ctx, pos)
-	if err != nil {
-		return nil, protocol.ErrResultUnread.Wrap(err, "the request has ended; its result cannot be read now")
+// run appends until ctx ends.
+func (g *resultGatherer) run(ctx context.Context) error {
+	for {
+		group := g.gather(ctx)
+		if group == nil {
+			return nil
+		}
+		g.e.tomb.Go(func() error {
+			g.append(ctx, group)
+			return nil
+		})
 	}
-	if rec.Complete == nil {
-		return nil, protocol.ErrInternal.New("record %s is not a completion", pos)
+}
+
+// gather returns the next group, nil once ctx has ended.
+func (g *resultGatherer) gather(ctx context.Context) []*gatheredResult {
+	var group []*gatheredResult
+	var full <-chan time.Time
+	size := 0
+	for {
+		select {
+		case r := <-g.queue:
+			group = append(group, r)
+			size += len(r.item.Result.Body)
+			if len(group) >= resultGroup || size >= resultGroupBytes {
+				return group
+			}
+			if full == nil {
+				timer := time.NewTimer(resultGather)
+				defer timer.Stop()
+				full = timer.C
+			}
+		case <-full:
+			return group
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	return &rec.Complete.Result, nil
 }
 
-func writeResult(w http.ResponseWriter, result *protocol.Result, key string, retained bool) {
-	w.Header().Set(headerKey, key)
-	w.Header().Set(headerRetained, boolText(retained))
-	if result.ContentType != "" {
-		w.Header().Set("Content-Type", result.ContentType)
+func (g *resultGatherer) append(ctx context.Context, group []*gatheredResult) {
+	ctx, cancel := context.WithTimeout(ctx, protocol.DefaultRequestTimeout)
+	defer cancel()
+	err := g.e.appendAndFold(ctx, resultRecords(group)...)
+	for _, r := range group {
+		r.done <- err
 	}
-	w.WriteHeader(result.Status)
-	_, _ = w.Write(result.Body)
 }
 
-func boolText(b bool) string {
-	if b {
-		return "true"
+// resultRecords makes one record for each job.
+func resultRecords(group []*gatheredResult) []protocol.Record {
+	var records []protocol.Record
+	at := map[string]int{}
+	for _, r := range group {
+		i, found := at[r.job]
+		if !found {
+			i = len(records)
+			at[r.job] = i
+			records = append(records, protocol.Record{ID: protocol.NewID(), Items: &protocol.ItemResults{Job: r.job}})
+		}
+		records[i].Items.Items = append(records[i].Items.Items, r.item)
 	}
-	return "false"
+	return records
 }
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -46,7 +46,7 @@
 // its sidecar runs it and a little longer. It fails with ErrVoided where the
 // attempt turns out never to run, and with ErrUnknownOutcome.
 func (e *Entry) awaitStarted(ctx context.Context, o *order) (*protocol.Result, error) {
-	if err := e.catchUp(ctx); err != nil {
+	if err := e.readToEnd(ctx); err != nil {
 		return nil, protocol.ErrUnknownOutcome.Wrap(err, "the log cannot tell whether the call ran")
 	}
 	lastRunning := time.Now()
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(e.context(), confirmWait)
 	defer cancel()
 	err := e.refuse(o.key, refusal)
-	if err == refusal || e.catchUp(ctx) != nil {
+	if err == refusal || e.readToEnd(ctx) != nil {
 		return ending{}, err
 	}
 	result, err := e.awaitStarted(ctx, o)
@@ -131,7 +131,7 @@
 func (e *Entry) refuse(key string, refusal error) error {
 	ctx, cancel := context.WithTimeout(e.context(), confirmWait)
 	defer cancel()
-	logErr := e.catchUp(ctx)
+	logErr := e.readToEnd(ctx)
 	own, _ := e.requests.Get(key)
 	known := protocol.KnownReply{Started: own.Started != nil, Completed: own.ResultAt != 0}
 	if logErr != nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,6 +31,8 @@
 type Platform struct {
 	Log       platform.Log
 	Instances platform.InstanceList
+	// Dial makes connections to peers; nil means the ordinary dialer.
+	Dial transport.Dial
 }
 
 // Sidecar is one running sidecar.
@@ -51,6 +54,8 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
+	// items counts batch items that no entry has taken back yet.
+	items sync.WaitGroup
 }
 
 // New builds a sidecar from its settings. It listens at once, so that a taken
@@ -65,6 +70,9 @@
 		ring:     ring,
 		metrics:  newMetrics(),
 	}
+	if p.Dial != nil {
+		sc.peers.UseDial(p.Dial)
+	}
 	for _, t := range s.Targets {
 		sc.runners[t.Name] = newRunner(t, ring.Add)
 	}
@@ -137,10 +145,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.Process.DrainTimeout))
 	defer cancel()
 	s.awaitIdle(ctx)
+	s.awaitItems(ctx)
 	s.outbox.drain(ctx)
 	return s.Kill()
 }
 
+// awaitItems waits until entries have taken the results of all batch items.
+func (s *Sidecar) awaitItems(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.items.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
+	}
+}
+
 func (s *Sidecar) awaitIdle(ctx context.Context) {
 	for _, r := range s.runners {
 		for r.busy() {
