--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,9 +56,11 @@
 	leases   *leases
 	results  *resultGatherer
 	flights  *flights
+	claims   *claims
+	end      *endOfLog
+	tasks    tasks
 	ring     *timeline.Ring
 	metrics  *metrics
-	log      platform.Log
 	callers  map[string]string
 	policy   *policy
 
@@ -81,9 +83,10 @@
 		peers:    transport.NewPeers(s.Process.PeerSecret),
 		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
 		flights:  newFlights(),
+		claims:   newClaims(),
+		end:      &endOfLog{log: p.Log, stream: protocol.StreamWork},
 		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:  newMetrics(),
-		log:      p.Log,
 		callers:  map[string]string{},
 		policy:   newPolicy(s.Policy),
 		leaving:  make(chan struct{}),
@@ -145,6 +148,7 @@
 	e.tomb.Go(func() error { return e.work.writer.Run(ctx) })
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
+	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -125,11 +125,11 @@
 func (e *Entry) catchUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
-	page, err := e.log.Read(ctx, protocol.StreamWork, e.work.follower.Next(), 1, 0)
+	next, err := e.end.after(ctx, e.work.follower.Next())
 	if err != nil {
 		return nil
 	}
-	if err := e.work.follower.WaitFor(ctx, page.Next-1); err != nil {
+	if err := e.work.follower.WaitFor(ctx, next-1); err != nil {
 		return protocol.ErrBusy.Wrap(err, "this entry lags behind the log")
 	}
 	return nil
