--- a/entry/batch.go
+++ b/entry/batch.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// Restored implements follow.Restored.
+func (w jobWatch) Restored() { w.e.leases.wake() }
+
 // watchInterval is how often a waiting pull looks for items that no event
 // announced: a lapsed lease, a job taken over, a changed label.
 const watchInterval = time.Second
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -1,8 +1,6 @@
 package protocol
 
 import (
-	"bytes"
-
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -31,6 +29,9 @@
 	Job      *JobAccept       `msgpack:"ja,omitempty"`
 	Items    *ItemResults     `msgpack:"ji,omitempty"`
 	Cancel   *JobCancel       `msgpack:"jc,omitempty"`
+	Snapshot *SnapshotChunk   `msgpack:"sn,omitempty"`
+	Carry    *Carry           `msgpack:"sc,omitempty"`
+	Forget   *Forget          `msgpack:"sf,omitempty"`
 	Announce *Announce        `msgpack:"an,omitempty"`
 }
 
@@ -171,29 +172,15 @@
 
 // DecodeBatch decodes a log entry. It fails with ErrBadRequest on malformed data.
 func DecodeBatch(data []byte) ([]Record, error) {
-	if err := checkLengths(data); err != nil {
+	if err := checkEncoding(data); err != nil {
 		return nil, err
 	}
 	var records []Record
 	if err := msgpack.Unmarshal(data, &records); err != nil {
 		return nil, ErrBadRequest.Wrap(err, "decode batch")
 	}
-	return records, nil
-}
-
-// checkLengths walks over an entry without keeping anything. The decoder makes
-// room for as many elements as an array claims, so that a few bytes could ask
-// for all memory: here such a claim runs into the end of the data.
-func checkLengths(data []byte) error {
-	n, err := msgpack.NewDecoder(bytes.NewReader(data)).DecodeArrayLen()
-	if err != nil {
-		return ErrBadRequest.Wrap(err, "decode batch")
-	}
-	if n > MaxBatchRecords {
-		return ErrBadRequest.New("entry of %d records, at most %d", n, MaxBatchRecords)
-	}
-	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
-		return ErrBadRequest.Wrap(err, "decode batch")
+	if len(records) > MaxBatchRecords {
+		return nil, ErrBadRequest.New("entry of %d records, at most %d", len(records), MaxBatchRecords)
 	}
-	return nil
+	return records, nil
 }
