--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,9 @@
 	leases    *leases
 	results   *resultGatherer
 	flights   *flights
+	claims    *claims
+	end       *endOfLog
+	tasks     tasks
 	ring      *timeline.Ring
 	metrics   *metrics
 	log       platform.Log
@@ -86,6 +89,8 @@
 		peers:     transport.NewPeers(s.Process.PeerSecret),
 		attempts:  transport.NewAttemptClient(s.Process.PeerSecret),
 		flights:   newFlights(),
+		claims:    newClaims(),
+		end:       &endOfLog{log: p.Log, stream: protocol.StreamWork},
 		ring:      timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
 		metrics:   newMetrics(),
 		log:       p.Log,
@@ -154,6 +159,7 @@
 	e.tomb.Go(func() error { return e.work.writer.Run(ctx) })
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
+	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
 	e.tomb.Go(func() error { return e.retain(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
--- a/promises/main_test.go
+++ b/promises/main_test.go
@@ -107,3 +107,21 @@
 		Stream:    stream,
 	}
 }
+
+// processesOf returns the system's own processes.
+func processesOf(site *processtest.Site) []*processtest.Process {
+	return append(append([]*processtest.Process(nil), site.Entries...), site.Sidecars...)
+}
+
+// replaceAll kills every process of the system and starts it anew: none that
+// starts finds an old one.
+func replaceAll(t *testing.T, site *processtest.Site) {
+	t.Helper()
+	all := processesOf(site)
+	for _, p := range all {
+		assert.NilError(t, p.Kill())
+	}
+	for _, p := range all {
+		assert.NilError(t, p.Start())
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,10 +42,14 @@
 	follower *follow.Follower
 	members  *membership.Manager
 	peers    *transport.Peers
-	entries  *entries
-	runners  map[string]*runner
-	ring     *timeline.Ring
-	metrics  *metrics
+	// batch carries items, waits and results on connections of their own, so
+	// that neither their size nor their timeouts touch other calls.
+	batch   *entries
+	entries *entries
+	outbox  *outbox
+	runners map[string]*runner
+	ring    *timeline.Ring
+	metrics *metrics
 
 	tomb     tomb.Tomb
 	http     *http.Server
@@ -69,8 +73,10 @@
 		ring:     ring,
 		metrics:  newMetrics(),
 	}
+	batchPeers := transport.NewPeers(s.Process.PeerSecret)
 	if p.Dial != nil {
 		sc.peers.UseDial(p.Dial)
+		batchPeers.UseDial(p.Dial)
 	}
 	for _, t := range s.Targets {
 		sc.runners[t.Name] = newRunner(t, ring.Add)
@@ -84,6 +90,9 @@
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
+	sc.batch = &entries{members: sc.members, peers: batchPeers}
+	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.append(ctx, "", records) })
+	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox))
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	return sc, sc.listen()
 }
@@ -115,6 +124,7 @@
 	ctx := s.tomb.Context(context.Background())
 	s.tomb.Go(func() error { return s.follower.Run(ctx) })
 	s.tomb.Go(func() error { return s.members.Run(ctx) })
+	s.tomb.Go(func() error { return s.outbox.run(ctx) })
 	s.tomb.Go(func() error { return server.Serve(s.peerL) })
 	s.tomb.Go(func() error { return serveHTTP(s.http, s.httpL) })
 	for _, r := range s.runners {
@@ -143,14 +153,16 @@
 		r.setLeaving()
 	}
 	s.stopPull()
-	limit := time.Now().Add(time.Duration(s.settings.Process.DrainTimeout))
-	s.awaitIdle(time.Until(limit))
-	s.awaitItems(time.Until(limit))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.Process.DrainTimeout))
+	defer cancel()
+	s.awaitIdle(ctx)
+	s.awaitItems(ctx)
+	s.outbox.drain(ctx)
 	return s.Kill()
 }
 
 // awaitItems waits until entries have taken the results of all batch items.
-func (s *Sidecar) awaitItems(limit time.Duration) {
+func (s *Sidecar) awaitItems(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		s.items.Wait()
@@ -158,19 +170,17 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(limit):
+	case <-ctx.Done():
 		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
 	}
 }
 
-func (s *Sidecar) awaitIdle(limit time.Duration) {
-	deadline := time.NewTimer(limit)
-	defer deadline.Stop()
+func (s *Sidecar) awaitIdle(ctx context.Context) {
 	for _, r := range s.runners {
 		for r.busy() {
 			select {
 			case <-r.idle:
-			case <-deadline.C:
+			case <-ctx.Done():
 				klog.InfoS("drain timeout", "instance", s.settings.Process.Instance, "target", r.target.Name)
 				return
 			}
@@ -185,6 +195,7 @@
 	_ = s.http.Close()
 	_ = s.peerL.Close()
 	s.peers.Close()
+	s.batch.peers.Close()
 	return s.tomb.Wait()
 }
 
