Keep a late answer out of the value of a call that timed out

Excluded: the model of versions and the observations, which held in every run.

Change: the answer is decoded into a value of its own and copied once the call has succeeded.

--- a/transport/peers.go
+++ b/transport/peers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -43,7 +44,10 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A late answer is still decoded after ctx has ended, so it must not be
+	// decoded into the caller's value.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -53,6 +57,7 @@
 	var remote rpc.ServerError
 	switch {
 	case call.Error == nil:
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
 		return nil
 	case errors.As(call.Error, &remote):
 		return protocol.ErrInternal.New("%s at %s: %s", method, addr, remote)
