Bound what a silent or stuck end costs on the way of a request

Cause: reading of the path from entry to engine and back. A preempted request that went on at the engine gave its slot away; engine lines above 64 KB and resume tokens above the header limit failed; an engine that never answered held its caller until the request's time was up; a peer that did not read held up its writers; a report of a restarted sidecar was dropped until its counter had passed the old one; each report sorted the whole table; the body of a plain answer stood outside the checked sum.

Change: lost slots and their probing, stall timeout of engines, write deadlines, idle connections dropped after a silence, resume tokens in the body, boot in reports, a table published at once only where more than the load changed, the list's word and the drain label refuse at the sidecar, graceful shutdown waits for answers, items and records.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -4,9 +4,11 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,12 +36,17 @@
 	// SilenceLimit is the time without a report after which a process counts as
 	// unreachable.
 	SilenceLimit time.Duration
+	// Polls says which roles this process asks for reports; nil stands for all.
+	Polls func(platform.Role) bool
 }
 
 // The defaults of Params.
 const (
 	DefaultInterval     = 500 * time.Millisecond
 	DefaultSilenceLimit = 2 * time.Second
+	// publishInterval is the least time between two tables that differ only in
+	// the load of targets.
+	publishInterval = 20 * time.Millisecond
 )
 
 // Manager owns the table. Table may be called at any time; the loop in Run
@@ -48,6 +55,9 @@
 	params Params
 	table  atomic.Pointer[routing.Table]
 	rows   atomic.Pointer[[]platform.Instance]
+	// listed is true while the instance list has this process as leaving.
+	listed  atomic.Bool
+	changed chan struct{}
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -58,8 +68,15 @@
 	heard    time.Time
 	leaving  bool
 	polling  bool
-	reports  map[string]protocol.TargetReport
-	inFlight map[string]*atomic.Int64
+	// reachable is what the published table says.
+	reachable bool
+	reports   map[string]*report
+}
+
+// report is the newest report of one target.
+type report struct {
+	protocol.TargetReport
+	inFlight *atomic.Int64
 }
 
 // New returns a manager with an empty table. Run starts it.
@@ -70,12 +87,18 @@
 	if p.SilenceLimit <= 0 {
 		p.SilenceLimit = DefaultSilenceLimit
 	}
-	m := &Manager{params: p, members: map[string]*member{}}
+	if p.Polls == nil {
+		p.Polls = func(platform.Role) bool { return true }
+	}
+	m := &Manager{params: p, members: map[string]*member{}, changed: make(chan struct{}, 1)}
 	m.table.Store(&routing.Table{})
 	m.rows.Store(&[]platform.Instance{})
 	return m
 }
 
+// ListedLeaving reports whether the instance list has this process as leaving.
+func (m *Manager) ListedLeaving() bool { return m.listed.Load() }
+
 // Table returns the newest table.
 func (m *Manager) Table() *routing.Table { return m.table.Load() }
 
@@ -104,23 +127,30 @@
 // Instances returns every row of the instance list.
 func (m *Manager) Instances() []platform.Instance { return *m.rows.Load() }
 
-// Run refreshes the table until ctx ends.
+// Run refreshes the table until ctx ends. A slow instance list or a slow process
+// holds up no report of another.
 func (m *Manager) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { m.every(ctx, func() { m.readList(ctx) }) })
+	tasks.Go(func() { m.publishLoads(ctx) })
+	m.every(ctx, func() { m.pollAll(ctx, &tasks) })
+	return nil
+}
+
+func (m *Manager) every(ctx context.Context, round func()) {
 	ticker := time.NewTicker(m.params.Interval)
 	defer ticker.Stop()
-	var polls sync.WaitGroup
-	defer polls.Wait()
-	for {
-		m.refresh(ctx, &polls)
+	for ctx.Err() == nil {
+		round()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return nil
 		}
 	}
 }
 
-func (m *Manager) refresh(ctx context.Context, polls *sync.WaitGroup) {
+func (m *Manager) readList(ctx context.Context) {
 	listCtx, cancel := context.WithTimeout(ctx, m.params.Interval)
 	defer cancel()
 	instances, err := m.params.List.Instances(listCtx)
@@ -129,60 +159,77 @@
 	} else if ctx.Err() == nil {
 		klog.V(1).InfoS("instance list failed", "error", err)
 	}
+}
+
+// pollAll asks each process for its report, unless an earlier question to it is
+// still open, and marks those that have been silent for too long.
+func (m *Manager) pollAll(ctx context.Context, polls *sync.WaitGroup) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	silent := false
 	for _, s := range m.members {
-		if s.polling {
+		silent = silent || s.reachable != m.reachable(s)
+		if s.polling || s.instance.Name == m.params.Self || !m.params.Polls(s.instance.Role) {
 			continue
 		}
 		s.polling = true
 		polls.Go(func() { m.poll(ctx, s) })
 	}
-	m.mu.Unlock()
-	m.publish()
+	if silent {
+		m.publish()
+	}
+}
+
+func (m *Manager) reachable(s *member) bool {
+	return time.Since(s.heard) <= m.params.SilenceLimit
 }
 
 func (m *Manager) setInstances(instances []platform.Instance) {
 	rows := slices.Clone(instances)
-	slices.SortFunc(rows, func(a, b platform.Instance) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	m.rows.Store(&rows)
+	slices.SortFunc(rows, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
+	if slices.Equal(rows, *m.rows.Load()) {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.rows.Store(&rows)
 	listed := map[string]bool{}
-	for _, i := range instances {
+	for _, i := range rows {
 		listed[i.Name] = true
+		if i.Name == m.params.Self {
+			m.listed.Store(i.Leaving)
+		}
 		if s := m.members[i.Name]; s != nil && s.instance.Peer == i.Peer {
 			s.instance = i
 			continue
 		}
-		m.members[i.Name] = &member{
-			instance: i,
-			reports:  map[string]protocol.TargetReport{},
-			inFlight: map[string]*atomic.Int64{},
-		}
+		m.members[i.Name] = &member{instance: i, reports: map[string]*report{}}
 	}
 	maps.DeleteFunc(m.members, func(name string, _ *member) bool { return !listed[name] })
+	m.publish()
 }
 
 func (m *Manager) poll(ctx context.Context, s *member) {
+	m.mu.Lock()
+	peer := s.instance.Peer
+	m.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, m.params.SilenceLimit)
 	defer cancel()
-	reply, err := m.params.Reporter.Report(callCtx, s.instance.Peer)
+	reply, err := m.params.Reporter.Report(callCtx, peer)
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	s.polling = false
-	if err == nil {
-		s.heard = time.Now()
-		s.leaving = reply.Leaving
-		for _, r := range reply.Targets {
-			s.add(r)
-		}
+	if err != nil {
+		return
 	}
-	m.mu.Unlock()
-	m.publish()
+	s.heard = time.Now()
+	changed := s.leaving != reply.Leaving || !s.reachable
+	s.leaving = reply.Leaving
+	if s.replace(reply.Targets) || changed {
+		m.publish()
+		return
+	}
+	m.loadChanged()
 }
 
 // Observe takes a report that came with an answer.
@@ -191,52 +238,109 @@
 		return
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	s := m.members[instance]
-	if s != nil {
-		s.add(*r)
+	if s == nil {
+		return
 	}
-	m.mu.Unlock()
-	if s != nil {
+	old := s.reports[r.Target]
+	if old == nil || old.Boot != r.Boot || old.Seq >= r.Seq {
+		return // a late answer, perhaps of a process that was replaced
+	}
+	if s.add(*r) {
 		m.publish()
+		return
 	}
+	m.loadChanged()
 }
 
-func (s *member) add(r protocol.TargetReport) {
-	if old, found := s.reports[r.Target]; found && old.Seq > r.Seq {
-		return
+// loadChanged asks for a new table soon: at high rates one serves many reports.
+func (m *Manager) loadChanged() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
 	}
-	s.reports[r.Target] = r
-	if s.inFlight[r.Target] == nil {
-		s.inFlight[r.Target] = &atomic.Int64{}
+}
+
+func (m *Manager) publishLoads(ctx context.Context) {
+	for {
+		select {
+		case <-m.changed:
+		case <-ctx.Done():
+			return
+		}
+		m.mu.Lock()
+		m.publish()
+		m.mu.Unlock()
+		pause(ctx, publishInterval)
 	}
 }
 
-// publish builds a new table from the sidecars' latest reports.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// replace takes the reports of all targets of a process. It reports whether
+// more than their load has changed.
+func (s *member) replace(reports []protocol.TargetReport) bool {
+	changed := false
+	named := map[string]bool{}
+	for _, r := range reports {
+		named[r.Target] = true
+		old := s.reports[r.Target]
+		if old != nil && old.Boot == r.Boot && old.Seq > r.Seq {
+			continue
+		}
+		changed = s.add(r) || changed
+	}
+	count := len(s.reports)
+	maps.DeleteFunc(s.reports, func(target string, _ *report) bool { return !named[target] })
+	return changed || len(s.reports) != count
+}
+
+// add takes one report and reports whether more than the load has changed.
+func (s *member) add(r protocol.TargetReport) bool {
+	old := s.reports[r.Target]
+	if old == nil {
+		s.reports[r.Target] = &report{TargetReport: r, inFlight: &atomic.Int64{}}
+		return true
+	}
+	changed := old.Boot != r.Boot || old.Leaving != r.Leaving || old.Healthy != r.Healthy ||
+		old.Slots != r.Slots || !maps.Equal(old.Labels, r.Labels)
+	old.TargetReport = r
+	return changed
+}
+
+// publish builds a new table from the sidecars' latest reports. The lock is held.
 func (m *Manager) publish() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	table := &routing.Table{}
 	for _, s := range m.members {
-		reachable := time.Since(s.heard) <= m.params.SilenceLimit
+		s.reachable = m.reachable(s)
 		for _, r := range s.reports {
-			table.Targets = append(table.Targets, &routing.Target{
-				Name:       r.Target,
-				Instance:   s.instance.Name,
-				DataCentre: s.instance.DataCentre,
-				HTTP:       s.instance.HTTP,
-				Peer:       s.instance.Peer,
-				Report:     r,
-				Reachable:  reachable,
-				Leaving:    s.instance.Leaving || s.leaving,
-				InFlight:   s.inFlight[r.Target],
-			})
+			table.Targets = append(table.Targets, s.target(r))
 		}
 	}
 	slices.SortFunc(table.Targets, func(a, b *routing.Target) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Instance, b.Instance))
 	})
 	m.table.Store(table)
 }
+
+func (s *member) target(r *report) *routing.Target {
+	return &routing.Target{
+		Name:       r.Target,
+		Instance:   s.instance.Name,
+		DataCentre: s.instance.DataCentre,
+		HTTP:       s.instance.HTTP,
+		Peer:       s.instance.Peer,
+		Report:     r.TargetReport,
+		Reachable:  s.reachable,
+		Leaving:    s.instance.Leaving || s.leaving,
+		InFlight:   r.inFlight,
+	}
+}
--- a/coordination/slots/slots.go
+++ b/coordination/slots/slots.go
@@ -43,16 +43,27 @@
 	batch  []string
 	// stopping holds batch work that was told to stop and has not yet ended.
 	stopping map[string]bool
-	waiting  []string
+	// lost holds work that was told to stop and goes on at the target.
+	lost    map[string]bool
+	waiting []string
 }
 
 // New returns slots that are all free.
 func New(p Params) *Slots {
-	return &Slots{params: p, online: map[string]bool{}, stopping: map[string]bool{}}
+	return &Slots{params: p, online: map[string]bool{}, stopping: map[string]bool{}, lost: map[string]bool{}}
 }
 
-// ArriveOnline asks for a slot for online work.
+// Has reports whether the work holds a slot or a place in the queue.
+func (s *Slots) Has(id string) bool {
+	return s.online[id] || s.lost[id] || slices.Contains(s.batch, id) || slices.Contains(s.waiting, id)
+}
+
+// ArriveOnline asks for a slot for online work. An ID that is here already is
+// refused.
 func (s *Slots) ArriveOnline(id string) (Decision, Effects) {
+	if s.Has(id) {
+		return Refuse, Effects{}
+	}
 	if s.free() > 0 && len(s.waiting) == 0 {
 		s.online[id] = true
 		return Run, Effects{}
@@ -64,21 +75,44 @@
 	return Wait, Effects{Preempt: s.preempt()}
 }
 
-// ArriveBatch asks for a slot for batch work, which never waits.
+// ArriveBatch asks for a slot for batch work, which never waits. An ID that is
+// here already is refused.
 func (s *Slots) ArriveBatch(id string) Decision {
-	if s.Spare() <= 0 {
+	if s.Spare() <= 0 || s.Has(id) {
 		return Refuse
 	}
 	s.batch = append(s.batch, id)
 	return Run
 }
 
-// Done gives back what the work holds: a slot or a place in the queue.
+// Done gives back what the work holds: a slot, lost or not, or a place in the
+// queue.
 func (s *Slots) Done(id string) Effects {
+	s.forget(id)
+	delete(s.lost, id)
+	return s.settle()
+}
+
+// Lose records that work which should have stopped goes on at the target: its
+// slot stays taken until Done, and other batch work stops in its place.
+func (s *Slots) Lose(id string) Effects {
+	if !s.online[id] && !slices.Contains(s.batch, id) {
+		return Effects{}
+	}
+	s.forget(id)
+	s.lost[id] = true
+	return s.settle()
+}
+
+func (s *Slots) forget(id string) {
 	delete(s.online, id)
 	delete(s.stopping, id)
 	s.batch = remove(s.batch, id)
 	s.waiting = remove(s.waiting, id)
+}
+
+// settle starts waiting work in free slots and preempts for the rest.
+func (s *Slots) settle() Effects {
 	var e Effects
 	for s.free() > 0 && len(s.waiting) > 0 {
 		next := s.waiting[0]
@@ -86,6 +120,7 @@
 		s.online[next] = true
 		e.Start = append(e.Start, next)
 	}
+	e.Preempt = s.preempt()
 	return e
 }
 
@@ -102,7 +137,12 @@
 	return len(s.online), len(s.batch), len(s.waiting)
 }
 
-func (s *Slots) free() int { return s.params.Slots - len(s.online) - len(s.batch) }
+// Lost returns the number of slots whose work does not stop.
+func (s *Slots) Lost() int { return len(s.lost) }
+
+func (s *Slots) free() int {
+	return s.params.Slots - len(s.online) - len(s.batch) - len(s.lost)
+}
 
 // preempt picks the batch work that must stop, youngest first, so that as much
 // is stopping as online work is waiting.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,8 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
 		settings: s,
 		config:   state.NewConfigFold(),
@@ -74,9 +76,9 @@
 		jobs:     state.NewJobs(),
 		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
 		peers:    transport.NewPeers(s.Process.PeerSecret),
-		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
+		attempts: transport.NewAttemptClient(s.Process.PeerSecret, observe),
 		flights:  newFlights(),
-		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
+		ring:     ring,
 		metrics:  newMetrics(),
 		callers:  map[string]string{},
 		leaving:  make(chan struct{}),
@@ -86,7 +88,7 @@
 	}
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
+	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
 	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
 	return e, e.listen()
 }
@@ -190,11 +192,15 @@
 }
 
 // reporter asks peers for their reports over net/rpc.
-type reporter struct{ peers *transport.Peers }
+type reporter struct {
+	peers *transport.Peers
+	clock *timeline.Clock
+}
 
 // Report implements membership.Reporter.
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	r.clock.Observe(reply.Clock)
 	return reply, err
 }
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -17,14 +17,18 @@
 
 // TargetReport is the state of one target as its sidecar knows it.
 type TargetReport struct {
-	Target  string `msgpack:"t"`
-	Labels  Labels `msgpack:"l"`
-	Slots   int    `msgpack:"s"`
-	Online  int    `msgpack:"o"`
-	Batch   int    `msgpack:"b"`
-	Queued  int    `msgpack:"q"`
-	Leaving bool   `msgpack:"x"`
-	Healthy bool   `msgpack:"h"`
+	Target string `msgpack:"t"`
+	Labels Labels `msgpack:"l"`
+	Slots  int    `msgpack:"s"`
+	Online int    `msgpack:"o"`
+	Batch  int    `msgpack:"b"`
+	Queued int    `msgpack:"q"`
+	// Lost counts slots whose work was told to stop and goes on at the target.
+	Lost    int  `msgpack:"z,omitempty"`
+	Leaving bool `msgpack:"x"`
+	Healthy bool `msgpack:"h"`
+	// Boot names the sidecar process: Seq starts again with each.
+	Boot string `msgpack:"y"`
 	// Seq increases with every change, so that a late report cannot replace a newer one.
 	Seq uint64 `msgpack:"n"`
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -132,6 +132,9 @@
 		if t.Reserve < 0 || t.Reserve > t.Slots {
 			f.add(key+".reserve", "must be between zero and slots")
 		}
+		if t.StallTimeout < 0 {
+			f.add(key+".stall_timeout", "must not be negative")
+		}
 		if t.Queue < 0 {
 			f.add(key+".queue", "must not be negative")
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,9 @@
 	Reserve int `toml:"reserve"`
 	// Queue is the number of online requests that may wait for a slot.
 	Queue int `toml:"queue"`
+	// StallTimeout is how long an engine may send nothing of an answer before
+	// the attempt is given up.
+	StallTimeout Duration `toml:"stall_timeout"`
 }
 
 // Client holds what the command line needs to reach the system.
@@ -259,4 +262,7 @@
 	if t.Queue == 0 {
 		t.Queue = DefaultQueue
 	}
+	if t.StallTimeout == 0 {
+		t.StallTimeout = Duration(protocol.HeartbeatTimeout)
+	}
 }
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
@@ -14,12 +15,19 @@
 // maxAttemptBytes bounds an encoded attempt.
 const maxAttemptBytes = 64 << 20
 
+// bodyTimeout bounds the reading of an attempt.
+const bodyTimeout = 10 * time.Second
+
 func (s *Sidecar) serveAttempt(w http.ResponseWriter, r *http.Request) {
 	var a protocol.AttemptRequest
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	if err := msgpack.NewDecoder(http.MaxBytesReader(w, r.Body, maxAttemptBytes)).Decode(&a); err != nil {
 		transport.WriteProblem(w, protocol.ErrBadRequest.Wrap(err, "decode attempt"), "")
 		return
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	s.ring.Clock().Observe(a.Clock)
 	runner := s.runners[a.Target]
 	if runner == nil {
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -20,6 +20,10 @@
 	if err := s.start(ctx, a); err != nil {
 		return protocol.Result{}, err
 	}
+	if err := r.mayBegin(); err != nil {
+		s.release(a)
+		return protocol.Result{}, err
+	}
 	s.ring.Add(a.Trace, "call started", "attempt", a.Attempt, "target", a.Target)
 	// The call goes on without its caller: its result is kept under the key.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.TimeLeft())
@@ -99,7 +103,9 @@
 const appendRetryDelay = 500 * time.Millisecond
 
 func (s *Sidecar) appendInBackground(a *protocol.AttemptRequest, rec protocol.Record) {
+	s.background.Add(1)
 	s.tomb.Go(func() error {
+		defer s.background.Done()
 		ctx := s.tomb.Context(context.Background())
 		for s.append(ctx, a.Coordinator, rec) != nil {
 			select {
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -13,6 +13,7 @@
 	reply.Instance = p.s.settings.Process.Instance
 	reply.Config = p.s.config.Current().At
 	reply.Clock = p.s.ring.Clock().Now()
+	reply.Leaving = p.s.isLeaving()
 	for _, r := range p.s.runners {
 		reply.Targets = append(reply.Targets, r.report())
 	}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/timeline"
 )
 
 // errPreempted ends batch work that gives its slot to online work.
@@ -30,30 +33,37 @@
 	slots   *slots.Slots
 	waiting map[string]chan struct{}
 	cancels map[string]context.CancelCauseFunc
+	// lost holds attempts that were told to stop and go on at the engine.
+	lost    map[string]bool
 	leaving bool
 	drained bool
+	// listed reports whether the instance list has this instance as leaving.
+	listed  func() bool
 	healthy bool
+	boot    string
 	seq     uint64
-	idle    chan struct{}
 }
 
 func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
 	return &runner{
 		target:  t,
-		engine:  platform.NewEngine(t.URL),
+		engine:  platform.NewEngine(t.URL, time.Duration(t.StallTimeout)),
 		service: platform.NewPlainService(t.URL),
 		events:  events,
 		slots:   slots.New(slots.Params{Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue}),
 		waiting: map[string]chan struct{}{},
 		cancels: map[string]context.CancelCauseFunc{},
+		lost:    map[string]bool{},
+		listed:  func() bool { return false },
 		healthy: true,
-		idle:    make(chan struct{}, 1),
+		boot:    protocol.NewID(),
 	}
 }
 
 // admit waits for a slot. The returned context ends when the work must stop,
-// and release gives the slot back. It fails with ErrLeaving or ErrBusy, and
-// then nothing was sent to the target.
+// and release gives the slot back. It fails with ErrLeaving, ErrBusy or
+// ErrCancelled, and then nothing was sent to the target; an attempt that is here
+// already fails with ErrUnknownOutcome.
 func (r *runner) admit(ctx context.Context, a *protocol.AttemptRequest) (context.Context, func(), error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	granted, err := r.arrive(a, cancel)
@@ -69,9 +79,13 @@
 	case <-granted:
 		return ctx, release, nil
 	case <-ctx.Done():
-		release()
-		return nil, nil, protocol.ErrBusy.New("target %s: no slot in time", r.target.Name)
 	}
+	release()
+	cause := context.Cause(ctx)
+	if errorx.IsOfType(cause, protocol.ErrLeaving) || errorx.IsOfType(cause, protocol.ErrCancelled) {
+		return nil, nil, cause
+	}
+	return nil, nil, protocol.ErrBusy.New("target %s: no slot in time", r.target.Name)
 }
 
 var closedChannel = func() chan struct{} {
@@ -83,9 +97,12 @@
 func (r *runner) arrive(a *protocol.AttemptRequest, cancel context.CancelCauseFunc) (<-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving || r.drained {
+	if r.refusing() {
 		return nil, protocol.ErrLeaving.New("target %s takes no new work", r.target.Name)
 	}
+	if r.slots.Has(a.Attempt) {
+		return nil, protocol.ErrUnknownOutcome.New("attempt %s is here already", a.Attempt)
+	}
 	decision, effects := r.decide(a)
 	if decision == slots.Refuse {
 		return nil, protocol.ErrBusy.New("target %s has no free slot", r.target.Name)
@@ -96,11 +113,20 @@
 	if decision == slots.Wait {
 		granted = make(chan struct{})
 		r.waiting[a.Attempt] = granted
+		r.slotEvent(timeline.SlotWaiting, a.Attempt)
+	} else {
+		r.slotEvent(timeline.SlotGranted, a.Attempt, "class", string(a.Class))
 	}
 	r.apply(effects)
 	return granted, nil
 }
 
+// slotEvent records a step of the slots. The runner's lock is held, so that the
+// events of one target stand in the order of the steps.
+func (r *runner) slotEvent(name, attempt string, fields ...string) {
+	r.events("", name, append([]string{"attempt", attempt, "target", r.target.Name}, fields...)...)
+}
+
 func (r *runner) decide(a *protocol.AttemptRequest) (slots.Decision, slots.Effects) {
 	if a.Class == protocol.ClassBatch {
 		return r.slots.ArriveBatch(a.Attempt), slots.Effects{}
@@ -108,27 +134,59 @@
 	return r.slots.ArriveOnline(a.Attempt)
 }
 
+// done gives back what the attempt holds, unless the engine still runs it: then
+// the slot stays lost until the engine confirms the end.
 func (r *runner) done(attempt string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seq++
 	delete(r.cancels, attempt)
 	delete(r.waiting, attempt)
+	if !r.lost[attempt] {
+		r.free(attempt)
+	}
+}
+
+func (r *runner) free(attempt string) {
+	r.seq++
+	r.slotEvent(timeline.SlotFreed, attempt)
 	r.apply(r.slots.Done(attempt))
-	select {
-	case r.idle <- struct{}{}:
-	default:
+}
+
+// lose marks the attempt's slot as lost.
+func (r *runner) lose(attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	r.lost[attempt] = true
+	r.slotEvent(timeline.SlotLost, attempt)
+	r.apply(r.slots.Lose(attempt))
+}
+
+// reclaim asks the engine again to stop the attempts that hold lost slots.
+func (r *runner) reclaim(ctx context.Context) {
+	r.mu.Lock()
+	lost := slices.Collect(maps.Keys(r.lost))
+	r.mu.Unlock()
+	for _, attempt := range lost {
+		if !r.stopped(ctx, attempt) {
+			continue
+		}
+		r.mu.Lock()
+		delete(r.lost, attempt)
+		r.free(attempt)
+		r.mu.Unlock()
 	}
 }
 
 // apply carries out what the slots decided.
 func (r *runner) apply(e slots.Effects) {
 	for _, id := range e.Start {
+		r.slotEvent(timeline.SlotGranted, id, "class", string(protocol.ClassOnline))
 		close(r.waiting[id])
 		delete(r.waiting, id)
 	}
 	for _, id := range e.Preempt {
-		r.events("", "batch preempted", "attempt", id, "target", r.target.Name)
+		r.slotEvent(timeline.BatchPreempted, id)
 		r.cancels[id](errPreempted.New("online work needs the slot"))
 	}
 }
@@ -142,11 +200,35 @@
 	}
 }
 
+// cancelAll stops every attempt.
+func (r *runner) cancelAll(cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cancel := range r.cancels {
+		cancel(cause)
+	}
+}
+
+// refusing reports whether the target takes no new work. The lock is held.
+func (r *runner) refusing() bool { return r.leaving || r.drained || r.listed() }
+
+// mayBegin fails with ErrLeaving where the target has begun to leave since the
+// attempt was admitted.
+func (r *runner) mayBegin() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusing() {
+		return protocol.ErrLeaving.New("target %s takes no new work", r.target.Name)
+	}
+	return nil
+}
+
 func (r *runner) setLeaving() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = true
 	r.seq++
+	r.turnAway()
 }
 
 func (r *runner) setDrained(drained bool) {
@@ -155,6 +237,18 @@
 	if r.drained != drained {
 		r.drained = drained
 		r.seq++
+		r.turnAway()
+	}
+}
+
+// turnAway refuses the attempts that wait for a slot of a target that leaves:
+// they have not run, and their entries send them elsewhere.
+func (r *runner) turnAway() {
+	if !r.refusing() {
+		return
+	}
+	for attempt := range r.waiting {
+		r.cancels[attempt](protocol.ErrLeaving.New("target %s takes no new work", r.target.Name))
 	}
 }
 
@@ -162,18 +256,12 @@
 func (r *runner) spare() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving || r.drained || !r.healthy {
+	if r.refusing() || !r.healthy {
 		return 0
 	}
 	return r.slots.Spare()
 }
 
-func (r *runner) busy() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.cancels) > 0
-}
-
 func (r *runner) report() protocol.TargetReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -185,8 +273,10 @@
 		Online:  online,
 		Batch:   batch,
 		Queued:  waiting,
-		Leaving: r.leaving || r.drained,
+		Lost:    r.slots.Lost(),
+		Leaving: r.refusing(),
 		Healthy: r.healthy,
+		Boot:    r.boot,
 		Seq:     r.seq,
 	}
 }
@@ -194,12 +284,15 @@
 // healthInterval is the time between two checks of a target.
 const healthInterval = 500 * time.Millisecond
 
-// watch checks the target's health until ctx ends.
+// watch checks the target's health, lost slots and the instance list's word
+// until ctx ends.
 func (r *runner) watch(ctx context.Context) error {
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
+		r.watchList()
 		r.setHealthy(r.probe(ctx) == nil)
+		r.reclaim(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -245,24 +338,45 @@
 	return conn.Close()
 }
 
-// generate runs a model call and passes each token to sink.
+// watchList turns waiting attempts away once the instance list has this
+// instance as leaving.
+func (r *runner) watchList() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turnAway()
+}
+
+// generate runs a model call and passes each token to sink. Where the call
+// broke off, the engine is told to stop before the slot can go to other work. A
+// stalled engine keeps the slot until it answers a later order to stop.
 func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
 	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume}, sink)
-	if err == nil {
-		return nil
+	if err == nil || neverRan(err) {
+		return err
 	}
-	if cause := context.Cause(ctx); cause != nil {
-		r.cancelAtEngine(ctx, a.Attempt)
-		if errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrCancelled) {
-			return cause
-		}
+	if platform.IsStall(err) || !r.stopped(ctx, a.Attempt) {
+		r.lose(a.Attempt)
+	}
+	if cause := context.Cause(ctx); errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrCancelled) {
+		return cause
 	}
 	return err
 }
 
-// cancelAtEngine tells the engine too: it may not notice that the stream closed.
-func (r *runner) cancelAtEngine(ctx context.Context, attempt string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*healthInterval)
+func neverRan(err error) bool {
+	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrBadRequest) || errorx.IsOfType(err, protocol.ErrBusy)
+}
+
+// stopTimeout bounds the wait for an engine to confirm that an attempt has
+// stopped. After it the slot counts as lost.
+const stopTimeout = time.Second
+
+// stopped tells the engine to stop the attempt and reports whether it has: it
+// may not notice that the stream closed. An engine that refuses connections has
+// ended, and its attempts with it.
+func (r *runner) stopped(ctx context.Context, attempt string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	_ = r.engine.Cancel(ctx, attempt)
+	err := r.engine.Cancel(ctx, attempt)
+	return err == nil || platform.IsRefused(err)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,10 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
+	// pulls ends when no batch item is in progress; background when every
+	// record has been handed to an entry.
+	pulls      sync.WaitGroup
+	background sync.WaitGroup
 }
 
 // New builds a sidecar from its settings. It listens at once, so that a taken
@@ -69,7 +74,15 @@
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
-	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
+	sc.members = membership.New(membership.Params{
+		Self:     s.Process.Instance,
+		List:     p.Instances,
+		Reporter: reporter{sc.peers, ring.Clock()},
+		Polls:    func(role platform.Role) bool { return role == platform.RoleEntry },
+	})
+	for _, r := range sc.runners {
+		r.listed = sc.members.ListedLeaving
+	}
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	return sc, sc.listen()
@@ -107,7 +120,11 @@
 	for _, r := range s.runners {
 		s.tomb.Go(func() error { return r.watch(ctx) })
 		if r.target.Type == settings.TargetEngine {
-			s.tomb.Go(func() error { return s.pull(ctx, r) })
+			s.pulls.Add(1)
+			s.tomb.Go(func() error {
+				defer s.pulls.Done()
+				return s.pull(ctx, r)
+			})
 		}
 	}
 	klog.InfoS("sidecar started", "instance", s.settings.Process.Instance, "http", s.settings.Process.HTTP, "peer", s.settings.Process.Peer, "targets", len(s.runners))
@@ -122,33 +139,57 @@
 }
 
 // Shutdown refuses new work, waits for what is in progress within the drain
-// timeout, and stops.
+// timeout, and stops. What is left then is cut: batch items are given back with
+// their text so far, and other attempts end with an error that says so.
 func (s *Sidecar) Shutdown() error {
 	s.ring.Add("", "leaving")
 	klog.InfoS("sidecar leaving", "instance", s.settings.Process.Instance)
+	s.stopPull()
 	for _, r := range s.runners {
 		r.setLeaving()
 	}
-	s.stopPull()
-	s.awaitIdle(time.Duration(s.settings.Process.DrainTimeout))
+	if !s.drain(time.Duration(s.settings.Process.DrainTimeout)) {
+		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
+		s.ring.Add("", "drain timeout")
+		s.cut()
+	}
 	return s.Kill()
 }
 
-func (s *Sidecar) awaitIdle(limit time.Duration) {
-	deadline := time.NewTimer(limit)
-	defer deadline.Stop()
+// cutTimeout bounds the telling of what a drain timeout cut.
+const cutTimeout = protocol.HeartbeatTimeout
+
+func (s *Sidecar) cut() {
 	for _, r := range s.runners {
-		for r.busy() {
-			select {
-			case <-r.idle:
-			case <-deadline.C:
-				klog.InfoS("drain timeout", "instance", s.settings.Process.Instance, "target", r.target.Name)
-				return
-			}
-		}
+		r.cancelAll(errPreempted.New("the sidecar is shutting down"))
+	}
+	s.drain(cutTimeout)
+}
+
+// drain waits until all answers are sent, all items are returned and all records
+// are handed over. It reports whether that was so within the limit.
+func (s *Sidecar) drain(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		return false
+	}
+	idle := make(chan struct{})
+	go func() {
+		s.pulls.Wait()
+		s.background.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
+func (s *Sidecar) isLeaving() bool { return s.pullCtx.Err() != nil }
+
 // Kill stops at once and waits for the goroutines.
 func (s *Sidecar) Kill() error {
 	s.stopPull()
@@ -156,6 +197,10 @@
 	_ = s.http.Close()
 	_ = s.peerL.Close()
 	s.peers.Close()
+	for _, r := range s.runners {
+		r.engine.Close()
+		r.service.Close()
+	}
 	return s.tomb.Wait()
 }
 
@@ -182,12 +227,16 @@
 }
 
 // reporter asks peers for their reports over net/rpc.
-type reporter struct{ peers *transport.Peers }
+type reporter struct {
+	peers *transport.Peers
+	clock *timeline.Clock
+}
 
 // Report implements membership.Reporter.
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	r.clock.Observe(reply.Clock)
 	return reply, err
 }
 
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -46,14 +46,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var resume []string
-	if h := r.Header.Get(platform.HeaderResume); h != "" {
-		if err := json.Unmarshal([]byte(h), &resume); err != nil {
-			http.Error(w, "malformed resume tokens", http.StatusBadRequest)
-			return
-		}
+	var resume struct {
+		Tokens []string `json:"resume_tokens"`
+	}
+	if err := json.Unmarshal(body, &resume); err != nil {
+		http.Error(w, "malformed resume tokens", http.StatusBadRequest)
+		return
 	}
-	e.run(w, r, chat, len(resume))
+	e.run(w, r, chat, len(resume.Tokens))
 }
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, chat *protocol.ChatRequest, from int) {
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -12,6 +12,16 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// Names of the events of a target's slots. Each has the fields attempt and
+// target; SlotGranted has class too.
+const (
+	SlotGranted    = "slot granted"
+	SlotWaiting    = "slot waiting"
+	SlotFreed      = "slot freed"
+	SlotLost       = "slot lost"
+	BatchPreempted = "batch preempted"
+)
+
 // logicalBits is the part of a clock value that counts events of one millisecond.
 const logicalBits = 16
 
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sycamoretally/sycamoretally/platform"
@@ -23,17 +25,25 @@
 
 // AttemptClient sends attempts to sidecars.
 type AttemptClient struct {
-	secret string
-	client *http.Client
+	secret  string
+	observe func(clock uint64)
+	client  *http.Client
 }
 
-// NewAttemptClient returns a client that authenticates with secret.
-func NewAttemptClient(secret string) *AttemptClient {
+// idleTimeout is how long an unused connection to a sidecar is kept.
+const idleTimeout = 30 * time.Second
+
+// NewAttemptClient returns a client that authenticates with secret. observe
+// gets the hybrid logical time of every frame.
+func NewAttemptClient(secret string, observe func(clock uint64)) *AttemptClient {
+	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerSidecar,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &AttemptClient{secret: secret, client: &http.Client{Transport: transport}}
+	return &AttemptClient{secret: secret, observe: observe, client: &http.Client{Transport: transport}}
 }
 
 // Close closes idle connections.
@@ -48,33 +58,43 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(protocol.HeartbeatTimeout, func() {
-		cancel(protocol.ErrTruncated.New("sidecar %s is silent", addr))
+		cancel(errSilent.New("sidecar %s is silent", addr))
 	})
 	defer watchdog.Stop()
 	resp, err := c.post(ctx, addr, a)
 	if err != nil {
-		return nil, err
+		return nil, c.suspect(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return nil, ReadProblem(resp)
 	}
-	reader := frameReader{attempt: a.Attempt, sink: sink, decoder: msgpack.NewDecoder(resp.Body), sum: xxhash.New()}
+	reader := newFrameReader(a, resp.Body, c.observe, sink)
 	for {
 		end, err := reader.next()
-		if err != nil || end != nil {
-			return end, silence(ctx, err)
+		if err != nil {
+			return nil, c.suspect(ctx, err)
 		}
 		watchdog.Reset(protocol.HeartbeatTimeout)
+		if end != nil {
+			_, _ = io.CopyN(io.Discard, resp.Body, 1) // lets the connection be used again
+			return end, nil
+		}
 	}
 }
 
-// silence replaces the error of a cancelled read with the reason for it.
-func silence(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); err != nil && cause != nil && !errors.Is(cause, context.Canceled) {
-		return protocol.ErrTruncated.Wrap(cause, "attempt")
+// errSilent is the reason to give up a connection on which nothing comes.
+var errSilent = protocol.Errors.NewType("connection_silent")
+
+// suspect replaces the error of a read that silence ended. What silenced one
+// connection may have silenced others, so the idle ones are dropped.
+func (c *AttemptClient) suspect(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	if !errorx.IsOfType(cause, errSilent) {
+		return err
 	}
-	return err
+	c.client.CloseIdleConnections()
+	return protocol.ErrTruncated.Wrap(cause, "attempt")
 }
 
 func (c *AttemptClient) post(ctx context.Context, addr string, a *protocol.AttemptRequest) (*http.Response, error) {
@@ -100,12 +120,28 @@
 // frameReader checks that the frames of an answer belong together.
 type frameReader struct {
 	attempt string
+	// bodied is set where the answer is the body of the head, not tokens.
+	bodied  bool
+	observe func(clock uint64)
 	sink    func(*protocol.Frame) error
 	decoder *msgpack.Decoder
+	headed  bool
 	seq     int
 	sum     *xxhash.Digest
 }
 
+func newFrameReader(a *protocol.AttemptRequest, body io.Reader, observe func(uint64), sink func(*protocol.Frame) error) *frameReader {
+	return &frameReader{
+		attempt: a.Attempt,
+		bodied:  !a.Call.Model,
+		observe: observe,
+		sink:    sink,
+		decoder: msgpack.NewDecoder(body),
+		sum:     xxhash.New(),
+	}
+}
+
+// next reads one frame and returns it where it is the end of a whole answer.
 func (r *frameReader) next() (*protocol.Frame, error) {
 	var f protocol.Frame
 	if err := r.decoder.Decode(&f); err != nil {
@@ -117,30 +153,55 @@
 	if f.Attempt != r.attempt {
 		return nil, protocol.ErrTruncated.New("frame of attempt %s in the answer of %s", f.Attempt, r.attempt)
 	}
+	r.observe(f.Clock)
 	switch f.Kind {
 	case protocol.FrameHead:
-		return nil, r.sink(&f)
+		return nil, r.head(&f)
 	case protocol.FrameToken:
-		r.seq++
-		if f.Seq != r.seq {
-			return nil, protocol.ErrTruncated.New("token %d where %d was due", f.Seq, r.seq)
-		}
-		_, _ = r.sum.WriteString(f.Token)
-		return nil, r.sink(&f)
+		return nil, r.token(&f)
 	case protocol.FrameEnd:
-		if f.Seq != r.seq || f.Sum != r.sum.Sum64() {
-			return nil, protocol.ErrTruncated.New("answer of %d tokens does not match its end frame", r.seq)
-		}
-		return &f, nil
+		return r.end(&f)
 	case protocol.FrameError:
+		if f.Problem == nil {
+			return nil, protocol.ErrTruncated.New("error frame without its problem")
+		}
 		return nil, f.Problem.Err()
 	default:
 		return nil, nil
 	}
 }
 
+func (r *frameReader) head(f *protocol.Frame) error {
+	if r.headed || r.seq > 0 {
+		return protocol.ErrTruncated.New("second head in the answer of %s", r.attempt)
+	}
+	r.headed = true
+	_, _ = r.sum.Write(f.Body)
+	return r.sink(f)
+}
+
+func (r *frameReader) token(f *protocol.Frame) error {
+	r.seq++
+	if f.Seq != r.seq {
+		return protocol.ErrTruncated.New("token %d where %d was due", f.Seq, r.seq)
+	}
+	_, _ = r.sum.WriteString(f.Token)
+	return r.sink(f)
+}
+
+func (r *frameReader) end(f *protocol.Frame) (*protocol.Frame, error) {
+	if f.Seq != r.seq || f.Sum != r.sum.Sum64() {
+		return nil, protocol.ErrTruncated.New("answer of %d tokens does not match its end frame", r.seq)
+	}
+	if r.bodied && !r.headed {
+		return nil, protocol.ErrTruncated.New("answer ended without its head")
+	}
+	return f, nil
+}
+
 // FrameWriter writes the answer of one attempt. Its methods may be called at
-// the same time; a heartbeat fills every pause.
+// the same time; a heartbeat fills every pause. A write that the reader does not
+// take within protocol.HeartbeatTimeout fails.
 type FrameWriter struct {
 	attempt string
 	now     func() uint64
@@ -207,6 +268,8 @@
 		return protocol.ErrTruncated.New("answer has ended")
 	}
 	switch frame.Kind {
+	case protocol.FrameHead:
+		_, _ = f.sum.Write(frame.Body)
 	case protocol.FrameToken:
 		f.seq++
 		_, _ = f.sum.WriteString(frame.Token)
@@ -214,6 +277,7 @@
 		f.ended = true
 	}
 	frame.Attempt, frame.Seq, frame.Sum, frame.Clock = f.attempt, f.seq, f.sum.Sum64(), f.now()
+	_ = f.flush.SetWriteDeadline(time.Now().Add(protocol.HeartbeatTimeout))
 	if err := f.encoder.Encode(frame); err != nil {
 		return protocol.ErrTruncated.Wrap(err, "send frame")
 	}
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -14,7 +14,7 @@
 
 const (
 	nonceBytes       = 16
-	handshakeTimeout = 2 * time.Second
+	handshakeTimeout = time.Second
 )
 
 // challenge is the server's side of the handshake: it sends a nonce and expects
--- a/transport/peers.go
+++ b/transport/peers.go
@@ -56,10 +56,8 @@
 	case errors.As(call.Error, &remote):
 		return protocol.ErrInternal.New("%s at %s: %s", method, addr, remote)
 	default:
+		// rpc.ErrShutdown too may end a call that was sent.
 		p.drop(addr, client)
-		if errors.Is(call.Error, rpc.ErrShutdown) {
-			return protocol.ErrNotSent.Wrap(call.Error, "%s at %s", method, addr)
-		}
 		return protocol.ErrTargetFailed.Wrap(call.Error, "%s at %s", method, addr)
 	}
 }
@@ -101,7 +99,17 @@
 		_ = conn.Close()
 		return nil, errorx.Decorate(err, "peer %s", addr)
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClient(boundedConn{conn}), nil
+}
+
+// boundedConn fails writes that the other end does not take in time, so that a
+// silent connection cannot hold up its writers.
+type boundedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c boundedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(protocol.HeartbeatTimeout))
+	return c.Conn.Write(p)
 }
 
 func (p *Peers) drop(addr string, client *rpc.Client) {
@@ -166,7 +174,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.server.ServeConn(conn)
+	s.server.ServeConn(boundedConn{conn})
 }
 
 func (s *PeerServer) track(c io.Closer, add bool) {
