Keep slow callers and shutdowns from cutting answers

Cause: streamChat handed tokens over an unbuffered channel, so that a slow caller stopped the reading of the attempt until the watchdog cut it; an entry's Kill waited for flights that nothing cancelled; a stream whose kept result was another text ended as if it were whole.

Change: a buffer per stream, bounded by the answer; cancelAll of flights at the drain timeout; the end of a stream compares text and kept result.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -81,17 +83,15 @@
 }
 
 // streamChat sends the tokens as server-sent events. An error after the first
-// token ends the stream with a problem event and without the end marker.
+// token ends the stream with a problem event and without the end marker. A
+// caller that reads slowly holds up neither the attempt nor other callers: its
+// tokens wait in the stream's buffer.
 func (e *Entry) streamChat(w http.ResponseWriter, r bunrouter.Request, key string, o *order) error {
-	s := &chatStream{w: w, key: key, order: o, flush: http.NewResponseController(w), tokens: make(chan string)}
-	gone := r.Context().Done()
+	s := &chatStream{w: w, key: key, order: o, flush: http.NewResponseController(w)}
+	tokens := newTokenBuffer()
 	o.token = func(token string) error {
-		select {
-		case s.tokens <- token:
-			return nil
-		case <-gone: // others may have joined the request and go on
-			return nil
-		}
+		tokens.add(token)
+		return nil
 	}
 	ended := make(chan chatEnd, 1)
 	go func() {
@@ -100,40 +100,82 @@
 	}()
 	for {
 		select {
-		case token := <-s.tokens:
-			s.send(token)
+		case <-tokens.more:
+			s.sendAll(tokens.take())
 		case end := <-ended:
+			s.sendAll(tokens.take())
 			return s.finish(end)
 		}
 	}
 }
 
+// tokenBuffer holds the tokens of one answer that its caller has not yet got.
+// It is bounded by the length of the answer.
+type tokenBuffer struct {
+	more chan struct{}
+
+	mu     sync.Mutex
+	tokens []string
+}
+
+func newTokenBuffer() *tokenBuffer { return &tokenBuffer{more: make(chan struct{}, 1)} }
+
+func (b *tokenBuffer) add(token string) {
+	b.mu.Lock()
+	b.tokens = append(b.tokens, token)
+	b.mu.Unlock()
+	select {
+	case b.more <- struct{}{}:
+	default:
+	}
+}
+
+func (b *tokenBuffer) take() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tokens := b.tokens
+	b.tokens = nil
+	return tokens
+}
+
 type chatEnd struct {
 	result   *protocol.Result
 	retained bool
 	err      error
 }
 
+// chatStream is the answer to one caller.
 type chatStream struct {
-	w      http.ResponseWriter
-	key    string
-	order  *order
-	flush  *http.ResponseController
-	tokens chan string
-	sent   int
+	w     http.ResponseWriter
+	key   string
+	order *order
+	flush *http.ResponseController
+	// text is what the caller has got.
+	text  strings.Builder
+	begun bool
 }
 
+// callerWriteTimeout bounds one write to a caller that does not read.
+const callerWriteTimeout = 30 * time.Second
+
 func (s *chatStream) begin() {
 	s.w.Header().Set("Content-Type", "text/event-stream")
 	s.w.Header().Set(headerKey, s.key)
 	s.w.WriteHeader(http.StatusOK)
 }
 
+func (s *chatStream) sendAll(tokens []string) {
+	for _, token := range tokens {
+		s.send(token)
+	}
+}
+
 func (s *chatStream) send(token string) {
-	if s.sent == 0 {
+	if !s.begun {
+		s.begun = true
 		s.begin()
 	}
-	s.sent++
+	s.text.WriteString(token)
 	s.event("", s.chunk(protocol.ChatChoice{Delta: &protocol.ChatMessage{Content: token}}))
 }
 
@@ -147,6 +189,7 @@
 }
 
 func (s *chatStream) event(name string, v any) {
+	_ = s.flush.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if name != "" {
 		_, _ = fmt.Fprintf(s.w, "event: %s\n", name)
 	}
@@ -156,23 +199,26 @@
 }
 
 // finish ends the stream. A result that was read back, or that another request
-// with the key streamed, goes out as one chunk.
+// with the key streamed, goes out as one chunk. Where the kept result is another
+// one than the text sent, the stream ends with a problem: the caller reads the
+// kept one under its key.
 func (s *chatStream) finish(end chatEnd) error {
-	if end.err != nil {
-		if s.sent == 0 {
-			return end.err
+	if end.err == nil && end.result.Outcome != protocol.OutcomeCompleted {
+		if !s.begun {
+			writeResult(s.w, end.result, s.key, end.retained)
+			return nil
 		}
-		p := protocol.ProblemOf(end.err)
-		p.Key = s.key
-		s.event("error", p)
-		return nil
+		end.err = protocol.ErrUnknownOutcome.New("the request failed after a part of its answer: %s", end.result.Body)
 	}
-	if end.result.Outcome != protocol.OutcomeCompleted {
-		writeResult(s.w, end.result, s.key, end.retained)
-		return nil
+	if end.err != nil {
+		return s.fail(end.err)
+	}
+	rest, found := strings.CutPrefix(contentOf(end.result), s.text.String())
+	if !found {
+		return s.fail(protocol.ErrTruncated.New("another answer is kept under the key"))
 	}
-	if s.sent == 0 {
-		s.send(contentOf(end.result))
+	if rest != "" || !s.begun {
+		s.send(rest)
 	}
 	last := s.chunk(protocol.ChatChoice{Delta: &protocol.ChatMessage{}, FinishReason: "stop"})
 	last.Retained = &end.retained
@@ -182,6 +228,17 @@
 	return nil
 }
 
+// fail answers with the error, or ends a stream that has begun with it.
+func (s *chatStream) fail(err error) error {
+	if !s.begun {
+		return err
+	}
+	p := protocol.ProblemOf(err)
+	p.Key = s.key
+	s.event("error", p)
+	return nil
+}
+
 func contentOf(result *protocol.Result) string {
 	var whole protocol.ChatChunk
 	if err := json.Unmarshal(result.Body, &whole); err != nil || len(whole.Choices) == 0 || whole.Choices[0].Message == nil {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -102,10 +102,10 @@
 	}
 	e.ring.Add(o.trace, "attempt sent", "attempt", a.Attempt, "target", target.Name)
 	target.InFlight.Add(1)
+	d.head = nil
 	end, err := e.attempts.Execute(ctx, target.HTTP, a, d.take)
 	target.InFlight.Add(-1)
 	if err == nil {
-		e.ring.Clock().Observe(end.Clock)
 		e.members.Observe(target.Instance, end.Report)
 		return d.result(), nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,23 +148,39 @@
 }
 
 // Shutdown refuses new requests, waits for those in progress within the drain
-// timeout, and stops.
+// timeout, and stops. Sidecars reach the entry until then. What is left at the
+// timeout is cut, and its callers get an error that says what is known.
 func (e *Entry) Shutdown() error {
 	close(e.leaving)
 	e.ring.Add("", "leaving")
 	klog.InfoS("entry leaving", "instance", e.settings.Process.Instance)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Process.DrainTimeout))
-	defer cancel()
-	if err := e.server.Shutdown(ctx); err != nil {
+	if !e.drain(time.Duration(e.settings.Process.DrainTimeout)) {
 		klog.InfoS("drain timeout", "instance", e.settings.Process.Instance)
+		e.ring.Add("", "drain timeout")
+		e.flights.cancelAll()
+		e.drain(cutTimeout)
 	}
-	e.flights.wait(ctx)
 	return e.Kill()
 }
 
+// cutTimeout bounds the telling of what a drain timeout cut; a non-idempotent
+// call takes lateAnswerWait to settle.
+const cutTimeout = lateAnswerWait + protocol.HeartbeatTimeout
+
+// drain waits until no request is in progress. It reports whether that was so
+// within the limit.
+func (e *Entry) drain(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := e.server.Shutdown(ctx)
+	e.flights.wait(ctx)
+	return err == nil && ctx.Err() == nil
+}
+
 // Kill stops at once and waits for the goroutines.
 func (e *Entry) Kill() error {
 	e.tomb.Kill(nil)
+	e.flights.cancelAll()
 	_ = e.server.Close()
 	_ = e.peerL.Close()
 	e.peers.Close()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -88,3 +88,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// cancelAll stops every request in progress; each ends with an error that says
+// what is known of it.
+func (f *flights) cancelAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fl := range f.byKey {
+		fl.cancel()
+	}
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -70,6 +70,7 @@
 			return protocol.ErrUnauthorized.New("the caller's key is missing or unknown")
 		}
 		if e.isLeaving() {
+			w.Header().Set("Connection", "close")
 			return protocol.ErrLeaving.New("this entry is shutting down")
 		}
 		return h(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace)))
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
@@ -39,6 +40,9 @@
 	frames := transport.NewFrameWriter(w, a.Attempt, s.ring.Clock().Now)
 	defer frames.Close()
 	err := s.run(ctx, runner, &a, frames)
+	if errorx.IsOfType(err, errPreempted) {
+		err = protocol.ErrTruncated.Wrap(err, "attempt")
+	}
 	report := runner.report()
 	if err != nil {
 		s.ring.Add(a.Trace, "attempt failed", "attempt", a.Attempt, "target", a.Target, "error", protocol.ProblemOf(err).Title)
