--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -35,6 +35,23 @@
 // DefaultMaxTokens is the length of an answer whose request sets none.
 const DefaultMaxTokens = 16
 
+// Faults are the failures in force.
+type Faults struct {
+	// CutEnds is the number of streams yet to be cut after their last token,
+	// before the end marker.
+	CutEnds int `json:"cut_ends"`
+	// Stalls is the number of requests yet to go silent after CutAfter tokens.
+	Stalls int `json:"stalls"`
+	// Cuts is the number of streams yet to be cut after CutAfter tokens.
+	Cuts     int `json:"cuts"`
+	CutAfter int `json:"cut_after"`
+	// KeepsRunning makes requests go on after they were told to stop, and the
+	// order to stop fail.
+	KeepsRunning bool `json:"keeps_running"`
+	// TokenBytes pads each token to this size.
+	TokenBytes int `json:"token_bytes"`
+}
+
 // Run is a request that the engine executed.
 type Run struct {
 	ID     string `json:"id"`
@@ -51,6 +68,7 @@
 	slots  chan struct{}
 
 	mu        sync.Mutex
+	faults    Faults
 	slow      float64
 	downUntil time.Time
 	down      chan struct{}
@@ -90,6 +108,39 @@
 	e.slow = factor
 }
 
+// SetFaults replaces the failures in force.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// fault returns the failures in force and takes one of those that count down.
+func (e *Engine) fault(pick func(*Faults) *int) (Faults, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.faults
+	if pick == nil {
+		return f, false
+	}
+	left := pick(&e.faults)
+	if *left <= 0 {
+		return f, false
+	}
+	*left--
+	return f, true
+}
+
+// Running returns the number of requests that run now.
+func (e *Engine) Running() int { return len(e.slots) }
+
+// Waiting returns the number of requests that the engine has queued.
+func (e *Engine) Waiting() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.waiting
+}
+
 // Crash cuts every request and refuses connections for the restart time.
 func (e *Engine) Crash() {
 	e.mu.Lock()
@@ -150,6 +201,11 @@
 
 // acquire waits for a place in the running batch, first come, first served.
 func (e *Engine) acquire(ctx context.Context) bool {
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	default:
+	}
 	e.addWaiting(1)
 	defer e.addWaiting(-1)
 	select {
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -58,7 +58,12 @@
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, chat *protocol.ChatRequest, from int) {
 	prompt := Prompt(chat.Messages)
-	ctx, cancel := context.WithCancel(r.Context())
+	faults, _ := e.fault(nil)
+	caller := r.Context()
+	if faults.KeepsRunning {
+		caller = context.WithoutCancel(caller)
+	}
+	ctx, cancel := context.WithCancel(caller)
 	defer cancel()
 	crashed := e.crashed()
 	go func() {
@@ -113,23 +118,42 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
+	faults, stalls := e.fault(func(f *Faults) *int { return &f.Stalls })
+	cuts := false
+	if !stalls {
+		_, cuts = e.fault(func(f *Faults) *int { return &f.Cuts })
+	}
 	for i := from; i < limit; i++ {
 		if !e.sleep(ctx, e.params.TokenTime) {
 			return false
 		}
+		if i == from+faults.CutAfter && (stalls || cuts) {
+			if stalls {
+				<-ctx.Done()
+			}
+			return false
+		}
 		chunk := protocol.ChatChunk{Object: "chat.completion.chunk", Choices: []protocol.ChatChoice{{
-			Delta: &protocol.ChatMessage{Content: Token(prompt, i)},
+			Delta: &protocol.ChatMessage{Content: padded(Token(prompt, i), faults.TokenBytes)},
 		}}}
 		data, _ := json.Marshal(chunk)
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil && !faults.KeepsRunning {
 			return false
 		}
 		_ = flush.Flush()
 	}
+	if _, cut := e.fault(func(f *Faults) *int { return &f.CutEnds }); cut {
+		return false
+	}
 	_, err := fmt.Fprintf(w, "data: %s\n\n", protocol.ChatDone)
 	return err == nil
 }
 
+// padded lengthens a token to size bytes.
+func padded(token string, size int) string {
+	return token + strings.Repeat("x", max(0, size-len(token)))
+}
+
 func (e *Engine) prefill(prompt string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -144,6 +168,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if f, _ := e.fault(nil); f.KeepsRunning {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	e.cancel(want.ID)
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -165,11 +193,13 @@
 	var f struct {
 		Slowdown float64 `json:"slowdown"`
 		Crash    bool    `json:"crash"`
+		Faults
 	}
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.SetFaults(f.Faults)
 	if f.Slowdown > 0 {
 		e.SetSlowdown(f.Slowdown)
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	DelayMillis int `json:"delay_ms"`
 	// LoseAnswers is the number of calls yet to take effect without an answer.
 	LoseAnswers int `json:"lose_answers"`
+	// CutAnswers is the number of calls yet to take effect whose answer ends in
+	// its middle.
+	CutAnswers int `json:"cut_answers"`
 	// Down closes every connection before a call takes effect.
 	Down bool `json:"down"`
 }
@@ -74,7 +78,7 @@
 		http.Error(w, "a booking names its slot", http.StatusBadRequest)
 		return
 	}
-	booking, delay, lose := s.book(r.Header.Get(platform.HeaderKey), want.Slot)
+	booking, delay, lose, cut := s.book(r.Header.Get(platform.HeaderKey), want.Slot)
 	if booking.Run == 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -83,23 +87,34 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if cut {
+		w.Header().Set("Content-Length", strconv.Itoa(cutLength))
+	}
 	w.WriteHeader(http.StatusCreated)
 	_ = json.NewEncoder(w).Encode(booking)
 }
 
-func (s *Service) book(key, slot string) (b Booking, delay time.Duration, lose bool) {
+// cutLength is the length, in bytes, that a cut answer announces and does not
+// reach.
+const cutLength = 4096
+
+func (s *Service) book(key, slot string) (b Booking, delay time.Duration, lose, cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return b, 0, true
+		return b, 0, true, false
 	}
 	s.runs[key]++
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		lose = true
 	}
+	if s.faults.CutAnswers > 0 {
+		s.faults.CutAnswers--
+		cut = true
+	}
 	delay = time.Duration(s.faults.DelayMillis) * time.Millisecond
-	return Booking{Slot: slot, Key: key, Run: s.runs[key]}, delay, lose
+	return Booking{Slot: slot, Key: key, Run: s.runs[key]}, delay, lose, cut
 }
 
 func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
