Test broken, damaged and silent answers between each two processes

Cause looked for: silent truncation, crossed frames, hung callers. A TCP relay lets open connections go silent while new ones work.

Excluded: frames lost, doubled, crossed, of another attempt or cut at any byte were found already before. Reuse of connections worked before too.

--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,175 @@
+// Package relay is a stand-in for the network between two processes: it passes
+// TCP connections on, and can let those that are open go silent for good, as
+// when something between the two ends has lost track of them.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// Relay passes connections on to one address. Its methods may be called at the
+// same time.
+type Relay struct {
+	target   string
+	listener net.Listener
+	group    sync.WaitGroup
+
+	mu     sync.Mutex
+	mute   bool
+	closed bool
+	links  map[*link]bool
+}
+
+// link is one connection with its way on.
+type link struct {
+	in, out net.Conn
+	// muted is closed once nothing is passed on any more.
+	muted chan struct{}
+}
+
+// New listens on an address of loopback and passes connections on to target.
+// It fails with protocol.ErrInternal.
+func New(target string) (*Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, protocol.ErrInternal.Wrap(err, "listen")
+	}
+	r := &Relay{target: target, listener: l, links: map[*link]bool{}}
+	r.group.Go(r.accept)
+	return r, nil
+}
+
+// Address returns the address on which the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Silence lets every open connection go silent without closing it. New ones work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.mute()
+	}
+}
+
+// SetMute makes new connections silent from their beginning, or work again.
+func (r *Relay) SetMute(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = on
+}
+
+// Open returns the number of connections that are passed on.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open := 0
+	for l := range r.links {
+		if !l.isMuted() {
+			open++
+		}
+	}
+	return open
+}
+
+// Close closes every connection and waits for the goroutines.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	for l := range r.links {
+		l.close()
+	}
+	r.mu.Unlock()
+	r.group.Wait()
+}
+
+func (l *link) isMuted() bool {
+	select {
+	case <-l.muted:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) mute() {
+	if !l.isMuted() {
+		close(l.muted)
+	}
+}
+
+func (l *link) close() {
+	_ = l.in.Close()
+	_ = l.out.Close()
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.group.Go(func() { r.serve(in) })
+	}
+}
+
+func (r *Relay) serve(in net.Conn) {
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	l := &link{in: in, out: out, muted: make(chan struct{})}
+	if !r.add(l) {
+		return
+	}
+	r.group.Go(func() { l.pass(out, in) })
+	l.pass(in, out)
+	l.close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+}
+
+func (r *Relay) add(l *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		l.close()
+		return false
+	}
+	r.links[l] = true
+	if r.mute {
+		l.mute()
+	}
+	return true
+}
+
+// bufferBytes is the size of the buffer of one direction.
+const bufferBytes = 32 << 10
+
+// pass copies until an end closes. Once muted it reads on and drops what comes,
+// and an end that closes is not told to the other.
+func (l *link) pass(to, from net.Conn) {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buf)
+		if l.isMuted() {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
