--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -223,13 +223,36 @@
 		return
 	}
 	s.heard = time.Now()
-	changed := s.leaving != reply.Leaving || !s.reachable
+	changed := s.replace(reply.Targets)
+	if s.leaving != reply.Leaving || !s.reachable {
+		changed = stateChanged
+	}
 	s.leaving = reply.Leaving
-	if s.replace(reply.Targets) || changed {
+	m.spread(changed)
+}
+
+// change says how much a report differs from the one before.
+type change int
+
+const (
+	unchanged change = iota
+	loadChanged
+	stateChanged
+)
+
+// spread publishes a change: at once where a target's state has changed, and
+// soon where only its load has, so that at high rates one table serves many
+// reports. The lock is held.
+func (m *Manager) spread(c change) {
+	switch c {
+	case stateChanged:
 		m.publish()
-		return
+	case loadChanged:
+		select {
+		case m.changed <- struct{}{}:
+		default:
+		}
 	}
-	m.loadChanged()
 }
 
 // Observe takes a report that came with an answer.
@@ -247,19 +270,7 @@
 	if old == nil || old.Boot != r.Boot || old.Seq >= r.Seq {
 		return // a late answer, perhaps of a process that was replaced
 	}
-	if s.add(*r) {
-		m.publish()
-		return
-	}
-	m.loadChanged()
-}
-
-// loadChanged asks for a new table soon: at high rates one serves many reports.
-func (m *Manager) loadChanged() {
-	select {
-	case m.changed <- struct{}{}:
-	default:
-	}
+	m.spread(s.add(*r))
 }
 
 func (m *Manager) publishLoads(ctx context.Context) {
@@ -285,10 +296,9 @@
 	}
 }
 
-// replace takes the reports of all targets of a process. It reports whether
-// more than their load has changed.
-func (s *member) replace(reports []protocol.TargetReport) bool {
-	changed := false
+// replace takes the reports of all targets of a process.
+func (s *member) replace(reports []protocol.TargetReport) change {
+	most := unchanged
 	named := map[string]bool{}
 	for _, r := range reports {
 		named[r.Target] = true
@@ -296,24 +306,35 @@
 		if old != nil && old.Boot == r.Boot && old.Seq > r.Seq {
 			continue
 		}
-		changed = s.add(r) || changed
+		most = max(most, s.add(r))
 	}
-	count := len(s.reports)
-	maps.DeleteFunc(s.reports, func(target string, _ *report) bool { return !named[target] })
-	return changed || len(s.reports) != count
+	for target := range s.reports {
+		if !named[target] {
+			delete(s.reports, target)
+			most = stateChanged
+		}
+	}
+	return most
 }
 
-// add takes one report and reports whether more than the load has changed.
-func (s *member) add(r protocol.TargetReport) bool {
+// add takes one report.
+func (s *member) add(r protocol.TargetReport) change {
 	old := s.reports[r.Target]
 	if old == nil {
 		s.reports[r.Target] = &report{TargetReport: r, inFlight: &atomic.Int64{}}
-		return true
+		return stateChanged
 	}
-	changed := old.Boot != r.Boot || old.Leaving != r.Leaving || old.Healthy != r.Healthy ||
-		old.Slots != r.Slots || !maps.Equal(old.Labels, r.Labels)
+	before := old.TargetReport
 	old.TargetReport = r
-	return changed
+	switch {
+	case before.Boot != r.Boot, before.Leaving != r.Leaving, before.Healthy != r.Healthy,
+		before.Slots != r.Slots, !maps.Equal(before.Labels, r.Labels):
+		return stateChanged
+	case before.Online != r.Online, before.Batch != r.Batch, before.Queued != r.Queued, before.Lost != r.Lost:
+		return loadChanged
+	default:
+		return unchanged
+	}
 }
 
 // publish builds a new table from the sidecars' latest reports. The lock is held.
