--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -36,9 +35,8 @@
 // NewAttemptClient returns a client that authenticates with secret. observe
 // gets the hybrid logical time of every frame.
 func NewAttemptClient(secret string, observe func(clock uint64)) *AttemptClient {
-	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         defaultDial,
 		MaxIdleConnsPerHost: maxIdlePerSidecar,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
