--- a/demo/site.go
+++ b/demo/site.go
@@ -4,6 +4,7 @@
 package demo
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"strconv"
@@ -36,6 +37,10 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// ListLag is how late the instance list shows a change.
+	ListLag time.Duration
+	// Drain bounds a graceful shutdown; zero means ten seconds.
+	Drain time.Duration
 	// DataCentres is the number of data centres; zero means two.
 	DataCentres int
 	// Policy is in force in every process.
@@ -72,7 +77,7 @@
 	s := &Site{
 		layout: layout,
 		Log:    logservice.New(logservice.Params{AppendsPerSecond: 300}),
-		List:   instancelist.New(0, nil),
+		List:   instancelist.New(layout.ListLag, nil),
 	}
 	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
 	plan, err := s.plan(layout)
@@ -115,6 +120,9 @@
 	return plan, nil
 }
 
+// defaultDrain bounds a graceful shutdown where the layout sets no time.
+const defaultDrain = 10 * time.Second
+
 // defaultDataCentres is the number of data centres of a layout that sets none.
 const defaultDataCentres = 2
 
@@ -127,7 +135,7 @@
 	st.Process.DataCentre = "dc-" + suffix(index%centres)
 	st.Process.PeerSecret = PeerSecret
 	st.Policy = s.layout.Policy
-	st.Process.DrainTimeout = settings.Duration(10 * time.Second)
+	st.Process.DrainTimeout = settings.Duration(cmp.Or(s.layout.Drain, defaultDrain))
 	var err error
 	if st.Process.HTTP, err = FreeAddress(); err != nil {
 		return err
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -74,11 +74,13 @@
 	down      chan struct{}
 	active    map[string]context.CancelFunc
 	waiting   int
-	runs      []Run
-	cache     *prefixCache
-	orders    []platform.Order
-	fence     uint64
-	reports   []report
+	// queued counts the requests that found no place in the running batch.
+	queued  int
+	runs    []Run
+	cache   *prefixCache
+	orders  []platform.Order
+	fence   uint64
+	reports []report
 }
 
 type report struct {
@@ -131,14 +133,11 @@
 	return f, true
 }
 
-// Running returns the number of requests that run now.
-func (e *Engine) Running() int { return len(e.slots) }
-
-// Waiting returns the number of requests that the engine has queued.
-func (e *Engine) Waiting() int {
+// Queued returns the number of requests so far that had to wait in the engine.
+func (e *Engine) Queued() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.waiting
+	return e.queued
 }
 
 // Crash cuts every request and refuses connections for the restart time.
@@ -191,6 +190,12 @@
 	e.runs[run].Ended = how
 }
 
+func (e *Engine) isActive(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active[id] != nil
+}
+
 func (e *Engine) cancel(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -220,6 +225,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting += n
+	e.queued += max(0, n)
 }
 
 // sleep waits for d at the engine's current speed. It reports whether the
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -168,7 +168,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if f, _ := e.fault(nil); f.KeepsRunning {
+	if f, _ := e.fault(nil); f.KeepsRunning && e.isActive(want.ID) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
