--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -37,8 +37,8 @@
 
 // Faults are the failures in force.
 type Faults struct {
-	// CutEnds is the number of streams yet to be cut after their last token,
-	// before the end marker.
+	// CutEnds is the number of streams yet to end in order after their last
+	// token, without the end marker.
 	CutEnds int `json:"cut_ends"`
 	// Stalls is the number of requests yet to go silent after CutAfter tokens.
 	Stalls int `json:"stalls"`
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -143,7 +143,7 @@
 		_ = flush.Flush()
 	}
 	if _, cut := e.fault(func(f *Faults) *int { return &f.CutEnds }); cut {
-		return false
+		return true // the connection ends as if all had been sent
 	}
 	_, err := fmt.Fprintf(w, "data: %s\n\n", protocol.ChatDone)
 	return err == nil
