--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -61,6 +61,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// published is closed when the next table is published.
+	published chan struct{}
+	// read is true once the instance list has been read.
+	read bool
 }
 
 type member struct {
@@ -68,6 +72,8 @@
 	heard    time.Time
 	leaving  bool
 	polling  bool
+	// polled is true once a question to the process has ended.
+	polled bool
 	// reachable is what the published table says.
 	reachable bool
 	reports   map[string]*report
@@ -90,12 +96,32 @@
 	if p.Polls == nil {
 		p.Polls = func(platform.Role) bool { return true }
 	}
-	m := &Manager{params: p, members: map[string]*member{}, changed: make(chan struct{}, 1)}
+	m := &Manager{params: p, members: map[string]*member{}, changed: make(chan struct{}, 1), published: make(chan struct{})}
 	m.table.Store(&routing.Table{})
 	m.rows.Store(&[]platform.Instance{})
 	return m
 }
 
+// Published returns a channel that is closed when the next table is published.
+func (m *Manager) Published() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.published
+}
+
+// Ready reports whether the instance list has been read and every process on it
+// that this one polls has answered or failed to.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.members {
+		if !s.polled && s.instance.Name != m.params.Self && m.params.Polls(s.instance.Role) {
+			return false
+		}
+	}
+	return m.read
+}
+
 // ListedLeaving reports whether the instance list has this process as leaving.
 func (m *Manager) ListedLeaving() bool { return m.listed.Load() }
 
@@ -185,6 +211,9 @@
 }
 
 func (m *Manager) setInstances(instances []platform.Instance) {
+	m.mu.Lock()
+	m.read = true
+	m.mu.Unlock()
 	rows := slices.Clone(instances)
 	slices.SortFunc(rows, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
 	if slices.Equal(rows, *m.rows.Load()) {
@@ -218,7 +247,7 @@
 	reply, err := m.params.Reporter.Report(callCtx, peer)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s.polling = false
+	s.polling, s.polled = false, true
 	if err != nil {
 		return
 	}
@@ -350,6 +379,8 @@
 		return cmp.Or(strings.Compare(a.Name, b.Name), strings.Compare(a.Instance, b.Instance))
 	})
 	m.table.Store(table)
+	close(m.published)
+	m.published = make(chan struct{})
 }
 
 func (s *member) target(r *report) *routing.Target {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -31,7 +31,7 @@
 // further attempt is allowed.
 func (e *Entry) dispatch(ctx context.Context, o *order) (*protocol.Result, error) {
 	run := &dispatchRun{entry: e, order: o, tried: map[string]bool{}}
-	var err error
+	var err, ran error
 	for n := range e.settings.Entry.Attempts {
 		if n > 0 {
 			e.metrics.retries.Inc()
@@ -42,10 +42,16 @@
 		if err == nil {
 			return result, nil
 		}
+		if protocol.OutcomeOf(err) == protocol.OutcomeUnknown {
+			ran = err
+		}
 		if ctx.Err() != nil || !o.mayRetry(err) {
 			break
 		}
 	}
+	if ran != nil && protocol.OutcomeOf(err) == protocol.OutcomeNotRun && !errorx.IsOfType(err, protocol.ErrBadRequest) {
+		return nil, protocol.ErrUnknownOutcome.Wrap(ran, "an earlier attempt may have run; the last one: %v", err)
+	}
 	return nil, err
 }
 
@@ -83,7 +89,7 @@
 
 func (d *dispatchRun) attempt(ctx context.Context) (*protocol.Result, error) {
 	e, o := d.entry, d.order
-	target, err := d.pick()
+	target, err := d.awaitTarget(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +123,33 @@
 	return nil, err
 }
 
+// targetWait bounds the wait for a target to become ready: a replaced target is
+// known as ready within the interval of reports.
+const targetWait = protocol.HeartbeatTimeout
+
+// awaitTarget picks a target, waiting a while where none is ready. It fails with
+// ErrNoTarget.
+func (d *dispatchRun) awaitTarget(ctx context.Context) (*routing.Target, error) {
+	published := d.entry.members.Published()
+	target, err := d.pick()
+	if err == nil {
+		return target, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, targetWait)
+	defer cancel()
+	for {
+		select {
+		case <-published:
+		case <-ctx.Done():
+			return nil, err
+		}
+		published = d.entry.members.Published()
+		if target, err = d.pick(); err == nil {
+			return target, nil
+		}
+	}
+}
+
 // pick chooses a target not yet tried, and starts over once all were.
 func (d *dispatchRun) pick() (*routing.Target, error) {
 	table, config := d.entry.members.Table(), d.entry.config.Current()
--- a/entry/services.go
+++ b/entry/services.go
@@ -64,6 +64,9 @@
 	if !e.conf.follower.CaughtUp() || !e.work.follower.CaughtUp() {
 		return protocol.ErrBusy.New("the log has not been read yet")
 	}
+	if !e.members.Ready() {
+		return protocol.ErrBusy.New("the targets are not known yet")
+	}
 	w.WriteHeader(http.StatusNoContent)
 	return nil
 }
--- /dev/null
+++ b/promises/shutdown_test.go
@@ -0,0 +1,184 @@
+package promises
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/history"
+	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+// endLimit bounds the wait for a process that was told to stop.
+const endLimit = 30 * time.Second
+
+// stop sends SIGTERM and waits until the process has ended by itself.
+func stop(t *testing.T, p *processtest.Process) {
+	t.Helper()
+	assert.NilError(t, p.Signal(syscall.SIGTERM))
+	code, err := p.Wait(endLimit)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0, "%s", p.Log())
+}
+
+// awaitReady waits until a process that was started again serves.
+func awaitReady(t *testing.T, p *processtest.Process) {
+	t.Helper()
+	eventually(t, endLimit, func() error {
+		resp, err := http.Get("http://" + p.Settings.Process.HTTP + "/readyz")
+		if err != nil {
+			return protocol.ErrNotSent.Wrap(err, "ready")
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusNoContent {
+			return protocol.ErrBusy.New("status %d", resp.StatusCode)
+		}
+		return nil
+	})
+}
+
+// awaitJob waits until the job has completed and returns its results.
+func awaitJob(t *testing.T, c *client.Client, id string, limit time.Duration) string {
+	t.Helper()
+	eventually(t, limit, func() error {
+		job, err := c.Job(t.Context(), id)
+		if err != nil {
+			return err
+		}
+		if job.Status != "completed" {
+			return protocol.ErrBusy.New("job is %s", job.Status)
+		}
+		return nil
+	})
+	var results bytes.Buffer
+	assert.NilError(t, c.Results(t.Context(), id, &results))
+	return results.String()
+}
+
+// TestShutdownCutsNothing stops a process while streams, bookings and batch
+// items run on it. All of them end whole, and only once.
+func TestShutdownCutsNothing(t *testing.T) {
+	for _, role := range []string{"sidecar", "entry"} {
+		t.Run(role, func(t *testing.T) {
+			site, c := startProcesses(t, processtest.Layout{
+				Entries: 2, Engines: 2, Services: 1, Slots: 8, Drain: 20 * time.Second,
+				Engine:  settings.StandInEngine{Width: 8, TokenTime: settings.Duration(20 * time.Millisecond)},
+				Service: settings.StandInService{DelayMillis: 1500},
+			})
+			job := submitJob(t, c, "nightly", 12, 60)
+			awaitEvent(t, c, "item started")
+			a := &asker{client: c}
+			var group sync.WaitGroup
+			for i := range 6 {
+				group.Go(func() { a.ask(t, fmt.Sprintf("draining %d", i), 60, i%2 == 0) })
+			}
+			for i := range 2 {
+				group.Go(func() {
+					_, err := c.Call(t.Context(), "booking", http.MethodPost, "/bookings", []byte(`{"slot":"7"}`), client.CallOptions{Key: fmt.Sprintf("drain-%d", i)})
+					if err != nil {
+						t.Errorf("booking %d: %v", i, err)
+					}
+				})
+			}
+			awaitEvent(t, c, "call started")
+			<-time.After(300 * time.Millisecond)
+			stopped := []*processtest.Process{site.Entries[0]}
+			if role == "sidecar" {
+				stopped = []*processtest.Process{site.Sidecars[0], site.Sidecars[2]}
+			}
+			for _, p := range stopped {
+				group.Go(func() { stop(t, p) })
+			}
+			group.Wait()
+			assert.NilError(t, history.CheckAnswers(a.answers))
+			assert.Equal(t, a.failed(), 0)
+			runs, err := site.Runs()
+			assert.NilError(t, err)
+			assert.DeepEqual(t, runs, map[string]int{"demo/drain-0": 1, "demo/drain-1": 1})
+			assert.Equal(t, strings.Count(awaitJob(t, c, job, time.Minute), "\n"), 12)
+		})
+	}
+}
+
+// TestDrainTimeoutTellsTruth stops an entry and a sidecar whose work takes
+// longer than the drain timeout. What is cut is told: an error whose outcome is
+// unknown, never a short answer.
+func TestDrainTimeoutTellsTruth(t *testing.T) {
+	for _, role := range []string{"sidecar", "entry"} {
+		t.Run(role, func(t *testing.T) {
+			site, c := startProcesses(t, processtest.Layout{
+				Entries: 1, Engines: 1, Services: 1, Slots: 8, Drain: time.Second,
+				Engine:  settings.StandInEngine{Width: 8, TokenTime: settings.Duration(50 * time.Millisecond)},
+				Service: settings.StandInService{DelayMillis: 15000},
+			})
+			a := &asker{client: c}
+			var group sync.WaitGroup
+			for i := range 4 {
+				group.Go(func() { a.ask(t, fmt.Sprintf("cut %d", i), 300, i%2 == 0) })
+			}
+			var booking error
+			group.Go(func() {
+				_, booking = c.Call(t.Context(), "booking", http.MethodPost, "/bookings", []byte(`{"slot":"7"}`), client.CallOptions{Key: "cut"})
+			})
+			awaitEvent(t, c, "call started")
+			stopped := []*processtest.Process{site.Entries[0]}
+			if role == "sidecar" {
+				stopped = site.Sidecars
+			}
+			for _, p := range stopped {
+				group.Go(func() { stop(t, p) })
+			}
+			group.Wait()
+			assert.NilError(t, history.CheckAnswers(a.answers))
+			assert.Equal(t, a.failed(), 4)
+			assert.Equal(t, protocol.OutcomeOf(booking), protocol.OutcomeUnknown, "%v", booking)
+			for _, answer := range a.answers {
+				assert.Equal(t, protocol.OutcomeOf(answer.Err), protocol.OutcomeUnknown, "%s: %v", answer.Request, answer.Err)
+			}
+		})
+	}
+}
+
+// TestRollingReplacement replaces every process one after the other under load.
+// No request fails or is refused.
+func TestRollingReplacement(t *testing.T) {
+	site, c := startProcesses(t, processtest.Layout{
+		Entries: 2, Engines: 2, Services: 2, Slots: 4, Drain: 20 * time.Second,
+		Engine: settings.StandInEngine{Width: 4, TokenTime: settings.Duration(5 * time.Millisecond)},
+	})
+	job := submitJob(t, c, "nightly", 400, 10)
+	l := startLoad(t, c, 4, 2)
+	for _, group := range [][]*processtest.Process{site.Sidecars, site.Entries} {
+		for _, p := range group {
+			stop(t, p)
+			assert.NilError(t, p.Start())
+			awaitReady(t, p)
+			before := l.done.Load()
+			eventually(t, endLimit, func() error {
+				if l.done.Load() < before+50 {
+					return protocol.ErrBusy.New("%d requests done", l.done.Load()-before)
+				}
+				return nil
+			})
+		}
+	}
+	l.stop()
+	t.Logf("%d done, refused as not run: %v", l.done.Load(), l.refused)
+	assert.Equal(t, len(l.refused), 0)
+	runs, err := site.Runs()
+	assert.NilError(t, err)
+	for key, n := range runs {
+		assert.Equal(t, n, 1, "booking %s", key)
+	}
+	assert.Equal(t, strings.Count(awaitJob(t, c, job, time.Minute), "\n"), 400)
+}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -77,7 +77,9 @@
 	}
 	select {
 	case <-granted:
-		return ctx, release, nil
+		if ctx.Err() == nil {
+			return ctx, release, nil
+		}
 	case <-ctx.Done():
 	}
 	release()
@@ -148,6 +150,7 @@
 
 func (r *runner) free(attempt string) {
 	r.seq++
+	r.turnAway() // before the slot could go to one of those that wait
 	r.slotEvent(timeline.SlotFreed, attempt)
 	r.apply(r.slots.Done(attempt))
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -39,10 +39,11 @@
 	mu     sync.Mutex
 	faults Faults
 	runs   map[string]int
+	starts map[string]int64
 }
 
 // New returns an office without bookings.
-func New() *Service { return &Service{runs: map[string]int{}} }
+func New() *Service { return &Service{runs: map[string]int{}, starts: map[string]int64{}} }
 
 // SetFaults replaces the failures in force.
 func (s *Service) SetFaults(f Faults) {
@@ -58,12 +59,25 @@
 	return maps.Clone(s.runs)
 }
 
-// Handler serves POST /bookings, GET /bookings, GET /runs and POST /faults.
+// Starts returns when the booking of each key last began, in microseconds since
+// the epoch.
+func (s *Service) Starts() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.starts)
+}
+
+// Handler serves POST /bookings, GET /bookings, GET /runs, GET
+// /starts and POST /faults.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /bookings", s.serveBook)
 	mux.HandleFunc("GET /bookings", s.serveRuns)
 	mux.HandleFunc("GET /runs", s.serveRuns)
+	mux.HandleFunc("GET /starts", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Starts())
+	})
 	mux.HandleFunc("POST /faults", s.serveFaults)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return mux
@@ -105,6 +119,7 @@
 		return b, 0, true, false
 	}
 	s.runs[key]++
+	s.starts[key] = time.Now().UnixMicro()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		lose = true
