Check that a stopped sidecar waits for its batch items

Cause: with items shorter than the requests beside them the test passed without the wait. Now the engines' records must show every run as done.

Shown failing: without the wait, 'cancelled != done: nightly 2'; with it both roles pass with the race detector.

--- a/promises/shutdown_test.go
+++ b/promises/shutdown_test.go
@@ -17,6 +17,7 @@
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
 )
 
 // endLimit bounds the wait for a process that was told to stop.
@@ -71,11 +72,11 @@
 	for _, role := range []string{"sidecar", "entry"} {
 		t.Run(role, func(t *testing.T) {
 			site, c := startProcesses(t, processtest.Layout{
-				Entries: 2, Engines: 2, Services: 1, Slots: 8, Drain: 20 * time.Second,
-				Engine:  settings.StandInEngine{Width: 8, TokenTime: settings.Duration(20 * time.Millisecond)},
+				Entries: 2, Engines: 2, Services: 1, Slots: 16, Drain: 20 * time.Second,
+				Engine:  settings.StandInEngine{Width: 16, TokenTime: settings.Duration(20 * time.Millisecond)},
 				Service: settings.StandInService{DelayMillis: 1500},
 			})
-			job := submitJob(t, c, "nightly", 12, 60)
+			job := submitJob(t, c, "nightly", 12, 150)
 			awaitEvent(t, c, "item started")
 			a := &asker{client: c}
 			var group sync.WaitGroup
@@ -106,10 +107,24 @@
 			assert.NilError(t, err)
 			assert.DeepEqual(t, runs, map[string]int{"demo/drain-0": 1, "demo/drain-1": 1})
 			assert.Equal(t, strings.Count(awaitJob(t, c, job, time.Minute), "\n"), 12)
+			assertNothingCut(t, site)
 		})
 	}
 }
 
+// assertNothingCut checks the engines' own records: there are slots for all, so
+// that each run must have ended by itself.
+func assertNothingCut(t *testing.T, site *processtest.Site) {
+	t.Helper()
+	for _, p := range site.Engines {
+		var runs []engine.Run
+		assert.NilError(t, processtest.Read("http://"+p.Settings.StandIn.Listen+"/runs", &runs))
+		for _, r := range runs {
+			assert.Equal(t, r.Ended, "done", "%s", r.Prompt)
+		}
+	}
+}
+
 // TestDrainTimeoutTellsTruth stops an entry and a sidecar whose work takes
 // longer than the drain timeout. What is cut is told: an error whose outcome is
 // unknown, never a short answer.
