Prove that silent connections cost one attempt and no caller hangs

Every open connection between entries and sidecars goes silent at once, under streams, idle connections and a booking; and the connections of a process to the instance list and of a follower to the log. Each request is sent at most twice, later ones too; the booking runs once and its answer can be read afterwards. Checked by counts from the time line; the waits are bounded by the heartbeat timeout.

--- /dev/null
+++ b/promises/silent_test.go
@@ -0,0 +1,243 @@
+package promises
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/coordination/follow"
+	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/demo"
+	"github.com/sycamoretally/sycamoretally/history"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
+	"github.com/sycamoretally/sycamoretally/standin/instancelist"
+	"github.com/sycamoretally/sycamoretally/standin/logservice"
+	"github.com/sycamoretally/sycamoretally/standin/relay"
+	"github.com/sycamoretally/sycamoretally/standin/service"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// silentLimit is the time in which work goes on after connections went silent:
+// the heartbeat timeout, a round of reports and a new connection.
+const silentLimit = 2 * protocol.HeartbeatTimeout
+
+// network puts a relay before each address that the processes of a site dial.
+type network struct {
+	mu     sync.Mutex
+	relays map[string]*relay.Relay
+}
+
+func (n *network) dial(*settings.Settings) transport.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		r, err := n.relayTo(address)
+		if err != nil {
+			return nil, err
+		}
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, r.Address())
+	}
+}
+
+func (n *network) relayTo(address string) (*relay.Relay, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.relays[address]; r != nil {
+		return r, nil
+	}
+	r, err := relay.New(address)
+	if err == nil {
+		n.relays[address] = r
+	}
+	return r, err
+}
+
+// silence lets every open connection between the processes go silent.
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.relays {
+		r.Silence()
+	}
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.relays {
+		r.Close()
+	}
+}
+
+// startBehindRelays starts a site whose processes reach each other through relays.
+func startBehindRelays(t *testing.T) (*network, *demo.Site, *client.Client) {
+	n := &network{relays: map[string]*relay.Relay{}}
+	t.Cleanup(n.close)
+	site, c := startInProcess(t, demo.Layout{
+		Entries: 2, Engines: 3, Services: 1, Slots: 16, Dial: n.dial,
+		Engine: engine.Params{Width: 16, TokenTime: 10 * time.Millisecond, RestartTime: time.Second},
+	})
+	return n, site, c
+}
+
+// TestSilentConnectionsBetweenProcesses lets every connection between entries
+// and sidecars go silent, with streams on them and idle ones beside. Each
+// request goes on after at most one more attempt, and so do later ones.
+func TestSilentConnectionsBetweenProcesses(t *testing.T) {
+	n, _, c := startBehindRelays(t)
+	burst(t, c, 12, 2, "before") // leaves idle connections
+	a := &asker{client: c}
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() { a.ask(t, fmt.Sprintf("silenced %d", i), 100, i%2 == 0) })
+	}
+	awaitRunning(t, c, 12)
+	n.silence()
+	group.Wait()
+	assert.NilError(t, history.CheckAnswers(a.answers))
+	assert.Equal(t, a.failed(), 0)
+	burst(t, c, 12, 2, "after")
+	line, err := c.Timeline(t.Context(), protocol.EventsArgs{})
+	assert.NilError(t, err)
+	sent := map[string]int{}
+	for _, e := range line.Events {
+		if e.Name == "attempt sent" {
+			sent[e.Trace]++
+			assert.Assert(t, sent[e.Trace] <= 2, "request %s was sent %d times", e.Trace, sent[e.Trace])
+		}
+	}
+}
+
+// awaitRunning waits until n online attempts have been admitted after the first
+// twelve of the burst before.
+func awaitRunning(t *testing.T, c *client.Client, n int) {
+	t.Helper()
+	eventually(t, 10*time.Second, func() error {
+		line, err := c.Timeline(t.Context(), protocol.EventsArgs{})
+		if err != nil {
+			return err
+		}
+		admitted := 0
+		for _, e := range line.Events {
+			if e.Name == "attempt admitted" {
+				admitted++
+			}
+		}
+		if admitted < 2*n {
+			return protocol.ErrBusy.New("%d admitted", admitted)
+		}
+		return nil
+	})
+}
+
+// TestSilentConnectionUnderBooking lets the connections go silent while a
+// booking runs: it runs once, its caller hears that the outcome is unknown or
+// gets the answer, and the answer can be read afterwards.
+func TestSilentConnectionUnderBooking(t *testing.T) {
+	n, site, c := startBehindRelays(t)
+	site.Services[0].SetFaults(service.Faults{DelayMillis: 500})
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err = c.Call(t.Context(), "booking", http.MethodPost, "/bookings", []byte(`{"slot":"7"}`), client.CallOptions{Key: "silent"})
+	}()
+	awaitEvent(t, c, "call started")
+	n.silence()
+	<-done
+	if err != nil {
+		assert.Equal(t, protocol.OutcomeOf(err), protocol.OutcomeUnknown, "%v", err)
+	}
+	eventually(t, 2*silentLimit, func() error {
+		a, err := c.Result(t.Context(), "silent")
+		if err == nil && a.Status != http.StatusCreated {
+			return protocol.ErrBusy.New("status %d", a.Status)
+		}
+		return err
+	})
+	assert.Equal(t, site.Services[0].Runs()["demo/silent"], 1)
+}
+
+// TestSilentInstanceList lets the connections to the instance list go silent:
+// a change on it is known within the limit.
+func TestSilentInstanceList(t *testing.T) {
+	list := instancelist.New(0, []platform.Instance{{Name: "e", Role: platform.RoleEntry}})
+	r := relayBefore(t, list.Handler())
+	m := membership.New(membership.Params{Self: "e", List: platform.NewHTTPInstanceList("http://" + r.Address())})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	eventually(t, silentLimit, func() error { return unless(m.Ready()) })
+	r.Silence()
+	list.Set([]platform.Instance{{Name: "e", Role: platform.RoleEntry, Leaving: true}})
+	eventually(t, silentLimit, func() error { return unless(m.ListedLeaving()) })
+}
+
+func unless(ok bool) error {
+	if ok {
+		return nil
+	}
+	return protocol.ErrBusy.New("not yet")
+}
+
+// relayBefore serves a handler behind a relay.
+func relayBefore(t *testing.T, h http.Handler) *relay.Relay {
+	t.Helper()
+	server := httptest.NewServer(h)
+	r, err := relay.New(strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		r.Close()
+		server.Close()
+	})
+	return r
+}
+
+// countFold counts records.
+type countFold struct{ records chan string }
+
+// Apply implements follow.Fold.
+func (f countFold) Apply(_ protocol.Position, rec *protocol.Record) { f.records <- rec.ID }
+
+// TestSilentLog lets a follower's connection to the log go silent: it reads on
+// over a new one within the limit of its poll and the heartbeat timeout.
+func TestSilentLog(t *testing.T) {
+	log := logservice.New(logservice.Params{AppendsPerSecond: 1000})
+	r := relayBefore(t, log.Handler())
+	fold := countFold{records: make(chan string, 8)}
+	f := follow.New(follow.Params{Stream: protocol.StreamWork, Source: platform.NewHTTPLog("http://" + r.Address())}, fold)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	eventually(t, silentLimit, func() error { return unless(f.CaughtUp()) })
+	r.Silence()
+	data, err := protocol.EncodeBatch([]protocol.Record{{ID: "r"}})
+	assert.NilError(t, err)
+	_, err = log.Append(ctx, protocol.StreamWork, data)
+	assert.NilError(t, err)
+	select {
+	case id := <-fold.records:
+		assert.Equal(t, id, "r")
+	case <-time.After(follow.DefaultPollWait + silentLimit):
+		t.Error("the follower hangs on the silent connection")
+	}
+}
