--- a/promises/silent_test.go
+++ b/promises/silent_test.go
@@ -81,11 +81,11 @@
 }
 
 // startBehindRelays starts a site whose processes reach each other through relays.
-func startBehindRelays(t *testing.T) (*network, *demo.Site, *client.Client) {
+func startBehindRelays(t *testing.T, policy settings.Policy) (*network, *demo.Site, *client.Client) {
 	n := &network{relays: map[string]*relay.Relay{}}
 	t.Cleanup(n.close)
 	site, c := startInProcess(t, demo.Layout{
-		Entries: 2, Engines: 3, Services: 1, Slots: 16, Dial: n.dial,
+		Entries: 2, Engines: 3, Services: 1, Slots: 16, Dial: n.dial, Policy: policy,
 		Engine: engine.Params{Width: 16, TokenTime: 10 * time.Millisecond, RestartTime: time.Second},
 	})
 	return n, site, c
@@ -93,9 +93,16 @@
 
 // TestSilentConnectionsBetweenProcesses lets every connection between entries
 // and sidecars go silent, with streams on them and idle ones beside. Each
-// request goes on after at most one more attempt, and so do later ones.
+// request goes on after at most one more attempt, hedges aside, and so do later
+// ones.
 func TestSilentConnectionsBetweenProcesses(t *testing.T) {
-	n, _, c := startBehindRelays(t)
+	for _, noHedges := range []bool{true, false} {
+		t.Run(fmt.Sprintf("no hedges %t", noHedges), func(t *testing.T) { silenceAll(t, settings.Policy{NoHedges: noHedges}) })
+	}
+}
+
+func silenceAll(t *testing.T, policy settings.Policy) {
+	n, _, c := startBehindRelays(t, policy)
 	burst(t, c, 12, 2, "before") // leaves idle connections
 	a := &asker{client: c}
 	var group sync.WaitGroup
@@ -112,7 +119,10 @@
 	assert.NilError(t, err)
 	sent := map[string]int{}
 	for _, e := range line.Events {
-		if e.Name == "attempt sent" {
+		switch e.Name {
+		case "attempt hedged":
+			sent[e.Trace]--
+		case "attempt sent":
 			sent[e.Trace]++
 			assert.Assert(t, sent[e.Trace] <= 2, "request %s was sent %d times", e.Trace, sent[e.Trace])
 		}
@@ -145,7 +155,7 @@
 // booking runs: it runs once, its caller hears that the outcome is unknown or
 // gets the answer, and the answer can be read afterwards.
 func TestSilentConnectionUnderBooking(t *testing.T) {
-	n, site, c := startBehindRelays(t)
+	n, site, c := startBehindRelays(t, settings.Policy{})
 	site.Services[0].SetFaults(service.Faults{DelayMillis: 500})
 	var err error
 	done := make(chan struct{})
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -42,6 +42,8 @@
 	healthy bool
 	boot    string
 	seq     uint64
+	// freed tells the puller that a slot may have become free.
+	freed chan struct{}
 }
 
 func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
@@ -57,6 +59,7 @@
 		listed:  func() bool { return false },
 		healthy: true,
 		boot:    protocol.NewID(),
+		freed:   make(chan struct{}, 1),
 	}
 }
 
@@ -153,6 +156,15 @@
 	r.turnAway() // before the slot could go to one of those that wait
 	r.slotEvent(timeline.SlotFreed, attempt)
 	r.apply(r.slots.Done(attempt))
+	signal(r.freed)
+}
+
+// signal leaves a token in ch, unless one is there.
+func signal(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
 }
 
 // lose marks the attempt's slot as lost.
@@ -265,6 +277,14 @@
 	return r.slots.Spare()
 }
 
+// batchIdle reports whether the target runs no batch item.
+func (r *runner) batchIdle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, batch, _ := r.slots.Counts()
+	return batch == 0
+}
+
 func (r *runner) report() protocol.TargetReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,9 +53,10 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
-	// pulls ends when no batch item is in progress; background when every
-	// record has been handed to an entry.
+	// pulls counts the pullers, items the batch items that no entry has taken
+	// back yet, and background the records that no entry has taken yet.
 	pulls      sync.WaitGroup
+	items      sync.WaitGroup
 	background sync.WaitGroup
 }
 
@@ -181,7 +182,8 @@
 	}
 	idle := make(chan struct{})
 	go func() {
-		s.pulls.Wait()
+		s.pulls.Wait() // no item begins after this
+		s.items.Wait()
 		s.background.Wait()
 		close(idle)
 	}()
