--- a/demo/site.go
+++ b/demo/site.go
@@ -41,6 +41,8 @@
 	ListLag time.Duration
 	// Drain bounds a graceful shutdown; zero means ten seconds.
 	Drain time.Duration
+	// MaxAge replaces the default of the setting, where above zero.
+	MaxAge time.Duration
 	// Log, where set, gives the log that the instance uses in place of the site's.
 	Log func(instance string, log platform.Log) platform.Log
 	// DataCentres is the number of data centres; zero means two.
@@ -67,11 +69,16 @@
 	Services []*service.Service
 	Entries  []*entry.Entry
 	Sidecars []*sidecar.Sidecar
+	// Paths holds each process's way to the log by its instance.
+	Paths map[string]*logservice.Path
 	// Client holds the settings with which a client reaches the site.
 	Client settings.Client
 
 	layout  Layout
 	servers []*http.Server
+	rows    []platform.Instance
+	// startState is the state of the path of the next process to start.
+	startState logservice.PathState
 }
 
 // Start starts a site. Close must be called in the end, also after an error.
@@ -80,6 +87,7 @@
 		layout: layout,
 		Log:    logservice.New(logservice.Params{AppendsPerSecond: 300}),
 		List:   instancelist.New(layout.ListLag, nil),
+		Paths:  map[string]*logservice.Path{},
 	}
 	s.Client = settings.Client{OperatorKey: OperatorKey, CallerKey: CallerKey}
 	plan, err := s.plan(layout)
@@ -181,16 +189,34 @@
 	return sc, nil
 }
 
+// AddSidecar starts a further sidecar, with its way to the log in a state, and
+// lists it.
+func (s *Site) AddSidecar(layout Layout, state logservice.PathState) (*sidecar.Sidecar, error) {
+	e := engine.New(layout.Engine)
+	s.Engines = append(s.Engines, e)
+	p, err := s.sidecarFor(settings.TargetEngine, "drafting", e.Handler(), len(s.Sidecars)+len(s.Entries), layout.Slots)
+	if err != nil {
+		return nil, err
+	}
+	s.rows = append(s.rows, rowOf(&p))
+	s.List.Set(s.rows)
+	s.startState = state
+	err = s.startOne(&p)
+	return s.Sidecars[len(s.Sidecars)-1], err
+}
+
+func rowOf(p *settings.Settings) platform.Instance {
+	return platform.Instance{
+		Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
+		HTTP: p.Process.HTTP, Peer: p.Process.Peer,
+	}
+}
+
 func (s *Site) run(plan []settings.Settings) error {
-	var rows []platform.Instance
 	for i := range plan {
-		p := &plan[i]
-		rows = append(rows, platform.Instance{
-			Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
-			HTTP: p.Process.HTTP, Peer: p.Process.Peer,
-		})
+		s.rows = append(s.rows, rowOf(&plan[i]))
 	}
-	s.List.Set(rows)
+	s.List.Set(s.rows)
 	for i := range plan {
 		if err := s.startOne(&plan[i]); err != nil {
 			return err
@@ -207,15 +233,21 @@
 }
 
 func (s *Site) startOne(p *settings.Settings) error {
+	if s.layout.MaxAge > 0 {
+		p.Process.MaxAge = settings.Duration(s.layout.MaxAge)
+	}
+	path := logservice.NewPath(s.Log)
+	path.Set(s.startState)
+	s.Paths[p.Process.Instance] = path
 	if p.Role == settings.RoleSidecar {
-		sc, err := sidecar.New(p, sidecar.Platform{Log: s.Log, Instances: s.List, Dial: s.dialOf(p)})
+		sc, err := sidecar.New(p, sidecar.Platform{Log: path, Instances: s.List, Dial: s.dialOf(p)})
 		if err != nil {
 			return err
 		}
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance), Instances: s.List, Dial: s.dialOf(p)})
+	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance, path), Instances: s.List, Dial: s.dialOf(p)})
 	if err != nil {
 		return err
 	}
@@ -224,11 +256,11 @@
 	return en.Start()
 }
 
-func (s *Site) logOf(instance string) platform.Log {
+func (s *Site) logOf(instance string, path *logservice.Path) platform.Log {
 	if s.layout.Log == nil {
-		return s.Log
+		return path
 	}
-	return s.layout.Log(instance, s.Log)
+	return s.layout.Log(instance, path)
 }
 
 // Close stops every process of the site.
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// Restored implements follow.Restored.
+func (w jobWatch) Restored() { w.e.leases.wake() }
+
 // watchInterval is how often a waiting pull looks for items that no event
 // announced: a lapsed lease, a job taken over, a changed label.
 const watchInterval = time.Second
@@ -241,7 +244,7 @@
 		e.leases.scheduler.Yield(args.Job, args.Index, args.Lease, args.Resume)
 		return false
 	}
-	return e.leases.scheduler.Fail(args.Job, args.Index, args.Lease)
+	return e.leases.scheduler.Fail(args.Job, args.Index, args.Lease, args.Resume)
 }
 
 // Renew extends leases and names those whose items must stop. A lease that this
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,18 +49,25 @@
 	jobs     *state.Jobs
 	conf     stream
 	work     stream
-	bodies   *logcache.Cache
-	members  *membership.Manager
-	peers    *transport.Peers
-	attempts *transport.AttemptClient
-	leases   *leases
-	results  *resultGatherer
-	flights  *flights
-	ring     *timeline.Ring
-	metrics  *metrics
-	log      platform.Log
-	callers  map[string]string
-	policy   *policy
+	// moved locates the bodies of records of the work stream.
+	moved *state.Bodies
+	// confMarks holds the marks of the configuration stream.
+	confMarks *state.Bodies
+	bodies    *logcache.Cache
+	members   *membership.Manager
+	peers     *transport.Peers
+	attempts  *transport.AttemptClient
+	leases    *leases
+	results   *resultGatherer
+	flights   *flights
+	claims    *claims
+	end       *endOfLog
+	tasks     tasks
+	ring      *timeline.Ring
+	metrics   *metrics
+	log       platform.Log
+	callers   map[string]string
+	policy    *policy
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -75,30 +82,35 @@
 	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
 	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
-		settings: s,
-		config:   state.NewConfigFold(),
-		requests: state.NewRequests(),
-		jobs:     state.NewJobs(),
-		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
-		peers:    transport.NewPeers(s.Process.PeerSecret),
-		attempts: transport.NewAttemptClient(s.Process.PeerSecret, observe),
-		flights:  newFlights(),
-		ring:     ring,
-		metrics:  newMetrics(),
-		log:      p.Log,
-		callers:  map[string]string{},
-		policy:   newPolicy(s.Policy),
-		leaving:  make(chan struct{}),
+		settings:  s,
+		config:    state.NewConfigFold(),
+		requests:  state.NewRequests(),
+		jobs:      state.NewJobs(),
+		moved:     state.NewBodies(),
+		confMarks: state.NewBodies(),
+		peers:     transport.NewPeers(s.Process.PeerSecret),
+		attempts:  transport.NewAttemptClient(s.Process.PeerSecret, observe),
+		flights:   newFlights(),
+		claims:    newClaims(),
+		end:       &endOfLog{log: p.Log, stream: protocol.StreamWork},
+		ring:      ring,
+		metrics:   newMetrics(),
+		log:       p.Log,
+		callers:   map[string]string{},
+		policy:    newPolicy(s.Policy),
+		leaving:   make(chan struct{}),
 	}
 	if p.Dial != nil {
 		e.peers.UseDial(p.Dial)
 		e.attempts.UseDial(p.Dial)
 	}
+	e.bodies = logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes, e.moved.Locate)
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
-	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, jobWatch{e})
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
+	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget, jobWatch{e})
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
@@ -115,8 +127,10 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
+	e.metrics.registry.MustRegister(follower.Metrics()...)
 	return stream{
-		follower: follow.New(follow.Params{Stream: name, Source: log, PollWait: pollWait}, folds...),
+		follower: follower,
 		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
 	}
 }
@@ -147,7 +161,9 @@
 	e.tomb.Go(func() error { return e.work.writer.Run(ctx) })
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
+	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.retain(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -35,6 +36,7 @@
 		key = protocol.NewID()
 	}
 	o := newOrder(keyIn(call.Workspace, key), traceOf(r.Request), call, service)
+	o.named = r.Header.Get(headerKey) != ""
 	e.ring.Add(o.trace, "request received", "service", name)
 	if wantsReceipt(r.Request) {
 		return e.accept(w, r, key, o)
@@ -61,8 +63,10 @@
 	if e.isLeaving() {
 		return protocol.ErrLeaving.New("this entry is shutting down")
 	}
-	if !e.conf.follower.CaughtUp() || !e.work.follower.CaughtUp() {
-		return protocol.ErrBusy.New("the log has not been read yet")
+	for _, st := range []stream{e.conf, e.work} {
+		if err := st.follower.CheckAge(time.Duration(e.settings.Process.MaxAge)); err != nil {
+			return err
+		}
 	}
 	if !e.members.Ready() {
 		return protocol.ErrBusy.New("the targets are not known yet")
--- a/promises/shutdown_test.go
+++ b/promises/shutdown_test.go
@@ -32,8 +32,8 @@
 	assert.Equal(t, code, 0, "%s", p.Log())
 }
 
-// awaitReady waits until a process that was started again serves.
-func awaitReady(t *testing.T, p *processtest.Process) {
+// awaitServing waits until a process that was started again serves.
+func awaitServing(t *testing.T, p *processtest.Process) {
 	t.Helper()
 	eventually(t, endLimit, func() error {
 		resp, err := http.Get("http://" + p.Settings.Process.HTTP + "/readyz")
@@ -177,7 +177,7 @@
 		for _, p := range group {
 			stop(t, p)
 			assert.NilError(t, p.Start())
-			awaitReady(t, p)
+			awaitServing(t, p)
 			before := l.done.Load()
 			eventually(t, endLimit, func() error {
 				if l.done.Load() < before+50 {
--- a/promises/silent_test.go
+++ b/promises/silent_test.go
@@ -24,7 +24,7 @@
 	"github.com/sycamoretally/sycamoretally/standin/engine"
 	"github.com/sycamoretally/sycamoretally/standin/instancelist"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
-	"github.com/sycamoretally/sycamoretally/standin/relay"
+	netrelay "github.com/sycamoretally/sycamoretally/standin/relay"
 	"github.com/sycamoretally/sycamoretally/standin/service"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
@@ -36,7 +36,7 @@
 // network puts a relay before each address that the processes of a site dial.
 type network struct {
 	mu     sync.Mutex
-	relays map[string]*relay.Relay
+	relays map[string]*netrelay.Relay
 }
 
 func (n *network) dial(*settings.Settings) transport.Dial {
@@ -50,13 +50,13 @@
 	}
 }
 
-func (n *network) relayTo(address string) (*relay.Relay, error) {
+func (n *network) relayTo(address string) (*netrelay.Relay, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r := n.relays[address]; r != nil {
 		return r, nil
 	}
-	r, err := relay.New(address)
+	r, err := netrelay.New(address)
 	if err == nil {
 		n.relays[address] = r
 	}
@@ -82,7 +82,7 @@
 
 // startBehindRelays starts a site whose processes reach each other through relays.
 func startBehindRelays(t *testing.T, policy settings.Policy) (*network, *demo.Site, *client.Client) {
-	n := &network{relays: map[string]*relay.Relay{}}
+	n := &network{relays: map[string]*netrelay.Relay{}}
 	t.Cleanup(n.close)
 	site, c := startInProcess(t, demo.Layout{
 		Entries: 2, Engines: 3, Services: 1, Slots: 16, Dial: n.dial, Policy: policy,
@@ -206,10 +206,10 @@
 }
 
 // relayBefore serves a handler behind a relay.
-func relayBefore(t *testing.T, h http.Handler) *relay.Relay {
+func relayBefore(t *testing.T, h http.Handler) *netrelay.Relay {
 	t.Helper()
 	server := httptest.NewServer(h)
-	r, err := relay.New(strings.TrimPrefix(server.URL, "http://"))
+	r, err := netrelay.New(strings.TrimPrefix(server.URL, "http://"))
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		r.Close()
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -1,6 +1,8 @@
 package protocol
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Names of the log's streams.
 const (
@@ -27,6 +29,9 @@
 	Job      *JobAccept       `msgpack:"ja,omitempty"`
 	Items    *ItemResults     `msgpack:"ji,omitempty"`
 	Cancel   *JobCancel       `msgpack:"jc,omitempty"`
+	Snapshot *SnapshotChunk   `msgpack:"sn,omitempty"`
+	Carry    *Carry           `msgpack:"sc,omitempty"`
+	Forget   *Forget          `msgpack:"sf,omitempty"`
 	Announce *Announce        `msgpack:"an,omitempty"`
 }
 
@@ -98,16 +103,24 @@
 	Body        []byte  `msgpack:"b" json:"body"`
 }
 
+// MaxFileChunks bounds the chunks of one batch file.
+const MaxFileChunks = 1 << 17
+
 // FileChunk stores consecutive lines of an uploaded batch file.
 type FileChunk struct {
+	// File names the file, or the upload where the last chunk has a Content.
 	File      string `msgpack:"f"`
 	Workspace string `msgpack:"w"`
 	// Service is the model service that every line names.
 	Service string `msgpack:"s"`
 	Index   int    `msgpack:"i"`
-	// Chunks is the number of chunks of the whole file.
-	Chunks int    `msgpack:"n"`
-	Items  []Item `msgpack:"l"`
+	// Chunks is the number of chunks of the whole file, zero where it is not
+	// known yet. The last chunk has it.
+	Chunks int `msgpack:"n"`
+	// Content becomes the file's name once the file is complete. The first
+	// complete file of a name stays.
+	Content string `msgpack:"c,omitempty"`
+	Items   []Item `msgpack:"l"`
 }
 
 // Item is one line of a batch file.
@@ -159,6 +172,9 @@
 
 // DecodeBatch decodes a log entry. It fails with ErrBadRequest on malformed data.
 func DecodeBatch(data []byte) ([]Record, error) {
+	if err := checkEncoding(data); err != nil {
+		return nil, err
+	}
 	var records []Record
 	if err := msgpack.Unmarshal(data, &records); err != nil {
 		return nil, ErrBadRequest.Wrap(err, "decode batch")
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -28,8 +30,26 @@
 	return nil
 }
 
+// Running reports whether an attempt is in progress here.
+func (p *peerAPI) Running(args *protocol.RunningArgs, reply *protocol.RunningReply) error {
+	for _, r := range p.s.runners {
+		reply.Running = reply.Running || r.has(args.Attempt)
+	}
+	return nil
+}
+
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
 	reply.Events = p.s.ring.Events(*args)
 	return nil
 }
+
+// ReadLog answers with entries of the configuration stream.
+func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
+	if args.Stream != protocol.StreamConfig {
+		reply.Problem = protocol.ProblemOf(protocol.ErrNotFound.New("this process does not follow stream %q", args.Stream))
+		return nil
+	}
+	*reply = p.s.follower.Serve(p.s.tomb.Context(context.Background()), args)
+	return nil
+}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -277,6 +277,13 @@
 	return r.slots.Spare()
 }
 
+// has reports whether the attempt runs or waits here.
+func (r *runner) has(attempt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cancels[attempt] != nil
+}
+
 // batchIdle reports whether the target runs no batch item.
 func (r *runner) batchIdle() bool {
 	r.mu.Lock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,10 +42,14 @@
 	follower *follow.Follower
 	members  *membership.Manager
 	peers    *transport.Peers
-	entries  *entries
-	runners  map[string]*runner
-	ring     *timeline.Ring
-	metrics  *metrics
+	// batch carries items, waits and results on connections of their own, so
+	// that neither their size nor their timeouts touch other calls.
+	batch   *entries
+	entries *entries
+	outbox  *outbox
+	runners map[string]*runner
+	ring    *timeline.Ring
+	metrics *metrics
 
 	tomb     tomb.Tomb
 	http     *http.Server
@@ -53,11 +57,10 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
-	// pulls counts the pullers, items the batch items that no entry has taken
-	// back yet, and background the records that no entry has taken yet.
-	pulls      sync.WaitGroup
-	items      sync.WaitGroup
-	background sync.WaitGroup
+	// pulls counts the pullers, and items the batch items that no entry has taken
+	// back yet.
+	pulls sync.WaitGroup
+	items sync.WaitGroup
 }
 
 // New builds a sidecar from its settings. It listens at once, so that a taken
@@ -72,14 +75,21 @@
 		ring:     ring,
 		metrics:  newMetrics(),
 	}
+	batchPeers := transport.NewPeers(s.Process.PeerSecret)
 	if p.Dial != nil {
 		sc.peers.UseDial(p.Dial)
+		batchPeers.UseDial(p.Dial)
 	}
 	for _, t := range s.Targets {
 		sc.runners[t.Name] = newRunner(t, ring.Add)
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
-	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
+	group := &follow.Group{
+		Self: s.Process.Instance, DataCentre: s.Process.DataCentre, Stream: protocol.StreamConfig,
+		Instances: sc.instances, Follows: func(platform.Instance) bool { return true }, Call: sc.peers.ReadLog,
+	}
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
+	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{
 		Self:     s.Process.Instance,
 		List:     p.Instances,
@@ -90,6 +100,9 @@
 		r.listed = sc.members.ListedLeaving
 	}
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
+	sc.batch = &entries{members: sc.members, peers: batchPeers}
+	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.append(ctx, "", records) })
+	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox))
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	return sc, sc.listen()
 }
@@ -121,6 +134,7 @@
 	ctx := s.tomb.Context(context.Background())
 	s.tomb.Go(func() error { return s.follower.Run(ctx) })
 	s.tomb.Go(func() error { return s.members.Run(ctx) })
+	s.tomb.Go(func() error { return s.outbox.run(ctx) })
 	s.tomb.Go(func() error { return server.Serve(s.peerL) })
 	s.tomb.Go(func() error { return serveHTTP(s.http, s.httpL) })
 	for _, r := range s.runners {
@@ -184,15 +198,15 @@
 	go func() {
 		s.pulls.Wait() // no item begins after this
 		s.items.Wait()
-		s.background.Wait()
 		close(idle)
 	}()
 	select {
 	case <-idle:
-		return true
 	case <-ctx.Done():
 		return false
 	}
+	s.outbox.drain(ctx)
+	return ctx.Err() == nil
 }
 
 func (s *Sidecar) isLeaving() bool { return s.pullCtx.Err() != nil }
@@ -208,6 +222,7 @@
 		r.engine.Close()
 		r.service.Close()
 	}
+	s.batch.peers.Close()
 	return s.tomb.Wait()
 }
 
@@ -215,8 +230,8 @@
 func (s *Sidecar) Metrics() *prometheus.Registry { return s.metrics.registry }
 
 func (s *Sidecar) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.follower.CaughtUp() {
-		transport.WriteProblem(w, protocol.ErrBusy.New("configuration has not been read yet"), "")
+	if err := s.follower.CheckAge(time.Duration(s.settings.Process.MaxAge)); err != nil {
+		transport.WriteProblem(w, err, "")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -226,7 +241,10 @@
 type drainWatch struct{ s *Sidecar }
 
 // Apply implements follow.Fold.
-func (d drainWatch) Apply(protocol.Position, *protocol.Record) {
+func (d drainWatch) Apply(protocol.Position, *protocol.Record) { d.Restored() }
+
+// Restored implements follow.Restored.
+func (d drainWatch) Restored() {
 	config := d.s.config.Current()
 	for _, r := range d.s.runners {
 		r.setDrained(config.Drained(config.Labels(r.target.Labels)))
@@ -247,5 +265,11 @@
 	return reply, err
 }
 
+// instances returns the processes that the platform lists.
+func (s *Sidecar) instances() []platform.Instance { return s.members.Instances() }
+
+// Config returns the configuration in force.
+func (s *Sidecar) Config() *state.Config { return s.config.Current() }
+
 // Address returns the address on which the sidecar takes attempts.
 func (s *Sidecar) Address() string { return s.httpL.Addr().String() }
