--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/url"
-	"slices"
 	"sync"
 	"time"
 
@@ -167,32 +165,6 @@
 	}
 }
 
-// lose marks the attempt's slot as lost.
-func (r *runner) lose(attempt string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.seq++
-	r.lost[attempt] = true
-	r.slotEvent(timeline.SlotLost, attempt)
-	r.apply(r.slots.Lose(attempt))
-}
-
-// reclaim asks the engine again to stop the attempts that hold lost slots.
-func (r *runner) reclaim(ctx context.Context) {
-	r.mu.Lock()
-	lost := slices.Collect(maps.Keys(r.lost))
-	r.mu.Unlock()
-	for _, attempt := range lost {
-		if !r.stopped(ctx, attempt) {
-			continue
-		}
-		r.mu.Lock()
-		delete(r.lost, attempt)
-		r.free(attempt)
-		r.mu.Unlock()
-	}
-}
-
 // apply carries out what the slots decided.
 func (r *runner) apply(e slots.Effects) {
 	for _, id := range e.Start {
@@ -375,38 +347,3 @@
 	defer r.mu.Unlock()
 	r.turnAway()
 }
-
-// generate runs a model call and passes each token to sink. Where the call
-// broke off, the engine is told to stop before the slot can go to other work. A
-// stalled engine keeps the slot until it answers a later order to stop.
-func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
-	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume}, sink)
-	if err == nil || neverRan(err) {
-		return err
-	}
-	if platform.IsStall(err) || !r.stopped(ctx, a.Attempt) {
-		r.lose(a.Attempt)
-	}
-	if cause := context.Cause(ctx); errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrCancelled) {
-		return cause
-	}
-	return err
-}
-
-func neverRan(err error) bool {
-	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrBadRequest) || errorx.IsOfType(err, protocol.ErrBusy)
-}
-
-// stopTimeout bounds the wait for an engine to confirm that an attempt has
-// stopped. After it the slot counts as lost.
-const stopTimeout = time.Second
-
-// stopped tells the engine to stop the attempt and reports whether it has: it
-// may not notice that the stream closed. An engine that refuses connections has
-// ended, and its attempts with it.
-func (r *runner) stopped(ctx context.Context, attempt string) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	err := r.engine.Cancel(ctx, attempt)
-	return err == nil || platform.IsRefused(err)
-}
