--- a/coordination/race/race.go
+++ b/coordination/race/race.go
@@ -132,7 +132,7 @@
 			case r.frames <- legFrame{l, f}:
 				return nil
 			case <-ctx.Done():
-				return protocol.ErrCancelled.New("the attempt was overtaken")
+				return protocol.ErrTruncated.New("the attempt was given up")
 			}
 		})
 		t.InFlight.Add(-1)
--- a/coordination/race/race_test.go
+++ b/coordination/race/race_test.go
@@ -181,3 +181,24 @@
 		})
 	}
 }
+
+// TestCancelledRaceEnds ends the context of races at many points of their
+// answers: each race returns, and what it says is that the outcome is unknown.
+func TestCancelledRaceEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for i := range 200 {
+			fleet := fakeFleet{"a": {step: time.Millisecond}}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*50*time.Microsecond)
+			r := New(Params{
+				Executor: fleet,
+				Build: func(t *routing.Target, resume []string) *protocol.AttemptRequest {
+					return &protocol.AttemptRequest{Attempt: t.Name, Target: t.Name, Resume: resume}
+				},
+				Wait: func(bool) (time.Duration, bool) { return wait, true },
+			})
+			out := r.Run(ctx, target("a"))
+			cancel()
+			assert.Equal(t, protocol.OutcomeOf(out.Err), protocol.OutcomeUnknown, "%v", out.Err)
+		}
+	})
+}
