--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -115,7 +115,7 @@
 	for range layout.Engines {
 		server := httptest.NewServer(engine.New(layout.Engine).Handler())
 		defer server.Close()
-		client := platform.NewEngine(server.URL)
+		client := platform.NewEngine(server.URL, 0)
 		for slot := range layout.Slots {
 			group.Go(func() { generateAll(b, client, fmt.Sprintf("slot %d", slot), tokens, perSlot) })
 		}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -37,9 +37,9 @@
 func (e *Entry) dispatch(ctx context.Context, o *order) (*protocol.Result, error) {
 	run := newDispatchRun(ctx, e, o)
 	e.policy.earn()
-	var err error
+	var err, ran error
 	for n := range e.settings.Entry.Attempts {
-		if n > 0 && !run.again(ctx, n) {
+		if n > 0 && !run.again(ctx, n, err) {
 			break
 		}
 		var result *protocol.Result
@@ -47,10 +47,16 @@
 		if err == nil {
 			return result, nil
 		}
+		if protocol.OutcomeOf(err) == protocol.OutcomeUnknown {
+			ran = err
+		}
 		if ctx.Err() != nil || !o.mayRetry(err) {
 			break
 		}
 	}
+	if ran != nil && protocol.OutcomeOf(err) == protocol.OutcomeNotRun && !errorx.IsOfType(err, protocol.ErrBadRequest) {
+		return nil, protocol.ErrUnknownOutcome.Wrap(ran, "an earlier attempt may have run; the last one: %v", err)
+	}
 	return nil, err
 }
 
@@ -102,9 +108,10 @@
 	return d
 }
 
-// again spends one retry and pauses before it.
-func (d *dispatchRun) again(ctx context.Context, n int) bool {
-	if !d.entry.policy.retries.Spend() {
+// again spends one retry after err and pauses before it. A retry after the loss
+// of a target costs no budget: those requests are as few as the target's slots.
+func (d *dispatchRun) again(ctx context.Context, n int, err error) bool {
+	if !lostTarget(err) && !d.entry.policy.retries.Spend() {
 		return false
 	}
 	d.entry.metrics.retries.Inc()
@@ -112,9 +119,15 @@
 	return true
 }
 
+// lostTarget reports whether err shows that the target or the way to it has
+// gone, rather than that it has too much to do.
+func lostTarget(err error) bool {
+	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrTruncated)
+}
+
 // attempt runs the order once, or twice beside each other where the first stalls.
 func (d *dispatchRun) attempt(ctx context.Context) (*protocol.Result, error) {
-	target, err := d.pick()
+	target, err := d.awaitTarget(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -155,6 +168,33 @@
 	return a
 }
 
+// targetWait bounds the wait for a target to become ready: a replaced target is
+// known as ready within the interval of reports.
+const targetWait = protocol.HeartbeatTimeout
+
+// awaitTarget picks a target, waiting a while where none is ready. It fails with
+// ErrNoTarget.
+func (d *dispatchRun) awaitTarget(ctx context.Context) (*routing.Target, error) {
+	published := d.entry.members.Published()
+	target, err := d.pick()
+	if err == nil {
+		return target, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, targetWait)
+	defer cancel()
+	for {
+		select {
+		case <-published:
+		case <-ctx.Done():
+			return nil, err
+		}
+		published = d.entry.members.Published()
+		if target, err = d.pick(); err == nil {
+			return target, nil
+		}
+	}
+}
+
 // pick chooses a target not yet tried, and starts over once all were.
 func (d *dispatchRun) pick() (*routing.Target, error) {
 	target, err := d.choose(d.tried)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,8 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
 		settings:  s,
 		config:    state.NewConfigFold(),
@@ -87,11 +89,11 @@
 		moved:     state.NewBodies(),
 		confMarks: state.NewBodies(),
 		peers:     transport.NewPeers(s.Process.PeerSecret),
-		attempts:  transport.NewAttemptClient(s.Process.PeerSecret),
+		attempts:  transport.NewAttemptClient(s.Process.PeerSecret, observe),
 		flights:   newFlights(),
 		claims:    newClaims(),
 		end:       &endOfLog{log: p.Log, stream: protocol.StreamWork},
-		ring:      timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
+		ring:      ring,
 		metrics:   newMetrics(),
 		log:       p.Log,
 		callers:   map[string]string{},
@@ -109,7 +111,7 @@
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget, jobWatch{e})
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
+	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
 	return e, e.listen()
@@ -179,23 +181,39 @@
 }
 
 // Shutdown refuses new requests, waits for those in progress within the drain
-// timeout, and stops.
+// timeout, and stops. Sidecars reach the entry until then. What is left at the
+// timeout is cut, and its callers get an error that says what is known.
 func (e *Entry) Shutdown() error {
 	close(e.leaving)
 	e.ring.Add("", "leaving")
 	klog.InfoS("entry leaving", "instance", e.settings.Process.Instance)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Process.DrainTimeout))
-	defer cancel()
-	if err := e.server.Shutdown(ctx); err != nil {
+	if !e.drain(time.Duration(e.settings.Process.DrainTimeout)) {
 		klog.InfoS("drain timeout", "instance", e.settings.Process.Instance)
+		e.ring.Add("", "drain timeout")
+		e.flights.cancelAll()
+		e.drain(cutTimeout)
 	}
-	e.flights.wait(ctx)
 	return e.Kill()
 }
 
+// cutTimeout bounds the telling of what a drain timeout cut; a non-idempotent
+// call takes lateAnswerWait to settle.
+const cutTimeout = lateAnswerWait + protocol.HeartbeatTimeout
+
+// drain waits until no request is in progress. It reports whether that was so
+// within the limit.
+func (e *Entry) drain(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := e.server.Shutdown(ctx)
+	e.flights.wait(ctx)
+	return err == nil && ctx.Err() == nil
+}
+
 // Kill stops at once and waits for the goroutines.
 func (e *Entry) Kill() error {
 	e.tomb.Kill(nil)
+	e.flights.cancelAll()
 	_ = e.server.Close()
 	_ = e.peerL.Close()
 	e.peers.Close()
@@ -228,11 +246,15 @@
 }
 
 // reporter asks peers for their reports over net/rpc.
-type reporter struct{ peers *transport.Peers }
+type reporter struct {
+	peers *transport.Peers
+	clock *timeline.Clock
+}
 
 // Report implements membership.Reporter.
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	r.clock.Observe(reply.Clock)
 	return reply, err
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -68,6 +68,9 @@
 			return err
 		}
 	}
+	if !e.members.Ready() {
+		return protocol.ErrBusy.New("the targets are not known yet")
+	}
 	w.WriteHeader(http.StatusNoContent)
 	return nil
 }
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -37,6 +37,10 @@
 	if err := s.start(ctx, x); err != nil {
 		return protocol.Result{}, err
 	}
+	if err := r.mayBegin(); err != nil {
+		s.release(x)
+		return protocol.Result{}, err
+	}
 	s.ring.Add(a.Trace, "call started", "attempt", a.Attempt, "target", a.Target)
 	// The call goes on without its caller: its result is kept under the key.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.TimeLeft())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -57,7 +57,9 @@
 	peerL    net.Listener
 	stopPull context.CancelFunc
 	pullCtx  context.Context
-	// items counts batch items that no entry has taken back yet.
+	// pulls counts the pullers, and items the batch items that no entry has taken
+	// back yet.
+	pulls sync.WaitGroup
 	items sync.WaitGroup
 }
 
@@ -88,7 +90,15 @@
 	}
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
-	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
+	sc.members = membership.New(membership.Params{
+		Self:     s.Process.Instance,
+		List:     p.Instances,
+		Reporter: reporter{sc.peers, ring.Clock()},
+		Polls:    func(role platform.Role) bool { return role == platform.RoleEntry },
+	})
+	for _, r := range sc.runners {
+		r.listed = sc.members.ListedLeaving
+	}
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
 	sc.batch = &entries{members: sc.members, peers: batchPeers}
 	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.append(ctx, "", records) })
@@ -130,7 +140,11 @@
 	for _, r := range s.runners {
 		s.tomb.Go(func() error { return r.watch(ctx) })
 		if r.target.Type == settings.TargetEngine {
-			s.tomb.Go(func() error { return s.pull(ctx, r) })
+			s.pulls.Add(1)
+			s.tomb.Go(func() error {
+				defer s.pulls.Done()
+				return s.pull(ctx, r)
+			})
 		}
 	}
 	klog.InfoS("sidecar started", "instance", s.settings.Process.Instance, "http", s.settings.Process.HTTP, "peer", s.settings.Process.Peer, "targets", len(s.runners))
@@ -145,48 +159,57 @@
 }
 
 // Shutdown refuses new work, waits for what is in progress within the drain
-// timeout, and stops.
+// timeout, and stops. What is left then is cut: batch items are given back with
+// their text so far, and other attempts end with an error that says so.
 func (s *Sidecar) Shutdown() error {
 	s.ring.Add("", "leaving")
 	klog.InfoS("sidecar leaving", "instance", s.settings.Process.Instance)
+	s.stopPull()
 	for _, r := range s.runners {
 		r.setLeaving()
 	}
-	s.stopPull()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.Process.DrainTimeout))
-	defer cancel()
-	s.awaitIdle(ctx)
-	s.awaitItems(ctx)
-	s.outbox.drain(ctx)
+	if !s.drain(time.Duration(s.settings.Process.DrainTimeout)) {
+		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
+		s.ring.Add("", "drain timeout")
+		s.cut()
+	}
 	return s.Kill()
 }
 
-// awaitItems waits until entries have taken the results of all batch items.
-func (s *Sidecar) awaitItems(ctx context.Context) {
-	done := make(chan struct{})
+// cutTimeout bounds the telling of what a drain timeout cut.
+const cutTimeout = protocol.HeartbeatTimeout
+
+func (s *Sidecar) cut() {
+	for _, r := range s.runners {
+		r.cancelAll(errPreempted.New("the sidecar is shutting down"))
+	}
+	s.drain(cutTimeout)
+}
+
+// drain waits until all answers are sent, all items are returned and all records
+// are handed over. It reports whether that was so within the limit.
+func (s *Sidecar) drain(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		return false
+	}
+	idle := make(chan struct{})
 	go func() {
+		s.pulls.Wait() // no item begins after this
 		s.items.Wait()
-		close(done)
+		close(idle)
 	}()
 	select {
-	case <-done:
+	case <-idle:
 	case <-ctx.Done():
-		klog.InfoS("drain timeout", "instance", s.settings.Process.Instance)
+		return false
 	}
+	s.outbox.drain(ctx)
+	return ctx.Err() == nil
 }
 
-func (s *Sidecar) awaitIdle(ctx context.Context) {
-	for _, r := range s.runners {
-		for r.busy() {
-			select {
-			case <-r.idle:
-			case <-ctx.Done():
-				klog.InfoS("drain timeout", "instance", s.settings.Process.Instance, "target", r.target.Name)
-				return
-			}
-		}
-	}
-}
+func (s *Sidecar) isLeaving() bool { return s.pullCtx.Err() != nil }
 
 // Kill stops at once and waits for the goroutines.
 func (s *Sidecar) Kill() error {
@@ -195,6 +218,10 @@
 	_ = s.http.Close()
 	_ = s.peerL.Close()
 	s.peers.Close()
+	for _, r := range s.runners {
+		r.engine.Close()
+		r.service.Close()
+	}
 	s.batch.peers.Close()
 	return s.tomb.Wait()
 }
@@ -225,12 +252,16 @@
 }
 
 // reporter asks peers for their reports over net/rpc.
-type reporter struct{ peers *transport.Peers }
+type reporter struct {
+	peers *transport.Peers
+	clock *timeline.Clock
+}
 
 // Report implements membership.Reporter.
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	r.clock.Observe(reply.Clock)
 	return reply, err
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -35,6 +35,23 @@
 // DefaultMaxTokens is the length of an answer whose request sets none.
 const DefaultMaxTokens = 16
 
+// Faults are the failures in force.
+type Faults struct {
+	// CutEnds is the number of streams yet to end in order after their last
+	// token, without the end marker.
+	CutEnds int `json:"cut_ends"`
+	// Stalls is the number of requests yet to go silent after CutAfter tokens.
+	Stalls int `json:"stalls"`
+	// Cuts is the number of streams yet to be cut after CutAfter tokens.
+	Cuts     int `json:"cuts"`
+	CutAfter int `json:"cut_after"`
+	// KeepsRunning makes requests go on after they were told to stop, and the
+	// order to stop fail.
+	KeepsRunning bool `json:"keeps_running"`
+	// TokenBytes pads each token to this size.
+	TokenBytes int `json:"token_bytes"`
+}
+
 // Run is a request that the engine executed.
 type Run struct {
 	ID     string `json:"id"`
@@ -51,16 +68,19 @@
 	slots  chan struct{}
 
 	mu        sync.Mutex
+	faults    Faults
 	slow      float64
 	downUntil time.Time
 	down      chan struct{}
 	active    map[string]context.CancelFunc
 	waiting   int
-	runs      []Run
-	cache     *prefixCache
-	orders    []platform.Order
-	fence     uint64
-	reports   []report
+	// queued counts the requests that found no place in the running batch.
+	queued  int
+	runs    []Run
+	cache   *prefixCache
+	orders  []platform.Order
+	fence   uint64
+	reports []report
 }
 
 type report struct {
@@ -90,6 +110,36 @@
 	e.slow = factor
 }
 
+// SetFaults replaces the failures in force.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// fault returns the failures in force and takes one of those that count down.
+func (e *Engine) fault(pick func(*Faults) *int) (Faults, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.faults
+	if pick == nil {
+		return f, false
+	}
+	left := pick(&e.faults)
+	if *left <= 0 {
+		return f, false
+	}
+	*left--
+	return f, true
+}
+
+// Queued returns the number of requests so far that had to wait in the engine.
+func (e *Engine) Queued() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queued
+}
+
 // Crash cuts every request and refuses connections for the restart time.
 func (e *Engine) Crash() {
 	e.mu.Lock()
@@ -140,6 +190,12 @@
 	e.runs[run].Ended = how
 }
 
+func (e *Engine) isActive(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active[id] != nil
+}
+
 func (e *Engine) cancel(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -150,6 +206,11 @@
 
 // acquire waits for a place in the running batch, first come, first served.
 func (e *Engine) acquire(ctx context.Context) bool {
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	default:
+	}
 	e.addWaiting(1)
 	defer e.addWaiting(-1)
 	select {
@@ -164,6 +225,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting += n
+	e.queued += max(0, n)
 }
 
 // sleep waits for d at the engine's current speed. It reports whether the
