--- a/entry/entry.go
+++ b/entry/entry.go
@@ -255,6 +255,9 @@
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
 	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	if err != nil {
+		return protocol.ReportReply{}, err // net/rpc may still write to reply
+	}
 	r.clock.Observe(reply.Clock)
-	return reply, err
+	return reply, nil
 }
