End a race of attempts when its request is cancelled

Cause: a leg whose context has ended may drop its end instead of delivering it, and Run then waited for ever: the caller hung, and a killed entry never ended. Change: Run ends with its context, as truncated, so that a call that runs at most once is settled through the log.

--- a/coordination/race/race.go
+++ b/coordination/race/race.go
@@ -115,6 +115,8 @@
 			}
 		case <-timer.C:
 			r.hedge(ctx)
+		case <-ctx.Done(): // a leg may drop its end once its context has ended
+			return r.outcome(legEnd{leg: r.legs[0], err: protocol.ErrTruncated.Wrap(ctx.Err(), "attempt")})
 		}
 	}
 }
