--- a/coordination/race/race.go
+++ b/coordination/race/race.go
@@ -96,7 +96,7 @@
 func (r *Race) Run(ctx context.Context, first *routing.Target) Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.frames, r.ends, r.legs, r.hedges = make(chan legFrame), make(chan legEnd), nil, 0
+	r.frames, r.ends, r.legs, r.hedges = make(chan legFrame), make(chan legEnd, 1+MaxHedges), nil, 0
 	r.moved = time.Now()
 	r.launch(ctx, first)
 	timer := time.NewTimer(time.Hour)
@@ -134,14 +134,11 @@
 			case r.frames <- legFrame{l, f}:
 				return nil
 			case <-ctx.Done():
-				return protocol.ErrCancelled.New("the attempt was overtaken")
+				return protocol.ErrTruncated.New("the attempt was given up")
 			}
 		})
 		t.InFlight.Add(-1)
-		select {
-		case r.ends <- legEnd{l, end, err}:
-		case <-ctx.Done():
-		}
+		r.ends <- legEnd{l, end, err} // has room for every attempt
 	}()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,20 +49,25 @@
 	jobs     *state.Jobs
 	conf     stream
 	work     stream
-	bodies   *logcache.Cache
-	members  *membership.Manager
-	peers    *transport.Peers
-	attempts *transport.AttemptClient
-	leases   *leases
-	results  *resultGatherer
-	flights  *flights
-	claims   *claims
-	end      *endOfLog
-	tasks    tasks
-	ring     *timeline.Ring
-	metrics  *metrics
-	callers  map[string]string
-	policy   *policy
+	// moved locates the bodies of records of the work stream.
+	moved *state.Bodies
+	// confMarks holds the marks of the configuration stream.
+	confMarks *state.Bodies
+	bodies    *logcache.Cache
+	members   *membership.Manager
+	peers     *transport.Peers
+	attempts  *transport.AttemptClient
+	leases    *leases
+	results   *resultGatherer
+	flights   *flights
+	claims    *claims
+	end       *endOfLog
+	tasks     tasks
+	ring      *timeline.Ring
+	metrics   *metrics
+	log       platform.Log
+	callers   map[string]string
+	policy    *policy
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -74,33 +79,39 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
-		settings: s,
-		config:   state.NewConfigFold(),
-		requests: state.NewRequests(),
-		jobs:     state.NewJobs(),
-		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
-		peers:    transport.NewPeers(s.Process.PeerSecret),
-		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
-		flights:  newFlights(),
-		claims:   newClaims(),
-		end:      &endOfLog{log: p.Log, stream: protocol.StreamWork},
-		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
-		metrics:  newMetrics(),
-		callers:  map[string]string{},
-		policy:   newPolicy(s.Policy),
-		leaving:  make(chan struct{}),
+		settings:  s,
+		config:    state.NewConfigFold(),
+		requests:  state.NewRequests(),
+		jobs:      state.NewJobs(),
+		moved:     state.NewBodies(),
+		confMarks: state.NewBodies(),
+		peers:     transport.NewPeers(s.Process.PeerSecret),
+		attempts:  transport.NewAttemptClient(s.Process.PeerSecret, observe),
+		flights:   newFlights(),
+		claims:    newClaims(),
+		end:       &endOfLog{log: p.Log, stream: protocol.StreamWork},
+		ring:      ring,
+		metrics:   newMetrics(),
+		log:       p.Log,
+		callers:   map[string]string{},
+		policy:    newPolicy(s.Policy),
+		leaving:   make(chan struct{}),
 	}
 	if p.Dial != nil {
 		e.peers.UseDial(p.Dial)
 		e.attempts.UseDial(p.Dial)
 	}
+	e.bodies = logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes, e.moved.Locate)
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
-	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, jobWatch{e})
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
+	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget, jobWatch{e})
+	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
 	return e, e.listen()
@@ -116,8 +127,10 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
+	e.metrics.registry.MustRegister(follower.Metrics()...)
 	return stream{
-		follower: follow.New(follow.Params{Stream: name, Source: log, PollWait: pollWait}, folds...),
+		follower: follower,
 		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
 	}
 }
@@ -150,6 +163,7 @@
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.retain(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
@@ -167,23 +181,39 @@
 }
 
 // Shutdown refuses new requests, waits for those in progress within the drain
-// timeout, and stops.
+// timeout, and stops. Sidecars reach the entry until then. What is left at the
+// timeout is cut, and its callers get an error that says what is known.
 func (e *Entry) Shutdown() error {
 	close(e.leaving)
 	e.ring.Add("", "leaving")
 	klog.InfoS("entry leaving", "instance", e.settings.Process.Instance)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Process.DrainTimeout))
-	defer cancel()
-	if err := e.server.Shutdown(ctx); err != nil {
+	if !e.drain(time.Duration(e.settings.Process.DrainTimeout)) {
 		klog.InfoS("drain timeout", "instance", e.settings.Process.Instance)
+		e.ring.Add("", "drain timeout")
+		e.flights.cancelAll()
+		e.drain(cutTimeout)
 	}
-	e.flights.wait(ctx)
 	return e.Kill()
 }
 
+// cutTimeout bounds the telling of what a drain timeout cut; a non-idempotent
+// call takes lateAnswerWait to settle.
+const cutTimeout = lateAnswerWait + protocol.HeartbeatTimeout
+
+// drain waits until no request is in progress. It reports whether that was so
+// within the limit.
+func (e *Entry) drain(limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := e.server.Shutdown(ctx)
+	e.flights.wait(ctx)
+	return err == nil && ctx.Err() == nil
+}
+
 // Kill stops at once and waits for the goroutines.
 func (e *Entry) Kill() error {
 	e.tomb.Kill(nil)
+	e.flights.cancelAll()
 	_ = e.server.Close()
 	_ = e.peerL.Close()
 	e.peers.Close()
@@ -216,11 +246,15 @@
 }
 
 // reporter asks peers for their reports over net/rpc.
-type reporter struct{ peers *transport.Peers }
+type reporter struct {
+	peers *transport.Peers
+	clock *timeline.Clock
+}
 
 // Report implements membership.Reporter.
 func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	r.clock.Observe(reply.Clock)
 	return reply, err
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -71,6 +71,7 @@
 			return protocol.ErrUnauthorized.New("the caller's key is missing or unknown")
 		}
 		if e.isLeaving() {
+			w.Header().Set("Connection", "close")
 			return e.confirmRefusal(r, workspace, protocol.ErrLeaving.New("this entry is shutting down"))
 		}
 		return e.confirmRefusal(r, workspace, h(w, r.WithContext(context.WithValue(r.Context(), workspaceKey{}, workspace))))
--- a/promises/exactly_once_requests_test.go
+++ b/promises/exactly_once_requests_test.go
@@ -68,18 +68,6 @@
 	}
 }
 
-// replaceAll kills every process of the system before it starts the first again.
-func replaceAll(t *testing.T, site *processtest.Site) {
-	t.Helper()
-	all := append(append([]*processtest.Process(nil), site.Entries...), site.Sidecars...)
-	for _, p := range all {
-		assert.NilError(t, p.Kill())
-	}
-	for _, p := range all {
-		assert.NilError(t, p.Start())
-	}
-}
-
 // awaitReady waits until every entry answers reads.
 func (l *requestLoad) awaitReady(t *testing.T) {
 	t.Helper()
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
@@ -14,12 +16,19 @@
 // maxAttemptBytes bounds an encoded attempt.
 const maxAttemptBytes = 64 << 20
 
+// bodyTimeout bounds the reading of an attempt.
+const bodyTimeout = 10 * time.Second
+
 func (s *Sidecar) serveAttempt(w http.ResponseWriter, r *http.Request) {
 	var a protocol.AttemptRequest
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	if err := msgpack.NewDecoder(http.MaxBytesReader(w, r.Body, maxAttemptBytes)).Decode(&a); err != nil {
 		transport.WriteProblem(w, protocol.ErrBadRequest.Wrap(err, "decode attempt"), "")
 		return
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	s.ring.Clock().Observe(a.Clock)
 	runner := s.runners[a.Target]
 	if runner == nil {
@@ -31,6 +40,9 @@
 	frames := transport.NewFrameWriter(w, a.Attempt, s.ring.Clock().Now)
 	defer frames.Close()
 	err := s.run(ctx, runner, &a, frames)
+	if errorx.IsOfType(err, errPreempted) {
+		err = protocol.ErrTruncated.Wrap(err, "attempt")
+	}
 	report := runner.report()
 	if err != nil {
 		s.ring.Add(a.Trace, "attempt failed", "attempt", a.Attempt, "target", a.Target, "error", protocol.ProblemOf(err).Title)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -53,7 +53,7 @@
 func (c *slotCollector) Collect(ch chan<- prometheus.Metric) {
 	for name, r := range c.sidecar.runners {
 		report := r.report()
-		uses := map[string]int{"online": report.Online, "batch": report.Batch, "waiting": report.Queued, "total": report.Slots}
+		uses := map[string]int{"online": report.Online, "batch": report.Batch, "waiting": report.Queued, "lost": report.Lost, "total": report.Slots}
 		for use, n := range uses {
 			ch <- prometheus.MustNewConstMetric(slotsDesc, prometheus.GaugeValue, float64(n), name, use)
 		}
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -13,6 +15,7 @@
 	reply.Instance = p.s.settings.Process.Instance
 	reply.Config = p.s.config.Current().At
 	reply.Clock = p.s.ring.Clock().Now()
+	reply.Leaving = p.s.isLeaving()
 	for _, r := range p.s.runners {
 		reply.Targets = append(reply.Targets, r.report())
 	}
@@ -40,3 +43,13 @@
 	reply.Events = p.s.ring.Events(*args)
 	return nil
 }
+
+// ReadLog answers with entries of the configuration stream.
+func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
+	if args.Stream != protocol.StreamConfig {
+		reply.Problem = protocol.ProblemOf(protocol.ErrNotFound.New("this process does not follow stream %q", args.Stream))
+		return nil
+	}
+	*reply = p.s.follower.Serve(p.s.tomb.Context(context.Background()), args)
+	return nil
+}
