Bound the crashes of a poison request by two

Excluded: choosing both candidates of a call by its hash, which costs nothing but does not bind batch pulls and retries after a refusal; an append for each first run, which the log can not take.

Change: the sidecar tells a crash from a cut stream by the target's boot identity, stores all calls in flight as suspects before any attempt ends, and runs a suspect alone under a trial in the log. The second crash convicts the call's fingerprint for a set time. An owner among the entries lets one copy of a call run until one has run whole.

--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestPermits(t *testing.T) {
+	p := NewPermits()
+	first, second := Holder{"f", "a", "x"}, Holder{"f", "b", "y"}
+	assert.Assert(t, p.Ask(first, false))
+	assert.Assert(t, p.Ask(first, false), "the holder asks again")
+	assert.Assert(t, !p.Ask(second, false), "a copy waits")
+	p.End("f", "a", false)
+	assert.Assert(t, p.Ask(second, false), "the permit is free again")
+	p.End("f", "b", true)
+	assert.Assert(t, p.Ask(Holder{"f", "c", "z"}, false), "a proven call runs freely")
+	assert.Assert(t, p.Ask(Holder{"f", "d", "z"}, true), "a suspect holds a permit again")
+	assert.Assert(t, !p.Ask(Holder{"f", "e", "z"}, true))
+}
+
+func TestEndBeforeAsk(t *testing.T) {
+	p := NewPermits()
+	p.End("f", "late", false)
+	assert.Assert(t, !p.Ask(Holder{"f", "late", "x"}, false))
+	assert.Assert(t, p.Ask(Holder{"f", "next", "x"}, false))
+}
+
+func TestRecentIsBounded(t *testing.T) {
+	r := newRecent(10)
+	for i := range 100 {
+		r.add(fmt.Sprint(i))
+	}
+	assert.Equal(t, len(r.members), 10)
+	assert.Equal(t, len(r.order), 10)
+}
+
+// TestGate checks for any order of arrivals and departures that a suspect is
+// inside alone, and that what waits is admitted in order of arrival.
+func TestGate(t *testing.T) {
+	assert.NilError(t, flag.Set("rapid.seed", "1"))
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGate()
+		inside, alone := map[string]bool{}, map[string]bool{}
+		var queue []string
+		admitted := func(ids []string) {
+			for _, id := range ids {
+				if len(queue) == 0 || queue[0] != id {
+					t.Fatalf("%s admitted before %v", id, queue)
+				}
+				queue = queue[1:]
+				inside[id] = true
+			}
+			for id := range inside {
+				if alone[id] && len(inside) > 1 {
+					t.Fatalf("suspect %s is inside with %v", id, inside)
+				}
+			}
+			if len(inside) == 0 && len(queue) > 0 {
+				t.Fatalf("%v wait before an empty target", queue)
+			}
+		}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			id := fmt.Sprint(i)
+			if rapid.Bool().Draw(t, "arrive") {
+				alone[id] = rapid.IntRange(0, 3).Draw(t, "alone") == 0
+				queue = append(queue, id)
+				admitted(g.Arrive(id, alone[id]))
+				continue
+			}
+			all := append([]string(nil), queue...)
+			for in := range inside {
+				all = append(all, in)
+			}
+			if len(all) == 0 {
+				continue
+			}
+			slices.Sort(all)
+			leaver := rapid.SampledFrom(all).Draw(t, "leaver")
+			delete(inside, leaver)
+			queue = slices.DeleteFunc(queue, func(id string) bool { return id == leaver })
+			admitted(g.Leave(leaver))
+		}
+	})
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -62,7 +62,8 @@
 func (o *order) mayRetry(err error) bool {
 	switch {
 	case errorx.IsOfType(err, protocol.ErrBadRequest), errorx.IsOfType(err, protocol.ErrNoTarget),
-		errorx.IsOfType(err, protocol.ErrKeyConflict), errorx.IsOfType(err, protocol.ErrQuarantined):
+		errorx.IsOfType(err, protocol.ErrKeyConflict), errorx.IsOfType(err, protocol.ErrQuarantined),
+		errorx.IsOfType(err, protocol.ErrCrashUnstored):
 		return false
 	case o.repeatable:
 		return true
@@ -79,10 +80,18 @@
 	// tokens is what the caller has already got; a later attempt goes on after it.
 	tokens []string
 	head   *protocol.Frame
+	// crashed is set once a target crashed under the request.
+	crashed bool
 }
 
 func (d *dispatchRun) attempt(ctx context.Context) (*protocol.Result, error) {
 	e, o := d.entry, d.order
+	if err := e.checkQuarantine(o.call.Fingerprint()); err != nil {
+		return nil, err
+	}
+	if err := d.awaitPick(ctx); err != nil {
+		return nil, err
+	}
 	target, err := d.pick()
 	if err != nil {
 		return nil, err
@@ -110,6 +119,7 @@
 		return d.result(), nil
 	}
 	d.tried[target.Name] = true
+	d.crashed = d.crashed || errorx.IsOfType(err, protocol.ErrTargetCrashed)
 	e.ring.Add(o.trace, "attempt failed", "attempt", a.Attempt, "target", target.Name, "error", protocol.ProblemOf(err).Title)
 	if !o.repeatable && protocol.OutcomeOf(err) != protocol.OutcomeNotRun {
 		return e.settle(o, a.Attempt, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/logcache"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -41,21 +42,23 @@
 
 // Entry is one running entry.
 type Entry struct {
-	settings *settings.Settings
-	config   *state.ConfigFold
-	requests *state.Requests
-	jobs     *state.Jobs
-	conf     stream
-	work     stream
-	bodies   *logcache.Cache
-	members  *membership.Manager
-	peers    *transport.Peers
-	attempts *transport.AttemptClient
-	leases   *leases
-	flights  *flights
-	ring     *timeline.Ring
-	metrics  *metrics
-	callers  map[string]string
+	settings   *settings.Settings
+	config     *state.ConfigFold
+	requests   *state.Requests
+	jobs       *state.Jobs
+	quarantine *state.Quarantine
+	permits    *permits
+	conf       stream
+	work       stream
+	bodies     *logcache.Cache
+	members    *membership.Manager
+	peers      *transport.Peers
+	attempts   *transport.AttemptClient
+	leases     *leases
+	flights    *flights
+	ring       *timeline.Ring
+	metrics    *metrics
+	callers    map[string]string
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -68,24 +71,26 @@
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
 	e := &Entry{
-		settings: s,
-		config:   state.NewConfigFold(),
-		requests: state.NewRequests(),
-		jobs:     state.NewJobs(),
-		bodies:   logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
-		peers:    transport.NewPeers(s.Process.PeerSecret),
-		attempts: transport.NewAttemptClient(s.Process.PeerSecret),
-		flights:  newFlights(),
-		ring:     timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
-		metrics:  newMetrics(),
-		callers:  map[string]string{},
-		leaving:  make(chan struct{}),
+		settings:   s,
+		config:     state.NewConfigFold(),
+		requests:   state.NewRequests(),
+		jobs:       state.NewJobs(),
+		quarantine: state.NewQuarantine(),
+		permits:    &permits{state: quarantine.NewPermits()},
+		bodies:     logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes),
+		peers:      transport.NewPeers(s.Process.PeerSecret),
+		attempts:   transport.NewAttemptClient(s.Process.PeerSecret),
+		flights:    newFlights(),
+		ring:       timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize),
+		metrics:    newMetrics(),
+		callers:    map[string]string{},
+		leaving:    make(chan struct{}),
 	}
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config)
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs)
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine)
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers}})
 	e.leases = &leases{scheduler: batch.New(e.jobs, e.ownsKey, protocol.NewID)}
 	return e, e.listen()
@@ -130,6 +135,7 @@
 	e.tomb.Go(func() error { return e.members.Run(ctx) })
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
+	e.tomb.Go(func() error { return e.tellTime(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
 			return protocol.ErrInternal.Wrap(err, "serve")
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -42,6 +42,7 @@
 func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
 	defer cancel()
-	reply.Problem = protocol.ProblemOf(p.e.appendAndFold(ctx, args.Records...))
+	last, err := p.e.appendAt(ctx, args.Records...)
+	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
 	return nil
 }
--- /dev/null
+++ b/entry/quarantine.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+const (
+	// permitPoll is how often a waiting question for a permit looks again.
+	permitPoll = 10 * time.Millisecond
+	// holderCheck is how long a permit is contested before its holder is asked.
+	holderCheck = 500 * time.Millisecond
+	// elapsedInterval is the time between two records that let suspicion expire.
+	elapsedInterval = 10 * time.Second
+	// elapsedOwnerKey picks the entry that appends them.
+	elapsedOwnerKey = "quarantine-time"
+)
+
+// permits guards the permits that this entry grants.
+type permits struct {
+	mu    sync.Mutex
+	state *quarantine.Permits
+}
+
+// Permit says whether a copy of a call may run now.
+func (p *peerAPI) Permit(args *protocol.PermitArgs, reply *protocol.PermitReply) error {
+	ctx, cancel := context.WithTimeout(p.e.context(), time.Duration(args.WaitMillis)*time.Millisecond)
+	defer cancel()
+	checked := time.Now()
+	for {
+		granted, alone, err := p.e.permit(args)
+		reply.Granted, reply.Alone, reply.Problem = granted, alone, protocol.ProblemOf(err)
+		if granted || err != nil || ctx.Err() != nil {
+			return nil
+		}
+		if time.Since(checked) > holderCheck {
+			checked = time.Now()
+			p.e.checkHolder(args.Fingerprint)
+		}
+		pause(ctx, permitPoll)
+	}
+}
+
+// permit grants a copy its run where no other copy may be running. The run of a
+// suspect is claimed in the log as well.
+func (e *Entry) permit(args *protocol.PermitArgs) (granted, alone bool, err error) {
+	if !e.work.follower.CaughtUp() {
+		return false, false, protocol.ErrBusy.New("the log has not been read yet")
+	}
+	if err := e.checkQuarantine(args.Fingerprint); err != nil {
+		return false, false, err
+	}
+	suspicion := e.quarantine.Judge(args.Fingerprint)
+	suspect := suspicion.Crashes > 0
+	if suspect && suspicion.Trial != "" && suspicion.Trial != args.Attempt {
+		return false, true, nil
+	}
+	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance}
+	e.permits.mu.Lock()
+	granted = e.permits.state.Ask(h, suspect)
+	e.permits.mu.Unlock()
+	if !granted || !suspect {
+		return granted, suspect, nil
+	}
+	return e.startTrial(h)
+}
+
+func (e *Entry) startTrial(h quarantine.Holder) (granted, alone bool, err error) {
+	ctx, cancel := context.WithTimeout(e.context(), recordWait)
+	defer cancel()
+	rec := protocol.Record{ID: protocol.NewID(), Trial: &protocol.SuspectTrial{Fingerprint: h.Fingerprint, Attempt: h.Attempt}}
+	err = e.appendAndFold(ctx, rec)
+	e.permits.mu.Lock()
+	holder, held := e.permits.state.Holder(h.Fingerprint)
+	e.permits.mu.Unlock()
+	suspicion := e.quarantine.Judge(h.Fingerprint)
+	mine := held && holder.Attempt == h.Attempt
+	if err == nil && mine && suspicion.Trial == h.Attempt {
+		return true, true, nil
+	}
+	e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: h.Fingerprint})
+	if err != nil {
+		return false, true, protocol.ErrLogUnavailable.Wrap(err, "a suspect runs only after the log has its trial")
+	}
+	return false, true, nil
+}
+
+// EndPermit takes a permit back.
+func (p *peerAPI) EndPermit(args *protocol.EndPermitArgs, reply *protocol.EndPermitReply) error {
+	reply.Problem = protocol.ProblemOf(p.e.endPermit(args))
+	return nil
+}
+
+// endPermit ends the trial of a suspect in the log, and then frees the call's
+// permit. Where a crash ended the run, it is folded here first.
+func (e *Entry) endPermit(args *protocol.EndPermitArgs) error {
+	ctx, cancel := context.WithTimeout(e.context(), recordWait)
+	defer cancel()
+	if args.Crash != 0 {
+		if err := e.work.follower.WaitFor(ctx, args.Crash.Offset()); err != nil {
+			return err
+		}
+	}
+	if e.quarantine.Judge(args.Fingerprint).Trial == args.Attempt {
+		rec := protocol.Record{ID: args.Attempt + "/trial-end", TrialOf: &protocol.TrialEnd{
+			Fingerprint: args.Fingerprint, Attempt: args.Attempt, Completed: args.Completed,
+		}}
+		if err := e.appendAndFold(ctx, rec); err != nil {
+			return err
+		}
+		klog.InfoS("suspect's trial ended", "attempt", args.Attempt, "completed", args.Completed)
+	}
+	e.permits.mu.Lock()
+	defer e.permits.mu.Unlock()
+	e.permits.state.End(args.Fingerprint, args.Attempt, args.Completed)
+	return nil
+}
+
+// checkHolder frees a contested permit whose sidecar has gone or has lost it.
+func (e *Entry) checkHolder(fingerprint string) {
+	e.permits.mu.Lock()
+	h, held := e.permits.state.Holder(fingerprint)
+	e.permits.mu.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.context(), protocol.HeartbeatTimeout)
+	defer cancel()
+	var reply protocol.HoldsReply
+	for _, i := range e.members.Instances() {
+		if i.Name != h.Instance {
+			continue
+		}
+		err := e.peers.Call(ctx, i.Peer, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: h.Attempt}, &reply)
+		if err == nil && reply.Held || ctx.Err() != nil && e.context().Err() != nil {
+			return
+		}
+	}
+	klog.InfoS("permit freed, its sidecar does not hold it", "instance", h.Instance, "attempt", h.Attempt)
+	_ = e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: fingerprint})
+}
+
+// checkQuarantine fails with ErrQuarantined for a convicted call.
+func (e *Entry) checkQuarantine(fingerprint string) error {
+	if e.quarantine.Judge(fingerprint).Convicted {
+		return protocol.ErrQuarantined.New("the request crashed the targets that ran it and is refused for a time")
+	}
+	return nil
+}
+
+// judgedFailed reports whether err is final, so that the request has a failed
+// result.
+func judgedFailed(err error) bool {
+	return errorx.IsOfType(err, protocol.ErrBadRequest) || errorx.IsOfType(err, protocol.ErrQuarantined)
+}
+
+// judgedResult is the failed result of a request; a refusal by the quarantine is
+// a problem document.
+func judgedResult(err error) *protocol.Result {
+	result := failedResult(err)
+	if errorx.IsOfType(err, protocol.ErrQuarantined) {
+		result.ContentType = transport.ProblemContentType
+		result.Body, _ = json.Marshal(protocol.ProblemOf(err))
+	}
+	return result
+}
+
+// awaitPick waits for a target after a crash took one from the request: the
+// targets may all be restarting.
+func (d *dispatchRun) awaitPick(ctx context.Context) error {
+	for {
+		if _, err := d.pick(); err == nil || !d.crashed || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, permitPoll)
+	}
+}
+
+// tellTime appends the records by which suspicion expires, while there is any.
+// The time counts from when this entry folded the record that it names.
+func (e *Entry) tellTime(ctx context.Context) error {
+	ticker := time.NewTicker(elapsedInterval)
+	defer ticker.Stop()
+	since, begun := e.quarantine.TimeAt(), time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		if at := e.quarantine.TimeAt(); at != since {
+			since, begun = at, time.Now()
+			continue
+		}
+		suspects, convicted := e.quarantine.Counts()
+		if suspects+convicted == 0 || !e.ownsKey(elapsedOwnerKey) {
+			continue
+		}
+		rec := protocol.Record{ID: protocol.NewID(), Elapsed: &protocol.Elapsed{Since: since, Millis: time.Since(begun).Milliseconds()}}
+		appendCtx, cancel := context.WithTimeout(ctx, recordWait)
+		if err := e.appendAndFold(appendCtx, rec); err != nil {
+			klog.V(1).InfoS("time record not stored", "error", err)
+		}
+		cancel()
+	}
+}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/uptrace/bunrouter"
 	"k8s.io/klog/v2"
 
@@ -96,8 +95,8 @@
 	defer cancel()
 	begun := time.Now()
 	result, err := e.dispatch(ctx, o)
-	if err != nil && errorx.IsOfType(err, protocol.ErrBadRequest) {
-		result, err = failedResult(err), nil
+	if err != nil && judgedFailed(err) {
+		result, err = judgedResult(err), nil
 	}
 	if err == nil && o.repeatable {
 		result = e.store(o, result)
--- a/entry/status.go
+++ b/entry/status.go
@@ -22,6 +22,9 @@
 	Targets  []TargetStatus `json:"targets"`
 	Jobs     int            `json:"running_jobs"`
 	Keys     int            `json:"keys"`
+	// Suspects and Quarantined count calls that were in flight at crashes.
+	Suspects    int `json:"suspects"`
+	Quarantined int `json:"quarantined"`
 }
 
 // TargetStatus is one row of the table of targets.
@@ -52,6 +55,7 @@
 		Jobs:     len(e.jobs.Running()),
 		Keys:     e.requests.Len(),
 	}
+	s.Suspects, s.Quarantined = e.quarantine.Counts()
 	for _, t := range e.members.Table().Targets {
 		s.Targets = append(s.Targets, TargetStatus{
 			Name:       t.Name,
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -49,6 +49,8 @@
 	ErrUnknownOutcome = Errors.NewType("outcome_unknown")
 	ErrCancelled      = Errors.NewType("cancelled")
 	ErrQuarantined    = Errors.NewType("quarantined")
+	ErrTargetCrashed  = Errors.NewType("target_crashed")
+	ErrCrashUnstored  = Errors.NewType("crash_unstored")
 	ErrTimeout        = Errors.NewType("timeout", errorx.Timeout())
 	ErrInternal       = Errors.NewType("internal")
 )
@@ -82,6 +84,8 @@
 	{ErrUnknownOutcome, http.StatusGatewayTimeout, OutcomeUnknown},
 	{ErrCancelled, http.StatusConflict, OutcomeFailed},
 	{ErrQuarantined, http.StatusUnprocessableEntity, OutcomeFailed},
+	{ErrTargetCrashed, http.StatusBadGateway, OutcomeUnknown},
+	{ErrCrashUnstored, http.StatusBadGateway, OutcomeUnknown},
 	{ErrTimeout, http.StatusGatewayTimeout, OutcomeUnknown},
 	{ErrInternal, http.StatusInternalServerError, OutcomeUnknown},
 }
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -13,6 +13,10 @@
 	MethodPull   = PeerService + ".Pull"
 	MethodFinish = PeerService + ".Finish"
 	MethodRenew  = PeerService + ".Renew"
+
+	MethodPermit    = PeerService + ".Permit"
+	MethodEndPermit = PeerService + ".EndPermit"
+	MethodHolds     = PeerService + ".Holds"
 )
 
 // TargetReport is the state of one target as its sidecar knows it.
--- /dev/null
+++ b/protocol/quarantine.go
@@ -0,0 +1,75 @@
+package protocol
+
+// TargetCrash names the calls that were in flight when a target crashed. Each
+// of them is a suspect from then on.
+type TargetCrash struct {
+	Target string `msgpack:"t"`
+	// Fingerprints are those of the calls in flight, each once.
+	Fingerprints []string `msgpack:"f"`
+	// HoldMillis is how long suspicion and quarantine last, in milliseconds.
+	HoldMillis int64 `msgpack:"h"`
+}
+
+// SuspectTrial claims the one permitted run of a suspect. The first one in log
+// order holds it until a crash or a TrialEnd.
+type SuspectTrial struct {
+	Fingerprint string `msgpack:"f"`
+	Attempt     string `msgpack:"a"`
+}
+
+// TrialEnd ends the trial of an attempt. A completed run clears the suspect.
+type TrialEnd struct {
+	Fingerprint string `msgpack:"f"`
+	Attempt     string `msgpack:"a"`
+	Completed   bool   `msgpack:"c"`
+}
+
+// Elapsed states that at least Millis milliseconds have passed, by the sender's
+// monotonic clock, since it folded the record at Since. It counts only where
+// Since is still the last one that counted, so that time passes once.
+type Elapsed struct {
+	Since  Position `msgpack:"s"`
+	Millis int64    `msgpack:"m"`
+}
+
+// PermitArgs asks an entry whether a sidecar may run a call now.
+type PermitArgs struct {
+	Instance    string
+	Attempt     string
+	Fingerprint string
+	// WaitMillis is how long to wait for another copy to end, in milliseconds.
+	WaitMillis int64
+}
+
+// PermitReply says whether the call may run. ErrQuarantined in Problem is final.
+type PermitReply struct {
+	Granted bool
+	// Alone is set where nothing else may run on the target at the same time.
+	Alone   bool
+	Problem *Problem
+}
+
+// EndPermitArgs gives a permit back.
+type EndPermitArgs struct {
+	Attempt     string
+	Fingerprint string
+	// Completed is set where the call ran to its end.
+	Completed bool
+	// Crash is the position of the crash record that ended the run, zero without one.
+	Crash Position
+}
+
+// EndPermitReply is the answer to EndPermitArgs.
+type EndPermitReply struct {
+	Problem *Problem
+}
+
+// HoldsArgs asks a sidecar whether it still holds the permit of an attempt.
+type HoldsArgs struct {
+	Attempt string
+}
+
+// HoldsReply is the answer to HoldsArgs.
+type HoldsReply struct {
+	Held bool
+}
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -27,6 +27,11 @@
 	Job      *JobAccept       `msgpack:"ja,omitempty"`
 	Items    *ItemResults     `msgpack:"ji,omitempty"`
 	Cancel   *JobCancel       `msgpack:"jc,omitempty"`
+
+	Crash   *TargetCrash  `msgpack:"qc,omitempty"`
+	Trial   *SuspectTrial `msgpack:"qt,omitempty"`
+	TrialOf *TrialEnd     `msgpack:"qe,omitempty"`
+	Elapsed *Elapsed      `msgpack:"qd,omitempty"`
 }
 
 // Change sets or deletes configuration objects, all or none.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -52,6 +52,8 @@
 	PeerSecret string `toml:"peer_secret"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `toml:"drain_timeout"`
+	// QuarantineTime is how long a call that crashed targets is refused.
+	QuarantineTime Duration `toml:"quarantine_time"`
 }
 
 // Platform holds the URLs of the platform's services.
@@ -181,7 +183,7 @@
 // Default returns the values in force where a file is silent.
 func Default() Settings {
 	return Settings{
-		Process: Process{DrainTimeout: Duration(30 * time.Second)},
+		Process: Process{DrainTimeout: Duration(30 * time.Second), QuarantineTime: Duration(10 * time.Minute)},
 		Entry: Entry{
 			MaxBodyBytes: 1 << 20,
 			MaxFileBytes: 128 << 20,
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -43,7 +43,7 @@
 
 // run admits the attempt and runs it on its target.
 func (s *Sidecar) run(ctx context.Context, r *runner, a *protocol.AttemptRequest, frames *transport.FrameWriter) error {
-	ctx, release, err := r.admit(ctx, a)
+	ctx, release, err := s.enter(ctx, r, a)
 	if err != nil {
 		s.metrics.refused.Inc()
 		return err
@@ -58,7 +58,7 @@
 		}
 		return r.generate(ctx, a, frames.Token)
 	case a.Repeatable:
-		result, err := r.service.Do(ctx, a.Key, &a.Call, true)
+		result, err := r.do(ctx, a, true)
 		if err != nil {
 			return err
 		}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -97,9 +97,12 @@
 func (s *Sidecar) generateItem(ctx context.Context, r *runner, entry string, a *protocol.AttemptRequest, finish *protocol.FinishArgs) {
 	ctx, cancel := context.WithTimeout(ctx, itemTimeout)
 	defer cancel()
-	itemCtx, release, err := r.admit(ctx, a)
+	itemCtx, release, err := s.enter(ctx, r, a)
 	if err != nil {
 		finish.Resume = a.Resume
+		if errorx.IsOfType(err, protocol.ErrQuarantined) {
+			setOutcome(finish, a.Resume, err)
+		}
 		return
 	}
 	defer release()
@@ -127,14 +130,14 @@
 			ContentType: "text/plain; charset=utf-8",
 			Body:        []byte(strings.Join(tokens, "")),
 		}
-	case errorx.IsOfType(err, protocol.ErrBadRequest):
+	case errorx.IsOfType(err, protocol.ErrBadRequest), errorx.IsOfType(err, protocol.ErrQuarantined):
 		finish.Result = &protocol.Result{
 			Outcome:     protocol.OutcomeFailed,
 			Status:      http.StatusUnprocessableEntity,
 			ContentType: "text/plain; charset=utf-8",
 			Body:        []byte(protocol.ProblemOf(err).Detail),
 		}
-	case errorx.IsOfType(err, errPreempted), errorx.IsOfType(err, protocol.ErrBusy):
+	case mayYield(err):
 		finish.Resume = tokens
 	default:
 		finish.Failure = protocol.ProblemOf(err).Detail
@@ -187,3 +190,16 @@
 		pause(ctx, appendRetryDelay)
 	}
 }
+
+// mayYield reports whether the item goes back without a failure: what crashes
+// targets is judged by the quarantine.
+func mayYield(err error) bool {
+	for _, kind := range []*errorx.Type{
+		errPreempted, protocol.ErrBusy, protocol.ErrLeaving, protocol.ErrTargetCrashed, protocol.ErrCrashUnstored,
+	} {
+		if errorx.IsOfType(err, kind) {
+			return true
+		}
+	}
+	return false
+}
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -24,7 +24,7 @@
 	// The call goes on without its caller: its result is kept under the key.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.TimeLeft())
 	defer cancel()
-	result, err := r.service.Do(callCtx, a.Key, &a.Call, false)
+	result, err := r.do(callCtx, a, false)
 	switch {
 	case err == nil:
 	case errorx.IsOfType(err, protocol.ErrNotSent):
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -13,8 +13,12 @@
 	reply.Instance = p.s.settings.Process.Instance
 	reply.Config = p.s.config.Current().At
 	reply.Clock = p.s.ring.Clock().Now()
+	// Without an entry no call gets its permit.
+	permitted := len(p.s.members.Entries()) > 0
 	for _, r := range p.s.runners {
-		reply.Targets = append(reply.Targets, r.report())
+		report := r.report()
+		report.Healthy = report.Healthy && permitted
+		reply.Targets = append(reply.Targets, report)
 	}
 	return nil
 }
@@ -32,3 +36,13 @@
 	reply.Events = p.s.ring.Events(*args)
 	return nil
 }
+
+// Holds says whether an attempt still holds its permit here.
+func (p *peerAPI) Holds(args *protocol.HoldsArgs, reply *protocol.HoldsReply) error {
+	for _, r := range p.s.runners {
+		r.mu.Lock()
+		reply.Held = reply.Held || r.permits[args.Attempt] != nil
+		r.mu.Unlock()
+	}
+	return nil
+}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -35,6 +35,11 @@
 	healthy bool
 	seq     uint64
 	idle    chan struct{}
+	// classes and permits hold those of the work that runs or waits.
+	classes map[string]protocol.Class
+	permits map[string]*permit
+	lane    *lane
+	crashes *crashes
 }
 
 func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
@@ -48,6 +53,9 @@
 		cancels: map[string]context.CancelCauseFunc{},
 		healthy: true,
 		idle:    make(chan struct{}, 1),
+		classes: map[string]protocol.Class{},
+		permits: map[string]*permit{},
+		lane:    newLane(),
 	}
 }
 
@@ -92,6 +100,7 @@
 	}
 	r.seq++
 	r.cancels[a.Attempt] = cancel
+	r.classes[a.Attempt] = a.Class
 	granted := closedChannel
 	if decision == slots.Wait {
 		granted = make(chan struct{})
@@ -113,6 +122,7 @@
 	defer r.mu.Unlock()
 	r.seq++
 	delete(r.cancels, attempt)
+	delete(r.classes, attempt)
 	delete(r.waiting, attempt)
 	r.apply(r.slots.Done(attempt))
 	select {
@@ -230,7 +240,10 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
 	defer cancel()
 	if r.target.Type == settings.TargetEngine {
-		_, err := r.engine.Load(ctx)
+		load, err := r.engine.Load(ctx)
+		if err == nil {
+			r.crashes.observe(load.Boot)
+		}
 		return err
 	}
 	u, err := url.Parse(r.target.URL)
@@ -245,8 +258,32 @@
 	return conn.Close()
 }
 
+// boot returns the target's boot identity, empty for a target that tells none.
+// It fails where the target is down.
+func (r *runner) boot(ctx context.Context) (string, error) {
+	if r.target.Type != settings.TargetEngine {
+		return "", r.probe(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
+	defer cancel()
+	load, err := r.engine.Load(ctx)
+	return load.Boot, err
+}
+
+// do runs a call of a plain service.
+func (r *runner) do(ctx context.Context, a *protocol.AttemptRequest, repeatable bool) (protocol.Result, error) {
+	r.sent(a)
+	result, err := r.service.Do(ctx, a.Key, &a.Call, repeatable)
+	return result, r.ended(ctx, a, err)
+}
+
 // generate runs a model call and passes each token to sink.
 func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
+	r.sent(a)
+	return r.ended(ctx, a, r.generateOnce(ctx, a, sink))
+}
+
+func (r *runner) generateOnce(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
 	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume}, sink)
 	if err == nil {
 		return nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,7 +65,9 @@
 		metrics:  newMetrics(),
 	}
 	for _, t := range s.Targets {
-		sc.runners[t.Name] = newRunner(t, ring.Add)
+		r := newRunner(t, ring.Add)
+		r.crashes = sc.newCrashes(r)
+		sc.runners[t.Name] = r
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	mu        sync.Mutex
 	slow      float64
 	downUntil time.Time
+	boot      int
 	down      chan struct{}
 	active    map[string]context.CancelFunc
 	waiting   int
@@ -95,6 +97,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.downUntil = time.Now().Add(e.params.RestartTime)
+	e.boot++
 	close(e.down)
 	e.down = make(chan struct{})
 }
@@ -215,5 +218,7 @@
 		}
 	}
 	e.reports = e.reports[old:]
-	return e.reports[0].load
+	load := e.reports[0].load
+	load.Boot = strconv.Itoa(e.boot)
+	return load
 }
--- /dev/null
+++ b/state/quarantine.go
@@ -0,0 +1,163 @@
+package state
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+const (
+	// convictingCrashes is the number of crashes that convicts a suspect.
+	convictingCrashes = 2
+	// maxSuspects bounds the suspects kept; the oldest go first.
+	maxSuspects = 4096
+)
+
+// Suspicion is what the log says of a fingerprint.
+type Suspicion struct {
+	// Crashes is the number of crashes that the call was in flight at.
+	Crashes int
+	// Convicted is set once the call is in quarantine.
+	Convicted bool
+	// Trial is the attempt that holds the one permitted run, if any does.
+	Trial string
+}
+
+type suspect struct {
+	crashes []string
+	trial   string
+	// until is when the entry expires, in milliseconds of the fold's time.
+	until int64
+	hold  int64
+}
+
+// Quarantine folds crashes into suspects and convictions. Its time passes only
+// by Elapsed records, so that it is the same in every process.
+type Quarantine struct {
+	mu       sync.RWMutex
+	now      int64
+	timeAt   protocol.Position
+	order    []string
+	suspects map[string]*suspect
+}
+
+// NewQuarantine returns a fold without suspects.
+func NewQuarantine() *Quarantine { return &Quarantine{suspects: map[string]*suspect{}} }
+
+// Judge returns what is known of the fingerprint; the zero value for a call
+// that no crash has touched.
+func (q *Quarantine) Judge(fingerprint string) Suspicion {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	s := q.suspects[fingerprint]
+	if s == nil {
+		return Suspicion{}
+	}
+	return Suspicion{Crashes: len(s.crashes), Convicted: s.convicted(), Trial: s.trial}
+}
+
+// Counts returns the numbers of suspects not convicted and of convictions.
+func (q *Quarantine) Counts() (suspects, convicted int) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	for _, s := range q.suspects {
+		if s.convicted() {
+			convicted++
+		}
+	}
+	return len(q.suspects) - convicted, convicted
+}
+
+// TimeAt returns the record from which the next Elapsed counts.
+func (q *Quarantine) TimeAt() protocol.Position {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	return q.timeAt
+}
+
+// Apply folds the record at position pos.
+func (q *Quarantine) Apply(pos protocol.Position, rec *protocol.Record) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case rec.Crash != nil:
+		q.crash(pos, rec.ID, rec.Crash)
+	case rec.Trial != nil:
+		q.startTrial(rec.Trial)
+	case rec.TrialOf != nil:
+		q.endTrial(rec.TrialOf)
+	case rec.Elapsed != nil:
+		q.elapse(pos, rec.Elapsed)
+	}
+}
+
+func (s *suspect) convicted() bool { return len(s.crashes) >= convictingCrashes }
+
+// accuse counts a crash once and restarts the time of the entry.
+func (q *Quarantine) accuse(s *suspect, id string) {
+	if s.convicted() || slices.Contains(s.crashes, id) {
+		return
+	}
+	s.crashes = append(s.crashes, id)
+	s.trial = ""
+	s.until = q.now + s.hold
+}
+
+func (q *Quarantine) crash(pos protocol.Position, id string, c *protocol.TargetCrash) {
+	if len(q.suspects) == 0 {
+		q.timeAt = pos
+	}
+	for _, fingerprint := range c.Fingerprints {
+		s := q.suspects[fingerprint]
+		if s == nil {
+			s = &suspect{hold: c.HoldMillis}
+			q.suspects[fingerprint] = s
+			q.order = append(q.order, fingerprint)
+		}
+		q.accuse(s, id)
+	}
+	for len(q.order) > maxSuspects {
+		q.remove(q.order[0])
+	}
+}
+
+func (q *Quarantine) startTrial(t *protocol.SuspectTrial) {
+	s := q.suspects[t.Fingerprint]
+	if s != nil && s.trial == "" && !s.convicted() {
+		s.trial = t.Attempt
+		s.until = q.now + s.hold
+	}
+}
+
+func (q *Quarantine) endTrial(e *protocol.TrialEnd) {
+	s := q.suspects[e.Fingerprint]
+	if s == nil || s.trial != e.Attempt || s.convicted() {
+		return
+	}
+	s.trial = ""
+	if e.Completed {
+		q.remove(e.Fingerprint)
+	}
+}
+
+// elapse lets time pass and forgets what has expired.
+func (q *Quarantine) elapse(pos protocol.Position, e *protocol.Elapsed) {
+	if e.Since != q.timeAt || e.Millis <= 0 {
+		return
+	}
+	q.timeAt = pos
+	q.now += e.Millis
+	for _, fingerprint := range slices.Clone(q.order) {
+		if q.suspects[fingerprint].until <= q.now {
+			q.remove(fingerprint)
+		}
+	}
+}
+
+func (q *Quarantine) remove(fingerprint string) {
+	delete(q.suspects, fingerprint)
+	if i := slices.Index(q.order, fingerprint); i >= 0 {
+		q.order = slices.Delete(q.order, i, i+1)
+	}
+}
--- a/transport/problem.go
+++ b/transport/problem.go
@@ -9,12 +9,15 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// ProblemContentType is the media type of problem documents.
+const ProblemContentType = "application/problem+json"
+
 // WriteProblem answers with the problem document of err. The key names the
 // request where it has one.
 func WriteProblem(w http.ResponseWriter, err error, key string) {
 	p := protocol.ProblemOf(err)
 	p.Key = key
-	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Type", ProblemContentType)
 	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(int(protocol.RetryAfterBusy.Seconds())))
 	}
