Roll models by turns that are decided through the log

Cause: configuration objects of kind placement had no effect, and nothing would have kept a paused or replaced sidecar from ordering an old version.

Excluded: a lease for each target that is always renewed (one record each few seconds from each of 5,700 targets is above what the log and a daemon's network share allow), and an elected roller.

Change: a sidecar names itself the holder of its target once, claims a turn in the stream of the configuration when there is something to load, drains, fetches the weights, proves by a renewal read back that it is current, and sends the order within a second of that proof by its own monotonic clock. Every process folds the same turns; a silent holder's turn is revoked by any other.

--- a/cmd/sycamoretally/standin.go
+++ b/cmd/sycamoretally/standin.go
@@ -62,5 +62,6 @@
 		ReportLag:   time.Duration(e.ReportLag),
 		ChecksFence: e.ChecksFence,
 		RestartTime: time.Duration(e.RestartTime),
+		LoadTime:    time.Duration(e.LoadTime),
 	}
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -17,6 +17,7 @@
 	"github.com/sycamoretally/sycamoretally/standin/instancelist"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
 	"github.com/sycamoretally/sycamoretally/standin/service"
+	"github.com/sycamoretally/sycamoretally/standin/weightstore"
 )
 
 // Keys of the demo site.
@@ -36,6 +37,8 @@
 	Services int
 	Slots    int
 	Engine   engine.Params
+	// Weights is the weight store, nil for none.
+	Weights *weightstore.Store
 }
 
 // DefaultLayout is the layout of the demo.
@@ -85,6 +88,10 @@
 
 func (s *Site) plan(layout Layout) ([]settings.Settings, error) {
 	var plan []settings.Settings
+	weights, err := s.serveWeights(layout.Weights)
+	if err != nil {
+		return nil, err
+	}
 	for range layout.Engines {
 		e := engine.New(layout.Engine)
 		s.Engines = append(s.Engines, e)
@@ -92,6 +99,7 @@
 		if err != nil {
 			return nil, err
 		}
+		sc.Platform.Weights = weights
 		plan = append(plan, sc)
 	}
 	for range layout.Services {
@@ -116,6 +124,21 @@
 	return plan, nil
 }
 
+// serveWeights serves the weight store and returns its URL, empty without one.
+func (s *Site) serveWeights(store *weightstore.Store) (string, error) {
+	if store == nil {
+		return "", nil
+	}
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", protocol.ErrInternal.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
 func setProcess(s *settings.Settings, prefix string, index int) error {
 	s.Process.Instance = prefix + string(rune('a'+index))
 	s.Process.DataCentre = "dc-" + string(rune('a'+index%2))
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -38,11 +38,18 @@
 	return nil
 }
 
-// Append appends records to the work stream for a process that does not follow it.
+// Append appends records for a process that does not write to the log itself.
 func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
 	defer cancel()
-	last, err := p.e.appendAt(ctx, args.Records...)
+	last, err := p.e.streamNamed(args.Stream).appendAt(ctx, args.Records...)
 	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
 	return nil
 }
+
+func (e *Entry) streamNamed(name string) *stream {
+	if name == protocol.StreamConfig {
+		return &e.conf
+	}
+	return &e.work
+}
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -63,15 +63,15 @@
 // appendAndFold appends a record to the work stream and waits until this
 // process has folded it.
 func (e *Entry) appendAndFold(ctx context.Context, recs ...protocol.Record) error {
-	_, err := e.appendAt(ctx, recs...)
+	_, err := e.work.appendAt(ctx, recs...)
 	return err
 }
 
 // appendAt does the same and returns the position of the last record.
-func (e *Entry) appendAt(ctx context.Context, recs ...protocol.Record) (protocol.Position, error) {
-	last, err := e.work.writer.Append(ctx, recs...)
+func (s *stream) appendAt(ctx context.Context, recs ...protocol.Record) (protocol.Position, error) {
+	last, err := s.writer.Append(ctx, recs...)
 	if err != nil {
 		return 0, err
 	}
-	return last, e.work.follower.WaitFor(ctx, last.Offset())
+	return last, s.follower.WaitFor(ctx, last.Offset())
 }
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -69,8 +69,10 @@
 	Problem *Problem
 }
 
-// AppendArgs asks an entry to append records to the work stream.
+// AppendArgs asks an entry to append records to a stream.
 type AppendArgs struct {
+	// Stream is StreamWork where it is empty.
+	Stream  string
 	Records []Record
 }
 
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -32,6 +32,12 @@
 	Trial   *SuspectTrial `msgpack:"qt,omitempty"`
 	TrialOf *TrialEnd     `msgpack:"qe,omitempty"`
 	Elapsed *Elapsed      `msgpack:"qd,omitempty"`
+
+	Hello  *TargetHello `msgpack:"th,omitempty"`
+	Claim  *LoadClaim   `msgpack:"lc,omitempty"`
+	Renew  *LoadRenew   `msgpack:"lr,omitempty"`
+	Load   *LoadEnd     `msgpack:"le,omitempty"`
+	Revoke *LoadRevoke  `msgpack:"lv,omitempty"`
 }
 
 // Change sets or deletes configuration objects, all or none.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,6 +152,7 @@
 	ReportLag   Duration `toml:"report_lag"`
 	ChecksFence bool     `toml:"checks_fence"`
 	RestartTime Duration `toml:"restart_time"`
+	LoadTime    Duration `toml:"load_time"`
 }
 
 // StandInService holds the settings of a plain service's stand-in.
--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -229,3 +229,11 @@
 		past:    map[string]*incident{},
 	}
 }
+
+// current returns the boot identity of the running target, and false while that
+// is not known.
+func (c *crashes) current() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.boot, c.known
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -5,9 +5,11 @@
 )
 
 type metrics struct {
-	registry *prometheus.Registry
-	admitted *prometheus.CounterVec
-	refused  prometheus.Counter
+	registry     *prometheus.Registry
+	admitted     *prometheus.CounterVec
+	refused      prometheus.Counter
+	loads        *prometheus.CounterVec
+	fetchRetries prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -21,8 +23,16 @@
 			Name: "sycamoretally_sidecar_attempts_refused_total",
 			Help: "Attempts refused before anything was sent to the target.",
 		}),
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_sidecar_loads_total",
+			Help: "Turns in which a target loaded a model, by whether it succeeded.",
+		}, []string{"loaded"}),
+		fetchRetries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamoretally_sidecar_weight_fetch_retries_total",
+			Help: "Fetches from the weight store that were refused or failed.",
+		}),
 	}
-	m.registry.MustRegister(m.admitted, m.refused)
+	m.registry.MustRegister(m.admitted, m.refused, m.loads, m.fetchRetries)
 	return m
 }
 
--- /dev/null
+++ b/sidecar/orders.go
@@ -0,0 +1,318 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/follow"
+	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/placement"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/state"
+)
+
+const (
+	// ordersInterval is the time between two looks at what a target must load.
+	ordersInterval = 200 * time.Millisecond
+	// revokeSpread is the time for each process over which revocations are spread.
+	revokeSpread = 5 * time.Millisecond
+	// fetchDelay is the first wait after the weight store refused; it doubles up
+	// to maxFetchDelay, and a random part of it is taken.
+	fetchDelay    = 200 * time.Millisecond
+	maxFetchDelay = 10 * time.Second
+	// fetchTimeout and orderTimeout bound one fetch and one order.
+	fetchTimeout = 5 * time.Minute
+	orderTimeout = 5 * time.Minute
+)
+
+// errStale ends a turn whose holder is not current any more, or whose placement
+// was replaced.
+var errStale = protocol.Errors.NewType("stale_turn")
+
+// orders keeps one target's engine at what the configuration says. Nothing else
+// gives orders to it.
+type orders struct {
+	runner   *runner
+	holder   string
+	config   *state.ConfigFold
+	loads    *state.Loads
+	follower *follow.Follower
+	weights  *platform.WeightStore
+	metrics  *metrics
+	members  *membership.Manager
+	instance string
+	lapsed   *placement.Observer
+	gone     *placement.Observer
+	// store appends a record to the configuration's stream.
+	store func(ctx context.Context, rec protocol.Record) (protocol.Position, error)
+}
+
+// run works until ctx ends. A turn that ends badly is taken again later.
+func (o *orders) run(ctx context.Context) error {
+	o.greet(ctx)
+	for ctx.Err() == nil {
+		o.revokeSilent(ctx)
+		if err := o.step(ctx); err != nil && ctx.Err() == nil {
+			klog.InfoS("load not done", "target", o.runner.target.Name, "error", err)
+		}
+		pause(ctx, jitter(ordersInterval))
+	}
+	return nil
+}
+
+// jitter returns between half and all of d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// greet makes this process the holder of its target.
+func (o *orders) greet(ctx context.Context) {
+	t := o.runner.target
+	rec := protocol.Record{ID: protocol.NewID(), Hello: &protocol.TargetHello{Target: t.Name, Holder: o.holder, Instance: o.instance, Labels: t.Labels}}
+	for ctx.Err() == nil {
+		if _, err := o.append(ctx, rec); err == nil {
+			return
+		}
+		pause(ctx, jitter(appendRetryDelay))
+	}
+}
+
+// append stores a record and waits until it is folded here.
+func (o *orders) append(ctx context.Context, rec protocol.Record) (protocol.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	at, err := o.store(ctx, rec)
+	if err != nil {
+		return 0, err
+	}
+	return at, o.follower.WaitFor(ctx, at.Offset())
+}
+
+// step loads what is missing, if it is this target's turn.
+func (o *orders) step(ctx context.Context) error {
+	config := o.config.Current()
+	want, found := config.Desired(config.Labels(o.runner.target.Labels))
+	known, greeted := o.loads.Target(o.runner.target.Name)
+	if !greeted {
+		o.greet(ctx) // forgotten while its instance was not listed
+		return nil
+	}
+	boot, up := o.runner.crashes.current()
+	if !found || !up || known.Holder != o.holder || known.Content == want.Content() && known.Boot == boot {
+		return nil
+	}
+	if !o.loads.MayClaim(o.runner.target.Name) {
+		return nil
+	}
+	return o.takeTurn(ctx, &want)
+}
+
+// revokeSilent frees the turns of holders that have stopped, and forgets targets
+// that have left.
+func (o *orders) revokeSilent(ctx context.Context) {
+	listed := map[string]bool{}
+	for _, i := range o.members.Instances() {
+		listed[i.Name] = true
+	}
+	now := time.Now()
+	revokes := o.lapsed.Silent(now, o.loads.Loading())
+	if listed[o.instance] {
+		absent := o.loads.Absent(func(instance string) bool { return listed[instance] })
+		for _, r := range o.gone.Silent(now, absent) {
+			r.Gone = true
+			revokes = append(revokes, r)
+		}
+	}
+	for _, r := range revokes {
+		// Another process may be faster: the more there are, the longer the spread.
+		pause(ctx, rand.N(ordersInterval+time.Duration(len(listed))*revokeSpread))
+		if t, found := o.loads.Target(r.Target); !found || t.Seen != r.Seen || !r.Gone && t.Turn == nil {
+			continue
+		}
+		klog.InfoS("turn revoked", "target", r.Target, "gone", r.Gone)
+		_, _ = o.append(ctx, protocol.Record{ID: protocol.NewID(), Revoke: &r})
+	}
+}
+
+// turn is a turn in progress.
+type turn struct {
+	*orders
+	want  *state.Desired
+	lease placement.Lease
+	boot  string
+}
+
+// takeTurn claims a turn and carries it out where the log gives it.
+func (o *orders) takeTurn(ctx context.Context, want *state.Desired) error {
+	t := &turn{orders: o, want: want}
+	name := o.runner.target.Name
+	claim := &protocol.LoadClaim{Target: name, Holder: o.holder, Fence: want.Fence}
+	if err := t.prove(ctx, protocol.Record{ID: protocol.NewID(), Claim: claim}); err != nil {
+		if errorx.IsOfType(err, errStale) {
+			return nil // another target got the turn
+		}
+		return err
+	}
+	o.runner.setLoading(true)
+	defer o.runner.setLoading(false)
+	err := t.load(ctx)
+	end := &protocol.LoadEnd{Target: name, Holder: o.holder, Fence: want.Fence, Loaded: err == nil, Content: want.Content(), Boot: t.boot}
+	if _, endErr := o.append(ctx, protocol.Record{ID: protocol.NewID(), Load: end}); err == nil {
+		err = endErr
+	}
+	o.metrics.loads.WithLabelValues(boolText(err == nil)).Inc()
+	return err
+}
+
+// prove appends a claim or renewal and checks that it is in force: the turn is
+// this process's and its placement is still the newest. It fails with errStale.
+func (t *turn) prove(ctx context.Context, rec protocol.Record) error {
+	sent := time.Now()
+	at, err := t.append(ctx, rec)
+	if err != nil {
+		return err
+	}
+	known, _ := t.loads.Target(t.runner.target.Name)
+	config := t.config.Current()
+	newest, _ := config.Desired(config.Labels(t.runner.target.Labels))
+	if known.Turn == nil || known.Turn.Holder != t.holder || known.Seen < at || newest.Fence != t.want.Fence {
+		return errStale.New("target %s: the turn for %s is over", t.runner.target.Name, t.want.Fence)
+	}
+	t.lease.Proved(sent)
+	return nil
+}
+
+func (t *turn) renewal() protocol.Record {
+	return protocol.Record{ID: protocol.NewID(), Renew: &protocol.LoadRenew{Target: t.runner.target.Name, Holder: t.holder}}
+}
+
+// keep runs work and renews the turn meanwhile. The work's context ends when the
+// turn is lost.
+func (t *turn) keep(ctx context.Context, work func(ctx context.Context) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan error, 1)
+	go func() { done <- work(ctx) }()
+	ticker := time.NewTicker(placement.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+		}
+		err := t.prove(ctx, t.renewal())
+		if errorx.IsOfType(err, errStale) || !t.lease.Valid(time.Now()) {
+			cancel(errStale.New("the lease lapsed"))
+			<-done
+			return errStale.New("target %s: the turn was lost", t.runner.target.Name)
+		}
+	}
+}
+
+// load drains the target, fetches the weights and gives the order.
+func (t *turn) load(ctx context.Context) error {
+	if err := t.keep(ctx, t.runner.awaitDrained); err != nil {
+		return err
+	}
+	if err := t.keep(ctx, t.fetch); err != nil {
+		return err
+	}
+	var err error
+	if t.boot, err = t.runner.boot(ctx); err != nil {
+		return err
+	}
+	// The proof is renewed right before the order, so that a pause in between
+	// shows; a pause after it ends the order's context before anything is sent.
+	if err := t.prove(ctx, t.renewal()); err != nil {
+		return err
+	}
+	return t.order(ctx)
+}
+
+func (t *turn) order(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	by := t.lease.OrderBy()
+	err := t.keep(ctx, func(ctx context.Context) error {
+		return t.runner.engine.OrderBy(ctx, by, platform.Order{
+			Model: t.want.Model, Version: t.want.Version, Adapters: t.want.Adapters, Fence: uint64(t.want.Fence),
+		})
+	})
+	if err != nil {
+		return err
+	}
+	boot, err := t.runner.boot(ctx)
+	if err == nil && boot != t.boot {
+		return protocol.ErrTargetFailed.New("target %s restarted while it loaded", t.runner.target.Name)
+	}
+	klog.InfoS("model loaded", "target", t.runner.target.Name, "model", t.want.Model, "version", t.want.Version, "fence", t.want.Fence)
+	return err
+}
+
+// fetch has the weights read from the store, as often as the store refuses.
+func (t *turn) fetch(ctx context.Context) error {
+	if t.weights == nil {
+		return nil
+	}
+	for delay := fetchDelay; ; delay = min(2*delay, maxFetchDelay) {
+		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		_, err := t.weights.Fetch(fetchCtx, t.want.Model, t.want.Version)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		t.metrics.fetchRetries.Inc()
+		pause(ctx, jitter(delay))
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// setLoading takes the target out of service while it loads.
+func (r *runner) setLoading(loading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loading = loading
+	r.seq++
+}
+
+// awaitDrained waits until nothing runs on the target.
+func (r *runner) awaitDrained(ctx context.Context) error {
+	for r.busy() {
+		pause(ctx, pullPause)
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// newOrders returns what orders the runner's engine.
+func (s *Sidecar) newOrders(r *runner) *orders {
+	o := &orders{
+		runner: r, holder: protocol.NewID(), config: s.config, loads: s.loads, follower: s.follower, metrics: s.metrics,
+		members: s.members, instance: s.settings.Process.Instance,
+		lapsed: placement.NewObserver(placement.RevokeTime), gone: placement.NewObserver(placement.GoneTime),
+		store: func(ctx context.Context, rec protocol.Record) (protocol.Position, error) {
+			return s.appendTo(ctx, protocol.StreamConfig, rec)
+		},
+	}
+	if s.settings.Platform.Weights != "" {
+		o.weights = platform.NewWeightStore(s.settings.Platform.Weights)
+	}
+	return o
+}
+
+func (s *Sidecar) appendTo(ctx context.Context, stream string, rec protocol.Record) (protocol.Position, error) {
+	var reply protocol.AppendReply
+	args := &protocol.AppendArgs{Stream: stream, Records: []protocol.Record{rec}}
+	if err := s.entries.call(ctx, "", protocol.MethodAppend, args, &reply); err != nil {
+		return 0, err
+	}
+	return reply.Last, reply.Problem.Err()
+}
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -177,13 +177,9 @@
 func (s *Sidecar) storeCrash(ctx context.Context, rec protocol.Record) (protocol.Position, error) {
 	ctx = s.tomb.Context(ctx)
 	for {
-		var reply protocol.AppendReply
-		err := s.entries.call(ctx, "", protocol.MethodAppend, &protocol.AppendArgs{Records: []protocol.Record{rec}}, &reply)
+		at, err := s.appendTo(ctx, protocol.StreamWork, rec)
 		if err == nil {
-			err = reply.Problem.Err()
-		}
-		if err == nil {
-			return reply.Last, nil
+			return at, nil
 		}
 		if ctx.Err() != nil {
 			return 0, err
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -32,6 +32,8 @@
 	cancels map[string]context.CancelCauseFunc
 	leaving bool
 	drained bool
+	// loading is set while the target is out of service to load a model.
+	loading bool
 	healthy bool
 	seq     uint64
 	idle    chan struct{}
@@ -91,7 +93,7 @@
 func (r *runner) arrive(a *protocol.AttemptRequest, cancel context.CancelCauseFunc) (<-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving || r.drained {
+	if r.leaving || r.drained || r.loading {
 		return nil, protocol.ErrLeaving.New("target %s takes no new work", r.target.Name)
 	}
 	decision, effects := r.decide(a)
@@ -172,7 +174,7 @@
 func (r *runner) spare() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving || r.drained || !r.healthy {
+	if r.leaving || r.drained || r.loading || !r.healthy {
 		return 0
 	}
 	return r.slots.Spare()
@@ -195,7 +197,7 @@
 		Online:  online,
 		Batch:   batch,
 		Queued:  waiting,
-		Leaving: r.leaving || r.drained,
+		Leaving: r.leaving || r.drained || r.loading,
 		Healthy: r.healthy,
 		Seq:     r.seq,
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 type Sidecar struct {
 	settings *settings.Settings
 	config   *state.ConfigFold
+	loads    *state.Loads
 	follower *follow.Follower
 	members  *membership.Manager
 	peers    *transport.Peers
@@ -70,7 +71,8 @@
 		sc.runners[t.Name] = r
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
-	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, drainWatch{sc})
+	sc.loads = state.NewLoads(sc.config)
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log}, sc.config, sc.loads, drainWatch{sc})
 	sc.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{sc.peers}})
 	sc.entries = &entries{members: sc.members, peers: sc.peers}
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
@@ -110,6 +112,7 @@
 		s.tomb.Go(func() error { return r.watch(ctx) })
 		if r.target.Type == settings.TargetEngine {
 			s.tomb.Go(func() error { return s.pull(ctx, r) })
+			s.tomb.Go(func() error { return s.newOrders(r).run(ctx) })
 		}
 	}
 	klog.InfoS("sidecar started", "instance", s.settings.Process.Instance, "http", s.settings.Process.HTTP, "peer", s.settings.Process.Peer, "targets", len(s.runners))
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,8 @@
 	ReportLag time.Duration
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
+	// LoadTime is how long an order to load takes.
+	LoadTime time.Duration
 	// RestartTime is how long the engine is down after a crash.
 	RestartTime time.Duration
 }
@@ -185,7 +187,29 @@
 	}
 }
 
-func (e *Engine) order(o platform.Order) error {
+// order loads a model. A crash meanwhile loses the order.
+func (e *Engine) order(ctx context.Context, o platform.Order) error {
+	if err := e.checkFence(o); err != nil {
+		return err
+	}
+	crashed := e.crashed()
+	if !e.sleep(context.WithoutCancel(ctx), e.params.LoadTime) || isClosed(crashed) {
+		return protocol.ErrTargetFailed.New("crashed while loading")
+	}
+	return e.loaded(o)
+}
+
+func (e *Engine) checkFence(o platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.params.ChecksFence && o.Fence < e.fence {
+		return protocol.ErrVersion.New("fencing number %d, have seen %d", o.Fence, e.fence)
+	}
+	e.fence = max(e.fence, o.Fence)
+	return nil
+}
+
+func (e *Engine) loaded(o platform.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.params.ChecksFence && o.Fence < e.fence {
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
@@ -22,6 +24,7 @@
 	mux.HandleFunc("POST /engine/orders", e.serveOrder)
 	mux.HandleFunc("GET /engine/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.load()) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
+	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Orders()) })
 	mux.HandleFunc("POST /faults", e.serveFaults)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.isDown() && r.URL.Path != "/runs" {
@@ -154,8 +157,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if err := e.order(o); err != nil {
-		w.WriteHeader(http.StatusConflict)
+	if err := e.order(r.Context(), o); err != nil {
+		w.WriteHeader(orderStatus(err))
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -178,3 +181,10 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+func orderStatus(err error) int {
+	if errorx.IsOfType(err, protocol.ErrVersion) {
+		return http.StatusConflict
+	}
+	return http.StatusInternalServerError
+}
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -14,6 +14,8 @@
 	limiter *rate.Limiter
 	size    int
 	fetches atomic.Uint64
+	refused atomic.Uint64
+	down    atomic.Bool
 }
 
 // New returns a store that serves weights of size bytes at most perSecond
@@ -25,16 +27,31 @@
 // Fetches returns the number of fetches served.
 func (s *Store) Fetches() uint64 { return s.fetches.Load() }
 
-// Handler serves GET /weights/{model}/{version}.
+// Refused returns the number of fetches refused or failed.
+func (s *Store) Refused() uint64 { return s.refused.Load() }
+
+// SetDown makes the store fail every fetch.
+func (s *Store) SetDown(down bool) { s.down.Store(down) }
+
+// Handler serves GET /weights/{model}/{version}, and POST and DELETE /down for
+// tests.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /weights/{model}/{version}", func(w http.ResponseWriter, _ *http.Request) {
+		if s.down.Load() {
+			s.refused.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if !s.limiter.Allow() {
+			s.refused.Add(1)
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		}
 		s.fetches.Add(1)
 		_, _ = w.Write(make([]byte, s.size))
 	})
+	mux.HandleFunc("POST /down", func(http.ResponseWriter, *http.Request) { s.SetDown(true) })
+	mux.HandleFunc("DELETE /down", func(http.ResponseWriter, *http.Request) { s.SetDown(false) })
 	return mux
 }
--- /dev/null
+++ b/state/loads.go
@@ -0,0 +1,244 @@
+package state
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// defaultUnavailablePercent is the part of a placement's targets that may load
+// at the same time where the placement does not say.
+const defaultUnavailablePercent = 25
+
+// Desired is what a target must have loaded.
+type Desired struct {
+	Placement string
+	Model     string
+	Version   string
+	Adapters  []string
+	// Fence is the version of the placement.
+	Fence protocol.Position
+}
+
+// Content names what is loaded, whatever placement asked for it.
+func (d *Desired) Content() string {
+	return strings.Join(append([]string{d.Model, d.Version}, d.Adapters...), "\x00")
+}
+
+// Desired returns what the newest placement that selects these effective labels
+// asks for, and false where none does.
+func (c *Config) Desired(labels protocol.Labels) (Desired, bool) {
+	var newest *protocol.Object
+	for _, o := range c.placementsOf(labels) {
+		if newest == nil || o.Version > newest.Version {
+			newest = &o
+		}
+	}
+	if newest == nil {
+		return Desired{}, false
+	}
+	p := newest.Placement
+	return Desired{Placement: newest.Name, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Fence: newest.Version}, true
+}
+
+func (c *Config) placementsOf(labels protocol.Labels) []protocol.Object {
+	var found []protocol.Object
+	for _, o := range c.objects {
+		if o.Placement != nil && !o.Deleted && o.Placement.Selector.Matches(labels) {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
+// Turn is a target's turn to load.
+type Turn struct {
+	Target string
+	Holder string
+	Fence  protocol.Position
+}
+
+// TargetLoad is what the log says of one target.
+type TargetLoad struct {
+	Holder   string
+	Instance string
+	Labels   protocol.Labels
+	// Seen is the position of the holder's last record.
+	Seen protocol.Position
+	// Turn is nil while the target is not loading.
+	Turn *Turn
+	// Fence, Content and Boot are those of the last load that ended well.
+	Fence   protocol.Position
+	Content string
+	Boot    string
+}
+
+// Loads folds the turns in which targets load. It reads the configuration as of
+// the same position, so it must be applied after that fold, on the same stream.
+type Loads struct {
+	config *ConfigFold
+
+	mu      sync.RWMutex
+	targets map[string]*TargetLoad
+}
+
+// NewLoads returns a fold without targets.
+func NewLoads(config *ConfigFold) *Loads {
+	return &Loads{config: config, targets: map[string]*TargetLoad{}}
+}
+
+// Target returns a copy of what is known of the target.
+func (l *Loads) Target(name string) (TargetLoad, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := l.targets[name]
+	if t == nil {
+		return TargetLoad{}, false
+	}
+	return *t, true
+}
+
+// Loading returns the targets whose turn is in progress, with their last records.
+func (l *Loads) Loading() map[string]protocol.Position {
+	return l.seen(func(t *TargetLoad) bool { return t.Turn != nil })
+}
+
+// Absent returns the targets on instances for which listed is false, with their
+// last records.
+func (l *Loads) Absent(listed func(instance string) bool) map[string]protocol.Position {
+	return l.seen(func(t *TargetLoad) bool { return !listed(t.Instance) })
+}
+
+func (l *Loads) seen(match func(*TargetLoad) bool) map[string]protocol.Position {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	found := map[string]protocol.Position{}
+	for name, t := range l.targets {
+		if match(t) {
+			found[name] = t.Seen
+		}
+	}
+	return found
+}
+
+// MayClaim reports whether a claim for the target would get a turn now.
+func (l *Loads) MayClaim(target string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.open(l.targets[target])
+}
+
+// Apply folds the record at position pos.
+func (l *Loads) Apply(pos protocol.Position, rec *protocol.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case rec.Hello != nil:
+		l.hello(pos, rec.Hello)
+	case rec.Claim != nil:
+		l.claim(pos, rec.Claim)
+	case rec.Renew != nil:
+		if t := l.turnOf(rec.Renew.Target, rec.Renew.Holder); t != nil {
+			t.Seen = pos
+		}
+	case rec.Load != nil:
+		l.end(pos, rec.Load)
+	case rec.Revoke != nil:
+		l.revoke(rec.Revoke)
+	}
+}
+
+// hello changes the holder; a turn of an earlier one ends.
+func (l *Loads) hello(pos protocol.Position, h *protocol.TargetHello) {
+	t := l.targets[h.Target]
+	if t == nil {
+		t = &TargetLoad{}
+		l.targets[h.Target] = t
+	}
+	if t.Holder == h.Holder {
+		return
+	}
+	t.Holder, t.Instance, t.Labels, t.Turn, t.Seen = h.Holder, h.Instance, h.Labels, nil, pos
+}
+
+func (l *Loads) turnOf(target, holder string) *TargetLoad {
+	t := l.targets[target]
+	if t == nil || t.Turn == nil || t.Holder != holder {
+		return nil
+	}
+	return t
+}
+
+func (l *Loads) claim(pos protocol.Position, c *protocol.LoadClaim) {
+	t := l.targets[c.Target]
+	if t == nil || t.Holder != c.Holder || t.Turn != nil || !l.open(t) {
+		return
+	}
+	config := l.config.Current()
+	if d, found := config.Desired(config.Labels(t.Labels)); !found || d.Fence != c.Fence {
+		return
+	}
+	t.Turn = &Turn{Target: c.Target, Holder: c.Holder, Fence: c.Fence}
+	t.Seen = pos
+}
+
+// open reports whether every placement of the target lets one more load.
+func (l *Loads) open(t *TargetLoad) bool {
+	if t == nil {
+		return false
+	}
+	config := l.config.Current()
+	for _, o := range config.placementsOf(config.Labels(t.Labels)) {
+		matched, out := l.count(config, o.Placement.Selector)
+		if out >= AllowedOut(o.Placement, matched) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Loads) count(config *Config, selector protocol.Selector) (matched, out int) {
+	for _, t := range l.targets {
+		if !selector.Matches(config.Labels(t.Labels)) {
+			continue
+		}
+		matched++
+		if t.Turn != nil {
+			out++
+		}
+	}
+	return matched, out
+}
+
+// AllowedOut returns how many of the matched targets may load at the same time:
+// the placement's part of them, rounded down, and at least one.
+func AllowedOut(p *protocol.Placement, matched int) int {
+	percent := p.MaxUnavailablePercent
+	if percent <= 0 {
+		percent = defaultUnavailablePercent
+	}
+	return max(1, matched*min(percent, 100)/100)
+}
+
+func (l *Loads) end(pos protocol.Position, e *protocol.LoadEnd) {
+	t := l.turnOf(e.Target, e.Holder)
+	if t == nil || t.Turn.Fence != e.Fence {
+		return
+	}
+	t.Turn, t.Seen = nil, pos
+	if e.Loaded {
+		t.Fence, t.Content, t.Boot = e.Fence, e.Content, e.Boot
+	}
+}
+
+func (l *Loads) revoke(r *protocol.LoadRevoke) {
+	t := l.targets[r.Target]
+	if t == nil || t.Seen != r.Seen {
+		return
+	}
+	t.Turn = nil
+	if r.Gone {
+		delete(l.targets, r.Target)
+	}
+}
