--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -126,6 +126,8 @@
 	Sidecars []*Process
 	Engines  []*Process
 	Services []*Process
+	// Store is the weight store, nil without one.
+	Store *Process
 	// Client holds the settings with which a client reaches the site.
 	Client settings.Client
 
@@ -144,6 +146,8 @@
 	ListLag  time.Duration
 	Service  settings.StandInService
 	Drain    time.Duration
+	// Store is the weight store; none is started where it allows no fetches.
+	Store settings.StandInStore
 }
 
 // Start writes settings files into dir and starts every process. Close must be
@@ -181,6 +185,10 @@
 	s.List, err = s.standIn("list", settings.RoleStandInList, func(st *settings.StandIn) {
 		st.List.Lag = settings.Duration(layout.ListLag)
 	})
+	if err != nil || layout.Store.FetchesPerSecond <= 0 {
+		return err
+	}
+	s.Store, err = s.standIn("store", settings.RoleStandInStore, func(st *settings.StandIn) { st.Store = layout.Store })
 	return err
 }
 
@@ -238,6 +246,9 @@
 	}
 	st.Platform.Log = "http://" + s.Log.Settings.StandIn.Listen
 	st.Platform.Instances = "http://" + s.List.Settings.StandIn.Listen
+	if s.Store != nil {
+		st.Platform.Weights = "http://" + s.Store.Settings.StandIn.Listen
+	}
 	var err error
 	if st.Process.HTTP, err = demo.FreeAddress(); err != nil {
 		return st, err
@@ -281,6 +292,25 @@
 	return err
 }
 
+// AddTwin starts a second sidecar for the target of the sidecar at index, as a
+// replacement does. The list must be published afterwards.
+func (s *Site) AddTwin(index int) error {
+	st := s.Sidecars[index].Settings
+	st.Process.Instance += "-twin"
+	var err error
+	if st.Process.HTTP, err = demo.FreeAddress(); err != nil {
+		return err
+	}
+	if st.Process.Peer, err = demo.FreeAddress(); err != nil {
+		return err
+	}
+	p, err := s.launch(st.Process.Instance, st, st.Process.HTTP, "sidecar")
+	if err == nil {
+		s.Sidecars = append(s.Sidecars, p)
+	}
+	return err
+}
+
 func (s *Site) addEntry(i int, layout Layout) error {
 	name := fmt.Sprintf("entry-%d", i)
 	st, err := s.process(settings.RoleEntry, name, i, layout)
@@ -374,7 +404,7 @@
 
 // Close kills every process of the site, the system's before the platform's.
 func (s *Site) Close() {
-	for _, group := range [][]*Process{s.Entries, s.Sidecars, s.Engines, s.Services, {s.Log, s.List}} {
+	for _, group := range [][]*Process{s.Entries, s.Sidecars, s.Engines, s.Services, {s.Log, s.List, s.Store}} {
 		for _, p := range group {
 			if p != nil {
 				_ = p.Signal(syscall.SIGKILL)
