--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -3,16 +3,18 @@
 // suspect run alone on its target. Both are state machines without I/O.
 package quarantine
 
+import "slices"
+
 // maxProven bounds the fingerprints remembered as harmless; the oldest go first.
 const maxProven = 1 << 16
 
 // maxEnded bounds the attempts remembered as given up.
 const maxEnded = 1 << 14
 
-// Permits lets at most one copy of each call run until one has completed. It is
-// not safe for concurrent use.
+// Permits lets at most one copy of each call run until one has completed, or two
+// attempts of the same key. It is not safe for concurrent use.
 type Permits struct {
-	running map[string]Holder
+	running map[string][]Holder
 	proven  *recent
 	// ended holds attempts that gave up before they were granted a permit.
 	ended *recent
@@ -23,11 +25,13 @@
 	Fingerprint string
 	Attempt     string
 	Instance    string
+	// Key is that of the request, empty for a batch item.
+	Key string
 }
 
 // NewPermits returns permits that nobody holds.
 func NewPermits() *Permits {
-	return &Permits{running: map[string]Holder{}, proven: newRecent(maxProven), ended: newRecent(maxEnded)}
+	return &Permits{running: map[string][]Holder{}, proven: newRecent(maxProven), ended: newRecent(maxEnded)}
 }
 
 // Ask reports whether the attempt may run. suspect is set where the call's
@@ -39,21 +43,30 @@
 	if p.proven.has(h.Fingerprint) && !suspect {
 		return true
 	}
-	if held, found := p.running[h.Fingerprint]; found {
-		return held.Attempt == h.Attempt
+	held := p.running[h.Fingerprint]
+	for _, other := range held {
+		if other.Attempt == h.Attempt {
+			return true
+		}
+	}
+	hedge := len(held) == 1 && !suspect && h.Key != "" && held[0].Key == h.Key
+	if len(held) > 0 && !hedge {
+		return false
 	}
-	p.running[h.Fingerprint] = h
+	p.running[h.Fingerprint] = append(held, h)
 	return true
 }
 
 // End gives the permit of an attempt back, which then gets none any more. A
 // completed run proves the call.
 func (p *Permits) End(fingerprint, attempt string, completed bool) {
-	held, found := p.running[fingerprint]
-	switch {
-	case found && held.Attempt == attempt:
+	held := p.running[fingerprint]
+	left := slices.DeleteFunc(slices.Clone(held), func(h Holder) bool { return h.Attempt == attempt })
+	p.running[fingerprint] = left
+	if len(left) == 0 {
 		delete(p.running, fingerprint)
-	case !completed:
+	}
+	if len(left) == len(held) && !completed {
 		p.ended.add(attempt)
 	}
 	if completed {
@@ -61,10 +74,9 @@
 	}
 }
 
-// Holder returns who holds the permit of the call, if anyone does.
-func (p *Permits) Holder(fingerprint string) (Holder, bool) {
-	h, found := p.running[fingerprint]
-	return h, found
+// Holders returns who holds permits of the call.
+func (p *Permits) Holders(fingerprint string) []Holder {
+	return slices.Clone(p.running[fingerprint])
 }
 
 // recent is a set that forgets its oldest members.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -12,23 +12,35 @@
 
 func TestPermits(t *testing.T) {
 	p := NewPermits()
-	first, second := Holder{"f", "a", "x"}, Holder{"f", "b", "y"}
+	first, second := Holder{Fingerprint: "f", Attempt: "a", Instance: "x"}, Holder{Fingerprint: "f", Attempt: "b", Instance: "y"}
 	assert.Assert(t, p.Ask(first, false))
 	assert.Assert(t, p.Ask(first, false), "the holder asks again")
 	assert.Assert(t, !p.Ask(second, false), "a copy waits")
 	p.End("f", "a", false)
 	assert.Assert(t, p.Ask(second, false), "the permit is free again")
 	p.End("f", "b", true)
-	assert.Assert(t, p.Ask(Holder{"f", "c", "z"}, false), "a proven call runs freely")
-	assert.Assert(t, p.Ask(Holder{"f", "d", "z"}, true), "a suspect holds a permit again")
-	assert.Assert(t, !p.Ask(Holder{"f", "e", "z"}, true))
+	assert.Assert(t, p.Ask(Holder{Fingerprint: "f", Attempt: "c", Instance: "z"}, false), "a proven call runs freely")
+	assert.Assert(t, p.Ask(Holder{Fingerprint: "f", Attempt: "d", Instance: "z"}, true), "a suspect holds a permit again")
+	assert.Assert(t, !p.Ask(Holder{Fingerprint: "f", Attempt: "e", Instance: "z"}, true))
+}
+
+func TestHedgeHasItsOwnPermit(t *testing.T) {
+	p := NewPermits()
+	of := func(attempt, key string) Holder { return Holder{Fingerprint: "f", Attempt: attempt, Key: key} }
+	assert.Assert(t, p.Ask(of("a", "k"), false))
+	assert.Assert(t, !p.Ask(of("b", "other"), false))
+	assert.Assert(t, p.Ask(of("c", "k"), false), "a second attempt of the key")
+	assert.Assert(t, !p.Ask(of("d", "k"), false), "no third")
+	p.End("f", "a", false)
+	assert.Assert(t, !p.Ask(of("e", "k"), true), "a suspect has no hedge")
+	assert.Equal(t, len(p.Holders("f")), 1)
 }
 
 func TestEndBeforeAsk(t *testing.T) {
 	p := NewPermits()
 	p.End("f", "late", false)
-	assert.Assert(t, !p.Ask(Holder{"f", "late", "x"}, false))
-	assert.Assert(t, p.Ask(Holder{"f", "next", "x"}, false))
+	assert.Assert(t, !p.Ask(Holder{Fingerprint: "f", Attempt: "late", Instance: "x"}, false))
+	assert.Assert(t, p.Ask(Holder{Fingerprint: "f", Attempt: "next", Instance: "x"}, false))
 }
 
 func TestRecentIsBounded(t *testing.T) {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,7 @@
 	// permitPoll is how often a waiting question for a permit looks again.
 	permitPoll = 10 * time.Millisecond
 	// holderCheck is how long a permit is contested before its holder is asked.
-	holderCheck = 500 * time.Millisecond
+	holderCheck = 100 * time.Millisecond
 	// elapsedInterval is the time between two records that let suspicion expire.
 	elapsedInterval = 10 * time.Second
 	// elapsedOwnerKey picks the entry that appends them.
@@ -64,7 +65,7 @@
 	if suspect && suspicion.Trial != "" && suspicion.Trial != args.Attempt {
 		return false, true, nil
 	}
-	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance}
+	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance, Key: args.Key}
 	e.permits.mu.Lock()
 	granted = e.permits.state.Ask(h, suspect)
 	e.permits.mu.Unlock()
@@ -80,11 +81,10 @@
 	rec := protocol.Record{ID: protocol.NewID(), Trial: &protocol.SuspectTrial{Fingerprint: h.Fingerprint, Attempt: h.Attempt}}
 	err = e.appendAndFold(ctx, rec)
 	e.permits.mu.Lock()
-	holder, held := e.permits.state.Holder(h.Fingerprint)
+	held := slices.Contains(e.permits.state.Holders(h.Fingerprint), h)
 	e.permits.mu.Unlock()
 	suspicion := e.quarantine.Judge(h.Fingerprint)
-	mine := held && holder.Attempt == h.Attempt
-	if err == nil && mine && suspicion.Trial == h.Attempt {
+	if err == nil && held && suspicion.Trial == h.Attempt {
 		return true, true, nil
 	}
 	e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: h.Fingerprint})
@@ -125,28 +125,32 @@
 	return nil
 }
 
-// checkHolder frees a contested permit whose sidecar has gone or has lost it.
+// checkHolder frees contested permits whose sidecar has gone or has lost them.
 func (e *Entry) checkHolder(fingerprint string) {
 	e.permits.mu.Lock()
-	h, held := e.permits.state.Holder(fingerprint)
+	holders := e.permits.state.Holders(fingerprint)
 	e.permits.mu.Unlock()
-	if !held {
-		return
+	for _, h := range holders {
+		if e.stillHeld(h) || e.context().Err() != nil {
+			continue
+		}
+		klog.InfoS("permit freed, its sidecar does not hold it", "instance", h.Instance, "attempt", h.Attempt)
+		_ = e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: fingerprint})
 	}
+}
+
+func (e *Entry) stillHeld(h quarantine.Holder) bool {
 	ctx, cancel := context.WithTimeout(e.context(), protocol.HeartbeatTimeout)
 	defer cancel()
-	var reply protocol.HoldsReply
 	for _, i := range e.members.Instances() {
 		if i.Name != h.Instance {
 			continue
 		}
+		var reply protocol.HoldsReply
 		err := e.peers.Call(ctx, i.Peer, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: h.Attempt}, &reply)
-		if err == nil && reply.Held || ctx.Err() != nil && e.context().Err() != nil {
-			return
-		}
+		return err == nil && reply.Held
 	}
-	klog.InfoS("permit freed, its sidecar does not hold it", "instance", h.Instance, "attempt", h.Attempt)
-	_ = e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: fingerprint})
+	return false
 }
 
 // checkQuarantine fails with ErrQuarantined for a convicted call.
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -34,8 +34,11 @@
 
 // PermitArgs asks an entry whether a sidecar may run a call now.
 type PermitArgs struct {
-	Instance    string
-	Attempt     string
+	Instance string
+	Attempt  string
+	// Key is that of the request, empty for a batch item. Two attempts of one key
+	// may run beside each other, as a hedge does.
+	Key         string
 	Fingerprint string
 	// WaitMillis is how long to wait for another copy to end, in milliseconds.
 	WaitMillis int64
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -21,6 +21,8 @@
 	ordersInterval = 200 * time.Millisecond
 	// revokeSpread is the time for each process over which revocations are spread.
 	revokeSpread = 5 * time.Millisecond
+	// drainPause is the time between two looks at a target that drains.
+	drainPause = 20 * time.Millisecond
 	// fetchDelay is the first wait after the weight store refused; it doubles up
 	// to maxFetchDelay, and a random part of it is taken.
 	fetchDelay    = 200 * time.Millisecond
@@ -284,7 +286,7 @@
 // awaitDrained waits until nothing runs on the target.
 func (r *runner) awaitDrained(ctx context.Context) error {
 	for r.busy() {
-		pause(ctx, pullPause)
+		pause(ctx, drainPause)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -16,6 +16,8 @@
 	permitWait = time.Second
 	// batchPermitWait is the same for a batch item, which holds a slot meanwhile.
 	batchPermitWait = 200 * time.Millisecond
+	// permitPause is the time between two questions.
+	permitPause = 20 * time.Millisecond
 )
 
 // permit is the leave to run one copy of a call.
@@ -33,9 +35,6 @@
 // It fails with ErrLeaving, ErrBusy or ErrQuarantined, and then nothing was
 // sent to the target.
 func (s *Sidecar) enter(ctx context.Context, r *runner, a *protocol.AttemptRequest) (context.Context, func(), error) {
-	if a.Class == protocol.ClassBatch {
-		return s.enterBatch(ctx, r, a)
-	}
 	p, err := s.awaitPermit(ctx, r, a)
 	if err != nil {
 		return nil, nil, err
@@ -48,19 +47,21 @@
 	return s.enterLane(admitted, p, release)
 }
 
-// enterBatch takes the slot first, so that the items waiting here never exceed
-// the spare slots.
-func (s *Sidecar) enterBatch(ctx context.Context, r *runner, a *protocol.AttemptRequest) (context.Context, func(), error) {
-	admitted, release, err := r.admit(ctx, a)
-	if err != nil {
-		return nil, nil, err
-	}
-	p, err := s.askPermit(admitted, r, a, batchPermitWait)
+// enterItem does the same for a batch item that holds its slot, so that the items
+// waiting here never exceed the spare slots. The item must start by startBy.
+func (s *Sidecar) enterItem(ctx context.Context, r *runner, i *batchItem, startBy time.Time, release func()) (func(), error) {
+	waitCtx, cancel := context.WithDeadline(ctx, startBy)
+	defer cancel()
+	p, err := s.askPermit(waitCtx, r, i.attempt, batchPermitWait)
 	if err != nil {
 		release()
-		return nil, nil, err
+		if errorx.IsOfType(err, protocol.ErrQuarantined) {
+			setOutcome(i.finish, i.attempt.Resume, err)
+		}
+		return nil, err
 	}
-	return s.enterLane(admitted, p, release)
+	_, leave, err := s.enterLane(waitCtx, p, release)
+	return leave, err
 }
 
 func (s *Sidecar) enterLane(ctx context.Context, p *permit, release func()) (context.Context, func(), error) {
@@ -92,14 +93,14 @@
 		if err == nil || ctx.Err() != nil || !errorx.IsOfType(err, protocol.ErrBusy) {
 			return p, err
 		}
-		pause(ctx, pullPause)
+		pause(ctx, permitPause)
 	}
 }
 
 func (s *Sidecar) askPermit(ctx context.Context, r *runner, a *protocol.AttemptRequest, wait time.Duration) (*permit, error) {
 	p := &permit{sidecar: s, runner: r, attempt: a.Attempt, fingerprint: a.Call.Fingerprint()}
 	args := &protocol.PermitArgs{
-		Instance: s.settings.Process.Instance, Attempt: p.attempt, Fingerprint: p.fingerprint, WaitMillis: wait.Milliseconds(),
+		Instance: s.settings.Process.Instance, Attempt: p.attempt, Key: a.Key, Fingerprint: p.fingerprint, WaitMillis: wait.Milliseconds(),
 	}
 	var reply protocol.PermitReply
 	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -42,6 +42,8 @@
 	permits map[string]*permit
 	lane    *lane
 	crashes *crashes
+	// freed tells the puller that a slot may have become free.
+	freed chan struct{}
 }
 
 func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
@@ -58,6 +60,7 @@
 		classes: map[string]protocol.Class{},
 		permits: map[string]*permit{},
 		lane:    newLane(),
+		freed:   make(chan struct{}, 1),
 	}
 }
 
@@ -127,8 +130,14 @@
 	delete(r.classes, attempt)
 	delete(r.waiting, attempt)
 	r.apply(r.slots.Done(attempt))
+	signal(r.idle)
+	signal(r.freed)
+}
+
+// signal leaves a token in ch, unless one is there.
+func signal(ch chan<- struct{}) {
 	select {
-	case r.idle <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -180,6 +189,14 @@
 	return r.slots.Spare()
 }
 
+// batchIdle reports whether the target runs no batch item.
+func (r *runner) batchIdle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, batch, _ := r.slots.Counts()
+	return batch == 0
+}
+
 func (r *runner) busy() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
