End a race whose caller has gone

Cause: an attempt whose context ended dropped its end, and the race waited for it for ever; seen in a goroutine dump of TestCutStreamIsNoCrash.

Excluded: nothing further.

Change: the race ends with its context.

--- a/coordination/race/race.go
+++ b/coordination/race/race.go
@@ -115,6 +115,8 @@
 			}
 		case <-timer.C:
 			r.hedge(ctx)
+		case <-ctx.Done():
+			return r.outcome(legEnd{leg: r.legs[0], err: protocol.ErrTimeout.New("the caller has gone or the time is up")})
 		}
 	}
 }
