--- a/demo/site.go
+++ b/demo/site.go
@@ -19,6 +19,7 @@
 	"github.com/sycamoretally/sycamoretally/standin/instancelist"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
 	"github.com/sycamoretally/sycamoretally/standin/service"
+	"github.com/sycamoretally/sycamoretally/standin/weightstore"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
 
@@ -43,6 +44,8 @@
 	Drain time.Duration
 	// MaxAge replaces the default of the setting, where above zero.
 	MaxAge time.Duration
+	// Weights is the weight store, nil for none.
+	Weights *weightstore.Store
 	// Log, where set, gives the log that the instance uses in place of the site's.
 	Log func(instance string, log platform.Log) platform.Log
 	// DataCentres is the number of data centres; zero means two.
@@ -99,6 +102,10 @@
 
 func (s *Site) plan(layout Layout) ([]settings.Settings, error) {
 	var plan []settings.Settings
+	weights, err := s.serveWeights(layout.Weights)
+	if err != nil {
+		return nil, err
+	}
 	for range layout.Engines {
 		e := engine.New(layout.Engine)
 		s.Engines = append(s.Engines, e)
@@ -106,6 +113,7 @@
 		if err != nil {
 			return nil, err
 		}
+		sc.Platform.Weights = weights
 		plan = append(plan, sc)
 	}
 	for range layout.Services {
@@ -133,6 +141,21 @@
 // defaultDrain bounds a graceful shutdown where the layout sets no time.
 const defaultDrain = 10 * time.Second
 
+// serveWeights serves the weight store and returns its URL, empty without one.
+func (s *Site) serveWeights(store *weightstore.Store) (string, error) {
+	if store == nil {
+		return "", nil
+	}
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", protocol.ErrInternal.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
 // defaultDataCentres is the number of data centres of a layout that sets none.
 const defaultDataCentres = 2
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -73,7 +73,8 @@
 func (o *order) mayRetry(err error) bool {
 	switch {
 	case errorx.IsOfType(err, protocol.ErrBadRequest), errorx.IsOfType(err, protocol.ErrNoTarget),
-		errorx.IsOfType(err, protocol.ErrKeyConflict), errorx.IsOfType(err, protocol.ErrQuarantined):
+		errorx.IsOfType(err, protocol.ErrKeyConflict), errorx.IsOfType(err, protocol.ErrQuarantined),
+		errorx.IsOfType(err, protocol.ErrCrashUnstored):
 		return false
 	case o.repeatable:
 		return true
@@ -91,6 +92,8 @@
 	pace     *pace
 	steps    stepSample
 	deadline time.Time
+	// crashed is set once a target crashed under the request.
+	crashed bool
 }
 
 func newDispatchRun(ctx context.Context, e *Entry, o *order) *dispatchRun {
@@ -109,9 +112,10 @@
 }
 
 // again spends one retry after err and pauses before it. A retry after the loss
-// of a target costs no budget: those requests are as few as the target's slots.
+// of a target costs no budget: those requests are as few as the target's slots,
+// and after a crash the quarantine bounds them.
 func (d *dispatchRun) again(ctx context.Context, n int, err error) bool {
-	if !lostTarget(err) && !d.entry.policy.retries.Spend() {
+	if !d.crashed && !lostTarget(err) && !d.entry.policy.retries.Spend() {
 		return false
 	}
 	d.entry.metrics.retries.Inc()
@@ -127,6 +131,12 @@
 
 // attempt runs the order once, or twice beside each other where the first stalls.
 func (d *dispatchRun) attempt(ctx context.Context) (*protocol.Result, error) {
+	if err := d.entry.checkQuarantine(d.order.call.Fingerprint()); err != nil {
+		return nil, err
+	}
+	if err := d.awaitPick(ctx); err != nil {
+		return nil, err
+	}
 	target, err := d.awaitTarget(ctx)
 	if err != nil {
 		return nil, err
@@ -141,6 +151,7 @@
 		return d.result(&out), nil
 	}
 	d.tried[out.Target.Name] = true
+	d.crashed = d.crashed || errorx.IsOfType(out.Err, protocol.ErrTargetCrashed)
 	d.entry.ring.Add(d.order.trace, "attempt failed", "attempt", out.Attempt, "target", out.Target.Name, "error", protocol.ProblemOf(out.Err).Title)
 	if !d.order.repeatable && protocol.OutcomeOf(out.Err) != protocol.OutcomeNotRun {
 		return d.entry.settle(d.order, out.Attempt, out.Err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/logcache"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -43,12 +44,14 @@
 
 // Entry is one running entry.
 type Entry struct {
-	settings *settings.Settings
-	config   *state.ConfigFold
-	requests *state.Requests
-	jobs     *state.Jobs
-	conf     stream
-	work     stream
+	settings   *settings.Settings
+	config     *state.ConfigFold
+	requests   *state.Requests
+	jobs       *state.Jobs
+	quarantine *state.Quarantine
+	permits    *permits
+	conf       stream
+	work       stream
 	// moved locates the bodies of records of the work stream.
 	moved *state.Bodies
 	// confMarks holds the marks of the configuration stream.
@@ -82,23 +85,25 @@
 	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
 	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
-		settings:  s,
-		config:    state.NewConfigFold(),
-		requests:  state.NewRequests(),
-		jobs:      state.NewJobs(),
-		moved:     state.NewBodies(),
-		confMarks: state.NewBodies(),
-		peers:     transport.NewPeers(s.Process.PeerSecret),
-		attempts:  transport.NewAttemptClient(s.Process.PeerSecret, observe),
-		flights:   newFlights(),
-		claims:    newClaims(),
-		end:       &endOfLog{log: p.Log, stream: protocol.StreamWork},
-		ring:      ring,
-		metrics:   newMetrics(),
-		log:       p.Log,
-		callers:   map[string]string{},
-		policy:    newPolicy(s.Policy),
-		leaving:   make(chan struct{}),
+		settings:   s,
+		config:     state.NewConfigFold(),
+		requests:   state.NewRequests(),
+		jobs:       state.NewJobs(),
+		quarantine: state.NewQuarantine(),
+		permits:    &permits{state: quarantine.NewPermits()},
+		moved:      state.NewBodies(),
+		confMarks:  state.NewBodies(),
+		peers:      transport.NewPeers(s.Process.PeerSecret),
+		attempts:   transport.NewAttemptClient(s.Process.PeerSecret, observe),
+		flights:    newFlights(),
+		claims:     newClaims(),
+		end:        &endOfLog{log: p.Log, stream: protocol.StreamWork},
+		ring:       ring,
+		metrics:    newMetrics(),
+		log:        p.Log,
+		callers:    map[string]string{},
+		policy:     newPolicy(s.Policy),
+		leaving:    make(chan struct{}),
 	}
 	if p.Dial != nil {
 		e.peers.UseDial(p.Dial)
@@ -110,7 +115,7 @@
 	}
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
-	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget, jobWatch{e})
+	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine, e.moved, forget, jobWatch{e})
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
@@ -164,6 +169,7 @@
 	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
 	e.tomb.Go(func() error { return e.retain(ctx) })
+	e.tomb.Go(func() error { return e.tellTime(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
 		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -16,6 +16,10 @@
 	MethodPull    = PeerService + ".Pull"
 	MethodFinish  = PeerService + ".Finish"
 	MethodRenew   = PeerService + ".Renew"
+
+	MethodPermit    = PeerService + ".Permit"
+	MethodEndPermit = PeerService + ".EndPermit"
+	MethodHolds     = PeerService + ".Holds"
 )
 
 // TargetReport is the state of one target as its sidecar knows it.
@@ -72,8 +76,10 @@
 	Problem *Problem
 }
 
-// AppendArgs asks an entry to append records to the work stream.
+// AppendArgs asks an entry to append records to a stream.
 type AppendArgs struct {
+	// Stream is StreamWork where it is empty.
+	Stream  string
 	Records []Record
 }
 
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -33,6 +33,17 @@
 	Carry    *Carry           `msgpack:"sc,omitempty"`
 	Forget   *Forget          `msgpack:"sf,omitempty"`
 	Announce *Announce        `msgpack:"an,omitempty"`
+
+	Crash   *TargetCrash  `msgpack:"qc,omitempty"`
+	Trial   *SuspectTrial `msgpack:"qt,omitempty"`
+	TrialOf *TrialEnd     `msgpack:"qe,omitempty"`
+	Elapsed *Elapsed      `msgpack:"qd,omitempty"`
+
+	Hello  *TargetHello `msgpack:"th,omitempty"`
+	Claim  *LoadClaim   `msgpack:"lc,omitempty"`
+	Renew  *LoadRenew   `msgpack:"lr,omitempty"`
+	Load   *LoadEnd     `msgpack:"le,omitempty"`
+	Revoke *LoadRevoke  `msgpack:"lv,omitempty"`
 }
 
 // Announce says which targets stand behind a sidecar. Each sidecar appends one
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,8 @@
 	// MaxAge is the time after which a process that cannot tell whether it is
 	// current counts as not ready.
 	MaxAge Duration `toml:"max_age"`
+	// QuarantineTime is how long a call that crashed targets is refused.
+	QuarantineTime Duration `toml:"quarantine_time"`
 }
 
 // Platform holds the URLs of the platform's services.
@@ -161,6 +163,7 @@
 	ReportLag   Duration `toml:"report_lag"`
 	ChecksFence bool     `toml:"checks_fence"`
 	RestartTime Duration `toml:"restart_time"`
+	LoadTime    Duration `toml:"load_time"`
 }
 
 // StandInService holds the settings of a plain service's stand-in.
@@ -192,7 +195,7 @@
 // Default returns the values in force where a file is silent.
 func Default() Settings {
 	return Settings{
-		Process:  Process{DrainTimeout: Duration(30 * time.Second), MaxAge: Duration(10 * time.Second)},
+		Process:  Process{DrainTimeout: Duration(30 * time.Second), MaxAge: Duration(10 * time.Second), QuarantineTime: Duration(10 * time.Minute)},
 		Platform: Platform{LogRetention: Duration(24 * time.Hour)},
 		Entry: Entry{
 			MaxBodyBytes: 1 << 20,
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -36,10 +36,17 @@
 	leaving bool
 	drained bool
 	// listed reports whether the instance list has this instance as leaving.
-	listed  func() bool
+	listed func() bool
+	// loading is set while the target is out of service to load a model.
+	loading bool
 	healthy bool
 	boot    string
 	seq     uint64
+	// classes and permits hold those of the work that runs or waits.
+	classes map[string]protocol.Class
+	permits map[string]*permit
+	lane    *lane
+	crashes *crashes
 	// freed tells the puller that a slot may have become free.
 	freed chan struct{}
 }
@@ -57,6 +64,9 @@
 		listed:  func() bool { return false },
 		healthy: true,
 		boot:    protocol.NewID(),
+		classes: map[string]protocol.Class{},
+		permits: map[string]*permit{},
+		lane:    newLane(),
 		freed:   make(chan struct{}, 1),
 	}
 }
@@ -112,6 +122,7 @@
 	}
 	r.seq++
 	r.cancels[a.Attempt] = cancel
+	r.classes[a.Attempt] = a.Class
 	granted := closedChannel
 	if decision == slots.Wait {
 		granted = make(chan struct{})
@@ -143,6 +154,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.cancels, attempt)
+	delete(r.classes, attempt)
 	delete(r.waiting, attempt)
 	if !r.lost[attempt] {
 		r.free(attempt)
@@ -197,7 +209,7 @@
 }
 
 // refusing reports whether the target takes no new work. The lock is held.
-func (r *runner) refusing() bool { return r.leaving || r.drained || r.listed() }
+func (r *runner) refusing() bool { return r.leaving || r.drained || r.loading || r.listed() }
 
 // mayBegin fails with ErrLeaving where the target has begun to leave since the
 // attempt was admitted.
@@ -325,7 +337,10 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
 	defer cancel()
 	if r.target.Type == settings.TargetEngine {
-		_, err := r.engine.Load(ctx)
+		load, err := r.engine.Load(ctx)
+		if err == nil {
+			r.crashes.observe(load.Boot)
+		}
 		return err
 	}
 	u, err := url.Parse(r.target.URL)
@@ -340,6 +355,31 @@
 	return conn.Close()
 }
 
+// targetBoot returns the target's boot identity, empty for a target that tells none.
+// It fails where the target is down.
+func (r *runner) targetBoot(ctx context.Context) (string, error) {
+	if r.target.Type != settings.TargetEngine {
+		return "", r.probe(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
+	defer cancel()
+	load, err := r.engine.Load(ctx)
+	return load.Boot, err
+}
+
+// do runs a call of a plain service.
+func (r *runner) do(ctx context.Context, a *protocol.AttemptRequest, repeatable bool) (protocol.Result, error) {
+	r.sent(a)
+	result, err := r.service.Do(ctx, a.Key, &a.Call, repeatable)
+	return result, r.ended(ctx, a, err)
+}
+
+// generate runs a model call and passes each token to sink.
+func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
+	r.sent(a)
+	return r.ended(ctx, a, r.generateOnce(ctx, a, sink))
+}
+
 // watchList turns waiting attempts away once the instance list has this
 // instance as leaving.
 func (r *runner) watchList() {
--- a/sidecar/runner_test.go
+++ b/sidecar/runner_test.go
@@ -32,6 +32,7 @@
 		Name: "t", Type: settings.TargetEngine, URL: server.URL, Slots: slots, Queue: 4,
 		StallTimeout: settings.Duration(protocol.HeartbeatInterval),
 	}, func(string, string, ...string) {})
+	r.crashes = (&fakeTarget{boot: "1"}).detector()
 	t.Cleanup(func() {
 		r.engine.Close()
 		r.service.Close()
