Tell a refused connection from a refusal in the request history

Excluded: a problem document that says not_sent has no cause and still counts as not_run. Change: the cause is asked for.

--- a/history/requests.go
+++ b/history/requests.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/joomcode/errorx"
 
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -190,7 +191,7 @@
 		return AnswerResult
 	case p.Title == protocol.ProblemOf(protocol.ErrKeyConflict.New("")).Title:
 		return AnswerConflict
-	case platform.IsDialError(err): // the caller's own; a problem document has no cause
+	case errorx.Cast(err) != nil && platform.IsDialError(errorx.Cast(err).Cause()): // the caller's own; a problem document has no cause
 		return AnswerNotSent
 	case p.Outcome == protocol.OutcomeNotRun:
 		return AnswerNotRun
