--- a/history/requests.go
+++ b/history/requests.go
@@ -191,7 +191,7 @@
 		return AnswerResult
 	case p.Title == protocol.ProblemOf(protocol.ErrKeyConflict.New("")).Title:
 		return AnswerConflict
-	case errorx.Cast(err) != nil && platform.IsDialError(errorx.Cast(err).Cause()): // the caller's own; a problem document has no cause
+	case errorx.IsOfType(err, protocol.ErrNotSent) && platform.IsDialError(errorx.Cast(err).Cause()): // the caller's own; a problem document has no cause
 		return AnswerNotSent
 	case p.Outcome == protocol.OutcomeNotRun:
 		return AnswerNotRun
