Keep short work ahead of long work, and refuse what would wait too long

Ways weighed: a lane that long work may not leave (wastes slots, and makes long online work wait behind batch); size-ordered queues (starve long work). Taken: long work takes any free slot, and gives those beyond half of the target's slots back when short work waits: it goes on at another target from the tokens that it has, at most twice. Long is predicted from the service's history.

Not yet measured under load.

--- a/coordination/slots/slots.go
+++ b/coordination/slots/slots.go
@@ -13,6 +13,11 @@
 	Reserve int
 	// Queue is the number of online requests that may wait for a slot.
 	Queue int
+	// LongSlots is the number of slots that long work keeps when short work needs
+	// them; zero stands for all of them.
+	LongSlots int
+	// NoPreemption lets batch work finish when online work waits.
+	NoPreemption bool
 }
 
 // Decision is the answer to an arrival.
@@ -34,6 +39,9 @@
 	Start []string
 	// Preempt lists running batch work to stop; each must end with Done.
 	Preempt []string
+	// Move lists running long work to go on at another target; each must end here
+	// with Done.
+	Move []string
 }
 
 // Slots is the state of one target's slots. It is not safe for concurrent use.
@@ -41,16 +49,24 @@
 	params Params
 	online map[string]bool
 	batch  []string
-	// stopping holds batch work that was told to stop and has not yet ended.
+	// long holds the online work, running or waiting, that is expected to take
+	// much longer than the rest, in order of arrival.
+	long []string
+	// stopping holds work that was told to stop and has not yet ended.
 	stopping map[string]bool
 	// lost holds work that was told to stop and goes on at the target.
 	lost    map[string]bool
 	waiting []string
+	// limit bounds the online work that waits, below the parameter Queue.
+	limit int
 }
 
 // New returns slots that are all free.
 func New(p Params) *Slots {
-	return &Slots{params: p, online: map[string]bool{}, stopping: map[string]bool{}, lost: map[string]bool{}}
+	if p.LongSlots == 0 {
+		p.LongSlots = p.Slots
+	}
+	return &Slots{params: p, limit: p.Queue, online: map[string]bool{}, stopping: map[string]bool{}, lost: map[string]bool{}}
 }
 
 // Has reports whether the work holds a slot or a place in the queue.
@@ -68,11 +84,38 @@
 		s.online[id] = true
 		return Run, Effects{}
 	}
-	if len(s.waiting) >= s.params.Queue+len(s.batch) {
+	if len(s.waiting) >= min(s.limit, s.params.Queue)+s.preemptible() {
 		return Refuse, Effects{}
 	}
 	s.waiting = append(s.waiting, id)
-	return Wait, Effects{Preempt: s.preempt()}
+	return Wait, Effects{Preempt: s.preempt(), Move: s.move()}
+}
+
+// ArriveLong asks for a slot for online work that is expected to take much longer
+// than the rest and that can go on at another target. It takes any free slot;
+// short work gets the slots beyond LongSlots back.
+func (s *Slots) ArriveLong(id string) (Decision, Effects) {
+	if s.Has(id) {
+		return Refuse, Effects{}
+	}
+	s.long = append(s.long, id)
+	decision, effects := s.ArriveOnline(id)
+	if decision == Refuse {
+		s.long = remove(s.long, id)
+	}
+	return decision, effects
+}
+
+// SetQueueLimit bounds the online work that waits where no batch work gives its
+// slot back, below the parameter Queue.
+func (s *Slots) SetQueueLimit(limit int) { s.limit = limit }
+
+// preemptible returns the number of slots that batch work gives back.
+func (s *Slots) preemptible() int {
+	if s.params.NoPreemption {
+		return 0
+	}
+	return len(s.batch)
 }
 
 // ArriveBatch asks for a slot for batch work, which never waits. An ID that is
@@ -108,6 +151,7 @@
 	delete(s.online, id)
 	delete(s.stopping, id)
 	s.batch = remove(s.batch, id)
+	s.long = remove(s.long, id)
 	s.waiting = remove(s.waiting, id)
 }
 
@@ -115,15 +159,59 @@
 func (s *Slots) settle() Effects {
 	var e Effects
 	for s.free() > 0 && len(s.waiting) > 0 {
-		next := s.waiting[0]
-		s.waiting = s.waiting[1:]
+		next := s.next()
+		s.waiting = remove(s.waiting, next)
 		s.online[next] = true
 		e.Start = append(e.Start, next)
 	}
 	e.Preempt = s.preempt()
+	e.Move = s.move()
 	return e
 }
 
+// next returns the waiting work whose turn it is: the first, but that long work
+// lets short work pass while it has its slots.
+func (s *Slots) next() string {
+	full := len(s.runningLong()) >= s.params.LongSlots
+	for _, id := range s.waiting {
+		if !full || !slices.Contains(s.long, id) {
+			return id
+		}
+	}
+	return s.waiting[0]
+}
+
+// runningLong returns the long work that runs and was not told to stop, in order
+// of arrival.
+func (s *Slots) runningLong() []string {
+	var running []string
+	for _, id := range s.long {
+		if s.online[id] && !s.stopping[id] {
+			running = append(running, id)
+		}
+	}
+	return running
+}
+
+// move picks the long work that must go on elsewhere, youngest first: as much as
+// short work waits for beyond what is stopping already, and never below
+// LongSlots.
+func (s *Slots) move() []string {
+	short := 0
+	for _, id := range s.waiting {
+		if !slices.Contains(s.long, id) {
+			short++
+		}
+	}
+	var moved []string
+	running := s.runningLong()
+	for i := len(running) - 1; i >= s.params.LongSlots && len(s.stopping) < short; i-- {
+		s.stopping[running[i]] = true
+		moved = append(moved, running[i])
+	}
+	return moved
+}
+
 // Spare returns the number of slots open to batch work.
 func (s *Slots) Spare() int {
 	if len(s.waiting) > 0 {
@@ -147,6 +235,9 @@
 // preempt picks the batch work that must stop, youngest first, so that as much
 // is stopping as online work is waiting.
 func (s *Slots) preempt() []string {
+	if s.params.NoPreemption {
+		return nil
+	}
 	var stop []string
 	for i := len(s.batch) - 1; i >= 0 && len(s.stopping) < len(s.waiting); i-- {
 		id := s.batch[i]
--- a/demo/site.go
+++ b/demo/site.go
@@ -207,6 +207,7 @@
 		Labels:  map[string]string{"role": label, "unit": suffix(index)},
 		Slots:   slots,
 		Reserve: s.layout.Policy.Reserve,
+		MaxWait: settings.DefaultMaxWait,
 		Queue:   settings.DefaultQueue,
 	}}
 	return sc, nil
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -34,6 +34,7 @@
 	}
 	o := newOrder(keyIn(workspaceOf(r), key), traceOf(r.Request), chatCall(chat.Model, workspaceOf(r), body), service)
 	o.named = r.Header.Get(headerKey) != ""
+	o.call.MaxTokens = chat.MaxTokens
 	o.affinity = routing.AffinityKey(o.call.Workspace, chat.Model, promptOf(chat))
 	e.ring.Add(o.trace, "request received", "service", chat.Model)
 	if wantsReceipt(r.Request) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -85,6 +85,8 @@
 
 // dispatchRun is the state of one order over its attempts.
 type dispatchRun struct {
+	// moves counts how often a target gave the request's slot to shorter work.
+	moves    int
 	entry    *Entry
 	order    *order
 	tried    map[string]bool
@@ -126,7 +128,8 @@
 // lostTarget reports whether err shows that the target or the way to it has
 // gone, rather than that it has too much to do.
 func lostTarget(err error) bool {
-	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrTruncated)
+	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) ||
+		errorx.IsOfType(err, protocol.ErrTruncated) || errorx.IsOfType(err, protocol.ErrMoved)
 }
 
 // attempt runs the order once, or twice beside each other where the first stalls.
@@ -151,6 +154,9 @@
 		return d.result(&out), nil
 	}
 	d.tried[out.Target.Name] = true
+	if errorx.IsOfType(out.Err, protocol.ErrMoved) {
+		d.moves++
+	}
 	d.crashed = d.crashed || errorx.IsOfType(out.Err, protocol.ErrTargetCrashed)
 	d.entry.ring.Add(d.order.trace, "attempt failed", "attempt", out.Attempt, "target", out.Target.Name, "error", protocol.ProblemOf(out.Err).Title)
 	if !d.order.repeatable && protocol.OutcomeOf(out.Err) != protocol.OutcomeNotRun {
@@ -171,6 +177,7 @@
 		Repeatable:     o.repeatable,
 		Call:           o.call,
 		Resume:         resume,
+		Moves:          d.moves,
 		TimeLeftMillis: time.Until(d.deadline).Milliseconds(),
 		Coordinator:    e.settings.Process.Peer,
 		Clock:          e.ring.Clock().Now(),
--- a/protocol/attempt.go
+++ b/protocol/attempt.go
@@ -19,6 +19,8 @@
 	Path        string `msgpack:"p"`
 	ContentType string `msgpack:"c"`
 	Body        []byte `msgpack:"b"`
+	// MaxTokens is the bound that the caller set on a model's answer, or zero.
+	MaxTokens int `msgpack:"x,omitempty"`
 	// Model is set for calls of model services: the answer is a token stream.
 	Model bool `msgpack:"l"`
 }
@@ -40,6 +42,8 @@
 	Call       Call   `msgpack:"b"`
 	// Resume is the text that the caller already has, in tokens.
 	Resume []string `msgpack:"u,omitempty"`
+	// Moves counts how often the request was moved to another target already.
+	Moves int `msgpack:"m,omitempty"`
 	// TimeLeftMillis is the rest of the request's time, in milliseconds.
 	TimeLeftMillis int64 `msgpack:"d"`
 	// Coordinator is the peer address of the entry that sent the attempt.
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -50,12 +50,15 @@
 	ErrTruncated      = Errors.NewType("truncated")
 	ErrTargetFailed   = Errors.NewType("target_failed")
 	ErrUnknownOutcome = Errors.NewType("outcome_unknown")
-	ErrCancelled      = Errors.NewType("cancelled")
-	ErrQuarantined    = Errors.NewType("quarantined")
-	ErrTargetCrashed  = Errors.NewType("target_crashed")
-	ErrCrashUnstored  = Errors.NewType("crash_unstored")
-	ErrTimeout        = Errors.NewType("timeout", errorx.Timeout())
-	ErrInternal       = Errors.NewType("internal")
+	// ErrMoved ends an attempt that gives its slot to shorter work; its request goes
+	// on at another target.
+	ErrMoved         = Errors.NewType("moved")
+	ErrCancelled     = Errors.NewType("cancelled")
+	ErrQuarantined   = Errors.NewType("quarantined")
+	ErrTargetCrashed = Errors.NewType("target_crashed")
+	ErrCrashUnstored = Errors.NewType("crash_unstored")
+	ErrTimeout       = Errors.NewType("timeout", errorx.Timeout())
+	ErrInternal      = Errors.NewType("internal")
 )
 
 // VersionConflict says which object a stale change named and shows both versions.
@@ -116,6 +119,7 @@
 	{ErrTruncated, http.StatusBadGateway, OutcomeUnknown},
 	{ErrTargetFailed, http.StatusBadGateway, OutcomeUnknown},
 	{ErrUnknownOutcome, http.StatusGatewayTimeout, OutcomeUnknown},
+	{ErrMoved, http.StatusServiceUnavailable, OutcomeUnknown},
 	{ErrCancelled, http.StatusConflict, OutcomeFailed},
 	{ErrQuarantined, http.StatusUnprocessableEntity, OutcomeFailed},
 	{ErrTargetCrashed, http.StatusBadGateway, OutcomeUnknown},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -112,6 +112,9 @@
 	Reserve int `toml:"reserve"`
 	// Queue is the number of online requests that may wait for a slot.
 	Queue int `toml:"queue"`
+	// MaxWait is the longest time that online work should wait for a slot; more of
+	// it is refused at once.
+	MaxWait Duration `toml:"max_wait"`
 	// StallTimeout is how long an engine may send nothing of an answer before
 	// the attempt is given up.
 	StallTimeout Duration `toml:"stall_timeout"`
@@ -216,6 +219,8 @@
 const (
 	DefaultSlots = 8
 	DefaultQueue = 64
+	// DefaultMaxWait leaves a third of the 0.74 s to the first token for the rest.
+	DefaultMaxWait = Duration(500 * time.Millisecond)
 )
 
 // Load reads the file at path and checks it. The error, of type ErrSettings,
@@ -275,6 +280,9 @@
 	if t.Queue == 0 {
 		t.Queue = DefaultQueue
 	}
+	if t.MaxWait == 0 {
+		t.MaxWait = DefaultMaxWait
+	}
 	if t.StallTimeout == 0 {
 		t.StallTimeout = Duration(protocol.HeartbeatTimeout)
 	}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	slots   *slots.Slots
+	sizes   *sizes
 	waiting map[string]chan struct{}
 	cancels map[string]context.CancelCauseFunc
 	// lost holds attempts that were told to stop and go on at the engine.
@@ -51,13 +52,17 @@
 	freed chan struct{}
 }
 
-func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
+func newRunner(t settings.Target, p settings.Policy, events func(trace, name string, fields ...string)) *runner {
 	return &runner{
 		target:  t,
 		engine:  platform.NewEngine(t.URL, time.Duration(t.StallTimeout)),
 		service: platform.NewPlainService(t.URL),
 		events:  events,
-		slots:   slots.New(slots.Params{Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue}),
+		slots: slots.New(slots.Params{
+			Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue, NoPreemption: p.NoPreemption,
+			LongSlots: max(1, t.Slots/2),
+		}),
+		sizes:   newSizes(t, p),
 		waiting: map[string]chan struct{}{},
 		cancels: map[string]context.CancelCauseFunc{},
 		lost:    map[string]bool{},
@@ -130,6 +135,9 @@
 		r.slotEvent(timeline.SlotWaiting, a.Attempt)
 	} else {
 		r.slotEvent(timeline.SlotGranted, a.Attempt, "class", string(a.Class))
+		if a.Class == protocol.ClassOnline {
+			r.sizes.started(a.Attempt, time.Now())
+		}
 	}
 	r.apply(effects)
 	return granted, nil
@@ -145,6 +153,9 @@
 	if a.Class == protocol.ClassBatch {
 		return r.slots.ArriveBatch(a.Attempt), slots.Effects{}
 	}
+	if r.sizes.isLong(a) {
+		return r.slots.ArriveLong(a.Attempt)
+	}
 	return r.slots.ArriveOnline(a.Attempt)
 }
 
@@ -165,6 +176,7 @@
 	r.seq++
 	r.turnAway() // before the slot could go to one of those that wait
 	r.slotEvent(timeline.SlotFreed, attempt)
+	r.slots.SetQueueLimit(r.sizes.ended(attempt, time.Now()))
 	r.apply(r.slots.Done(attempt))
 	signal(r.freed)
 }
@@ -181,6 +193,7 @@
 func (r *runner) apply(e slots.Effects) {
 	for _, id := range e.Start {
 		r.slotEvent(timeline.SlotGranted, id, "class", string(protocol.ClassOnline))
+		r.sizes.started(id, time.Now())
 		close(r.waiting[id])
 		delete(r.waiting, id)
 	}
@@ -188,6 +201,10 @@
 		r.slotEvent(timeline.BatchPreempted, id)
 		r.cancels[id](errPreempted.New("online work needs the slot"))
 	}
+	for _, id := range e.Move {
+		r.slotEvent(timeline.LongMoved, id)
+		r.cancels[id](protocol.ErrMoved.New("shorter work needs the slot"))
+	}
 }
 
 // cancel stops an attempt, if it is here.
@@ -377,7 +394,15 @@
 // generate runs a model call and passes each token to sink.
 func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
 	r.sent(a)
-	return r.ended(ctx, a, r.generateOnce(ctx, a, sink))
+	tokens := len(a.Resume)
+	err := r.generateOnce(ctx, a, func(token string) error {
+		tokens++
+		return sink(token)
+	})
+	if err == nil && a.Class == protocol.ClassOnline {
+		r.sizes.answered(a, tokens)
+	}
+	return r.ended(ctx, a, err)
 }
 
 // watchList turns waiting attempts away once the instance list has this
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,7 +82,7 @@
 		batchPeers.UseDial(p.Dial)
 	}
 	for _, t := range s.Targets {
-		r := newRunner(t, ring.Add)
+		r := newRunner(t, s.Policy, ring.Add)
 		r.crashes = sc.newCrashes(r)
 		sc.runners[t.Name] = r
 	}
--- /dev/null
+++ b/sidecar/sizes.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/coordination/size"
+	"github.com/sycamoretally/sycamoretally/coordination/slots"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+)
+
+const (
+	// maxMoves bounds how often a long request gives its slot to shorter work.
+	maxMoves = 2
+	// holdGain is the weight of the newest time for which work held its slot.
+	holdGain = 0.1
+)
+
+// sizes knows how long a target's answers are and how long they hold a slot. The
+// runner's lock guards it, but for the predictor.
+type sizes struct {
+	target    settings.Target
+	policy    settings.Policy
+	predictor *size.Predictor
+	admission slots.Admission
+	// begun holds when online work got its slot.
+	begun map[string]time.Time
+}
+
+func newSizes(t settings.Target, p settings.Policy) *sizes {
+	return &sizes{
+		target:    t,
+		policy:    p,
+		predictor: size.New(size.DefaultParams()),
+		admission: slots.Admission{MaxWait: time.Duration(t.MaxWait), Gain: holdGain},
+		begun:     map[string]time.Time{},
+	}
+}
+
+// isLong reports whether the attempt may be moved to make room for shorter work.
+func (s *sizes) isLong(a *protocol.AttemptRequest) bool {
+	if s.policy.NoLanes || !a.Call.Model || !a.Repeatable || a.Moves >= maxMoves {
+		return false
+	}
+	return s.predictor.Long(a.Call.Service, a.Call.MaxTokens)
+}
+
+// started records that online work got its slot.
+func (s *sizes) started(attempt string, now time.Time) { s.begun[attempt] = now }
+
+// ended records that work gave its slot back, and returns how much online work
+// may wait from now on.
+func (s *sizes) ended(attempt string, now time.Time) int {
+	if begun, found := s.begun[attempt]; found {
+		delete(s.begun, attempt)
+		s.admission.Observe(now.Sub(begun))
+	}
+	if s.policy.NoAdmission || s.target.MaxWait == 0 {
+		return s.target.Queue
+	}
+	return s.admission.QueueLimit(s.target.Slots, s.target.Queue)
+}
+
+// answered records the size of a whole answer.
+func (s *sizes) answered(a *protocol.AttemptRequest, tokens int) {
+	s.predictor.Observe(a.Call.Service, a.Call.MaxTokens, tokens)
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -24,7 +24,7 @@
 	if platform.IsStall(err) || !r.stopped(ctx, a.Attempt) {
 		r.lose(a.Attempt)
 	}
-	if cause := context.Cause(ctx); errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrCancelled) {
+	if cause := context.Cause(ctx); errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrMoved) || errorx.IsOfType(cause, protocol.ErrCancelled) {
 		return cause
 	}
 	return err
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -20,6 +20,7 @@
 	SlotFreed      = "slot freed"
 	SlotLost       = "slot lost"
 	BatchPreempted = "batch preempted"
+	LongMoved      = "long work moved"
 )
 
 // logicalBits is the part of a clock value that counts events of one millisecond.
