Look for a free slot elsewhere before a request waits

Cause: with four slots a target and load reports up to half a second old, a request often met a full target while others had free slots, and waited there.

Change: the first attempts of a request ask not to wait; a target that could not run it at once refuses it (nothing was run), and the next one is asked, within the retry budget. Without budget, or at the last attempt, the request waits where it is. The number of targets among which the least loaded is taken is a setting.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -46,6 +46,13 @@
 	return true
 }
 
+// Available reports whether an extra attempt could be spent now.
+func (b *Budget) Available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.saved >= 1
+}
+
 // Counts returns how many extra attempts were spent, and how many were wanted
 // and not there.
 func (b *Budget) Counts() (spent, short uint64) {
--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -14,19 +14,30 @@
 	Choose(candidates []*Target, key uint64) *Target
 }
 
-// TwoChoices picks the less loaded of two random candidates.
-type TwoChoices struct {
+// Choices picks the least loaded of some random candidates.
+type Choices struct {
+	// Number is how many candidates are looked at; more than there are stands for
+	// all of them.
+	Number int
 	Random Random
 }
 
 // Choose implements Chooser.
-func (c TwoChoices) Choose(candidates []*Target, _ uint64) *Target {
-	a := candidates[c.Random.IntN(len(candidates))]
-	b := candidates[c.Random.IntN(len(candidates))]
-	if b.load() < a.load() {
-		return b
+func (c Choices) Choose(candidates []*Target, _ uint64) *Target {
+	number := min(c.Number, len(candidates))
+	all := number == len(candidates)
+	at := c.Random.IntN(len(candidates))
+	best := candidates[at]
+	for range number - 1 {
+		at = (at + 1) % len(candidates)
+		if !all {
+			at = c.Random.IntN(len(candidates))
+		}
+		if other := candidates[at]; other.load() < best.load() {
+			best = other
+		}
 	}
-	return a
+	return best
 }
 
 // RoundRobin picks the candidates by turns.
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -54,7 +54,7 @@
 		{Kind: protocol.KindDrain, Name: "x", Drain: &protocol.Drain{Selector: protocol.Selector{"unit": "x"}}},
 	}}})
 	config := fold.Current()
-	policy := &Policy{Choose: TwoChoices{Random: seeded(t)}}
+	policy := &Policy{Choose: Choices{Number: 2, Random: seeded(t)}}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			good, bad := testTarget(0, drafting), testTarget(1, drafting)
@@ -79,7 +79,7 @@
 	for _, target := range targets[1:] {
 		target.InFlight.Store(testSlots / 2)
 	}
-	choose := TwoChoices{Random: seeded(t)}
+	choose := Choices{Number: 2, Random: seeded(t)}
 	for range 1000 {
 		choose.Choose(targets, 0).InFlight.Add(1)
 	}
@@ -111,7 +111,7 @@
 // low, spreads keys over the targets, and moves a key on when its target is full.
 func TestAffinityKeepsKeysTogether(t *testing.T) {
 	targets := testTargets(8)
-	choose := Affine{LoadFactor: 1.25, Slack: 0.5, Otherwise: TwoChoices{Random: seeded(t)}}
+	choose := Affine{LoadFactor: 1.25, Slack: 0.5, Otherwise: Choices{Number: 2, Random: seeded(t)}}
 	owners := map[string]int{}
 	for key := range uint64(1000) {
 		first := choose.Choose(targets, AffinityKey("w", "s", fmt.Sprint(key)))
--- a/coordination/slots/slots.go
+++ b/coordination/slots/slots.go
@@ -106,6 +106,17 @@
 	return decision, effects
 }
 
+// MustWait reports whether online work that arrives now would wait for a slot
+// that nothing gives back for it: neither batch work nor, for short work, long
+// work beyond its slots.
+func (s *Slots) MustWait(long bool) bool {
+	given := s.free() + s.preemptible()
+	if !long {
+		given += max(0, len(s.runningLong())-s.params.LongSlots)
+	}
+	return given <= len(s.waiting)
+}
+
 // SetQueueLimit bounds the online work that waits where no batch work gives its
 // slot back, below the parameter Queue.
 func (s *Slots) SetQueueLimit(limit int) { s.limit = limit }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -86,7 +86,10 @@
 // dispatchRun is the state of one order over its attempts.
 type dispatchRun struct {
 	// moves counts how often a target gave the request's slot to shorter work.
-	moves    int
+	moves int
+	// patient is set once the request waits for a slot where it is sent; before,
+	// targets without one refuse it.
+	patient  bool
 	entry    *Entry
 	order    *order
 	tried    map[string]bool
@@ -109,6 +112,7 @@
 	if o.repeatable && !e.settings.Policy.NoHedges {
 		p.Second = d.second
 	}
+	d.patient = e.settings.Policy.NoProbes || !e.policy.retries.Available()
 	d.race = race.New(p)
 	return d
 }
@@ -117,11 +121,18 @@
 // of a target costs no budget: those requests are as few as the target's slots,
 // and after a crash the quarantine bounds them.
 func (d *dispatchRun) again(ctx context.Context, n int, err error) bool {
+	probed := !d.patient && errorx.IsOfType(err, protocol.ErrBusy)
+	d.patient = d.patient || n == d.entry.settings.Entry.Attempts-1
 	if !d.crashed && !lostTarget(err) && !d.entry.policy.retries.Spend() {
-		return false
+		// Without a retry to spend, a request that was only looking for a free slot
+		// waits for one.
+		d.patient = true
+		return probed
 	}
 	d.entry.metrics.retries.Inc()
-	pause(ctx, time.Duration(rand.Int64N(int64(retryPause<<n))))
+	if !probed {
+		pause(ctx, time.Duration(rand.Int64N(int64(retryPause<<n))))
+	}
 	return true
 }
 
@@ -178,6 +189,7 @@
 		Call:           o.call,
 		Resume:         resume,
 		Moves:          d.moves,
+		NoWait:         !d.patient,
 		TimeLeftMillis: time.Until(d.deadline).Milliseconds(),
 		Coordinator:    e.settings.Process.Peer,
 		Clock:          e.ring.Clock().Now(),
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 func (sharedRandom) IntN(n int) int { return rand.IntN(n) }
 
 const (
+	// defaultChoices is the number of targets among which the least loaded is taken.
+	defaultChoices = 2
 	// affinityLoadFactor and affinitySlack bound the load of a target that takes a
 	// request for its prefix.
 	affinityLoadFactor = 1.25
@@ -75,7 +78,7 @@
 
 // newChooser returns the chooser that the settings name.
 func newChooser(s settings.Policy) routing.Chooser {
-	two := routing.TwoChoices{Random: sharedRandom{}}
+	two := routing.Choices{Number: cmp.Or(s.Choices, defaultChoices), Random: sharedRandom{}}
 	switch s.Routing {
 	case settings.RoutingRoundRobin:
 		return &routing.RoundRobin{}
--- a/protocol/attempt.go
+++ b/protocol/attempt.go
@@ -42,6 +42,8 @@
 	Call       Call   `msgpack:"b"`
 	// Resume is the text that the caller already has, in tokens.
 	Resume []string `msgpack:"u,omitempty"`
+	// NoWait asks for a refusal where the attempt would wait for a slot.
+	NoWait bool `msgpack:"w,omitempty"`
 	// Moves counts how often the request was moved to another target already.
 	Moves int `msgpack:"m,omitempty"`
 	// TimeLeftMillis is the rest of the request's time, in milliseconds.
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -16,6 +16,9 @@
 // is the recommended policy; the others exist to compare with.
 type Policy struct {
 	Routing Routing `toml:"routing"`
+	// Choices is the number of random targets among which the least loaded is
+	// taken; zero stands for the recommended number.
+	Choices int `toml:"choices"`
 	// NoEjection keeps sending work to targets that are much slower than others.
 	NoEjection bool `toml:"no_ejection"`
 	// Reserve is the number of slots of each target that batch work leaves free,
@@ -23,6 +26,8 @@
 	Reserve int `toml:"reserve"`
 	// NoHedges never opens a second attempt beside a stalled one.
 	NoHedges bool `toml:"no_hedges"`
+	// NoProbes lets the first target queue a request that another could run now.
+	NoProbes bool `toml:"no_probes"`
 	// NoLanes lets long work take every slot of a target.
 	NoLanes bool `toml:"no_lanes"`
 	// NoAdmission queues online work however long it will wait.
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -153,7 +153,11 @@
 	if a.Class == protocol.ClassBatch {
 		return r.slots.ArriveBatch(a.Attempt), slots.Effects{}
 	}
-	if r.sizes.isLong(a) {
+	long := r.sizes.isLong(a)
+	if a.NoWait && r.slots.MustWait(long) {
+		return slots.Refuse, slots.Effects{}
+	}
+	if long {
 		return r.slots.ArriveLong(a.Attempt)
 	}
 	return r.slots.ArriveOnline(a.Attempt)
