--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,7 +113,7 @@
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
-	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, state.NewLoads(e.config), e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine, e.moved, forget, jobWatch{e})
 	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
--- /dev/null
+++ b/promises/retention_quarantine_test.go
@@ -0,0 +1,72 @@
+package promises
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/client"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/engine"
+)
+
+// runsOf returns how often the engine ran the prompt.
+func runsOf(t *testing.T, p *processtest.Process, prompt string) int {
+	t.Helper()
+	var runs []engine.Run
+	assert.NilError(t, processtest.Read("http://"+p.Settings.StandIn.Listen+"/runs", &runs))
+	n := 0
+	for _, r := range runs {
+		if r.Prompt == prompt {
+			n++
+		}
+	}
+	return n
+}
+
+// restarted fails while the engine does not answer.
+func restarted(p *processtest.Process) error {
+	var orders []platform.Order
+	return processtest.Read("http://"+p.Settings.StandIn.Listen+"/orders", &orders)
+}
+
+// quarantined fails with ErrInternal unless the prompt is refused by the quarantine.
+func quarantined(t *testing.T, c *client.Client, prompt string) error {
+	_, err := c.Chat(t.Context(), question(prompt, 5, true), client.CallOptions{}, nil)
+	if errorx.IsOfType(err, protocol.ErrQuarantined) {
+		return nil
+	}
+	return protocol.ErrInternal.New("the prompt %q is not in quarantine: %v", prompt, err)
+}
+
+// TestQuarantineAndLoadsOutliveRetention has a request convicted and a model
+// loaded, lets the log's retention pass and replaces all processes, twice: the
+// request is still refused and the model is not loaded again.
+func TestQuarantineAndLoadsOutliveRetention(t *testing.T) {
+	layout := retentionLayout()
+	layout.Services = 0
+	layout.Store = settings.StandInStore{FetchesPerSecond: 100, Burst: 10, SizeBytes: 1 << 10}
+	site, c := startProcesses(t, layout)
+	prompt := engine.MarkerCrash + " before retention"
+	eventually(t, time.Minute, func() error { return quarantined(t, c, prompt) })
+	eventually(t, time.Minute, func() error { return restarted(site.Engines[0]) })
+	assert.Assert(t, runsOf(t, site.Engines[0], prompt) <= maxCrashes)
+	eventually(t, time.Minute, func() error { return place(t, c, "drafter", "1") })
+	awaitVersionsAt(t, site.Engines[0], "1")
+	for round := range 2 {
+		<-time.After(3 * logRetention)
+		replaceAll(t, site)
+		awaitAllReady(t, site)
+		for n, one := range clientsOf(t, site.Client) {
+			assert.NilError(t, quarantined(t, one, prompt), "round %d, entry %d", round, n)
+		}
+		<-time.After(logRetention / 2)
+		assert.Equal(t, versionsAt(t, site.Engines[0]), "1", "round %d", round)
+		assert.Assert(t, runsOf(t, site.Engines[0], prompt) <= maxCrashes, "round %d", round)
+	}
+}
--- a/state/snapshot_test.go
+++ b/state/snapshot_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"reflect"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,7 +22,8 @@
 }
 
 func newFolds() []stateful {
-	return []stateful{NewConfigFold(), NewRequests(), NewJobs(), NewBodies(), NewDirectoryFold()}
+	config := NewConfigFold()
+	return []stateful{config, NewRequests(), NewJobs(), NewBodies(), NewDirectoryFold(), NewQuarantine(), NewLoads(config)}
 }
 
 var recordKinds = map[string]func(t *rapid.T, pos protocol.Position) protocol.Record{
@@ -70,12 +73,57 @@
 	"announce": func(t *rapid.T, _ protocol.Position) protocol.Record {
 		return protocol.Record{Announce: &protocol.Announce{Instance: drawName(t), Targets: []protocol.TargetInfo{{Name: drawName(t)}}}}
 	},
+	"place": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		o := protocol.Object{Kind: protocol.KindPlacement, Name: drawName(t), Base: drawPosition(t, pos)}
+		o.Placement = &protocol.Placement{Selector: protocol.Selector{"role": drawName(t)}, Model: "m", Version: drawName(t), MaxUnavailablePercent: 100}
+		return protocol.Record{Change: &protocol.Change{By: "op", Objects: []protocol.Object{o}}}
+	},
+	"hello": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		hello := &protocol.TargetHello{Target: drawName(t), Holder: drawName(t), Instance: drawName(t)}
+		hello.Labels = protocol.Labels{"role": drawName(t)}
+		return protocol.Record{Hello: hello}
+	},
+	"claim": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		return protocol.Record{Claim: &protocol.LoadClaim{Target: drawName(t), Holder: drawName(t), Fence: drawPosition(t, pos)}}
+	},
+	"renew": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Renew: &protocol.LoadRenew{Target: drawName(t), Holder: drawName(t)}}
+	},
+	"load": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		return protocol.Record{Load: &protocol.LoadEnd{
+			Target: drawName(t), Holder: drawName(t), Fence: drawPosition(t, pos), Loaded: rapid.Bool().Draw(t, "loaded"), Content: drawName(t), Boot: drawName(t),
+		}}
+	},
+	"revoke": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		return protocol.Record{Revoke: &protocol.LoadRevoke{Target: drawName(t), Seen: drawPosition(t, pos), Gone: rapid.Bool().Draw(t, "gone")}}
+	},
+	"crash": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Crash: &protocol.TargetCrash{Target: "t", Fingerprints: []string{drawName(t)}, HoldMillis: 100}}
+	},
+	"trial": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{Trial: &protocol.SuspectTrial{Fingerprint: drawName(t), Attempt: drawName(t)}}
+	},
+	"trial end": func(t *rapid.T, _ protocol.Position) protocol.Record {
+		return protocol.Record{TrialOf: &protocol.TrialEnd{Fingerprint: drawName(t), Attempt: drawName(t), Completed: rapid.Bool().Draw(t, "completed")}}
+	},
+	"elapsed": func(t *rapid.T, pos protocol.Position) protocol.Record {
+		return protocol.Record{Elapsed: &protocol.Elapsed{Since: drawPosition(t, pos), Millis: 60}}
+	},
 	"forget": func(t *rapid.T, pos protocol.Position) protocol.Record {
 		before := rapid.Uint64Range(1, pos.Offset()).Draw(t, "before")
 		return protocol.Record{Forget: &protocol.Forget{Before: protocol.PositionAt(before, 0), Expired: before}}
 	},
 }
 
+// drawPosition draws none, or one of the few before pos.
+func drawPosition(t *rapid.T, pos protocol.Position) protocol.Position {
+	back := rapid.Uint64Range(0, min(pos.Offset(), 8)).Draw(t, "back")
+	if back == 0 {
+		return 0
+	}
+	return protocol.PositionAt(pos.Offset()-back, 0)
+}
+
 func drawName(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name") }
 
 func drawResult(t *rapid.T) protocol.Result {
@@ -83,7 +131,7 @@
 }
 
 func drawRecords(t *rapid.T) []protocol.Record {
-	kinds := []string{"accept", "announce", "cancel", "carry", "change", "complete", "file", "forget", "items", "job", "release", "snapshot", "start", "void"}
+	kinds := slices.Sorted(maps.Keys(recordKinds))
 	n := rapid.IntRange(0, 60).Draw(t, "records")
 	records := make([]protocol.Record, n)
 	for i := range records {
@@ -124,6 +172,11 @@
 		left, right = []any{fold.files, fold.jobs, fold.Running()}, []any{other.files, other.jobs, other.Running()}
 	case *DirectoryFold:
 		left, right = fold.Current(), b.(*DirectoryFold).Current()
+	case *Quarantine:
+		other := b.(*Quarantine)
+		left, right = quarantineState(fold), quarantineState(other)
+	case *Loads:
+		left, right = fold.targets, b.(*Loads).targets
 	case *Bodies:
 		other := b.(*Bodies)
 		left, right = []any{fold.moved, fold.marks}, []any{other.moved, other.marks}
@@ -134,6 +187,11 @@
 	return nil
 }
 
+func quarantineState(q *Quarantine) any {
+	order := append([]string{}, q.order...)
+	return []any{q.now, q.timeAt, order, q.suspects}
+}
+
 func sameVerdicts(a, b *verdicts) error {
 	if !reflect.DeepEqual(a.order, b.order) {
 		return protocol.ErrInternal.New("verdicts on %v, not on %v", a.order, b.order)
