Return a permit to every entry that may hold it

Cause: a permit leaked in three ways. The sidecar gave it back to the present owner of the fingerprint, which after a change of the live entries is not the one that granted it. Where the owner's answer was lost, a second entry granted it too and only the owner got it back. Where the second entry refused, nothing was given back at all. The next copy of the call then waited until the holder was asked.

Excluded: an End that overtakes its question, which TestEndBeforeAsk covers.

Change: a permit remembers the entries that may hold it, and its end is told to each of them, to the granting one first, for as long as it is listed. An attempt that gives up does the same where an answer was lost.

--- a/sidecar/entries.go
+++ b/sidecar/entries.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
@@ -20,8 +22,17 @@
 // call tries the preferred address first and then every other live entry. The
 // call must be idempotent. It fails with ErrNotSent where no entry is known.
 func (e *entries) call(ctx context.Context, preferred, method string, args, reply any) error {
+	_, err := e.callAny(ctx, preferred, method, args, reply)
+	return err
+}
+
+// callAny does the same and returns the addresses that it tried. The last one
+// answered where there is no error; the call may have taken effect at all.
+func (e *entries) callAny(ctx context.Context, preferred, method string, args, reply any) ([]string, error) {
 	err := protocol.ErrNotSent.New("no entry is known")
+	var tried []string
 	for _, addr := range e.order(preferred) {
+		tried = append(tried, addr)
 		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 		// A call that was given up may still write into its reply.
 		own := reflect.New(reflect.TypeOf(reply).Elem())
@@ -32,14 +43,19 @@
 		}
 		if callErr == nil {
 			reflect.ValueOf(reply).Elem().Set(own.Elem())
-			return nil
+			return tried, nil
 		}
 		err = errorx.Cast(callErr)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return err
+	return tried, err
+}
+
+// listed reports whether the platform lists a process with the peer address.
+func (e *entries) listed(addr string) bool {
+	return slices.ContainsFunc(e.members.Instances(), func(i platform.Instance) bool { return i.Peer == addr })
 }
 
 // logTrouble returns the error of a reply that says that the entry could not
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -26,8 +27,10 @@
 	runner      *runner
 	attempt     string
 	fingerprint string
-	alone       bool
-	completed   bool
+	// asked are the addresses of the entries that may hold the permit as granted.
+	asked     []string
+	alone     bool
+	completed bool
 }
 
 // enter waits until the call may run on the target: for a slot, for the permit of
@@ -88,36 +91,75 @@
 
 // awaitPermit asks again until the permit is granted or the time is up.
 func (s *Sidecar) awaitPermit(ctx context.Context, r *runner, a *protocol.AttemptRequest) (*permit, error) {
+	p := s.newPermit(r, a)
 	for {
-		p, err := s.askPermit(ctx, r, a, permitWait)
-		if err == nil || ctx.Err() != nil || !errorx.IsOfType(err, protocol.ErrBusy) {
-			return p, err
+		err := p.ask(ctx, a, permitWait)
+		if err == nil {
+			return p, nil
+		}
+		if ctx.Err() != nil || !errorx.IsOfType(err, protocol.ErrBusy) {
+			p.giveUp()
+			return nil, err
 		}
 		pause(ctx, permitPause)
 	}
 }
 
+// askPermit asks once.
 func (s *Sidecar) askPermit(ctx context.Context, r *runner, a *protocol.AttemptRequest, wait time.Duration) (*permit, error) {
-	p := &permit{sidecar: s, runner: r, attempt: a.Attempt, fingerprint: a.Call.Fingerprint()}
+	p := s.newPermit(r, a)
+	if err := p.ask(ctx, a, wait); err != nil {
+		p.giveUp()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (s *Sidecar) newPermit(r *runner, a *protocol.AttemptRequest) *permit {
+	return &permit{sidecar: s, runner: r, attempt: a.Attempt, fingerprint: a.Call.Fingerprint()}
+}
+
+// ask asks the owner of the fingerprint, or any entry where that one fails. An
+// entry whose answer was lost may have granted the permit too.
+func (p *permit) ask(ctx context.Context, a *protocol.AttemptRequest, wait time.Duration) error {
+	s := p.sidecar
 	args := &protocol.PermitArgs{
 		Instance: s.settings.Process.Instance, Attempt: p.attempt, Key: a.Key, Fingerprint: p.fingerprint, WaitMillis: wait.Milliseconds(),
 	}
 	var reply protocol.PermitReply
 	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
-	err := s.entries.call(ctx, owner, protocol.MethodPermit, args, &reply)
+	tried, err := s.entries.callAny(ctx, owner, protocol.MethodPermit, args, &reply)
 	if err != nil {
-		p.end()
-		return nil, protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
+		p.mayHold(tried)
+		return protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
 	}
+	granted := reply.Problem == nil && reply.Granted
+	if !granted {
+		tried = tried[:len(tried)-1]
+	}
+	p.mayHold(tried)
 	if err := reply.Problem.Err(); err != nil {
-		return nil, err
+		return err
 	}
-	if !reply.Granted {
-		return nil, protocol.ErrBusy.New("another copy of the call is running")
+	if !granted {
+		return protocol.ErrBusy.New("another copy of the call is running")
 	}
 	p.alone = reply.Alone
-	r.hold(p)
-	return p, nil
+	p.runner.hold(p)
+	return nil
+}
+
+// mayHold notes the newest addresses last, each once.
+func (p *permit) mayHold(addresses []string) {
+	p.asked = slices.DeleteFunc(p.asked, func(addr string) bool { return slices.Contains(addresses, addr) })
+	p.asked = append(p.asked, addresses...)
+}
+
+// giveUp gives back what an entry may have granted although no answer came.
+func (p *permit) giveUp() {
+	if len(p.asked) > 0 {
+		p.end()
+	}
 }
 
 // owner returns the peer address of the entry that owns a fingerprint's permit.
@@ -147,15 +189,47 @@
 				return
 			}
 		}
-		p.sidecar.give(ctx, args)
+		p.sidecar.give(ctx, args, p.asked)
 	})
 }
 
-// give tells the owner until it has taken the permit back.
-func (s *Sidecar) give(ctx context.Context, args *protocol.EndPermitArgs) {
+// give tells every entry that was asked that the permit is free, the newest one
+// first, and any entry where none of them is left. The owner may have changed
+// since, so that it is not the one that holds the permit.
+func (s *Sidecar) give(ctx context.Context, args *protocol.EndPermitArgs, asked []string) {
+	told := s.giveAny(ctx, args, asked)
+	for _, addr := range asked {
+		if addr != told {
+			s.giveTo(ctx, args, addr)
+		}
+	}
+}
+
+// giveAny tells one entry, the last one asked if it answers, and returns its
+// address.
+func (s *Sidecar) giveAny(ctx context.Context, args *protocol.EndPermitArgs, asked []string) string {
+	preferred := s.entries.owner(args.Fingerprint)
+	if len(asked) > 0 && s.entries.listed(asked[len(asked)-1]) {
+		preferred = asked[len(asked)-1]
+	}
 	for ctx.Err() == nil {
 		var reply protocol.EndPermitReply
-		err := s.entries.call(ctx, s.entries.owner(args.Fingerprint), protocol.MethodEndPermit, args, &reply)
+		tried, err := s.entries.callAny(ctx, preferred, protocol.MethodEndPermit, args, &reply)
+		if err == nil && reply.Problem == nil {
+			return tried[len(tried)-1]
+		}
+		pause(ctx, appendRetryDelay)
+	}
+	return ""
+}
+
+// giveTo tells one entry for as long as it is listed; its permits end with it.
+func (s *Sidecar) giveTo(ctx context.Context, args *protocol.EndPermitArgs, addr string) {
+	for ctx.Err() == nil && s.entries.listed(addr) {
+		var reply protocol.EndPermitReply
+		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+		err := s.peers.Call(callCtx, addr, protocol.MethodEndPermit, args, &reply)
+		cancel()
 		if err == nil && reply.Problem == nil {
 			return
 		}
--- /dev/null
+++ b/sidecar/permit_test.go
@@ -0,0 +1,211 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/timeline"
+	"github.com/sycamoretally/sycamoretally/transport"
+)
+
+// fakeEntry grants permits. It answers no question while it is silent.
+type fakeEntry struct {
+	name string
+	addr string
+
+	mu      sync.Mutex
+	permits *quarantine.Permits
+	silent  bool
+}
+
+// Report implements the method of the peers' service.
+func (f *fakeEntry) Report(_ *protocol.ReportArgs, reply *protocol.ReportReply) error {
+	reply.Instance = f.name
+	return nil
+}
+
+// Permit grants the permit and fails where its answer is lost.
+func (f *fakeEntry) Permit(args *protocol.PermitArgs, reply *protocol.PermitReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance}
+	reply.Granted = f.permits.Ask(h, false)
+	if f.silent {
+		return protocol.ErrTimeout.New("no answer")
+	}
+	return nil
+}
+
+// EndPermit takes a permit back.
+func (f *fakeEntry) EndPermit(args *protocol.EndPermitArgs, _ *protocol.EndPermitReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.permits.End(args.Fingerprint, args.Attempt, args.Completed)
+	return nil
+}
+
+func (f *fakeEntry) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+func (f *fakeEntry) holders(fingerprint string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.permits.Holders(fingerprint))
+}
+
+func startFakeEntry(t *testing.T, name string) *fakeEntry {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeEntry{name: name, addr: l.Addr().String(), permits: quarantine.NewPermits()}
+	server, err := transport.NewPeerServer("secret", protocol.PeerService, f)
+	assert.NilError(t, err)
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		serving.Wait()
+	})
+	return f
+}
+
+// fakeList is an instance list that a test changes.
+type fakeList struct {
+	mu   sync.Mutex
+	rows []platform.Instance
+}
+
+// Instances implements platform.InstanceList.
+func (l *fakeList) Instances(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Instance(nil), l.rows...), nil
+}
+
+// set lists the entries; leaving names one that leaves.
+func (l *fakeList) set(entries []*fakeEntry, leaving string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows = nil
+	for _, e := range entries {
+		l.rows = append(l.rows, platform.Instance{Name: e.name, Role: platform.RoleEntry, Peer: e.addr, Leaving: e.name == leaving})
+	}
+}
+
+// permitSite is a sidecar that knows two fake entries.
+type permitSite struct {
+	sidecar *Sidecar
+	runner  *runner
+	list    *fakeList
+	entries []*fakeEntry
+}
+
+func startPermitSite(t *testing.T) *permitSite {
+	t.Helper()
+	s := &permitSite{list: &fakeList{}, entries: []*fakeEntry{startFakeEntry(t, "a"), startFakeEntry(t, "b")}}
+	s.runner, _ = newTestRunner(t, 1)
+	peers := transport.NewPeers("secret")
+	clock := timeline.NewClock(time.Now)
+	members := membership.New(membership.Params{
+		Self: "s", List: s.list, Reporter: reporter{peers, clock}, Interval: 10 * time.Millisecond, SilenceLimit: time.Minute,
+	})
+	s.sidecar = &Sidecar{settings: &settings.Settings{}, peers: peers, entries: &entries{members: members, peers: peers}}
+	s.sidecar.tomb.Go(func() error { return members.Run(s.sidecar.tomb.Context(context.Background())) })
+	t.Cleanup(func() {
+		s.sidecar.tomb.Kill(nil)
+		_ = s.sidecar.tomb.Wait()
+		peers.Close()
+	})
+	s.publish(t, "")
+	return s
+}
+
+// publish lists the entries and waits until the sidecar knows it.
+func (s *permitSite) publish(t *testing.T, leaving string) {
+	t.Helper()
+	s.list.set(s.entries, leaving)
+	want := len(s.entries)
+	if leaving != "" {
+		want--
+	}
+	for len(s.sidecar.entries.members.Entries()) != want {
+		assert.NilError(t, t.Context().Err())
+		<-time.After(time.Millisecond)
+	}
+}
+
+// owner returns the entry that owns the fingerprint, and the other one.
+func (s *permitSite) owner(fingerprint string) (owner, other *fakeEntry) {
+	if s.sidecar.entries.owner(fingerprint) == s.entries[0].addr {
+		return s.entries[0], s.entries[1]
+	}
+	return s.entries[1], s.entries[0]
+}
+
+// awaitFree waits until neither entry has a permit of the fingerprint in use.
+func (s *permitSite) awaitFree(t *testing.T, fingerprint string) {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit); <-time.After(time.Millisecond) {
+		if s.entries[0].holders(fingerprint)+s.entries[1].holders(fingerprint) == 0 {
+			return
+		}
+	}
+	t.Fatalf("permits leaked: %d at a, %d at b", s.entries[0].holders(fingerprint), s.entries[1].holders(fingerprint))
+}
+
+// TestPermitGoesBackToItsEntry has the owner of a permit change while a call
+// runs: the entry that granted it gets it back.
+func TestPermitGoesBackToItsEntry(t *testing.T) {
+	s := startPermitSite(t)
+	a := attempt("1", protocol.ClassBatch)
+	p, err := s.sidecar.askPermit(t.Context(), s.runner, a, time.Second)
+	assert.NilError(t, err)
+	granter, _ := s.owner(p.fingerprint)
+	assert.Equal(t, granter.holders(p.fingerprint), 1)
+	s.publish(t, granter.name)
+	p.end()
+	s.awaitFree(t, p.fingerprint)
+}
+
+// TestPermitGoesBackToAllAsked has the owner's answer lost, so that the other
+// entry grants the permit as well: both get it back.
+func TestPermitGoesBackToAllAsked(t *testing.T) {
+	s := startPermitSite(t)
+	a := attempt("1", protocol.ClassBatch)
+	silent, other := s.owner(a.Call.Fingerprint())
+	silent.setSilent(true)
+	p, err := s.sidecar.askPermit(t.Context(), s.runner, a, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, silent.holders(p.fingerprint), 1)
+	assert.Equal(t, other.holders(p.fingerprint), 1)
+	p.end()
+	s.awaitFree(t, p.fingerprint)
+}
+
+// TestRefusedPermitGoesBack has the owner's answer lost and the other entry
+// refuse: the attempt gives up, and the owner gets the permit back.
+func TestRefusedPermitGoesBack(t *testing.T) {
+	s := startPermitSite(t)
+	a := attempt("1", protocol.ClassBatch)
+	fingerprint := a.Call.Fingerprint()
+	silent, other := s.owner(fingerprint)
+	silent.setSilent(true)
+	assert.Assert(t, other.permits.Ask(quarantine.Holder{Fingerprint: fingerprint, Attempt: "copy"}, false))
+	_, err := s.sidecar.askPermit(t.Context(), s.runner, a, time.Second)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, other.EndPermit(&protocol.EndPermitArgs{Attempt: "copy", Fingerprint: fingerprint}, nil))
+	s.awaitFree(t, fingerprint)
+}
