Let a call that is given up break no other call on its connection

Cause: a call between processes closed the shared connection when its context was cancelled. The question for a permit of another copy on the same connection then failed and was put to the next entry, which knows of no running copy and granted it. In the same way a broken question freed a permit that its sidecar still held. Each caller that gave up could so let one more copy of a poison request run.

Excluded: a hedge (no latency was known yet), and the wait for the durable crash record, which was still open when the second copy ran.

Change: only a call whose own time is up closes the connection. A question for a permit ends with its own wait and not with its caller, is put to the owner again where the connection broke, and to another entry only where the owner does not answer; a grant that comes after the caller has gone is given back. A holder is asked again where the connection broke.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -146,13 +146,22 @@
 		if i.Name != h.Instance {
 			continue
 		}
-		var reply protocol.HoldsReply
-		err := e.peers.Call(ctx, i.Peer, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: h.Attempt}, &reply)
-		return err == nil && reply.Held
+		return e.askHolder(ctx, i.Peer, h.Attempt)
 	}
 	return false
 }
 
+// askHolder asks again where another call broke the connection.
+func (e *Entry) askHolder(ctx context.Context, addr, attempt string) bool {
+	for {
+		var reply protocol.HoldsReply
+		err := e.peers.Call(ctx, addr, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: attempt}, &reply)
+		if !errorx.IsOfType(err, protocol.ErrTargetFailed) || ctx.Err() != nil {
+			return err == nil && reply.Held
+		}
+	}
+}
+
 // checkQuarantine fails with ErrQuarantined for a convicted call.
 func (e *Entry) checkQuarantine(fingerprint string) error {
 	if e.quarantine.Judge(fingerprint).Convicted {
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -17,6 +17,8 @@
 	permitWait = time.Second
 	// batchPermitWait is the same for a batch item, which holds a slot meanwhile.
 	batchPermitWait = 200 * time.Millisecond
+	// ownerTries is how often the owner is asked over connections that break.
+	ownerTries = 3
 	// permitPause is the time between two questions.
 	permitPause = 20 * time.Millisecond
 )
@@ -128,12 +130,16 @@
 	}
 	var reply protocol.PermitReply
 	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
-	tried, err := s.entries.callAny(ctx, owner, protocol.MethodPermit, args, &reply)
+	tried, err := s.entries.callOwner(ctx, owner, args, &reply)
 	if err != nil {
 		p.mayHold(tried)
 		return protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
 	}
 	granted := reply.Problem == nil && reply.Granted
+	if granted && ctx.Err() != nil {
+		p.mayHold(tried)
+		return protocol.ErrBusy.Wrap(ctx.Err(), "the permit came too late")
+	}
 	if !granted {
 		tried = tried[:len(tried)-1]
 	}
@@ -162,6 +168,35 @@
 	}
 }
 
+// callOwner asks the owner, and the other entries only where it does not answer.
+// Another entry knows nothing of the copies that run, so that neither a connection
+// that other calls broke nor the end of ctx may lead there. A question ends with
+// its own wait, soon after that of its caller.
+func (e *entries) callOwner(ctx context.Context, owner string, args *protocol.PermitArgs, reply *protocol.PermitReply) ([]string, error) {
+	wait := time.Duration(args.WaitMillis) * time.Millisecond
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+protocol.HeartbeatTimeout)
+	defer cancel()
+	var err error
+	for range ownerTries {
+		var own protocol.PermitReply
+		if err = e.peers.Call(callCtx, owner, protocol.MethodPermit, args, &own); err == nil {
+			err = logTrouble(&own)
+		}
+		if err == nil {
+			*reply = own
+			return []string{owner}, nil
+		}
+		if !errorx.IsOfType(err, protocol.ErrTargetFailed) {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		return []string{owner}, err
+	}
+	tried, err := e.callAny(ctx, "", protocol.MethodPermit, args, reply)
+	return append([]string{owner}, tried...), err
+}
+
 // owner returns the peer address of the entry that owns a fingerprint's permit.
 func (e *entries) owner(fingerprint string) string {
 	live := e.members.Entries()
--- a/sidecar/permit_test.go
+++ b/sidecar/permit_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
@@ -26,6 +27,7 @@
 	mu      sync.Mutex
 	permits *quarantine.Permits
 	silent  bool
+	waiting int
 }
 
 // Report implements the method of the peers' service.
@@ -34,18 +36,33 @@
 	return nil
 }
 
-// Permit grants the permit and fails where its answer is lost.
+// Permit grants the permit once it is free, and fails where its answer is lost.
 func (f *fakeEntry) Permit(args *protocol.PermitArgs, reply *protocol.PermitReply) error {
+	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance}
+	end := time.Now().Add(time.Duration(args.WaitMillis) * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h := quarantine.Holder{Fingerprint: args.Fingerprint, Attempt: args.Attempt, Instance: args.Instance}
-	reply.Granted = f.permits.Ask(h, false)
+	f.waiting++
+	defer func() { f.waiting-- }()
+	for !reply.Granted && time.Now().Before(end) {
+		if reply.Granted = f.permits.Ask(h, false); !reply.Granted {
+			f.mu.Unlock()
+			<-time.After(time.Millisecond)
+			f.mu.Lock()
+		}
+	}
 	if f.silent {
 		return protocol.ErrTimeout.New("no answer")
 	}
 	return nil
 }
 
+func (f *fakeEntry) asking() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
 // EndPermit takes a permit back.
 func (f *fakeEntry) EndPermit(args *protocol.EndPermitArgs, _ *protocol.EndPermitReply) error {
 	f.mu.Lock()
@@ -209,3 +226,27 @@
 	assert.NilError(t, other.EndPermit(&protocol.EndPermitArgs{Attempt: "copy", Fingerprint: fingerprint}, nil))
 	s.awaitFree(t, fingerprint)
 }
+
+// TestGivenUpQuestionRunsNoCopy has two copies ask at one sidecar while a third
+// one runs, and the caller of one give up: the other copy still waits.
+func TestGivenUpQuestionRunsNoCopy(t *testing.T) {
+	s := startPermitSite(t)
+	a, b := attempt("1", protocol.ClassOnline), attempt("2", protocol.ClassOnline)
+	fingerprint := a.Call.Fingerprint()
+	owner, other := s.owner(fingerprint)
+	assert.Assert(t, owner.permits.Ask(quarantine.Holder{Fingerprint: fingerprint, Attempt: "copy"}, false))
+	ctx, cancel := context.WithCancel(t.Context())
+	var asking sync.WaitGroup
+	errs := make([]error, 2)
+	asking.Go(func() { _, errs[0] = s.sidecar.askPermit(ctx, s.runner, a, time.Second) })
+	asking.Go(func() { _, errs[1] = s.sidecar.askPermit(t.Context(), s.runner, b, time.Second) })
+	for owner.asking() < 2 {
+		assert.NilError(t, t.Context().Err())
+		<-time.After(time.Millisecond)
+	}
+	cancel()
+	asking.Wait()
+	assert.Assert(t, errs[0] != nil)
+	assert.Assert(t, errorx.IsOfType(errs[1], protocol.ErrBusy), "%v", errs[1])
+	assert.Equal(t, other.holders(fingerprint), 0)
+}
--- a/transport/peers.go
+++ b/transport/peers.go
@@ -38,7 +38,8 @@
 // Call calls method at the peer. It fails with ErrNotSent where the peer cannot
 // have got the call, with ErrTimeout when ctx ends first, and with
 // ErrTargetFailed where the connection broke. After a timeout the connection is
-// closed: it may have gone silent while new ones work.
+// closed: it may have gone silent while new ones work. A call that was cancelled
+// says nothing of the connection, and other calls on it go on.
 func (p *Peers) Call(ctx context.Context, addr, method string, args, reply any) error {
 	client, err := p.client(ctx, addr)
 	if err != nil {
@@ -51,7 +52,9 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		p.drop(addr, client)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.drop(addr, client)
+		}
 		return protocol.ErrTimeout.New("%s at %s", method, addr)
 	}
 	var remote rpc.ServerError
--- a/transport/peers_test.go
+++ b/transport/peers_test.go
@@ -115,3 +115,47 @@
 	assert.Assert(t, errorx.IsOfType(err, protocol.ErrTruncated), "%v", err)
 	assert.NilError(t, execute())
 }
+
+// heldAPI answers once it is released.
+type heldAPI struct {
+	asked   chan struct{}
+	release chan struct{}
+}
+
+// Cancel is one of the peers' methods.
+func (h heldAPI) Cancel(*protocol.CancelArgs, *protocol.CancelReply) error {
+	h.asked <- struct{}{}
+	<-h.release
+	return nil
+}
+
+// TestCancelledCallBreaksNoOther cancels one of two calls on a connection: the
+// other one gets its answer.
+func TestCancelledCallBreaksNoOther(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	held := heldAPI{asked: make(chan struct{}), release: make(chan struct{})}
+	server, err := NewPeerServer("secret", protocol.PeerService, held)
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	peers := NewPeers("secret")
+	t.Cleanup(func() {
+		peers.Close()
+		_ = l.Close()
+		assert.NilError(t, <-done)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ends := [2]chan error{make(chan error, 1), make(chan error, 1)}
+	for i, callCtx := range []context.Context{ctx, t.Context()} {
+		go func() {
+			ends[i] <- peers.Call(callCtx, l.Addr().String(), protocol.MethodCancel, &protocol.CancelArgs{}, &protocol.CancelReply{})
+		}()
+		<-held.asked
+	}
+	cancel()
+	err = <-ends[0]
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrTimeout), "%v", err)
+	close(held.release)
+	assert.NilError(t, <-ends[1])
+}
