Show suspects, quarantine and convictions as metrics

Cause: an operator could not see how many calls are refused by the quarantine.

Change: each entry has gauges of its suspects and of the calls in quarantine, and a counter of the convictions that it read from the log.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,7 @@
 		e.peers.UseDial(p.Dial)
 		e.attempts.UseDial(p.Dial)
 	}
+	e.metrics.registry.MustRegister(quarantineMetrics(e.quarantine)...)
 	e.bodies = logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes, e.moved.Locate)
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
--- a/state/quarantine.go
+++ b/state/quarantine.go
@@ -40,6 +40,8 @@
 	timeAt   protocol.Position
 	order    []string
 	suspects map[string]*suspect
+	// convictions counts those folded by this process.
+	convictions uint64
 }
 
 // NewQuarantine returns a fold without suspects.
@@ -69,6 +71,14 @@
 	return len(q.suspects) - convicted, convicted
 }
 
+// Convictions returns the number of convictions that this process has folded,
+// those that a snapshot held left out.
+func (q *Quarantine) Convictions() uint64 {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	return q.convictions
+}
+
 // TimeAt returns the record from which the next Elapsed counts.
 func (q *Quarantine) TimeAt() protocol.Position {
 	q.mu.RLock()
@@ -102,6 +112,9 @@
 	s.crashes = append(s.crashes, id)
 	s.trial = ""
 	s.until = q.now + s.hold
+	if s.convicted() {
+		q.convictions++
+	}
 }
 
 func (q *Quarantine) crash(pos protocol.Position, id string, c *protocol.TargetCrash) {
--- a/state/quarantine_test.go
+++ b/state/quarantine_test.go
@@ -65,6 +65,14 @@
 	assert.DeepEqual(t, q.Judge("f0"), Suspicion{})
 }
 
+func TestConvictionsCountOnce(t *testing.T) {
+	q := NewQuarantine()
+	for i, id := range []string{"1", "2", "2", "3"} {
+		q.Apply(protocol.PositionAt(uint64(i+1), 0), crashRecord(id, "f"))
+	}
+	assert.Equal(t, q.Convictions(), uint64(1))
+}
+
 // TestQuarantineTrials checks for any order of records that a trial starts only
 // where none runs, that a conviction lasts until time ends it, and that a second
 // fold of the same records agrees.
