End a permit without notice unless a copy waits for it

Cause: each request cost two exchanges with its fingerprint's owner, one for the permit and one for its end, above the bound of 19 KB/s for a daemon.

Change: the end of an ordinary call is told only where an entry has asked for the permit meanwhile, where more than one entry may hold it, or after a crash, a trial or a lost answer. An owner that is asked for a second copy first asks the sidecar of the first, at once and not after 0.1 s, and learns whether that runs, ran to its end or ended otherwise. The owner forgets the oldest of 65,536 grants. A sidecar counts as holder from the moment it asks, because the owner may ask before the grant has arrived.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -8,16 +8,28 @@
 // maxProven bounds the fingerprints remembered as harmless; the oldest go first.
 const maxProven = 1 << 16
 
+// maxHeld bounds the calls whose holders are remembered; the oldest go first.
+const maxHeld = 1 << 16
+
 // maxEnded bounds the attempts remembered as given up.
 const maxEnded = 1 << 14
 
 // Permits lets at most one copy of each call run until one has completed, or two
 // attempts of the same key. It is not safe for concurrent use.
 type Permits struct {
-	running map[string][]Holder
-	proven  *recent
+	running map[string]*held
+	// grants are the calls in running in order of their first grants, with
+	// those that have ended since.
+	grants []*held
+	proven *Recent
 	// ended holds attempts that gave up before they were granted a permit.
-	ended *recent
+	ended *Recent
+}
+
+// held are the holders of one call's permits.
+type held struct {
+	fingerprint string
+	holders     []Holder
 }
 
 // Holder is the attempt that runs a call, and the sidecar that runs it.
@@ -31,66 +43,94 @@
 
 // NewPermits returns permits that nobody holds.
 func NewPermits() *Permits {
-	return &Permits{running: map[string][]Holder{}, proven: newRecent(maxProven), ended: newRecent(maxEnded)}
+	return &Permits{running: map[string]*held{}, proven: NewRecent(maxProven), ended: NewRecent(maxEnded)}
 }
 
 // Ask reports whether the attempt may run. suspect is set where the call's
 // earlier completions no longer count.
 func (p *Permits) Ask(h Holder, suspect bool) bool {
-	if p.ended.has(h.Attempt) {
+	if p.ended.Has(h.Attempt) {
 		return false
 	}
-	if p.proven.has(h.Fingerprint) && !suspect {
+	if p.proven.Has(h.Fingerprint) && !suspect {
 		return true
 	}
-	held := p.running[h.Fingerprint]
-	for _, other := range held {
+	holders := p.Holders(h.Fingerprint)
+	for _, other := range holders {
 		if other.Attempt == h.Attempt {
 			return true
 		}
 	}
-	hedge := len(held) == 1 && !suspect && h.Key != "" && held[0].Key == h.Key
-	if len(held) > 0 && !hedge {
+	hedge := len(holders) == 1 && !suspect && h.Key != "" && holders[0].Key == h.Key
+	if len(holders) > 0 && !hedge {
 		return false
 	}
-	p.running[h.Fingerprint] = append(held, h)
+	p.grant(h)
 	return true
 }
 
+// grant notes a holder. The calls granted longest ago are forgotten: most have
+// ended without notice.
+func (p *Permits) grant(h Holder) {
+	call := p.running[h.Fingerprint]
+	if call == nil {
+		call = &held{fingerprint: h.Fingerprint}
+		p.running[h.Fingerprint] = call
+		p.grants = append(p.grants, call)
+	}
+	call.holders = append(call.holders, h)
+	for len(p.grants) > maxHeld {
+		if oldest := p.grants[0]; p.running[oldest.fingerprint] == oldest {
+			delete(p.running, oldest.fingerprint)
+		}
+		p.grants = p.grants[1:]
+	}
+}
+
 // End gives the permit of an attempt back, which then gets none any more. A
 // completed run proves the call.
 func (p *Permits) End(fingerprint, attempt string, completed bool) {
-	held := p.running[fingerprint]
-	left := slices.DeleteFunc(slices.Clone(held), func(h Holder) bool { return h.Attempt == attempt })
-	p.running[fingerprint] = left
+	holders := p.Holders(fingerprint)
+	left := slices.DeleteFunc(slices.Clone(holders), func(h Holder) bool { return h.Attempt == attempt })
+	if call := p.running[fingerprint]; call != nil {
+		call.holders = left
+	}
 	if len(left) == 0 {
 		delete(p.running, fingerprint)
 	}
-	if len(left) == len(held) && !completed {
-		p.ended.add(attempt)
+	if len(left) == len(holders) && !completed {
+		p.ended.Add(attempt)
 	}
 	if completed {
-		p.proven.add(fingerprint)
+		p.proven.Add(fingerprint)
 	}
 }
 
 // Holders returns who holds permits of the call.
 func (p *Permits) Holders(fingerprint string) []Holder {
-	return slices.Clone(p.running[fingerprint])
+	call := p.running[fingerprint]
+	if call == nil {
+		return nil
+	}
+	return slices.Clone(call.holders)
 }
 
-// recent is a set that forgets its oldest members.
-type recent struct {
+// Recent is a set that forgets its oldest members. It is not safe for concurrent
+// use.
+type Recent struct {
 	limit   int
 	members map[string]bool
 	order   []string
 }
 
-func newRecent(limit int) *recent { return &recent{limit: limit, members: map[string]bool{}} }
+// NewRecent returns an empty set of at most limit members.
+func NewRecent(limit int) *Recent { return &Recent{limit: limit, members: map[string]bool{}} }
 
-func (r *recent) has(id string) bool { return r.members[id] }
+// Has reports whether id is among the newest members.
+func (r *Recent) Has(id string) bool { return r.members[id] }
 
-func (r *recent) add(id string) {
+// Add makes id a member.
+func (r *Recent) Add(id string) {
 	if r.members[id] {
 		return
 	}
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -43,10 +43,27 @@
 	assert.Assert(t, p.Ask(Holder{Fingerprint: "f", Attempt: "next", Instance: "x"}, false))
 }
 
+func TestHoldersAreBounded(t *testing.T) {
+	p := NewPermits()
+	of := func(i int) Holder { return Holder{Fingerprint: fmt.Sprint("f", i), Attempt: fmt.Sprint("a", i)} }
+	assert.Assert(t, p.Ask(of(0), false))
+	p.End("f0", "a0", false)
+	for i := 1; i < maxHeld; i++ {
+		assert.Assert(t, p.Ask(of(i), false))
+	}
+	again := Holder{Fingerprint: "f0", Attempt: "again"}
+	assert.Assert(t, p.Ask(again, false))
+	assert.Equal(t, len(p.Holders("f0")), 1, "a new grant outlives the old one of its call")
+	assert.Equal(t, len(p.running), maxHeld)
+	assert.Assert(t, p.Ask(of(maxHeld), false))
+	assert.Equal(t, len(p.running), maxHeld)
+	assert.Equal(t, len(p.Holders("f1")), 0, "the oldest is forgotten")
+}
+
 func TestRecentIsBounded(t *testing.T) {
-	r := newRecent(10)
+	r := NewRecent(10)
 	for i := range 100 {
-		r.add(fmt.Sprint(i))
+		r.Add(fmt.Sprint(i))
 	}
 	assert.Equal(t, len(r.members), 10)
 	assert.Equal(t, len(r.order), 10)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -18,7 +18,8 @@
 const (
 	// permitPoll is how often a waiting question for a permit looks again.
 	permitPoll = 10 * time.Millisecond
-	// holderCheck is how long a permit is contested before its holder is asked.
+	// holderCheck is the time between two questions to the holder of a contested
+	// permit.
 	holderCheck = 100 * time.Millisecond
 	// elapsedInterval is the time between two records that let suspicion expire.
 	elapsedInterval = 10 * time.Second
@@ -36,7 +37,7 @@
 func (p *peerAPI) Permit(args *protocol.PermitArgs, reply *protocol.PermitReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), time.Duration(args.WaitMillis)*time.Millisecond)
 	defer cancel()
-	checked := time.Now()
+	var checked time.Time
 	for {
 		granted, alone, err := p.e.permit(args)
 		reply.Granted, reply.Alone, reply.Problem = granted, alone, protocol.ProblemOf(err)
@@ -131,35 +132,42 @@
 	holders := e.permits.state.Holders(fingerprint)
 	e.permits.mu.Unlock()
 	for _, h := range holders {
-		if e.stillHeld(h) || e.context().Err() != nil {
+		reply := e.askHolder(h)
+		if reply.Held || e.context().Err() != nil {
 			continue
 		}
-		klog.InfoS("permit freed, its sidecar does not hold it", "instance", h.Instance, "attempt", h.Attempt)
-		_ = e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: fingerprint})
+		klog.V(1).InfoS("permit freed, its sidecar does not hold it", "instance", h.Instance, "attempt", h.Attempt, "completed", reply.Completed)
+		_ = e.endPermit(&protocol.EndPermitArgs{Attempt: h.Attempt, Fingerprint: fingerprint, Completed: reply.Completed})
 	}
 }
 
-func (e *Entry) stillHeld(h quarantine.Holder) bool {
+// askHolder asks the holder's sidecar, again where another call broke the
+// connection. A sidecar that is gone or silent holds nothing.
+func (e *Entry) askHolder(h quarantine.Holder) protocol.HoldsReply {
 	ctx, cancel := context.WithTimeout(e.context(), protocol.HeartbeatTimeout)
 	defer cancel()
-	for _, i := range e.members.Instances() {
-		if i.Name != h.Instance {
-			continue
+	addr := e.peerOf(h.Instance)
+	for addr != "" {
+		var reply protocol.HoldsReply
+		err := e.peers.Call(ctx, addr, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: h.Attempt}, &reply)
+		if err == nil {
+			return reply
+		}
+		if !errorx.IsOfType(err, protocol.ErrTargetFailed) || ctx.Err() != nil {
+			break
 		}
-		return e.askHolder(ctx, i.Peer, h.Attempt)
 	}
-	return false
+	return protocol.HoldsReply{}
 }
 
-// askHolder asks again where another call broke the connection.
-func (e *Entry) askHolder(ctx context.Context, addr, attempt string) bool {
-	for {
-		var reply protocol.HoldsReply
-		err := e.peers.Call(ctx, addr, protocol.MethodHolds, &protocol.HoldsArgs{Attempt: attempt}, &reply)
-		if !errorx.IsOfType(err, protocol.ErrTargetFailed) || ctx.Err() != nil {
-			return err == nil && reply.Held
+// peerOf returns the peer address of a listed instance, empty for another.
+func (e *Entry) peerOf(instance string) string {
+	for _, i := range e.members.Instances() {
+		if i.Name == instance {
+			return i.Peer
 		}
 	}
+	return ""
 }
 
 // checkQuarantine fails with ErrQuarantined for a convicted call.
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -75,4 +75,6 @@
 // HoldsReply is the answer to HoldsArgs.
 type HoldsReply struct {
 	Held bool
+	// Completed is set where the call ran to its end.
+	Completed bool
 }
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -58,11 +58,16 @@
 	return nil
 }
 
-// Holds says whether an attempt still holds its permit here.
+// Holds says whether an attempt still holds its permit here, and then has its end
+// told to the entries that granted it.
 func (p *peerAPI) Holds(args *protocol.HoldsArgs, reply *protocol.HoldsReply) error {
 	for _, r := range p.s.runners {
 		r.mu.Lock()
-		reply.Held = reply.Held || r.permits[args.Attempt] != nil
+		if held := r.permits[args.Attempt]; held != nil {
+			held.contested = true
+			reply.Held = true
+		}
+		reply.Completed = reply.Completed || r.completed.Has(args.Attempt)
 		r.mu.Unlock()
 	}
 	return nil
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -31,8 +31,11 @@
 	fingerprint string
 	// asked are the addresses of the entries that may hold the permit as granted.
 	asked     []string
+	granted   bool
 	alone     bool
 	completed bool
+	// contested is set once an entry has asked for the permit.
+	contested bool
 }
 
 // enter waits until the call may run on the target: for a slot, for the permit of
@@ -130,6 +133,8 @@
 	}
 	var reply protocol.PermitReply
 	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
+	// An entry may ask for the holder before its grant arrives here.
+	p.runner.hold(p)
 	tried, err := s.entries.callOwner(ctx, owner, args, &reply)
 	if err != nil {
 		p.mayHold(tried)
@@ -150,8 +155,7 @@
 	if !granted {
 		return protocol.ErrBusy.New("another copy of the call is running")
 	}
-	p.alone = reply.Alone
-	p.runner.hold(p)
+	p.alone, p.granted = reply.Alone, true
 	return nil
 }
 
@@ -165,7 +169,9 @@
 func (p *permit) giveUp() {
 	if len(p.asked) > 0 {
 		p.end()
+		return
 	}
+	p.runner.drop(p)
 }
 
 // callOwner asks the owner, and the other entries only where it does not answer.
@@ -209,10 +215,14 @@
 	return byName[routing.Owner(fingerprint, names)]
 }
 
-// end gives the permit back. After a crash it first waits until the crash is
+// end gives the permit back. The entry is not told of a permit that no one asked
+// for meanwhile: it asks here before it lets another copy run. After a crash it first waits until the crash is
 // durable, so that no other copy runs before that is known.
 func (p *permit) end() {
 	in := p.runner.crashes.incidentOf(p.attempt)
+	if in == nil && p.runner.endQuietly(p) {
+		return
+	}
 	p.sidecar.goOn(func(ctx context.Context) {
 		defer p.runner.drop(p)
 		args := &protocol.EndPermitArgs{Attempt: p.attempt, Fingerprint: p.fingerprint, Completed: p.completed}
@@ -298,7 +308,7 @@
 	}
 }
 
-// hold and drop keep the permits in use by attempt.
+// hold and drop keep the permits asked for or in use by attempt.
 func (r *runner) hold(p *permit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -311,6 +321,24 @@
 	delete(r.permits, p.attempt)
 }
 
+// maxCompleted bounds the attempts remembered as run to their end.
+const maxCompleted = 1 << 14
+
+// endQuietly drops the permit of a call that one entry granted and nobody else
+// wants. It reports whether that was so.
+func (r *runner) endQuietly(p *permit) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.permits[p.attempt] != p || !p.granted || p.alone || p.contested || len(p.asked) > 1 {
+		return false
+	}
+	delete(r.permits, p.attempt)
+	if p.completed {
+		r.completed.Add(p.attempt)
+	}
+	return true
+}
+
 // sent and ended frame the time in which the target has the attempt.
 func (r *runner) sent(a *protocol.AttemptRequest) {
 	r.crashes.sent(a.Attempt, a.Call.Fingerprint())
--- a/sidecar/permit_test.go
+++ b/sidecar/permit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,7 +84,7 @@
 	return len(f.permits.Holders(fingerprint))
 }
 
-func startFakeEntry(t *testing.T, name string) *fakeEntry {
+func startFakeEntry(t testing.TB, name string) *fakeEntry {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -130,7 +131,7 @@
 	entries []*fakeEntry
 }
 
-func startPermitSite(t *testing.T) *permitSite {
+func startPermitSite(t testing.TB) *permitSite {
 	t.Helper()
 	s := &permitSite{list: &fakeList{}, entries: []*fakeEntry{startFakeEntry(t, "a"), startFakeEntry(t, "b")}}
 	s.runner, _ = newTestRunner(t, 1)
@@ -151,7 +152,7 @@
 }
 
 // publish lists the entries and waits until the sidecar knows it.
-func (s *permitSite) publish(t *testing.T, leaving string) {
+func (s *permitSite) publish(t testing.TB, leaving string) {
 	t.Helper()
 	s.list.set(s.entries, leaving)
 	want := len(s.entries)
@@ -183,8 +184,32 @@
 	t.Fatalf("permits leaked: %d at a, %d at b", s.entries[0].holders(fingerprint), s.entries[1].holders(fingerprint))
 }
 
+// holds asks the sidecar as an entry does for a copy that waits.
+func (s *permitSite) holds(t *testing.T, attempt string) protocol.HoldsReply {
+	t.Helper()
+	var reply protocol.HoldsReply
+	assert.NilError(t, (&peerAPI{s.sidecar}).Holds(&protocol.HoldsArgs{Attempt: attempt}, &reply))
+	return reply
+}
+
+// TestQuietEnd ends calls that no copy waits for: the entry learns of it when it
+// asks.
+func TestQuietEnd(t *testing.T) {
+	for _, completed := range []bool{true, false} {
+		s := startPermitSite(t)
+		s.sidecar.runners = map[string]*runner{"t": s.runner}
+		p, err := s.sidecar.askPermit(t.Context(), s.runner, attempt("1", protocol.ClassOnline), time.Second)
+		assert.NilError(t, err)
+		granter, _ := s.owner(p.fingerprint)
+		p.completed = completed
+		p.end()
+		assert.Equal(t, s.holds(t, "1"), protocol.HoldsReply{Completed: completed})
+		assert.Equal(t, granter.holders(p.fingerprint), 1)
+	}
+}
+
 // TestPermitGoesBackToItsEntry has the owner of a permit change while a call
-// runs: the entry that granted it gets it back.
+// runs and a copy waits: the entry that granted it gets it back.
 func TestPermitGoesBackToItsEntry(t *testing.T) {
 	s := startPermitSite(t)
 	a := attempt("1", protocol.ClassBatch)
@@ -192,6 +217,8 @@
 	assert.NilError(t, err)
 	granter, _ := s.owner(p.fingerprint)
 	assert.Equal(t, granter.holders(p.fingerprint), 1)
+	s.sidecar.runners = map[string]*runner{"t": s.runner}
+	assert.Assert(t, s.holds(t, "1").Held)
 	s.publish(t, granter.name)
 	p.end()
 	s.awaitFree(t, p.fingerprint)
@@ -227,6 +254,24 @@
 	s.awaitFree(t, fingerprint)
 }
 
+// TestHeldWhileAsking has an entry ask for a permit whose grant has not arrived.
+func TestHeldWhileAsking(t *testing.T) {
+	s := startPermitSite(t)
+	s.sidecar.runners = map[string]*runner{"t": s.runner}
+	a := attempt("1", protocol.ClassOnline)
+	owner, _ := s.owner(a.Call.Fingerprint())
+	assert.Assert(t, owner.permits.Ask(quarantine.Holder{Fingerprint: a.Call.Fingerprint(), Attempt: "copy"}, false))
+	var asking sync.WaitGroup
+	asking.Go(func() { _, _ = s.sidecar.askPermit(t.Context(), s.runner, a, time.Second) })
+	for owner.asking() < 1 {
+		assert.NilError(t, t.Context().Err())
+		<-time.After(time.Millisecond)
+	}
+	assert.Assert(t, s.holds(t, "1").Held)
+	asking.Wait()
+	assert.Assert(t, !s.holds(t, "1").Held, "refused")
+}
+
 // TestGivenUpQuestionRunsNoCopy has two copies ask at one sidecar while a third
 // one runs, and the caller of one give up: the other copy still waits.
 func TestGivenUpQuestionRunsNoCopy(t *testing.T) {
@@ -250,3 +295,46 @@
 	assert.Assert(t, errorx.IsOfType(errs[1], protocol.ErrBusy), "%v", errs[1])
 	assert.Equal(t, other.holders(fingerprint), 0)
 }
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// BenchmarkPermitBytes counts what a permit of a call that completes costs in
+// bytes of payload over TCP, both ways.
+func BenchmarkPermitBytes(b *testing.B) {
+	s := startPermitSite(b)
+	var bytes atomic.Int64
+	peers := transport.NewPeers("secret")
+	b.Cleanup(peers.Close)
+	peers.UseDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return countedConn{conn, &bytes}, err
+	})
+	s.sidecar.peers, s.sidecar.entries.peers = peers, peers
+	for b.Loop() {
+		a := attempt(protocol.NewID(), protocol.ClassOnline)
+		a.Key = protocol.NewID()
+		a.Call.Body = []byte(protocol.NewID())
+		p, err := s.sidecar.askPermit(b.Context(), s.runner, a, time.Second)
+		assert.NilError(b, err)
+		p.completed = true
+		p.end()
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/permit")
+}
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/coordination/slots"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -46,8 +47,10 @@
 	// classes and permits hold those of the work that runs or waits.
 	classes map[string]protocol.Class
 	permits map[string]*permit
-	lane    *lane
-	crashes *crashes
+	// completed are the attempts that ran to their end without notice.
+	completed *quarantine.Recent
+	lane      *lane
+	crashes   *crashes
 	// freed tells the puller that a slot may have become free.
 	freed chan struct{}
 }
@@ -71,8 +74,10 @@
 		boot:    protocol.NewID(),
 		classes: map[string]protocol.Class{},
 		permits: map[string]*permit{},
-		lane:    newLane(),
-		freed:   make(chan struct{}, 1),
+
+		completed: quarantine.NewRecent(maxCompleted),
+		lane:      newLane(),
+		freed:     make(chan struct{}, 1),
 	}
 }
 
--- a/sidecar/runner_test.go
+++ b/sidecar/runner_test.go
@@ -24,7 +24,7 @@
 }
 
 // newTestRunner returns the runner of an engine with the slots.
-func newTestRunner(t *testing.T, slots int) (*runner, *engine.Engine) {
+func newTestRunner(t testing.TB, slots int) (*runner, *engine.Engine) {
 	t.Helper()
 	e := engine.New(engine.Params{Width: slots, RestartTime: time.Second})
 	server := httptest.NewServer(e.Handler())
