Plan, compare, look back and drain from the command line

Cause: operators could publish and list objects, but not see beforehand what a change does, nor what was in force before, nor drain by selector without writing a file. A deleted object could not be set again without a base: the list leaves deletions out, so the command took base zero and was refused.

Change: POST /config/plan answers, from the entry's fold and table of targets, what a change would do to each object and which targets each selector matches under the planned labels. apply, diff, rollback, drain and undrain take their bases from it.

Run: go test ./state ./protocol ./settings ./timeline ./cmd/...

--- a/client/client.go
+++ b/client/client.go
@@ -257,29 +257,16 @@
 	return c.read(ctx, request{method: http.MethodGet, path: "/requests/" + url.PathEscape(key), token: c.settings.CallerKey})
 }
 
-// Apply publishes a change of configuration.
-func (c *Client) Apply(ctx context.Context, by string, objects []protocol.Object) (entry.ApplyAnswer, error) {
-	var a entry.ApplyAnswer
-	body, err := json.Marshal(entry.ApplyRequest{By: by, Objects: objects})
-	if err != nil {
-		return a, protocol.ErrBadRequest.Wrap(err, "encode change")
-	}
-	err = c.readJSON(ctx, request{method: http.MethodPost, path: "/config", token: c.settings.OperatorKey, body: body}, &a)
-	return a, err
-}
-
-// Objects lists configuration objects; empty arguments match all.
-func (c *Client) Objects(ctx context.Context, kind, name string) ([]protocol.Object, error) {
-	var objects []protocol.Object
-	path := fmt.Sprintf("/config?kind=%s&name=%s", url.QueryEscape(kind), url.QueryEscape(name))
-	err := c.readJSON(ctx, request{method: http.MethodGet, path: path, token: c.settings.OperatorKey}, &objects)
-	return objects, err
-}
-
 // Status reads the system's state as an entry sees it.
 func (c *Client) Status(ctx context.Context) (entry.Status, error) {
+	return c.StatusOf(ctx, nil)
+}
+
+// StatusOf is Status with only the targets that the selector matches.
+func (c *Client) StatusOf(ctx context.Context, selector protocol.Selector) (entry.Status, error) {
 	var s entry.Status
-	err := c.readJSON(ctx, request{method: http.MethodGet, path: "/status", token: c.settings.OperatorKey}, &s)
+	path := "/status?selector=" + url.QueryEscape(selector.String())
+	err := c.readJSON(ctx, request{method: http.MethodGet, path: path, token: c.settings.OperatorKey}, &s)
 	return s, err
 }
 
--- a/cmd/sycamoretally/exit.go
+++ b/cmd/sycamoretally/exit.go
@@ -7,17 +7,38 @@
 	"github.com/sycamoretally/sycamoretally/settings"
 )
 
-// The exit codes.
+// The exit codes. docs/API.md lists them for scripts.
 const (
-	exitFailed   = 1
-	exitNotRun   = 2
-	exitUnknown  = 3
+	// exitFailed is a fault of the command line or of a file, a refused key, or
+	// work that ran and failed.
+	exitFailed = 1
+	// exitNotRun means that nothing has happened, and that the command may be
+	// given again.
+	exitNotRun = 2
+	// exitUnknown means that the command may have taken effect.
+	exitUnknown = 3
+	// exitConflict means that another change came between, or that the key
+	// belongs to something else.
 	exitConflict = 4
+	// exitDiffers means that diff found differences.
+	exitDiffers = 5
+	// exitJobIncomplete means that a job that was waited for ended with failed
+	// items or was cancelled.
+	exitJobIncomplete = 6
+)
+
+var (
+	errDiffers       = protocol.Errors.NewType("differs")
+	errJobIncomplete = protocol.Errors.NewType("job_incomplete")
 )
 
 // exitCode tells scripts what became of a command.
 func exitCode(err error) int {
 	switch {
+	case errorx.IsOfType(err, errDiffers):
+		return exitDiffers
+	case errorx.IsOfType(err, errJobIncomplete):
+		return exitJobIncomplete
 	case errorx.IsOfType(err, settings.ErrSettings):
 		return exitFailed
 	case errorx.IsOfType(err, protocol.ErrVersion), errorx.IsOfType(err, protocol.ErrKeyConflict):
--- a/cmd/sycamoretally/job.go
+++ b/cmd/sycamoretally/job.go
@@ -1,12 +1,19 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"github.com/sycamoretally/sycamoretally/client"
 	"github.com/sycamoretally/sycamoretally/entry"
+	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 )
 
@@ -18,93 +25,124 @@
 
 func jobSubmitCommand() *cobra.Command {
 	var path, window, key string
+	var wait bool
 	cmd := &cobra.Command{
 		Use:   "submit -f FILE",
 		Short: "Upload a file in JSON Lines and submit it as a job",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := clientFor(cmd)
+		RunE: withClient(func(cmd *cobra.Command, c *client.Client, _ []string) error {
+			j, err := submitFile(cmd, c, path, window, key)
 			if err != nil {
 				return err
 			}
-			lines, err := os.ReadFile(path)
-			if err != nil {
-				return settings.ErrSettings.Wrap(err, "read job")
-			}
-			file, err := c.Upload(cmd.Context(), lines)
-			if err != nil {
-				return err
+			if wait {
+				return waitAndPrint(cmd, c, j)
 			}
-			j, err := c.Submit(cmd.Context(), file, window, key)
-			if err != nil {
-				return err
-			}
-			printJob(cmd, j)
-			return nil
-		},
+			return printJob(cmd, j)
+		}),
 	}
-	cmd.Flags().StringVarP(&path, "file", "f", "", "batch file in JSON Lines")
+	addFile(cmd, &path, "batch file in JSON Lines")
 	cmd.Flags().StringVar(&window, "due", "24h", "time in which the job is due")
 	cmd.Flags().StringVar(&key, "key", "", "key that names the job; the file's content by default")
-	_ = cmd.MarkFlagRequired("file")
-	return cmd
+	cmd.Flags().BoolVar(&wait, "wait", false, "show progress until the job has ended; exit code 6 where items failed or it was cancelled")
+	return addOutput(cmd, outputText, outputJSON)
+}
+
+func submitFile(cmd *cobra.Command, c *client.Client, path, window, key string) (entry.JobAnswer, error) {
+	lines, err := os.ReadFile(path)
+	if err != nil {
+		return entry.JobAnswer{}, settings.ErrSettings.Wrap(err, "read job")
+	}
+	file, err := c.Upload(cmd.Context(), lines)
+	if err != nil {
+		return entry.JobAnswer{}, err
+	}
+	return c.Submit(cmd.Context(), file, window, key)
+}
+
+// waitAndPrint follows a job to its end and prints how it ended. An interrupt
+// stops the waiting, not the job.
+func waitAndPrint(cmd *cobra.Command, c *client.Client, j entry.JobAnswer) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ended, err := followJob(ctx, c.Job, j, newProgress(cmd.ErrOrStderr()), jobInterval)
+	if err != nil {
+		return err
+	}
+	if err := printJob(cmd, ended); err != nil {
+		return err
+	}
+	return incomplete(ended)
 }
 
-func printJob(cmd *cobra.Command, j entry.JobAnswer) {
-	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s %s: %d of %d completed, %d failed\n", j.ID, j.Status, j.Counts.Completed, j.Counts.Total, j.Counts.Failed)
+func printJob(cmd *cobra.Command, j entry.JobAnswer) error {
+	return emit(cmd, j, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "%s %s: %d of %d completed, %d failed\n", j.ID, j.Status, j.Counts.Completed, j.Counts.Total, j.Counts.Failed)
+		return err
+	})
 }
 
 func jobStatusCommand() *cobra.Command {
-	return &cobra.Command{
+	return addOutput(&cobra.Command{
 		Use:   "status JOB",
 		Short: "Print how far a job is",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := clientFor(cmd)
-			if err != nil {
-				return err
-			}
+		RunE: withClient(func(cmd *cobra.Command, c *client.Client, args []string) error {
 			j, err := c.Job(cmd.Context(), args[0])
 			if err != nil {
 				return err
 			}
-			printJob(cmd, j)
-			return nil
-		},
-	}
+			return printJob(cmd, j)
+		}),
+	}, outputText, outputJSON)
 }
 
+// outputLines is the form of results with one JSON object a line.
+const outputLines = "jsonl"
+
 func jobResultsCommand() *cobra.Command {
-	return &cobra.Command{
+	return addOutput(&cobra.Command{
 		Use:   "results JOB",
 		Short: "Print a job's results so far, in JSON Lines",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := clientFor(cmd)
-			if err != nil {
-				return err
+		RunE: withClient(func(cmd *cobra.Command, c *client.Client, args []string) error {
+			if outputOf(cmd) == outputJSON {
+				return printResultArray(cmd, c, args[0])
 			}
 			return c.Results(cmd.Context(), args[0], cmd.OutOrStdout())
-		},
+		}),
+	}, outputLines, outputJSON)
+}
+
+// printResultArray prints the results so far as one JSON array, once they are whole.
+func printResultArray(cmd *cobra.Command, c *client.Client, job string) error {
+	var lines bytes.Buffer
+	if err := c.Results(cmd.Context(), job, &lines); err != nil {
+		return err
 	}
+	results := []entry.ResultLine{}
+	decoder := json.NewDecoder(&lines)
+	for decoder.More() {
+		var line entry.ResultLine
+		if err := decoder.Decode(&line); err != nil {
+			return protocol.ErrTruncated.Wrap(err, "decode results")
+		}
+		results = append(results, line)
+	}
+	return printJSON(cmd, results)
 }
 
 func jobCancelCommand() *cobra.Command {
-	return &cobra.Command{
+	return addOutput(&cobra.Command{
 		Use:   "cancel JOB",
 		Short: "Cancel a job; finished items stay readable",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := clientFor(cmd)
-			if err != nil {
-				return err
-			}
+		RunE: withClient(func(cmd *cobra.Command, c *client.Client, args []string) error {
 			j, err := c.CancelJob(cmd.Context(), args[0])
 			if err != nil {
 				return err
 			}
-			printJob(cmd, j)
-			return nil
-		},
-	}
+			return printJob(cmd, j)
+		}),
+	}, outputText, outputJSON)
 }
--- a/cmd/sycamoretally/main.go
+++ b/cmd/sycamoretally/main.go
@@ -32,7 +32,8 @@
 	root.PersistentFlags().String("config", "", "settings file in TOML")
 	root.AddCommand(
 		entryCommand(), sidecarCommand(), standInCommand(),
-		applyCommand(), getCommand(), jobCommand(), statusCommand(), timelineCommand(),
+		applyCommand(), diffCommand(), getCommand(), historyCommand(), rollbackCommand(),
+		drainCommand(), undrainCommand(), statusCommand(), timelineCommand(), jobCommand(),
 		settingsCommand(), demoCommand(), loadCommand(),
 	)
 	return root
--- a/entry/config.go
+++ b/entry/config.go
@@ -34,31 +34,38 @@
 // its own record back as valid. The log alone judges versions: this entry may
 // lag behind the version that the change was made from.
 func (e *Entry) serveApply(w http.ResponseWriter, r bunrouter.Request) error {
-	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
+	change, err := e.readChange(w, r)
 	if err != nil {
 		return err
 	}
-	var want ApplyRequest
-	if err := json.Unmarshal(body, &want); err != nil {
-		return protocol.ErrBadRequest.New("malformed JSON: %v", err)
-	}
-	if len(want.Objects) == 0 {
-		return protocol.ErrBadRequest.New("the change has no objects")
-	}
-	change := &protocol.Change{By: want.By, Objects: want.Objects}
-	if err := change.Validate(); err != nil {
-		return err
-	}
 	version, err := e.publish(r.Context(), change)
 	if err != nil {
 		return err
 	}
-	e.ring.Add(traceOf(r.Request), "configuration changed", "version", version.String())
-	klog.InfoS("configuration changed", "by", want.By, "version", version, "objects", len(want.Objects))
+	trace := traceOf(r.Request)
+	e.ring.Add(trace, "configuration changed", "version", version.String())
+	klog.InfoS("configuration changed", "trace", trace, "by", change.By, "version", version, "objects", len(change.Objects))
 	transport.WriteJSON(w, http.StatusOK, ApplyAnswer{Version: version})
 	return nil
 }
 
+// readChange reads the change in the body of a request and checks it.
+func (e *Entry) readChange(w http.ResponseWriter, r bunrouter.Request) (*protocol.Change, error) {
+	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	var want ApplyRequest
+	if err := json.Unmarshal(body, &want); err != nil {
+		return nil, protocol.ErrBadRequest.New("malformed JSON: %v", err)
+	}
+	if len(want.Objects) == 0 {
+		return nil, protocol.ErrBadRequest.New("the change has no objects")
+	}
+	change := &protocol.Change{By: want.By, UnixMillis: time.Now().UnixMilli(), Objects: want.Objects}
+	return change, change.Validate()
+}
+
 func (e *Entry) publish(ctx context.Context, change *protocol.Change) (protocol.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictWait)
 	defer cancel()
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -36,6 +36,8 @@
 
 	router.GET("/config", operator(e.serveObjects))
 	router.POST("/config", operator(e.serveApply))
+	router.POST("/config/plan", operator(e.servePlan))
+	router.GET("/config/history", operator(e.serveHistory))
 	router.GET("/status", operator(e.serveStatus))
 	router.GET("/events", operator(e.serveEvents))
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -37,12 +37,18 @@
 	Queued     int             `json:"queued"`
 }
 
-func (e *Entry) serveStatus(w http.ResponseWriter, _ bunrouter.Request) error {
-	transport.WriteJSON(w, http.StatusOK, e.status())
+// serveStatus answers with the targets that match the selector in the query, or
+// with all.
+func (e *Entry) serveStatus(w http.ResponseWriter, r bunrouter.Request) error {
+	selector, err := protocol.ParseSelector(r.URL.Query().Get("selector"))
+	if err != nil {
+		return err
+	}
+	transport.WriteJSON(w, http.StatusOK, e.status(selector))
 	return nil
 }
 
-func (e *Entry) status() Status {
+func (e *Entry) status(selector protocol.Selector) Status {
 	config := e.config.Current()
 	s := Status{
 		Instance: e.settings.Process.Instance,
@@ -53,11 +59,15 @@
 		Keys:     e.requests.Len(),
 	}
 	for _, t := range e.members.Table().Targets {
+		labels := config.Labels(t.Report.Labels)
+		if !selector.Matches(labels) {
+			continue
+		}
 		s.Targets = append(s.Targets, TargetStatus{
 			Name:       t.Name,
 			Instance:   t.Instance,
 			DataCentre: t.DataCentre,
-			Labels:     config.Labels(t.Report.Labels),
+			Labels:     labels,
 			State:      t.State(config),
 			Slots:      t.Report.Slots,
 			Online:     t.Report.Online,
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -49,6 +49,32 @@
 	Placement *Placement `json:"placement,omitempty" toml:"placement" msgpack:"p,omitempty"`
 }
 
+// TargetSelector returns the selector of the object. It reports false for kinds
+// that select no targets and for deleted objects.
+func (o *Object) TargetSelector() (Selector, bool) {
+	switch {
+	case o.Service != nil:
+		return o.Service.Selector, true
+	case o.Label != nil:
+		return o.Label.Selector, true
+	case o.Drain != nil:
+		return o.Drain.Selector, true
+	case o.Placement != nil:
+		return o.Placement.Selector, true
+	default:
+		return nil, false
+	}
+}
+
+// ObjectVersion is one version of an object, with who published it and when.
+type ObjectVersion struct {
+	Object Object `json:"object" msgpack:"o"`
+	By     string `json:"by" msgpack:"b"`
+	// UnixMillis is the time of publication in milliseconds since the epoch,
+	// zero where the record has none.
+	UnixMillis int64 `json:"unix_ms" msgpack:"t"`
+}
+
 // ServiceType tells model services from plain ones.
 type ServiceType string
 
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -52,8 +52,11 @@
 // Change sets or deletes configuration objects, all or none.
 type Change struct {
 	// By names the operator.
-	By      string   `msgpack:"b"`
-	Objects []Object `msgpack:"o"`
+	By string `msgpack:"b"`
+	// UnixMillis is when the entry took the change, in milliseconds since the
+	// epoch, by its own clock. It is shown to operators and decides nothing.
+	UnixMillis int64    `msgpack:"t,omitempty"`
+	Objects    []Object `msgpack:"o"`
 }
 
 // RequestAccept makes an asynchronous request durable before its receipt.
--- a/state/config.go
+++ b/state/config.go
@@ -82,11 +82,12 @@
 
 	mu       sync.Mutex
 	verdicts *verdicts
+	versions *versions
 }
 
 // NewConfigFold returns a fold without objects.
 func NewConfigFold() *ConfigFold {
-	f := &ConfigFold{verdicts: newVerdicts(maxVerdicts)}
+	f := &ConfigFold{verdicts: newVerdicts(maxVerdicts), versions: newVersions()}
 	f.current.Store(&Config{objects: map[objectID]protocol.Object{}})
 	return f
 }
@@ -110,6 +111,7 @@
 		f.verdicts.add(rec.ID, Verdict{Known: true, At: pos, Err: err})
 		if err == nil {
 			next.set(pos, rec.Change)
+			f.versions.add(pos, rec.Change)
 		}
 	}
 	f.current.Store(&next)
--- a/state/snapshot_config.go
+++ b/state/snapshot_config.go
@@ -8,6 +8,7 @@
 	At       protocol.Position
 	Objects  []protocol.Object
 	Verdicts []verdictSnapshot
+	Versions []protocol.ObjectVersion
 }
 
 type verdictSnapshot struct {
@@ -24,7 +25,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.current.Load()
-	s := configSnapshot{At: current.At}
+	s := configSnapshot{At: current.At, Versions: f.versions.all}
 	for _, o := range current.objects {
 		s.Objects = append(s.Objects, o)
 	}
@@ -52,6 +53,7 @@
 		next.objects[objectID{o.Kind, o.Name}] = o
 	}
 	next.derive()
+	f.versions.all = s.Versions
 	f.verdicts = newVerdicts(maxVerdicts)
 	for _, v := range s.Verdicts {
 		f.verdicts.add(v.ID, Verdict{Known: true, At: v.At, Err: v.Problem.Err()})
--- a/state/snapshot_test.go
+++ b/state/snapshot_test.go
@@ -117,6 +117,9 @@
 		if err := sameVerdicts(fold.verdicts, other.verdicts); err != nil {
 			return err
 		}
+		if !reflect.DeepEqual(fold.versions.all, other.versions.all) {
+			return protocol.ErrInternal.New("versions %+v, not %+v", fold.versions.all, other.versions.all)
+		}
 	case *Requests:
 		left, right = fold.keys, b.(*Requests).keys
 	case *Jobs:
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -4,6 +4,7 @@
 package timeline
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -115,18 +116,8 @@
 }
 
 // Sort orders events by clock and, where clocks are equal, by instance.
-func Sort(events []protocol.Event) {
-	slices.SortStableFunc(events, func(a, b protocol.Event) int {
-		switch {
-		case a.Clock != b.Clock && a.Clock < b.Clock:
-			return -1
-		case a.Clock != b.Clock:
-			return 1
-		case a.Instance < b.Instance:
-			return -1
-		case a.Instance > b.Instance:
-			return 1
-		}
-		return 0
-	})
+func Sort(events []protocol.Event) { slices.SortStableFunc(events, compareEvents) }
+
+func compareEvents(a, b protocol.Event) int {
+	return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Instance, b.Instance))
 }
