Hold the online requests of a workspace to its quota

Cause: requests_per_second could be published but nothing read it.

A refusal is 429 with the outcome not_run and a Retry-After from the bucket; a keyed request is looked up first, as with the other refusals. Batch items are not counted.

Excluded: one shared count, which would need an append or a peer call a request. The price is that a workspace whose requests reach one entry only gets that entry's part.

The clock is injected; nothing is random.

--- /dev/null
+++ b/coordination/quota/quota_test.go
@@ -0,0 +1,90 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+// clock is a clock that the test moves.
+type clock struct{ time.Time }
+
+func (c *clock) now() time.Time           { return c.Time }
+func (c *clock) advance(by time.Duration) { c.Time = c.Add(by) }
+
+func newLimiter() (*Limiter, *clock) {
+	c := &clock{time.Unix(1_790_000_000, 0)}
+	return New(c.now), c
+}
+
+// admitted offers requests at an interval for a time and counts the admitted ones.
+func (c *clock) admitted(l *Limiter, q *protocol.Quota, entries int, interval, total time.Duration) int {
+	count := 0
+	for end := c.Add(total); c.Before(end); c.advance(interval) {
+		if l.Admit("w", q, entries) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRate offers ten times the rate for ten seconds: each entry admits its part
+// and what one second saved.
+func TestRate(t *testing.T) {
+	tests := map[string]struct {
+		perSecond float64
+		entries   int
+		want      int
+	}{
+		"one entry":        {20, 1, 220},
+		"four entries":     {20, 4, 55},
+		"no entry listed":  {20, 0, 220},
+		"below one second": {0.5, 1, 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, c := newLimiter()
+			q := &protocol.Quota{RequestsPerSecond: test.perSecond}
+			got := c.admitted(l, q, test.entries, 5*time.Millisecond, 10*time.Second)
+			assert.Assert(t, got <= test.want && got >= test.want-1, "%d admitted, want %d", got, test.want)
+		})
+	}
+}
+
+func TestRefusalSaysWhen(t *testing.T) {
+	l, c := newLimiter()
+	q := &protocol.Quota{RequestsPerSecond: 0.25}
+	assert.NilError(t, l.Admit("w", q, 1))
+	err := l.Admit("w", q, 1)
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrQuota), "%v", err)
+	assert.Equal(t, protocol.OutcomeOf(err), protocol.OutcomeNotRun)
+	wait := protocol.RetryAfter(err)
+	assert.Equal(t, wait, 4*time.Second)
+	c.advance(wait - time.Millisecond)
+	assert.Assert(t, l.Admit("w", q, 1) != nil)
+	c.advance(time.Millisecond)
+	assert.NilError(t, l.Admit("w", q, 1))
+}
+
+// TestChangedQuota changes the rate, the number of entries and at last removes
+// the quota, without a fresh bucket for the first two.
+func TestChangedQuota(t *testing.T) {
+	l, c := newLimiter()
+	assert.Equal(t, c.admitted(l, &protocol.Quota{RequestsPerSecond: 10}, 1, time.Millisecond, time.Second), 19)
+	assert.Equal(t, c.admitted(l, &protocol.Quota{RequestsPerSecond: 100}, 1, time.Millisecond, time.Second), 100)
+	assert.Equal(t, c.admitted(l, &protocol.Quota{RequestsPerSecond: 100}, 4, time.Millisecond, time.Second), 25)
+	assert.NilError(t, l.Admit("w", nil, 1))
+	assert.Equal(t, l.Len(), 0)
+}
+
+func TestWorkspacesAreApart(t *testing.T) {
+	l, _ := newLimiter()
+	q := &protocol.Quota{RequestsPerSecond: 1}
+	assert.NilError(t, l.Admit("a", q, 1))
+	assert.Assert(t, l.Admit("a", q, 1) != nil)
+	assert.NilError(t, l.Admit("b", q, 1))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/logcache"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
+	"github.com/sycamoretally/sycamoretally/coordination/quota"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -68,6 +69,7 @@
 	log       platform.Log
 	callers   map[string]string
 	policy    *policy
+	quotas    *quota.Limiter
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -98,6 +100,7 @@
 		log:       p.Log,
 		callers:   map[string]string{},
 		policy:    newPolicy(s.Policy),
+		quotas:    quota.New(time.Now),
 		leaving:   make(chan struct{}),
 	}
 	if p.Dial != nil {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -23,9 +23,9 @@
 	caller := func(h handler) bunrouter.HandlerFunc { return e.answer(e.forCaller(h)) }
 	operator := func(h handler) bunrouter.HandlerFunc { return e.answer(e.forOperator(h)) }
 
-	router.POST("/v1/chat/completions", caller(e.serveChat))
+	router.POST("/v1/chat/completions", caller(e.withinQuota(e.serveChat)))
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-		router.Handle(method, "/services/:service/*path", caller(e.serveService))
+		router.Handle(method, "/services/:service/*path", caller(e.withinQuota(e.serveService)))
 	}
 	router.GET("/requests/:key", caller(e.serveResult))
 	router.POST("/v1/files", caller(e.serveUpload))
@@ -80,11 +80,23 @@
 	}
 }
 
+// withinQuota lets online requests through that the quota of their workspace
+// admits. Batch items are not counted: they yield to online work.
+func (e *Entry) withinQuota(h handler) handler {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		workspace := workspaceOf(r)
+		if err := e.quotas.Admit(workspace, e.config.Current().Quota(workspace), len(e.members.Entries())); err != nil {
+			return err
+		}
+		return h(w, r)
+	}
+}
+
 // confirmRefusal checks a refusal that was made before the key of the request
 // was looked at: the caller may have sent the same key before.
 func (e *Entry) confirmRefusal(r bunrouter.Request, workspace string, err error) error {
 	key := r.Header.Get(headerKey)
-	for _, kind := range []*errorx.Type{protocol.ErrLeaving, protocol.ErrNotFound, protocol.ErrTooLarge, protocol.ErrBadRequest} {
+	for _, kind := range []*errorx.Type{protocol.ErrLeaving, protocol.ErrNotFound, protocol.ErrTooLarge, protocol.ErrBadRequest, protocol.ErrQuota} {
 		if key != "" && errorx.IsOfType(err, kind) {
 			return e.refuse(keyIn(workspace, key), err)
 		}
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -37,6 +37,7 @@
 	ErrKeyConflict    = Errors.NewType("key_conflict")
 	ErrVersion        = Errors.NewType("version_conflict")
 	ErrBusy           = Errors.NewType("busy")
+	ErrQuota          = Errors.NewType("quota_exceeded")
 	ErrLeaving        = Errors.NewType("leaving")
 	ErrNoTarget       = Errors.NewType("no_target")
 	ErrNotSent        = Errors.NewType("not_sent")
@@ -101,6 +102,7 @@
 	{ErrKeyConflict, http.StatusConflict, OutcomeNotRun},
 	{ErrVersion, http.StatusConflict, OutcomeNotRun},
 	{ErrBusy, http.StatusServiceUnavailable, OutcomeNotRun},
+	{ErrQuota, http.StatusTooManyRequests, OutcomeNotRun},
 	{ErrLeaving, http.StatusServiceUnavailable, OutcomeNotRun},
 	{ErrNoTarget, http.StatusServiceUnavailable, OutcomeNotRun},
 	{ErrNotSent, http.StatusServiceUnavailable, OutcomeNotRun},
--- a/state/config.go
+++ b/state/config.go
@@ -53,6 +53,12 @@
 	return o.Service
 }
 
+// Quota returns the quota of a workspace, nil where there is none.
+func (c *Config) Quota(workspace string) *protocol.Quota {
+	o, _ := c.Lookup(protocol.KindQuota, workspace)
+	return o.Quota
+}
+
 // Labels returns a target's own labels with those of all matching label objects
 // set over them, in order of the objects' names.
 func (c *Config) Labels(own protocol.Labels) protocol.Labels {
--- a/transport/problem.go
+++ b/transport/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,7 +17,7 @@
 	p.Key = key
 	w.Header().Set("Content-Type", "application/problem+json")
 	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(int(protocol.RetryAfterBusy.Seconds())))
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(protocol.RetryAfter(err).Seconds()))))
 	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
