Carry the time line's clock through the log and through pulls

Cause: only attempts and reports carried the hybrid clock. Batch items reach a sidecar by a pull, and an entry learns of a job through the log, without it; and "job accepted" was stamped after the append, when an item of the job may have started already.

Excluded: the sort (events with equal clocks were not involved).

Change: records and pull replies carry the clock, a watch before all other folds observes it, and the acceptance of a job or a change is stamped with the clock of its record.

--- a/cmd/sycamoretally/timeline.go
+++ b/cmd/sycamoretally/timeline.go
@@ -54,6 +54,11 @@
 			return err
 		}
 	}
+	for _, c := range t.Cut {
+		if _, err := fmt.Fprintf(w, "cut: %s has older events; narrow the question by --since or --trace\n", c); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/demo/site.go
+++ b/demo/site.go
@@ -52,6 +52,8 @@
 	// Dial makes the connections of a process in a data centre to its peers; nil
 	// means the ordinary dialer.
 	Dial func(s *settings.Settings) transport.Dial
+	// Skew, where set, gives the error of the time line's wall clock in a process.
+	Skew func(s *settings.Settings) time.Duration
 }
 
 // DefaultLayout is the layout of the demo.
@@ -232,6 +234,15 @@
 	return s.layout.Dial(p)
 }
 
+// clockOf returns the wall clock of a process, nil for the right one.
+func (s *Site) clockOf(p *settings.Settings) func() time.Time {
+	if s.layout.Skew == nil {
+		return nil
+	}
+	skew := s.layout.Skew(p)
+	return func() time.Time { return time.Now().Add(skew) }
+}
+
 func (s *Site) startOne(p *settings.Settings) error {
 	if s.layout.MaxAge > 0 {
 		p.Process.MaxAge = settings.Duration(s.layout.MaxAge)
@@ -240,14 +251,14 @@
 	path.Set(s.startState)
 	s.Paths[p.Process.Instance] = path
 	if p.Role == settings.RoleSidecar {
-		sc, err := sidecar.New(p, sidecar.Platform{Log: path, Instances: s.List, Dial: s.dialOf(p)})
+		sc, err := sidecar.New(p, sidecar.Platform{Log: path, Instances: s.List, Dial: s.dialOf(p), Now: s.clockOf(p)})
 		if err != nil {
 			return err
 		}
 		s.Sidecars = append(s.Sidecars, sc)
 		return sc.Start()
 	}
-	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance, path), Instances: s.List, Dial: s.dialOf(p)})
+	en, err := entry.New(p, entry.Platform{Log: s.logOf(p.Process.Instance, path), Instances: s.List, Dial: s.dialOf(p), Now: s.clockOf(p)})
 	if err != nil {
 		return err
 	}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -72,6 +72,7 @@
 
 // Pull hands out batch items that the target can run, or waits for some.
 func (p *peerAPI) Pull(args *protocol.PullArgs, reply *protocol.PullReply) error {
+	defer func() { reply.Clock = p.e.ring.Clock().Now() }()
 	err := p.e.mayHandOut()
 	switch {
 	case err != nil:
--- a/entry/config.go
+++ b/entry/config.go
@@ -38,12 +38,13 @@
 	if err != nil {
 		return err
 	}
-	version, err := e.publish(r.Context(), change)
+	clock := e.ring.Clock().Now()
+	version, err := e.publish(r.Context(), clock, change)
 	if err != nil {
 		return err
 	}
 	trace := traceOf(r.Request)
-	e.ring.Add(trace, "configuration changed", "version", version.String())
+	e.ring.AddAt(clock, trace, "configuration changed", "version", version.String())
 	klog.InfoS("configuration changed", "trace", trace, "by", change.By, "version", version, "objects", len(change.Objects))
 	transport.WriteJSON(w, http.StatusOK, ApplyAnswer{Version: version})
 	return nil
@@ -66,10 +67,10 @@
 	return change, change.Validate()
 }
 
-func (e *Entry) publish(ctx context.Context, change *protocol.Change) (protocol.Position, error) {
+func (e *Entry) publish(ctx context.Context, clock uint64, change *protocol.Change) (protocol.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictWait)
 	defer cancel()
-	rec := protocol.Record{ID: protocol.NewID(), Change: change}
+	rec := protocol.Record{ID: protocol.NewID(), Clock: clock, Change: change}
 	last, err := e.conf.writer.Append(ctx, rec)
 	if err != nil && !errorx.IsOfType(err, protocol.ErrAnswerLost) {
 		return 0, err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,8 @@
 	Instances platform.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
+	// Now is the wall clock of the time line; nil means time.Now.
+	Now func() time.Time
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -81,7 +83,11 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
-	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	now := p.Now
+	if now == nil {
+		now = time.Now
+	}
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(now), timeline.DefaultRingSize)
 	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
 		settings:  s,
@@ -130,6 +136,8 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	// First: what the other folds wake may record events at once.
+	folds = append([]follow.Fold{timeline.Watch{Clock: e.ring.Clock()}}, folds...)
 	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
 	e.metrics.registry.MustRegister(follower.Metrics()...)
 	return stream{
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -62,8 +62,9 @@
 	if err != nil {
 		return err
 	}
+	clock := e.ring.Clock().Now()
 	if _, found := e.jobs.Job(accept.Job); !found {
-		rec := protocol.Record{ID: protocol.NewID(), Job: accept}
+		rec := protocol.Record{ID: protocol.NewID(), Clock: clock, Job: accept}
 		if err := e.appendAndFold(r.Context(), rec); err != nil {
 			return err
 		}
@@ -78,8 +79,9 @@
 	if j.File != accept.File {
 		return protocol.ErrKeyConflict.New("the key belongs to a job over another file")
 	}
-	e.ring.Add(traceOf(r.Request), "job accepted", "job", j.Job)
-	klog.InfoS("job accepted", "job", j.Job, "items", j.Items, "service", j.Service)
+	trace := traceOf(r.Request)
+	e.ring.AddAt(clock, trace, "job accepted", "job", j.Job)
+	klog.InfoS("job accepted", "trace", trace, "job", j.Job, "items", j.Items, "service", j.Service)
 	transport.WriteJSON(w, http.StatusOK, answerOf(j))
 	return nil
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -21,7 +21,7 @@
 
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
-	reply.Events = p.e.ring.Events(*args)
+	reply.Events, reply.Cut = p.e.ring.Events(*args)
 	return nil
 }
 
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -169,6 +169,7 @@
 // appendAndFold appends a record to the work stream and waits until this
 // process has folded it.
 func (e *Entry) appendAndFold(ctx context.Context, recs ...protocol.Record) error {
+	e.ring.Clock().Stamp(recs)
 	last, err := e.work.writer.Append(ctx, recs...)
 	if err != nil {
 		return err
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,16 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net/http"
-	"strconv"
-	"sync"
-	"time"
 
 	"github.com/uptrace/bunrouter"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
-	"github.com/sycamoretally/sycamoretally/timeline"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
 
@@ -77,54 +72,3 @@
 	}
 	return s
 }
-
-// Timeline is what GET /events answers.
-type Timeline struct {
-	Events []protocol.Event `json:"events"`
-	// Missing names the listed processes that did not answer.
-	Missing []string `json:"missing"`
-}
-
-// eventsTimeout bounds the wait for one process's events.
-const eventsTimeout = 2 * time.Second
-
-// serveEvents merges the events of all listed processes.
-func (e *Entry) serveEvents(w http.ResponseWriter, r bunrouter.Request) error {
-	args := protocol.EventsArgs{Trace: r.URL.Query().Get("trace")}
-	if text := r.URL.Query().Get("since_ms"); text != "" {
-		since, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			return protocol.ErrBadRequest.New("since_ms must be milliseconds since the epoch")
-		}
-		args.SinceUnixMillis = since
-	}
-	transport.WriteJSON(w, http.StatusOK, e.gatherEvents(r.Context(), args))
-	return nil
-}
-
-func (e *Entry) gatherEvents(ctx context.Context, args protocol.EventsArgs) Timeline {
-	merged := Timeline{Events: e.ring.Events(args), Missing: []string{}}
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for _, i := range e.members.Instances() {
-		if i.Name == e.settings.Process.Instance {
-			continue
-		}
-		group.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, eventsTimeout)
-			defer cancel()
-			var reply protocol.EventsReply
-			err := e.peers.Call(callCtx, i.Peer, protocol.MethodEvents, &args, &reply)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				merged.Missing = append(merged.Missing, i.Name)
-				return
-			}
-			merged.Events = append(merged.Events, reply.Events...)
-		})
-	}
-	group.Wait()
-	timeline.Sort(merged.Events)
-	return merged
-}
--- a/promises/timeline_test.go
+++ b/promises/timeline_test.go
@@ -1,12 +1,16 @@
 package promises
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/demo"
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/state"
 	"github.com/sycamoretally/sycamoretally/timeline"
 )
 
@@ -45,3 +49,43 @@
 	}
 	assert.Equal(t, whole, 160)
 }
+
+// TestTimelineShowsJobsFirst lets the sidecars' wall clocks lag by ten seconds:
+// what reaches them through the log and by pulls still stands after its cause.
+func TestTimelineShowsJobsFirst(t *testing.T) {
+	layout := demo.DefaultLayout()
+	layout.Engine.TokenTime = 0
+	layout.Skew = func(s *settings.Settings) time.Duration {
+		if s.Role == settings.RoleSidecar {
+			return -10 * time.Second
+		}
+		return 0
+	}
+	_, c := startInProcess(t, layout)
+	const jobs = 10
+	for i := range jobs {
+		id := submitJob(t, c, fmt.Sprint("job-", i), 1, 1)
+		eventually(t, 20*time.Second, func() error {
+			j, err := c.Job(t.Context(), id)
+			if err == nil && j.Status != string(state.JobCompleted) {
+				err = protocol.ErrNoResult.New("job %s is %s", id, j.Status)
+			}
+			return err
+		})
+	}
+	line, err := c.Timeline(t.Context(), protocol.EventsArgs{})
+	assert.NilError(t, err)
+	accepted, ended := map[string]bool{}, 0
+	for _, e := range line.Events {
+		switch e.Name {
+		case "job accepted":
+			accepted[e.Fields["job"]] = true
+		case "item started":
+			assert.Assert(t, accepted[e.Fields["job"]], "an item of %s stands before its job", e.Fields["job"])
+		case "item ended":
+			ended++
+		}
+	}
+	assert.Equal(t, len(accepted), jobs)
+	assert.Equal(t, ended, jobs)
+}
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -128,6 +128,7 @@
 	Available bool
 	// Drain asks the target to finish its batch items before it pulls again.
 	Drain   bool
+	Clock   uint64
 	Problem *Problem
 }
 
@@ -173,6 +174,8 @@
 	Trace string
 	// SinceUnixMillis leaves out older events; zero asks for all.
 	SinceUnixMillis int64
+	// Limit is the largest number of events, the newest ones; zero asks for all.
+	Limit int
 }
 
 // Event is one event of a process's time line.
@@ -188,4 +191,6 @@
 // EventsReply carries events in order of their clocks.
 type EventsReply struct {
 	Events []Event
+	// Cut is set where Limit left events out.
+	Cut bool
 }
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -18,6 +18,9 @@
 type Record struct {
 	// ID is unique to the record and the same in every append that retries it.
 	ID string `msgpack:"i"`
+	// Clock is the hybrid logical time at which its process made the record, for
+	// the time line alone.
+	Clock uint64 `msgpack:"hc,omitempty"`
 
 	Change   *Change          `msgpack:"cc,omitempty"`
 	Accept   *RequestAccept   `msgpack:"ra,omitempty"`
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -101,7 +101,7 @@
 // complete stores the result of a call. Without a durable result the caller
 // still gets its answer, and the append goes on in the background.
 func (s *Sidecar) complete(ctx context.Context, x *execution, result protocol.Result) {
-	rec := protocol.Record{ID: x.holder + "/complete", Complete: &protocol.RequestComplete{
+	rec := protocol.Record{ID: x.holder + "/complete", Clock: s.ring.Clock().Now(), Complete: &protocol.RequestComplete{
 		Key: x.Key, Attempt: x.Attempt, Fingerprint: x.Call.Fingerprint(), Result: result,
 	}}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeWait)
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -40,7 +40,7 @@
 
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
-	reply.Events = p.s.ring.Events(*args)
+	reply.Events, reply.Cut = p.s.ring.Events(*args)
 	return nil
 }
 
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -116,6 +116,7 @@
 	if err := p.s.batch.peers.Call(ctx, entry, protocol.MethodPull, args, &reply); err != nil {
 		return protocol.PullReply{}, err
 	}
+	p.s.ring.Clock().Observe(reply.Clock)
 	return reply, reply.Problem.Err()
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,6 +33,8 @@
 	Instances platform.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
+	// Now is the wall clock of the time line; nil means time.Now.
+	Now func() time.Time
 }
 
 // Sidecar is one running sidecar.
@@ -66,7 +68,11 @@
 // New builds a sidecar from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Sidecar, error) {
-	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	now := p.Now
+	if now == nil {
+		now = time.Now
+	}
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(now), timeline.DefaultRingSize)
 	sc := &Sidecar{
 		settings: s,
 		config:   state.NewConfigFold(),
@@ -88,7 +94,7 @@
 		Self: s.Process.Instance, DataCentre: s.Process.DataCentre, Stream: protocol.StreamConfig,
 		Instances: sc.instances, Follows: func(platform.Instance) bool { return true }, Call: sc.peers.ReadLog,
 	}
-	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, timeline.Watch{Clock: ring.Clock()}, sc.config, drainWatch{sc})
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{
 		Self:     s.Process.Instance,
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,68 +52,29 @@
 	}
 }
 
-// WallMillis gives the milliseconds since the epoch in a clock value.
-func WallMillis(clock uint64) int64 { return int64(clock >> logicalBits) }
-
-// DefaultRingSize is the number of events that a process keeps.
-const DefaultRingSize = 8192
-
-// Ring keeps the newest events of one process. Its methods may be called at the
-// same time.
-type Ring struct {
-	instance string
-	clock    *Clock
-
-	mu     sync.Mutex
-	events []protocol.Event
-	next   int
-}
-
-// NewRing returns a ring of size events.
-func NewRing(instance string, clock *Clock, size int) *Ring {
-	return &Ring{instance: instance, clock: clock, events: make([]protocol.Event, 0, size)}
-}
-
-// Clock returns the ring's clock.
-func (r *Ring) Clock() *Clock { return r.clock }
-
-// Add records an event. Fields are pairs of a key and a value.
-func (r *Ring) Add(trace, name string, fields ...string) {
-	e := protocol.Event{Clock: r.clock.Now(), Instance: r.instance, Trace: trace, Name: name}
-	if len(fields) > 1 {
-		e.Fields = make(map[string]string, len(fields)/2)
-		for i := 0; i+1 < len(fields); i += 2 {
-			e.Fields[fields[i]] = fields[i+1]
+// Stamp sets the clock of records that have none yet.
+func (c *Clock) Stamp(records []protocol.Record) {
+	for i := range records {
+		if records[i].Clock == 0 {
+			records[i].Clock = c.Now()
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.events) < cap(r.events) {
-		r.events = append(r.events, e)
-		return
-	}
-	r.events[r.next] = e
-	r.next = (r.next + 1) % len(r.events)
 }
 
-// Events returns the events that args ask for, in order of their clocks.
-func (r *Ring) Events(args protocol.EventsArgs) []protocol.Event {
-	r.mu.Lock()
-	all := slices.Clone(r.events)
-	r.mu.Unlock()
-	found := all[:0]
-	for _, e := range all {
-		if args.Trace != "" && e.Trace != args.Trace {
-			continue
-		}
-		if WallMillis(e.Clock) >= args.SinceUnixMillis {
-			found = append(found, e)
-		}
+// Watch is a fold that observes the clocks of records, so that what a process
+// does after it has read a record never stands before the record's cause.
+type Watch struct{ Clock *Clock }
+
+// Apply implements follow.Fold.
+func (w Watch) Apply(_ protocol.Position, rec *protocol.Record) {
+	if rec.Clock > 0 {
+		w.Clock.Observe(rec.Clock)
 	}
-	Sort(found)
-	return found
 }
 
+// WallMillis gives the milliseconds since the epoch in a clock value.
+func WallMillis(clock uint64) int64 { return int64(clock >> logicalBits) }
+
 // Sort orders events by clock and, where clocks are equal, by instance.
 func Sort(events []protocol.Event) { slices.SortStableFunc(events, compareEvents) }
 
