--- a/cmd/sycamoretally/objects.go
+++ b/cmd/sycamoretally/objects.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
-	"strings"
 	"text/tabwriter"
 
 	"github.com/pelletier/go-toml/v2"
@@ -85,30 +86,43 @@
 	return table.Flush()
 }
 
-// objectLines writes the content of an object, a value a line; none for nil or
-// a deleted one.
+// objectLines writes the content of an object, a value a line with the path of
+// its keys; none for nil or a deleted one.
 func objectLines(o *protocol.Object) []string {
 	if o == nil || o.Deleted {
 		return nil
 	}
 	content := *o
-	content.Base, content.Version = 0, 0
-	data, err := toml.Marshal(content)
+	content.Kind, content.Name, content.Base, content.Version = "", "", 0, 0
+	data, err := json.Marshal(content)
 	if err != nil {
 		return []string{err.Error()}
 	}
+	var fields map[string]any
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return []string{err.Error()}
+	}
+	delete(fields, "kind")
+	delete(fields, "name")
+	return flatten("", fields)
+}
+
+// flatten writes nested fields as lines "path = value" in order of the paths.
+func flatten(prefix string, fields map[string]any) []string {
 	var lines []string
-	for line := range strings.Lines(string(data)) {
-		line = strings.TrimRight(line, "\n")
-		if line != "" && line != "base = 0" && line != "deleted = false" {
-			lines = append(lines, line)
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		if inner, nested := fields[key].(map[string]any); nested {
+			lines = append(lines, flatten(prefix+key+".", inner)...)
+			continue
 		}
+		value, _ := json.Marshal(fields[key])
+		lines = append(lines, prefix+key+" = "+string(value))
 	}
 	return lines
 }
 
 // diffLines marks the lines that only live has with "-" and those that only
-// next has with "+"; section lines stand between them.
+// next has with "+".
 func diffLines(live, next *protocol.Object) []string {
 	before, after := objectLines(live), objectLines(next)
 	var lines []string
