--- a/cmd/sycamoretally/session_test.go
+++ b/cmd/sycamoretally/session_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
@@ -11,6 +16,7 @@
 	"github.com/sycamoretally/sycamoretally/entry"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
+	"github.com/sycamoretally/sycamoretally/transport"
 )
 
 func contains(parts ...string) func(string) bool {
@@ -31,12 +37,26 @@
 	return v
 }
 
+// eventually polls until check holds, and fails the test after a limit.
+func eventually(t *testing.T, check func() bool) {
+	t.Helper()
+	const limit = 20 * time.Second
+	deadline := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v", limit)
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
 // TestOperatorSession plays an operator's session with the real binary against
 // the separate processes of the Nairobi example.
 func TestOperatorSession(t *testing.T) {
 	s := startExample(t, "nairobi")
 	s.configure()
 	s.drain()
+	s.limit()
 	s.rollBack()
 	s.outage()
 	s.jobs()
@@ -78,13 +98,38 @@
 	assert.Assert(s.t, history[0].UnixMillis > 0 && history[1].Object.Deleted)
 }
 
+const quotaFile = `[[object]]
+kind = "quota"
+name = "county"
+%s[object.quota]
+requests_per_second = %g
+batch_share = 1.0
+`
+
+// limit sets a quota far below the requests that follow: an entry refuses them,
+// says that they were not run, and when to come again.
+func (s *session) limit() {
+	const perSecond = 0.01
+	s.run(0, "apply", "-f", s.write("quota.toml", fmt.Sprintf(quotaFile, "", perSecond)))
+	en := s.site.Entries[0].Settings
+	var refused *http.Response
+	eventually(s.t, func() bool {
+		req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+en.Process.HTTP+"/services/case-record/1", nil)
+		assert.NilError(s.t, err)
+		req.Header.Set("Authorization", "Bearer "+en.Entry.Callers[0].Key)
+		refused, err = http.DefaultClient.Do(req)
+		assert.NilError(s.t, err)
+		defer func() { _ = refused.Body.Close() }()
+		return refused.StatusCode == http.StatusTooManyRequests && transport.ReadProblem(refused) != nil
+	})
+	wait, err := strconv.Atoi(refused.Header.Get("Retry-After"))
+	assert.NilError(s.t, err)
+	assert.Assert(s.t, wait > 1 && wait <= 200, "Retry-After: %d", wait)
+}
+
 // rollBack changes a quota and goes back: the old content gets a new version,
 // and a change from a stale version is refused.
 func (s *session) rollBack() {
-	quota := func(rate, base string) string {
-		return "[[object]]\nkind = \"quota\"\nname = \"county\"\n" + base + "[object.quota]\nrequests_per_second = " + rate + "\nbatch_share = 1.0\n"
-	}
-	s.run(0, "apply", "-f", s.write("quota.toml", quota("500.0", "")))
 	versions := decode[[]protocol.ObjectVersion](s.t, s.run(0, "history", "quota", "county", "-o", "json"))
 	assert.Equal(s.t, len(versions), 2)
 	first := versions[0].Object.Version
@@ -92,7 +137,7 @@
 	live := decode[[]protocol.Object](s.t, s.run(0, "get", "quota", "county", "-o", "json"))
 	assert.Equal(s.t, live[0].Quota.RequestsPerSecond, 200.0)
 	assert.Assert(s.t, live[0].Version > versions[1].Object.Version)
-	s.run(exitConflict, "apply", "-f", s.write("stale.toml", quota("9.0", "base = 1\n")))
+	s.run(exitConflict, "apply", "-f", s.write("stale.toml", fmt.Sprintf(quotaFile, "base = 1\n", 9.0)))
 	s.run(exitNotRun, "rollback", "quota", "county", "--to", "9999.0")
 	s.run(exitFailed, "rollback", "quota", "county", "--to", "soon")
 }
@@ -140,8 +185,11 @@
 	}
 	chrome := s.run(0, "timeline", "-o", "chrome")
 	assert.Assert(s.t, json.Valid([]byte(chrome)) && contains(`"traceEvents"`, `"missing":["sidecar-1"]`)(chrome))
-	trace := line.Events[len(line.Events)-1].Trace
-	for _, e := range decode[entry.Timeline](s.t, s.run(0, "timeline", "--trace", trace, "-o", "json")).Events {
+	traced := slices.IndexFunc(line.Events, func(e protocol.Event) bool { return e.Name == "request received" })
+	trace := line.Events[traced].Trace
+	ofTrace := decode[entry.Timeline](s.t, s.run(0, "timeline", "--trace", trace, "-o", "json")).Events
+	assert.Assert(s.t, len(ofTrace) > 1)
+	for _, e := range ofTrace {
 		assert.Equal(s.t, e.Trace, trace)
 	}
 	s.run(exitFailed, "timeline", "-o", "xml")
