--- a/cmd/sycamoretally/exit.go
+++ b/cmd/sycamoretally/exit.go
@@ -9,11 +9,11 @@
 
 // The exit codes. docs/API.md lists them for scripts.
 const (
-	// exitFailed is a fault of the command line or of a file, a refused key, or
-	// work that ran and failed.
+	// exitFailed is a fault of the command line or of a file, or work that ran and
+	// failed.
 	exitFailed = 1
-	// exitNotRun means that nothing has happened, and that the command may be
-	// given again.
+	// exitNotRun means that nothing has happened; a refused key and an unknown name
+	// count here too.
 	exitNotRun = 2
 	// exitUnknown means that the command may have taken effect.
 	exitUnknown = 3
