--- a/entry/peer.go
+++ b/entry/peer.go
@@ -39,11 +39,13 @@
 	return nil
 }
 
-// Append appends records to the work stream for a process that does not follow it.
+// Append appends records for a process that does not write to the log itself.
 func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
 	defer cancel()
-	reply.Problem = protocol.ProblemOf(p.e.appendAndFold(ctx, args.Records...))
+	p.e.ring.Clock().Stamp(args.Records)
+	last, err := p.e.streamNamed(args.Stream).appendAt(ctx, args.Records...)
+	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
 	return nil
 }
 
@@ -59,3 +61,10 @@
 	}
 	return nil
 }
+
+func (e *Entry) streamNamed(name string) *stream {
+	if name == protocol.StreamConfig {
+		return &e.conf
+	}
+	return &e.work
+}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -80,8 +80,8 @@
 	defer cancel()
 	begun := time.Now()
 	end, err := e.resolve(ctx, fl, o)
-	if err != nil && errorx.IsOfType(err, protocol.ErrBadRequest) {
-		end, err = e.store(o, failedResult(err)), nil
+	if err != nil && judgedFailed(err) {
+		end, err = e.store(o, judgedResult(err)), nil
 	}
 	if err != nil {
 		end, err = e.confirm(o, err)
--- a/entry/status.go
+++ b/entry/status.go
@@ -17,6 +17,9 @@
 	Targets  []TargetStatus `json:"targets"`
 	Jobs     int            `json:"running_jobs"`
 	Keys     int            `json:"keys"`
+	// Suspects and Quarantined count calls that were in flight at crashes.
+	Suspects    int `json:"suspects"`
+	Quarantined int `json:"quarantined"`
 }
 
 // TargetStatus is one row of the table of targets.
@@ -53,6 +56,7 @@
 		Jobs:     len(e.jobs.Running()),
 		Keys:     e.requests.Len(),
 	}
+	s.Suspects, s.Quarantined = e.quarantine.Counts()
 	for _, t := range e.members.Table().Targets {
 		labels := config.Labels(t.Report.Labels)
 		if !selector.Matches(labels) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,8 @@
 	// MaxAge is the time after which a process that cannot tell whether it is
 	// current counts as not ready.
 	MaxAge Duration `toml:"max_age"`
+	// QuarantineTime is how long a call that crashed targets is refused.
+	QuarantineTime Duration `toml:"quarantine_time"`
 }
 
 // Platform holds the URLs of the platform's services.
@@ -110,6 +112,9 @@
 	Reserve int `toml:"reserve"`
 	// Queue is the number of online requests that may wait for a slot.
 	Queue int `toml:"queue"`
+	// MaxWait is the longest time that online work should wait for a slot; more of
+	// it is refused at once.
+	MaxWait Duration `toml:"max_wait"`
 	// StallTimeout is how long an engine may send nothing of an answer before
 	// the attempt is given up.
 	StallTimeout Duration `toml:"stall_timeout"`
@@ -161,6 +166,7 @@
 	ReportLag   Duration `toml:"report_lag"`
 	ChecksFence bool     `toml:"checks_fence"`
 	RestartTime Duration `toml:"restart_time"`
+	LoadTime    Duration `toml:"load_time"`
 }
 
 // StandInService holds the settings of a plain service's stand-in.
@@ -192,7 +198,7 @@
 // Default returns the values in force where a file is silent.
 func Default() Settings {
 	return Settings{
-		Process:  Process{DrainTimeout: Duration(30 * time.Second), MaxAge: Duration(10 * time.Second)},
+		Process:  Process{DrainTimeout: Duration(30 * time.Second), MaxAge: Duration(10 * time.Second), QuarantineTime: Duration(10 * time.Minute)},
 		Platform: Platform{LogRetention: Duration(24 * time.Hour)},
 		Entry: Entry{
 			MaxBodyBytes: 1 << 20,
@@ -213,6 +219,8 @@
 const (
 	DefaultSlots = 8
 	DefaultQueue = 64
+	// DefaultMaxWait leaves a third of the 0.74 s to the first token for the rest.
+	DefaultMaxWait = Duration(500 * time.Millisecond)
 )
 
 // Load reads the file at path and checks it. The error, of type ErrSettings,
@@ -272,6 +280,9 @@
 	if t.Queue == 0 {
 		t.Queue = DefaultQueue
 	}
+	if t.MaxWait == 0 {
+		t.MaxWait = DefaultMaxWait
+	}
 	if t.StallTimeout == 0 {
 		t.StallTimeout = Duration(protocol.HeartbeatTimeout)
 	}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -79,15 +79,14 @@
 			ContentType: "text/plain; charset=utf-8",
 			Body:        []byte(strings.Join(tokens, "")),
 		}
-	case errorx.IsOfType(err, protocol.ErrBadRequest):
+	case errorx.IsOfType(err, protocol.ErrBadRequest), errorx.IsOfType(err, protocol.ErrQuarantined):
 		finish.Result = &protocol.Result{
 			Outcome:     protocol.OutcomeFailed,
 			Status:      http.StatusUnprocessableEntity,
 			ContentType: "text/plain; charset=utf-8",
 			Body:        []byte(protocol.ProblemOf(err).Detail),
 		}
-	case errorx.IsOfType(err, errPreempted), errorx.IsOfType(err, protocol.ErrBusy),
-		errorx.IsOfType(err, protocol.ErrNotSent), errorx.IsOfType(err, protocol.ErrCancelled):
+	case mayYield(err):
 		finish.Resume = tokens
 	default:
 		finish.Resume = tokens
@@ -110,3 +109,17 @@
 		pause(ctx, appendRetryDelay)
 	}
 }
+
+// mayYield reports whether the item goes back without a failure: what crashes
+// targets is judged by the quarantine.
+func mayYield(err error) bool {
+	for _, kind := range []*errorx.Type{
+		errPreempted, protocol.ErrBusy, protocol.ErrLeaving, protocol.ErrTargetCrashed, protocol.ErrCrashUnstored,
+		protocol.ErrNotSent, protocol.ErrCancelled,
+	} {
+		if errorx.IsOfType(err, kind) {
+			return true
+		}
+	}
+	return false
+}
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -16,8 +16,12 @@
 	reply.Config = p.s.config.Current().At
 	reply.Clock = p.s.ring.Clock().Now()
 	reply.Leaving = p.s.isLeaving()
+	// Without an entry no call gets its permit.
+	permitted := len(p.s.members.Entries()) > 0
 	for _, r := range p.s.runners {
-		reply.Targets = append(reply.Targets, r.report())
+		report := r.report()
+		report.Healthy = report.Healthy && permitted
+		reply.Targets = append(reply.Targets, report)
 	}
 	return nil
 }
@@ -53,3 +57,13 @@
 	*reply = p.s.follower.Serve(p.s.tomb.Context(context.Background()), args)
 	return nil
 }
+
+// Holds says whether an attempt still holds its permit here.
+func (p *peerAPI) Holds(args *protocol.HoldsArgs, reply *protocol.HoldsReply) error {
+	for _, r := range p.s.runners {
+		r.mu.Lock()
+		reply.Held = reply.Held || r.permits[args.Attempt] != nil
+		r.mu.Unlock()
+	}
+	return nil
+}
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
@@ -177,6 +178,12 @@
 	p.group.Go(func() {
 		defer p.s.items.Done()
 		defer cancel()
+		if err == nil {
+			release, err = p.s.enterItem(itemCtx, p.r, i, startBy, release)
+		}
+		if err != nil {
+			klog.InfoS("item not started", "target", p.r.target.Name, "lease", i.attempt.Attempt, "error", err)
+		}
 		if err == nil {
 			if time.Now().Before(startBy) {
 				stop := p.renewals.add(i)
@@ -191,7 +198,7 @@
 
 // note holds up further items after the target failed.
 func (p *puller) note(err error) {
-	if err == nil || !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrTargetFailed) && !errorx.IsOfType(err, protocol.ErrTruncated) {
+	if err == nil || !errorx.IsOfType(err, protocol.ErrTargetCrashed) && !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrTargetFailed) && !errorx.IsOfType(err, protocol.ErrTruncated) {
 		return
 	}
 	p.mu.Lock()
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	slots   *slots.Slots
+	sizes   *sizes
 	waiting map[string]chan struct{}
 	cancels map[string]context.CancelCauseFunc
 	// lost holds attempts that were told to stop and go on at the engine.
@@ -36,27 +37,41 @@
 	leaving bool
 	drained bool
 	// listed reports whether the instance list has this instance as leaving.
-	listed  func() bool
+	listed func() bool
+	// loading is set while the target is out of service to load a model.
+	loading bool
 	healthy bool
 	boot    string
 	seq     uint64
+	// classes and permits hold those of the work that runs or waits.
+	classes map[string]protocol.Class
+	permits map[string]*permit
+	lane    *lane
+	crashes *crashes
 	// freed tells the puller that a slot may have become free.
 	freed chan struct{}
 }
 
-func newRunner(t settings.Target, events func(trace, name string, fields ...string)) *runner {
+func newRunner(t settings.Target, p settings.Policy, events func(trace, name string, fields ...string)) *runner {
 	return &runner{
 		target:  t,
 		engine:  platform.NewEngine(t.URL, time.Duration(t.StallTimeout)),
 		service: platform.NewPlainService(t.URL),
 		events:  events,
-		slots:   slots.New(slots.Params{Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue}),
+		slots: slots.New(slots.Params{
+			Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue, NoPreemption: p.NoPreemption,
+			LongSlots: max(1, t.Slots/2),
+		}),
+		sizes:   newSizes(t, p),
 		waiting: map[string]chan struct{}{},
 		cancels: map[string]context.CancelCauseFunc{},
 		lost:    map[string]bool{},
 		listed:  func() bool { return false },
 		healthy: true,
 		boot:    protocol.NewID(),
+		classes: map[string]protocol.Class{},
+		permits: map[string]*permit{},
+		lane:    newLane(),
 		freed:   make(chan struct{}, 1),
 	}
 }
@@ -112,6 +127,7 @@
 	}
 	r.seq++
 	r.cancels[a.Attempt] = cancel
+	r.classes[a.Attempt] = a.Class
 	granted := closedChannel
 	if decision == slots.Wait {
 		granted = make(chan struct{})
@@ -119,6 +135,9 @@
 		r.slotEvent(timeline.SlotWaiting, a.Attempt)
 	} else {
 		r.slotEvent(timeline.SlotGranted, a.Attempt, "class", string(a.Class))
+		if a.Class == protocol.ClassOnline {
+			r.sizes.started(a.Attempt, time.Now())
+		}
 	}
 	r.apply(effects)
 	return granted, nil
@@ -134,6 +153,13 @@
 	if a.Class == protocol.ClassBatch {
 		return r.slots.ArriveBatch(a.Attempt), slots.Effects{}
 	}
+	long := r.sizes.isLong(a)
+	if a.NoWait && r.slots.MustWait(long) {
+		return slots.Refuse, slots.Effects{}
+	}
+	if long {
+		return r.slots.ArriveLong(a.Attempt)
+	}
 	return r.slots.ArriveOnline(a.Attempt)
 }
 
@@ -143,6 +169,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.cancels, attempt)
+	delete(r.classes, attempt)
 	delete(r.waiting, attempt)
 	if !r.lost[attempt] {
 		r.free(attempt)
@@ -153,6 +180,7 @@
 	r.seq++
 	r.turnAway() // before the slot could go to one of those that wait
 	r.slotEvent(timeline.SlotFreed, attempt)
+	r.slots.SetQueueLimit(r.sizes.ended(attempt, time.Now()))
 	r.apply(r.slots.Done(attempt))
 	signal(r.freed)
 }
@@ -169,6 +197,7 @@
 func (r *runner) apply(e slots.Effects) {
 	for _, id := range e.Start {
 		r.slotEvent(timeline.SlotGranted, id, "class", string(protocol.ClassOnline))
+		r.sizes.started(id, time.Now())
 		close(r.waiting[id])
 		delete(r.waiting, id)
 	}
@@ -176,6 +205,10 @@
 		r.slotEvent(timeline.BatchPreempted, id)
 		r.cancels[id](errPreempted.New("online work needs the slot"))
 	}
+	for _, id := range e.Move {
+		r.slotEvent(timeline.LongMoved, id)
+		r.cancels[id](protocol.ErrMoved.New("shorter work needs the slot"))
+	}
 }
 
 // cancel stops an attempt, if it is here.
@@ -197,7 +230,7 @@
 }
 
 // refusing reports whether the target takes no new work. The lock is held.
-func (r *runner) refusing() bool { return r.leaving || r.drained || r.listed() }
+func (r *runner) refusing() bool { return r.leaving || r.drained || r.loading || r.listed() }
 
 // mayBegin fails with ErrLeaving where the target has begun to leave since the
 // attempt was admitted.
@@ -325,7 +358,10 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
 	defer cancel()
 	if r.target.Type == settings.TargetEngine {
-		_, err := r.engine.Load(ctx)
+		load, err := r.engine.Load(ctx)
+		if err == nil {
+			r.crashes.observe(load.Boot)
+		}
 		return err
 	}
 	u, err := url.Parse(r.target.URL)
@@ -340,6 +376,39 @@
 	return conn.Close()
 }
 
+// targetBoot returns the target's boot identity, empty for a target that tells none.
+// It fails where the target is down.
+func (r *runner) targetBoot(ctx context.Context) (string, error) {
+	if r.target.Type != settings.TargetEngine {
+		return "", r.probe(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
+	defer cancel()
+	load, err := r.engine.Load(ctx)
+	return load.Boot, err
+}
+
+// do runs a call of a plain service.
+func (r *runner) do(ctx context.Context, a *protocol.AttemptRequest, repeatable bool) (protocol.Result, error) {
+	r.sent(a)
+	result, err := r.service.Do(ctx, a.Key, &a.Call, repeatable)
+	return result, r.ended(ctx, a, err)
+}
+
+// generate runs a model call and passes each token to sink.
+func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
+	r.sent(a)
+	tokens := len(a.Resume)
+	err := r.generateOnce(ctx, a, func(token string) error {
+		tokens++
+		return sink(token)
+	})
+	if err == nil && a.Class == protocol.ClassOnline {
+		r.sizes.answered(a, tokens)
+	}
+	return r.ended(ctx, a, err)
+}
+
 // watchList turns waiting attempts away once the instance list has this
 // instance as leaving.
 func (r *runner) watchList() {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	ReportLag time.Duration
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
+	// LoadTime is how long an order to load takes.
+	LoadTime time.Duration
 	// RestartTime is how long the engine is down after a crash.
 	RestartTime time.Duration
 }
@@ -71,6 +74,7 @@
 	faults    Faults
 	slow      float64
 	downUntil time.Time
+	boot      int
 	down      chan struct{}
 	active    map[string]context.CancelFunc
 	waiting   int
@@ -145,6 +149,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.downUntil = time.Now().Add(e.params.RestartTime)
+	e.boot++
 	close(e.down)
 	e.down = make(chan struct{})
 }
@@ -244,7 +249,29 @@
 	}
 }
 
-func (e *Engine) order(o platform.Order) error {
+// order loads a model. A crash meanwhile loses the order.
+func (e *Engine) order(ctx context.Context, o platform.Order) error {
+	if err := e.checkFence(o); err != nil {
+		return err
+	}
+	crashed := e.crashed()
+	if !e.sleep(context.WithoutCancel(ctx), e.params.LoadTime) || isClosed(crashed) {
+		return protocol.ErrTargetFailed.New("crashed while loading")
+	}
+	return e.loaded(o)
+}
+
+func (e *Engine) checkFence(o platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.params.ChecksFence && o.Fence < e.fence {
+		return protocol.ErrVersion.New("fencing number %d, have seen %d", o.Fence, e.fence)
+	}
+	e.fence = max(e.fence, o.Fence)
+	return nil
+}
+
+func (e *Engine) loaded(o platform.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.params.ChecksFence && o.Fence < e.fence {
@@ -277,7 +304,9 @@
 		}
 	}
 	e.reports = e.reports[old:]
-	return e.reports[0].load
+	load := e.reports[0].load
+	load.Boot = strconv.Itoa(e.boot)
+	return load
 }
 
 // CacheTokens returns how many prompt tokens were found in the prefix cache, and
