Record the sending of an attempt at the clock that the sidecar observes

Cause: the attempt carried one value of the clock and the event "attempt sent" took a later one. Another goroutine's events between the two put the sidecar's "slot granted" before its cause.

Change: the event has the attempt's own clock.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -194,7 +194,8 @@
 		Coordinator:    e.settings.Process.Peer,
 		Clock:          e.ring.Clock().Now(),
 	}
-	e.ring.Add(o.trace, "attempt sent", "attempt", a.Attempt, "target", t.Name)
+	// The sidecar observes the clock of the attempt, not that of a later event.
+	e.ring.AddAt(a.Clock, o.trace, "attempt sent", "attempt", a.Attempt, "target", t.Name)
 	return a
 }
 
