Show the slots of a trace's attempts in its time line

Change: events without the trace that name one of its attempts in the same process are shown with it. With the ring as before TestEventsOfATrace fails; with the change it passes.

--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -75,9 +75,10 @@
 	r.mu.Lock()
 	all := slices.Clone(r.events)
 	r.mu.Unlock()
+	attempts := attemptsOf(all, args.Trace)
 	found := all[:0]
 	for _, e := range all {
-		if args.Trace != "" && e.Trace != args.Trace {
+		if args.Trace != "" && e.Trace != args.Trace && !attempts[e.Fields[fieldAttempt]] {
 			continue
 		}
 		if WallMillis(e.Clock) >= args.SinceUnixMillis {
@@ -90,3 +91,26 @@
 	}
 	return found, false
 }
+
+// Fields that name an attempt. The lease of a batch item is its attempt.
+const (
+	fieldAttempt = "attempt"
+	fieldLease   = "lease"
+)
+
+// attemptsOf returns the attempts of a trace: events of a target's slots name
+// only these.
+func attemptsOf(events []protocol.Event, trace string) map[string]bool {
+	attempts := map[string]bool{}
+	for _, e := range events {
+		if trace == "" || e.Trace != trace {
+			continue
+		}
+		for _, field := range []string{fieldAttempt, fieldLease} {
+			if id := e.Fields[field]; id != "" {
+				attempts[id] = true
+			}
+		}
+	}
+	return attempts
+}
--- a/timeline/ring_test.go
+++ b/timeline/ring_test.go
@@ -74,3 +74,24 @@
 	assert.Equal(t, len(none), 0)
 	assert.Assert(t, !cut)
 }
+
+// TestEventsOfATrace checks that a trace has the events of its attempts' slots,
+// and none of others.
+func TestEventsOfATrace(t *testing.T) {
+	r := NewRing("a", NewClock(time.Now), 16)
+	r.Add("", SlotWaiting, "attempt", "1", "target", "x")
+	r.Add("t", "attempt admitted", "attempt", "1")
+	r.Add("", SlotGranted, "attempt", "2")
+	r.Add("u", "attempt admitted", "attempt", "2")
+	r.Add("", SlotGranted, "attempt", "3")
+	r.Add("t", "item started", "lease", "3")
+	r.Add("", "leaving")
+	events, _ := r.Events(protocol.EventsArgs{Trace: "t"})
+	var names []string
+	for _, e := range events {
+		names = append(names, e.Name)
+	}
+	assert.DeepEqual(t, names, []string{SlotWaiting, "attempt admitted", SlotGranted, "item started"})
+	none, _ := r.Events(protocol.EventsArgs{Trace: "none"})
+	assert.Equal(t, len(none), 0)
+}
