--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
@@ -36,88 +35,6 @@
 	return path, nil
 }
 
-// Process is one process of a site.
-type Process struct {
-	Settings settings.Settings
-	args     []string
-	path     string
-	binary   string
-
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	log  bytes.Buffer
-	done chan struct{}
-}
-
-// Start starts the process, again after it has ended.
-func (p *Process) Start() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	cmd := exec.Command(p.binary, append(p.args, "--config", p.path)...)
-	cmd.Stdout, cmd.Stderr = &lockedBuffer{p}, &lockedBuffer{p}
-	if err := cmd.Start(); err != nil {
-		return ErrProcess.Wrap(err, "start %s", p.path)
-	}
-	p.cmd, p.done = cmd, make(chan struct{})
-	go func(done chan struct{}) {
-		_ = cmd.Wait()
-		close(done)
-	}(p.done)
-	return nil
-}
-
-// lockedBuffer writes to the process's log.
-type lockedBuffer struct{ p *Process }
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(data []byte) (int, error) {
-	b.p.mu.Lock()
-	defer b.p.mu.Unlock()
-	return b.p.log.Write(data)
-}
-
-// Log returns what the process has written so far.
-func (p *Process) Log() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.String()
-}
-
-// Signal sends a signal to the process.
-func (p *Process) Signal(sig syscall.Signal) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.cmd.Process.Signal(sig); err != nil {
-		return ErrProcess.Wrap(err, "signal %v", sig)
-	}
-	return nil
-}
-
-// Wait waits until the process has ended and returns its exit code.
-func (p *Process) Wait(limit time.Duration) (int, error) {
-	p.mu.Lock()
-	done, cmd := p.done, p.cmd
-	p.mu.Unlock()
-	select {
-	case <-done:
-		return cmd.ProcessState.ExitCode(), nil
-	case <-time.After(limit):
-		return 0, ErrProcess.New("%s has not ended", p.path)
-	}
-}
-
-// Kill ends the process at once and waits for its end.
-func (p *Process) Kill() error {
-	if err := p.Signal(syscall.SIGKILL); err != nil {
-		return err
-	}
-	_, err := p.Wait(waitLimit)
-	return err
-}
-
-// waitLimit bounds the wait for a process to end or to answer.
-const waitLimit = 10 * time.Second
-
 // Site is a running site of separate processes.
 type Site struct {
 	Log      *Process
