--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/logcache"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
 	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
+	"github.com/sycamoretally/sycamoretally/coordination/quota"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -34,6 +35,8 @@
 	Instances platform.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
+	// Now is the wall clock of the time line; nil means time.Now.
+	Now func() time.Time
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -71,6 +74,7 @@
 	log       platform.Log
 	callers   map[string]string
 	policy    *policy
+	quotas    *quota.Limiter
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -82,7 +86,11 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
-	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	now := p.Now
+	if now == nil {
+		now = time.Now
+	}
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(now), timeline.DefaultRingSize)
 	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
 		settings:   s,
@@ -103,6 +111,7 @@
 		log:        p.Log,
 		callers:    map[string]string{},
 		policy:     newPolicy(s.Policy),
+		quotas:     quota.New(time.Now),
 		leaving:    make(chan struct{}),
 	}
 	if p.Dial != nil {
@@ -133,6 +142,8 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	// First: what the other folds wake may record events at once.
+	folds = append([]follow.Fold{timeline.Watch{Clock: e.ring.Clock()}}, folds...)
 	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
 	e.metrics.registry.MustRegister(follower.Metrics()...)
 	return stream{
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -21,7 +21,7 @@
 
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
-	reply.Events = p.e.ring.Events(*args)
+	reply.Events, reply.Cut = p.e.ring.Events(*args)
 	return nil
 }
 
@@ -43,6 +43,7 @@
 func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
 	defer cancel()
+	p.e.ring.Clock().Stamp(args.Records)
 	last, err := p.e.streamNamed(args.Stream).appendAt(ctx, args.Records...)
 	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
 	return nil
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -18,6 +18,9 @@
 type Record struct {
 	// ID is unique to the record and the same in every append that retries it.
 	ID string `msgpack:"i"`
+	// Clock is the hybrid logical time at which its process made the record, for
+	// the time line alone.
+	Clock uint64 `msgpack:"hc,omitempty"`
 
 	Change   *Change          `msgpack:"cc,omitempty"`
 	Accept   *RequestAccept   `msgpack:"ra,omitempty"`
@@ -63,8 +66,11 @@
 // Change sets or deletes configuration objects, all or none.
 type Change struct {
 	// By names the operator.
-	By      string   `msgpack:"b"`
-	Objects []Object `msgpack:"o"`
+	By string `msgpack:"b"`
+	// UnixMillis is when the entry took the change, in milliseconds since the
+	// epoch, by its own clock. It is shown to operators and decides nothing.
+	UnixMillis int64    `msgpack:"t,omitempty"`
+	Objects    []Object `msgpack:"o"`
 }
 
 // RequestAccept makes an asynchronous request durable before its receipt.
--- a/state/config.go
+++ b/state/config.go
@@ -53,6 +53,12 @@
 	return o.Service
 }
 
+// Quota returns the quota of a workspace, nil where there is none.
+func (c *Config) Quota(workspace string) *protocol.Quota {
+	o, _ := c.Lookup(protocol.KindQuota, workspace)
+	return o.Quota
+}
+
 // Labels returns a target's own labels with those of all matching label objects
 // set over them, in order of the objects' names.
 func (c *Config) Labels(own protocol.Labels) protocol.Labels {
@@ -82,11 +88,12 @@
 
 	mu       sync.Mutex
 	verdicts *verdicts
+	versions *versions
 }
 
 // NewConfigFold returns a fold without objects.
 func NewConfigFold() *ConfigFold {
-	f := &ConfigFold{verdicts: newVerdicts(maxVerdicts)}
+	f := &ConfigFold{verdicts: newVerdicts(maxVerdicts), versions: newVersions()}
 	f.current.Store(&Config{objects: map[objectID]protocol.Object{}})
 	return f
 }
@@ -110,6 +117,7 @@
 		f.verdicts.add(rec.ID, Verdict{Known: true, At: pos, Err: err})
 		if err == nil {
 			next.set(pos, rec.Change)
+			f.versions.add(pos, rec.Change)
 		}
 	}
 	f.current.Store(&next)
