Let each entry watch a subset of the targets

Cause: every entry asked every process twice a second, so its work grew with the fleet. subset.go chose a subset and nothing used it.

Change: beyond 4 entries an entry asks in every round only the sidecars that rendezvous hashing gives it (each sidecar has 4 watchers), and as many more as make 8 usable ones of each service; a watched one that is silent, unhealthy or leaving does not count, and another takes its place in the next round. The other sidecars are asked by turns (8 a second) for what they serve, the entries by turns (16 a second; a sidecar asks 2). A sidecar whose answers have just brought its reports is not asked. A question names the report that the entry has, and an equal report comes back without its targets. Up to 4 entries all are asked in every round, as before.

Weighed for learning what an unwatched sidecar serves: announcements in the configuration stream (state/directory.go), which add an append to each start and fail in an outage, or the slow turn of questions. The turn needs no log; it keeps a connection to every sidecar. The announcements stay unused.

Cost of the slower view of entries: at 275 entries the death of one is noticed after at most 17 s of turns and the silence limit, where the instance list does not show it before. Who owns a key only saves double work.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -22,7 +22,9 @@
 
 // Reporter asks a process for its report.
 type Reporter interface {
-	Report(ctx context.Context, peer string) (protocol.ReportReply, error)
+	// Report asks the process at a peer address. Where the process's report is
+	// the one that mark names, the reply has no targets.
+	Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error)
 }
 
 // Params configure a manager.
@@ -38,6 +40,13 @@
 	SilenceLimit time.Duration
 	// Polls says which roles this process asks for reports; nil stands for all.
 	Polls func(platform.Role) bool
+	// Services returns a function that tells which services a target with the
+	// labels can run. Where there are many entries, each watches some targets of
+	// every service; nil stands for no services.
+	Services func() func(protocol.Labels) []string
+	// EntryRate is the number of questions to entries a second at most, where
+	// there are more than Coverage entries.
+	EntryRate float64
 }
 
 // The defaults of Params.
@@ -65,24 +74,7 @@
 	published chan struct{}
 	// read is true once the instance list has been read.
 	read bool
-}
-
-type member struct {
-	instance platform.Instance
-	heard    time.Time
-	leaving  bool
-	polling  bool
-	// polled is true once a question to the process has ended.
-	polled bool
-	// reachable is what the published table says.
-	reachable bool
-	reports   map[string]*report
-}
-
-// report is the newest report of one target.
-type report struct {
-	protocol.TargetReport
-	inFlight *atomic.Int64
+	plan plan
 }
 
 // New returns a manager with an empty table. Run starts it.
@@ -93,6 +85,9 @@
 	if p.SilenceLimit <= 0 {
 		p.SilenceLimit = DefaultSilenceLimit
 	}
+	if p.EntryRate <= 0 {
+		p.EntryRate = DefaultEntryRate
+	}
 	if p.Polls == nil {
 		p.Polls = func(platform.Role) bool { return true }
 	}
@@ -115,7 +110,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.members {
-		if !s.polled && s.instance.Name != m.params.Self && m.params.Polls(s.instance.Role) {
+		if !s.polled && m.asks(s) && !m.surveyed(s) {
 			return false
 		}
 	}
@@ -147,7 +142,7 @@
 		return true
 	}
 	other := m.members[name]
-	return other != nil && !other.leaving && time.Since(other.heard) <= m.params.SilenceLimit
+	return other != nil && !other.leaving && m.reachable(other)
 }
 
 // Instances returns every row of the instance list.
@@ -187,29 +182,6 @@
 	}
 }
 
-// pollAll asks each process for its report, unless an earlier question to it is
-// still open, and marks those that have been silent for too long.
-func (m *Manager) pollAll(ctx context.Context, polls *sync.WaitGroup) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	silent := false
-	for _, s := range m.members {
-		silent = silent || s.reachable != m.reachable(s)
-		if s.polling || s.instance.Name == m.params.Self || !m.params.Polls(s.instance.Role) {
-			continue
-		}
-		s.polling = true
-		polls.Go(func() { m.poll(ctx, s) })
-	}
-	if silent {
-		m.publish()
-	}
-}
-
-func (m *Manager) reachable(s *member) bool {
-	return time.Since(s.heard) <= m.params.SilenceLimit
-}
-
 func (m *Manager) setInstances(instances []platform.Instance) {
 	m.mu.Lock()
 	m.read = true
@@ -221,6 +193,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.plan.outdated = true
 	m.rows.Store(&rows)
 	listed := map[string]bool{}
 	for _, i := range rows {
@@ -238,37 +211,6 @@
 	m.publish()
 }
 
-func (m *Manager) poll(ctx context.Context, s *member) {
-	m.mu.Lock()
-	peer := s.instance.Peer
-	m.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, m.params.SilenceLimit)
-	defer cancel()
-	reply, err := m.params.Reporter.Report(callCtx, peer)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s.polling, s.polled = false, true
-	if err != nil {
-		return
-	}
-	s.heard = time.Now()
-	changed := s.replace(reply.Targets)
-	if s.leaving != reply.Leaving || !s.reachable {
-		changed = stateChanged
-	}
-	s.leaving = reply.Leaving
-	m.spread(changed)
-}
-
-// change says how much a report differs from the one before.
-type change int
-
-const (
-	unchanged change = iota
-	loadChanged
-	stateChanged
-)
-
 // spread publishes a change: at once where a target's state has changed, and
 // soon where only its load has, so that at high rates one table serves many
 // reports. The lock is held.
@@ -299,6 +241,9 @@
 	if old == nil || old.Boot != r.Boot || old.Seq >= r.Seq {
 		return // a late answer, perhaps of a process that was replaced
 	}
+	if m.plan.crowded {
+		s.heard = time.Now()
+	}
 	m.spread(s.add(*r))
 }
 
@@ -325,52 +270,14 @@
 	}
 }
 
-// replace takes the reports of all targets of a process.
-func (s *member) replace(reports []protocol.TargetReport) change {
-	most := unchanged
-	named := map[string]bool{}
-	for _, r := range reports {
-		named[r.Target] = true
-		old := s.reports[r.Target]
-		if old != nil && old.Boot == r.Boot && old.Seq > r.Seq {
-			continue
-		}
-		most = max(most, s.add(r))
-	}
-	for target := range s.reports {
-		if !named[target] {
-			delete(s.reports, target)
-			most = stateChanged
-		}
-	}
-	return most
-}
-
-// add takes one report.
-func (s *member) add(r protocol.TargetReport) change {
-	old := s.reports[r.Target]
-	if old == nil {
-		s.reports[r.Target] = &report{TargetReport: r, inFlight: &atomic.Int64{}}
-		return stateChanged
-	}
-	before := old.TargetReport
-	old.TargetReport = r
-	switch {
-	case before.Boot != r.Boot, before.Leaving != r.Leaving, before.Healthy != r.Healthy,
-		before.Slots != r.Slots, !maps.Equal(before.Labels, r.Labels):
-		return stateChanged
-	case before.Online != r.Online, before.Batch != r.Batch, before.Queued != r.Queued, before.Lost != r.Lost:
-		return loadChanged
-	default:
-		return unchanged
-	}
-}
-
 // publish builds a new table from the sidecars' latest reports. The lock is held.
 func (m *Manager) publish() {
 	table := &routing.Table{}
 	for _, s := range m.members {
 		s.reachable = m.reachable(s)
+		if m.surveyed(s) {
+			continue
+		}
 		for _, r := range s.reports {
 			table.Targets = append(table.Targets, s.target(r))
 		}
@@ -382,17 +289,3 @@
 	close(m.published)
 	m.published = make(chan struct{})
 }
-
-func (s *member) target(r *report) *routing.Target {
-	return &routing.Target{
-		Name:       r.Target,
-		Instance:   s.instance.Name,
-		DataCentre: s.instance.DataCentre,
-		HTTP:       s.instance.HTTP,
-		Peer:       s.instance.Peer,
-		Report:     r.TargetReport,
-		Reachable:  s.reachable,
-		Leaving:    s.instance.Leaving || s.leaving,
-		InFlight:   r.inFlight,
-	}
-}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -42,7 +42,7 @@
 }
 
 // Report implements Reporter.
-func (f *fakeFleet) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+func (f *fakeFleet) Report(ctx context.Context, peer string, _ uint64) (protocol.ReportReply, error) {
 	f.mu.Lock()
 	hangs, reply := f.hang[peer], f.reports[peer]
 	f.mu.Unlock()
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -123,6 +123,11 @@
 	}
 }
 
+// serviceMatcher returns a function that tells the services of a target.
+func (e *Entry) serviceMatcher() func(protocol.Labels) []string {
+	return e.config.Current().ServicesOf
+}
+
 // servedBy tells which services a target with the labels can run.
 func (e *Entry) servedBy(own protocol.Labels) func(service string) bool {
 	config := e.config.Current()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,7 +111,9 @@
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.moved, forget, jobWatch{e})
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
+	e.members = membership.New(membership.Params{
+		Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}, Services: e.serviceMatcher,
+	})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
 	return e, e.listen()
@@ -252,9 +254,9 @@
 }
 
 // Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
 	r.clock.Observe(reply.Clock)
 	return reply, err
 }
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -39,6 +39,8 @@
 // ReportArgs asks a process how it is.
 type ReportArgs struct {
 	Clock uint64
+	// Mark is that of the report which the asking process has; zero for none.
+	Mark uint64
 }
 
 // ReportReply is the answer to ReportArgs. An entry has no targets.
@@ -47,6 +49,9 @@
 	// Leaving is true once the process takes no new work.
 	Leaving bool
 	Targets []TargetReport
+	// Mark names what Leaving and Targets say. Targets is empty where Mark is
+	// the one asked with.
+	Mark uint64
 	// Config is the position up to which the process has folded configuration.
 	Config Position
 	Clock  uint64
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -19,6 +19,7 @@
 	for _, r := range p.s.runners {
 		reply.Targets = append(reply.Targets, r.report())
 	}
+	reply.Shorten(args.Mark)
 	return nil
 }
 
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -10,6 +10,10 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// entryRate bounds the questions to entries a second: a sidecar only needs some
+// entry that answers.
+const entryRate = 2
+
 const (
 	// watchWait is how long an entry may hold a call that waits for items.
 	watchWait = 30 * time.Second
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -91,10 +91,11 @@
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{
-		Self:     s.Process.Instance,
-		List:     p.Instances,
-		Reporter: reporter{sc.peers, ring.Clock()},
-		Polls:    func(role platform.Role) bool { return role == platform.RoleEntry },
+		Self:      s.Process.Instance,
+		List:      p.Instances,
+		Reporter:  reporter{sc.peers, ring.Clock()},
+		Polls:     func(role platform.Role) bool { return role == platform.RoleEntry },
+		EntryRate: entryRate,
 	})
 	for _, r := range sc.runners {
 		r.listed = sc.members.ListedLeaving
@@ -258,9 +259,9 @@
 }
 
 // Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
 	r.clock.Observe(reply.Clock)
 	return reply, err
 }
--- a/state/config.go
+++ b/state/config.go
@@ -23,6 +23,8 @@
 	objects map[objectID]protocol.Object
 	labels  []protocol.Object
 	drains  []protocol.Object
+	// services holds the services in force.
+	services []protocol.Object
 }
 
 // Lookup returns the object of the kind with the name, also a deleted one.
@@ -68,6 +70,22 @@
 	return labels
 }
 
+// ServicesOf returns the names of the services that a target with its own labels
+// can run.
+func (c *Config) ServicesOf(own protocol.Labels) []string {
+	labels := c.Labels(own)
+	if c.Drained(labels) {
+		return nil
+	}
+	var names []string
+	for _, o := range c.services {
+		if o.Service.Selector.Matches(labels) {
+			names = append(names, o.Name)
+		}
+	}
+	return names
+}
+
 // Drained reports whether a drain selects a target with these effective labels.
 func (c *Config) Drained(labels protocol.Labels) bool {
 	return slices.ContainsFunc(c.drains, func(o protocol.Object) bool {
@@ -148,9 +166,11 @@
 
 // derive sorts the label and drain objects that are in force.
 func (c *Config) derive() {
-	c.labels, c.drains = nil, nil
+	c.labels, c.drains, c.services = nil, nil, nil
 	for _, o := range c.Objects() {
 		switch o.Kind {
+		case protocol.KindService:
+			c.services = append(c.services, o)
 		case protocol.KindLabel:
 			c.labels = append(c.labels, o)
 		case protocol.KindDrain:
