Let a follower's staleness come through its peers

Cause: only a process's own reads of the log moved Staleness, so an entry that follows through peers never handed out batch items. All entries therefore read the work stream from the log itself.

Change: an answer to a peer carries how long ago the log proved that peer current (rounded up, over all processes between) and how long it held the question (rounded down, taken before the ages are counted). The asking process adds its own elapsed time; no wall clocks are compared. An answer to a wait that ends without entries is made at its end and not at its start.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -196,9 +196,7 @@
 	f.count(page.Entries)
 	if f.take(page.Entries) >= page.Next {
 		f.setCurrent(begun)
-		f.mu.Lock()
-		f.proven = begun
-		f.mu.Unlock()
+		f.setProven(begun)
 	}
 	return nil
 }
@@ -270,6 +268,13 @@
 	}
 }
 
+// setProven records that the log proved the follower current at a time.
+func (f *Follower) setProven(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proven = latest(f.proven, at)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -314,8 +319,8 @@
 }
 
 // Staleness bounds the age of what the fold may lack: it holds everything that
-// was appended before that long ago, as this process's own reads of the log
-// proved, also after a pause of the process.
+// was appended before that long ago, as reads of the log proved, its own or those
+// of the peers that it reads from, also after a pause of the process.
 func (f *Follower) Staleness() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/follow/peers.go
+++ b/coordination/follow/peers.go
@@ -96,6 +96,9 @@
 	if age, known := reply.Age(); known && level {
 		f.setCurrent(begun.Add(-age))
 	}
+	if age, known := reply.Proven(); known && level {
+		f.setProven(begun.Add(-age))
+	}
 	return level
 }
 
@@ -123,6 +126,7 @@
 // Serve answers a peer's read: with the entries that follow on, waiting for the
 // first one, or with a snapshot where they are no longer kept.
 func (f *Follower) Serve(ctx context.Context, args *protocol.ReadLogArgs) protocol.ReadLogReply {
+	begun := time.Now()
 	deadline := time.NewTimer(time.Duration(args.WaitMillis) * time.Millisecond)
 	defer deadline.Stop()
 	for {
@@ -133,6 +137,9 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
+			held := time.Since(begun) // before the ages are counted
+			reply, _ = f.reply(args)
+			reply.HeldMillis = held.Milliseconds()
 			return reply
 		case <-ctx.Done():
 			return reply
@@ -143,7 +150,7 @@
 func (f *Follower) reply(args *protocol.ReadLogArgs) (protocol.ReadLogReply, chan struct{}) {
 	f.mu.Lock()
 	next, changed := f.next, f.changed
-	reply := protocol.ReadLogReply{Next: next, AgeMillis: f.ageMillis()}
+	reply := protocol.ReadLogReply{Next: next, AgeMillis: f.ageMillis(), ProvenMillis: f.provenMillis()}
 	entries, kept := f.recent.from(args.From, next, args.Limit)
 	for _, e := range entries {
 		reply.Entries = append(reply.Entries, protocol.RawEntry{Offset: e.Offset, Data: e.Data})
@@ -166,6 +173,14 @@
 	return time.Since(f.current).Milliseconds()
 }
 
+// provenMillis needs the lock.
+func (f *Follower) provenMillis() int64 {
+	if f.proven.IsZero() {
+		return 0
+	}
+	return time.Since(f.proven).Milliseconds() + 1
+}
+
 func (f *Follower) snapshotReply(reply protocol.ReadLogReply) protocol.ReadLogReply {
 	reply.Entries = nil
 	snapshot, err := f.Snapshot()
--- a/protocol/readlog.go
+++ b/protocol/readlog.go
@@ -31,10 +31,22 @@
 	// AgeMillis is how long ago the process last knew that it was current, in
 	// milliseconds; negative where it never was.
 	AgeMillis int64
-	Problem   *Problem
+	// ProvenMillis is how long ago the log itself proved the process current, in
+	// milliseconds rounded up, over all processes between; zero where it never did.
+	ProvenMillis int64
+	// HeldMillis is how long the process held the question before it counted the
+	// ages, in milliseconds rounded down.
+	HeldMillis int64
+	Problem      *Problem
 }
 
 // Age gives how long ago the peer was current, and whether it ever was.
 func (r *ReadLogReply) Age() (time.Duration, bool) {
 	return time.Duration(r.AgeMillis) * time.Millisecond, r.AgeMillis >= 0
 }
+
+// Proven gives how long before the question was sent the log proved the peer
+// current, and whether it ever did. It is negative where that was later.
+func (r *ReadLogReply) Proven() (time.Duration, bool) {
+	return time.Duration(r.ProvenMillis-r.HeldMillis) * time.Millisecond, r.ProvenMillis > 0
+}
