Hand records to a gatherer of the data centre

Cause: each entry appends for itself, so the appends a second grow with the entries, against several hundred for the whole system.

Change: from 5 live entries on, an entry's writer hands its groups to the entry of its data centre that rendezvous hashing names, to the next one where that certainly has not appended, and to the log itself where neither does. A lost answer is followed by an append of its own: a fold counts a record once. Where that fails too, the outcome stays unknown. A gatherer never hands on. Who gathers decides only the number of appends. The work stream is again read from the log by few (4 entries in a data centre).

--- a/coordination/commit/commit.go
+++ b/coordination/commit/commit.go
@@ -26,6 +26,10 @@
 	AppendTimeout time.Duration
 	// Retries is how often an append whose answer was lost is sent again.
 	Retries int
+	// Hand gives records to another process that appends them; nil stands for
+	// none. It fails with ErrNotSent where no other process will append them, and
+	// with ErrAnswerLost where that is not known.
+	Hand func(ctx context.Context, records []protocol.Record) (protocol.Position, error)
 	// Observe is told of every append that took effect; it may be nil.
 	Observe func(records, bytes int)
 }
@@ -52,6 +56,8 @@
 type pending struct {
 	records []protocol.Record
 	done    chan result
+	// here is set where the records must not be handed on.
+	here bool
 }
 
 type result struct {
@@ -77,7 +83,16 @@
 // last one. It fails with ErrLogUnavailable where none was or will be added,
 // and with ErrAnswerLost where that is not known.
 func (w *Writer) Append(ctx context.Context, records ...protocol.Record) (protocol.Position, error) {
-	p := &pending{records: records, done: make(chan result, 1)}
+	return w.enqueue(ctx, &pending{records: records, done: make(chan result, 1)})
+}
+
+// AppendHere is Append for records that another process has handed over: this
+// one appends them itself, so that none are handed round.
+func (w *Writer) AppendHere(ctx context.Context, records ...protocol.Record) (protocol.Position, error) {
+	return w.enqueue(ctx, &pending{records: records, done: make(chan result, 1), here: true})
+}
+
+func (w *Writer) enqueue(ctx context.Context, p *pending) (protocol.Position, error) {
 	select {
 	case w.queue <- p:
 	case <-ctx.Done():
@@ -147,21 +162,45 @@
 
 func (w *Writer) commit(group []*pending) {
 	var all []protocol.Record
+	here := w.params.Hand == nil
 	for _, p := range group {
 		all = append(all, p.records...)
+		here = here || p.here
 	}
-	offset, err := w.append(all)
-	index := -1
+	last, err := w.store(all, here)
+	index := last.Index() - len(all)
 	for _, p := range group {
 		index += len(p.records)
 		r := result{err: err}
 		if err == nil {
-			r.last = protocol.PositionAt(offset, index)
+			r.last = protocol.PositionAt(last.Offset(), index)
 		}
 		p.done <- r
 	}
 }
 
+// store hands records to another process, or appends them where none takes them.
+// Where it is not known whether another did, they are appended again.
+func (w *Writer) store(records []protocol.Record, here bool) (protocol.Position, error) {
+	var handErr error
+	if !here {
+		ctx, cancel := context.WithTimeout(context.Background(), w.params.AppendTimeout)
+		defer cancel()
+		var last protocol.Position
+		if last, handErr = w.params.Hand(ctx, records); handErr == nil {
+			return last, nil
+		}
+	}
+	offset, err := w.append(records)
+	if err == nil {
+		return protocol.PositionAt(offset, len(records)-1), nil
+	}
+	if errorx.IsOfType(handErr, protocol.ErrAnswerLost) {
+		return 0, handErr
+	}
+	return 0, err
+}
+
 // append sends one entry, again where its answer was lost: a fold counts a
 // record that stands in the log twice once.
 func (w *Writer) append(records []protocol.Record) (uint64, error) {
--- /dev/null
+++ b/coordination/commit/gatherers.go
@@ -0,0 +1,105 @@
+package commit
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+const (
+	// GatherersPerDataCentre is the number of entries in a data centre that append
+	// for the others.
+	GatherersPerDataCentre = 1
+	// GatherFrom is the number of live entries from which on records are handed to
+	// gatherers. Fewer append themselves.
+	GatherFrom = 5
+	// maxTries bounds the entries that are asked to append the same records.
+	maxTries = 2
+)
+
+// Gatherers hands records to a few entries of the own data centre, which append
+// those of many in one entry of the log. Who gathers decides nothing but the
+// number of appends: any process may append any record.
+type Gatherers struct {
+	Self       string
+	DataCentre string
+	Stream     string
+	// Entries returns the live entries.
+	Entries func() []platform.Instance
+	// Call asks the process at a peer address to append records.
+	Call func(ctx context.Context, addr string, args protocol.GatherArgs) (protocol.GatherReply, error)
+}
+
+// Hand hands records to a gatherer. It fails with ErrNotSent where this process
+// is to append them itself, and with ErrAnswerLost where a gatherer may have.
+func (g *Gatherers) Hand(ctx context.Context, records []protocol.Record) (protocol.Position, error) {
+	chosen := g.chosen()
+	if len(chosen) == 0 {
+		return 0, errByItself()
+	}
+	data, err := protocol.EncodeBatch(records)
+	if err != nil {
+		return 0, err
+	}
+	for _, to := range chosen {
+		if to.Name == g.Self {
+			break
+		}
+		reply, err := g.Call(ctx, to.Peer, protocol.GatherArgs{Stream: g.Stream, Data: data})
+		if err == nil {
+			err = reply.Problem.Err()
+		}
+		if err == nil {
+			return reply.Last, nil
+		}
+		if !surelyNotAppended(err) {
+			return 0, protocol.ErrAnswerLost.Wrap(err, "records handed to %s", to.Name)
+		}
+	}
+	return 0, errByItself()
+}
+
+func errByItself() error { return protocol.ErrNotSent.New("this process appends by itself") }
+
+// surelyNotAppended reports whether an error of a gatherer says that it has not
+// appended the records and will not.
+func surelyNotAppended(err error) bool {
+	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLogUnavailable) ||
+		errorx.IsOfType(err, protocol.ErrLeaving)
+}
+
+// chosen returns the gatherer for this process, and the one to try after it. It
+// returns none where there are few entries or this process is a gatherer.
+func (g *Gatherers) chosen() []platform.Instance {
+	live := g.Entries()
+	if len(live) < GatherFrom {
+		return nil
+	}
+	var here []platform.Instance
+	for _, i := range live {
+		if i.DataCentre == g.DataCentre {
+			here = append(here, i)
+		}
+	}
+	sortByScore(here, g.Stream)
+	place := slices.IndexFunc(here, func(i platform.Instance) bool { return i.Name == g.Self })
+	if place >= 0 && place < GatherersPerDataCentre {
+		return nil
+	}
+	return here[:min(maxTries, len(here))]
+}
+
+func sortByScore(all []platform.Instance, key string) {
+	score := func(i platform.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
+	slices.SortFunc(all, func(a, b platform.Instance) int {
+		if score(a) > score(b) {
+			return -1
+		}
+		return 1
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,10 +131,11 @@
 	}
 	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
 	e.metrics.registry.MustRegister(follower.Metrics()...)
-	return stream{
-		follower: follower,
-		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
+	params := commit.Params{Stream: name, Log: log, Observe: observe}
+	if name == protocol.StreamWork {
+		params.Hand = e.gatherers(name).Hand
 	}
+	return stream{follower: follower, writer: commit.New(params)}
 }
 
 func (e *Entry) listen() error {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -47,6 +47,29 @@
 	return nil
 }
 
+// Gather appends records of another entry together with those of others.
+func (p *peerAPI) Gather(args *protocol.GatherArgs, reply *protocol.GatherReply) error {
+	last, err := p.e.gather(args)
+	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
+	return nil
+}
+
+func (e *Entry) gather(args *protocol.GatherArgs) (protocol.Position, error) {
+	if args.Stream != protocol.StreamWork {
+		return 0, protocol.ErrNotSent.New("no records of stream %q are gathered here", args.Stream)
+	}
+	if e.isLeaving() {
+		return 0, protocol.ErrLeaving.New("this entry is shutting down")
+	}
+	records, err := protocol.DecodeBatch(args.Data)
+	if err != nil {
+		return 0, protocol.ErrNotSent.Wrap(err, "records of another entry")
+	}
+	ctx, cancel := context.WithTimeout(e.context(), recordWait)
+	defer cancel()
+	return e.work.writer.AppendHere(ctx, records...)
+}
+
 // ReadLog answers with entries of a stream.
 func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
 	switch args.Stream {
--- a/entry/retain.go
+++ b/entry/retain.go
@@ -2,24 +2,27 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/commit"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/retention"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// workTails is the number of entries in one data centre that read the work
+// stream from the log itself. The others read from them.
+const workTails = 4
+
 // logGroup chooses the peers from which this entry reads a stream.
 func (e *Entry) logGroup(stream string) *follow.Group {
 	follows := func(platform.Instance) bool { return true }
 	tails := follow.DefaultTailsPerDataCentre
 	if stream == protocol.StreamWork {
-		// Batch items are handed out only on what the log itself proves.
-		tails = math.MaxInt
+		tails = workTails
 		follows = func(i platform.Instance) bool { return i.Role == platform.RoleEntry }
 	}
 	return &follow.Group{
@@ -28,6 +31,19 @@
 	}
 }
 
+// gatherers chooses the entries that append for this one.
+func (e *Entry) gatherers(stream string) *commit.Gatherers {
+	return &commit.Gatherers{
+		Self: e.settings.Process.Instance, DataCentre: e.settings.Process.DataCentre, Stream: stream,
+		Entries: func() []platform.Instance { return e.members.Entries() },
+		Call: func(ctx context.Context, addr string, args protocol.GatherArgs) (protocol.GatherReply, error) {
+			var reply protocol.GatherReply
+			err := e.peers.Call(ctx, addr, protocol.MethodGather, &args, &reply)
+			return reply, err
+		},
+	}
+}
+
 // newKeepers returns a keeper for each stream.
 func (e *Entry) newKeepers() map[string]*retention.Keeper {
 	params := retention.Params{
