Let a target wait for items at four entries only

Cause: each target held a call that waits for items at every entry: at 275 entries and 5,700 targets 5,700 held calls at each entry, each looking once a second, and 275 at each target.

Weighed: entries that push to every target of a service (state for each target at each entry, and a lost push needs another way beside it); entries that tell each other of their ready services with their reports (late by a turn of the questions, 17 s); or what is there already: every entry folds every job, so any entry knows the owners. Taken is the last. It ends where work is split over several streams.

Change: beyond 4 entries a target waits at the four that rendezvous hashing names. An answer names the owners of jobs accepted since the answer before, by position, so that a job accepted between two waits is not missed; the end of a wait (30 s) names all owners. The target then pulls from those. Up to 4 entries nothing changes.

--- a/cmd/sycamoretally/job_memory_test.go
+++ b/cmd/sycamoretally/job_memory_test.go
@@ -19,7 +19,7 @@
 )
 
 // memoryJob is a batch file of items with bodies of about 1 KiB.
-func memoryJob(b *testing.B, items int) []byte {
+func memoryJob(b testing.TB, items int) []byte {
 	const bodyBytes = 900
 	var file bytes.Buffer
 	for i := range items {
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -77,7 +77,7 @@
 	case err != nil:
 		reply.Problem = protocol.ProblemOf(err)
 	case args.Want == 0:
-		reply.Available = p.e.awaitItems(args)
+		p.e.awaitItems(args, reply)
 	default:
 		p.e.handOut(args, reply)
 	}
@@ -95,8 +95,10 @@
 	return nil
 }
 
-// awaitItems reports whether there are items, waiting for them as long as args say.
-func (e *Entry) awaitItems(args *protocol.PullArgs) bool {
+// awaitItems answers once there are items, waiting for them as long as args say.
+// It answers early with the other entries that have got jobs since the answer
+// before, and at the end of its time with all that own jobs.
+func (e *Entry) awaitItems(args *protocol.PullArgs, reply *protocol.PullReply) {
 	deadline := time.NewTimer(time.Duration(args.WaitMillis) * time.Millisecond)
 	defer deadline.Stop()
 	ticker := time.NewTicker(watchInterval)
@@ -104,25 +106,48 @@
 	for {
 		serves := e.servedBy(args.Labels)
 		e.leases.mu.Lock()
-		available := e.leases.scheduler.Available(time.Now(), serves)
+		reply.Available = e.leases.scheduler.Available(time.Now(), serves)
 		changed := e.leases.changed
 		e.leases.mu.Unlock()
-		if available {
-			return true
+		reply.Seen = protocol.PositionAt(e.work.follower.Next(), 0)
+		reply.Others = e.otherOwners(args.Since, serves)
+		if reply.Available || len(reply.Others) > 0 {
+			return
 		}
 		select {
 		case <-changed:
 		case <-ticker.C:
 		case <-deadline.C:
-			return false
+			reply.Others = e.otherOwners(0, serves)
+			return
 		case <-e.leaving:
-			return false
+			return
 		case <-e.tomb.Dying():
-			return false
+			return
 		}
 	}
 }
 
+// otherOwners returns the addresses of the entries beside this one that own jobs
+// accepted at since or later which a target can run. It returns none where every
+// target waits at every entry.
+func (e *Entry) otherOwners(since protocol.Position, serves func(string) bool) []string {
+	live := e.members.Entries()
+	if len(live) <= batch.Waits {
+		return nil
+	}
+	names, addrs := make([]string, 0, len(live)), map[string]string{}
+	for _, i := range live {
+		names = append(names, i.Name)
+		addrs[i.Name] = i.Peer
+	}
+	others := e.owners.Others(e.settings.Process.Instance, names, e.jobs.Running(), since, serves)
+	for i, name := range others {
+		others[i] = addrs[name]
+	}
+	return others
+}
+
 // serviceMatcher returns a function that tells the services of a target.
 func (e *Entry) serviceMatcher() func(protocol.Labels) []string {
 	return e.config.Current().ServicesOf
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	peers     *transport.Peers
 	attempts  *transport.AttemptClient
 	leases    *leases
+	owners    batch.Owners
 	results   *resultGatherer
 	flights   *flights
 	claims    *claims
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -110,6 +110,8 @@
 	Idle bool
 	// WaitMillis is the longest wait with a Want of zero, in milliseconds.
 	WaitMillis int64
+	// Since is the Seen of the entry's last answer to a wait; zero for none.
+	Since Position
 }
 
 // WorkItem is one batch item handed to a sidecar under a lease.
@@ -131,6 +133,11 @@
 	Items []WorkItem
 	// Available is set where more items wait that the target can run.
 	Available bool
+	// Others are the peer addresses of other entries that own running jobs which
+	// the target can run. They answer a wait where a target waits at few entries.
+	Others []string
+	// Seen is the position before which the entry has considered jobs for Others.
+	Seen Position
 	// Drain asks the target to finish its batch items before it pulls again.
 	Drain   bool
 	Problem *Problem
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/coordination/batch"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -23,8 +24,8 @@
 	pullTick = 500 * time.Millisecond
 )
 
-// puller fills a target's spare slots with batch items. It waits at every live
-// entry for the news that there are items, and then pulls them as slots come
+// puller fills a target's spare slots with batch items. It waits at a few live
+// entries for the news that there are items, and then pulls them as slots come
 // free. An answer to a wait carries no items: an item must start soon after its
 // pull was sent.
 type puller struct {
@@ -38,6 +39,8 @@
 	mu        sync.Mutex
 	available map[string]bool
 	watching  map[string]bool
+	// seen holds, by entry, the position before which it has told of jobs.
+	seen map[string]protocol.Position
 	// draining is set until no batch item runs here any more.
 	draining bool
 	// failed is set after the target failed, until it answers a probe.
@@ -50,13 +53,13 @@
 func (s *Sidecar) pull(ctx context.Context, r *runner) error {
 	p := &puller{
 		s: s, r: r, renewals: newRenewals(s, r),
-		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{},
+		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{}, seen: map[string]protocol.Position{},
 	}
 	defer p.group.Wait()
 	s.tomb.Go(func() error { return p.renewals.run(ctx) })
 	for s.pullCtx.Err() == nil && ctx.Err() == nil {
 		live := p.liveEntries()
-		p.watchAll(live)
+		p.watchAll(batch.WaitAt(r.target.Name, live))
 		if entry := p.choose(live); entry == "" || !p.pullFrom(ctx, entry) {
 			p.await()
 		}
@@ -85,7 +88,7 @@
 	return addrs
 }
 
-// watchAll waits for items at every entry that is not known to have some.
+// watchAll waits for items at every given entry that is not known to have some.
 func (p *puller) watchAll(live []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,17 +102,28 @@
 }
 
 func (p *puller) watch(entry string) {
-	reply, err := p.call(entry, &protocol.PullArgs{WaitMillis: watchWait.Milliseconds()}, watchWait+protocol.HeartbeatTimeout)
+	reply, err := p.call(entry, &protocol.PullArgs{WaitMillis: watchWait.Milliseconds(), Since: p.since(entry)}, watchWait+protocol.HeartbeatTimeout)
 	if err != nil {
 		pause(p.s.pullCtx, watchRetry)
 	}
 	p.mu.Lock()
 	delete(p.watching, entry)
 	p.available[entry] = reply.Available
+	p.seen[entry] = reply.Seen
+	for _, other := range reply.Others {
+		p.available[other] = true
+	}
 	p.mu.Unlock()
 	signal(p.news)
 }
 
+// since returns the position before which the entry has told of jobs.
+func (p *puller) since(entry string) protocol.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen[entry]
+}
+
 func (p *puller) call(entry string, args *protocol.PullArgs, limit time.Duration) (protocol.PullReply, error) {
 	ctx, cancel := context.WithTimeout(p.s.pullCtx, limit)
 	defer cancel()
