Merge branch 'main' into scale

Both sides' members are kept: the subset of targets and the marks of reports here, the fold of quarantined requests and the care for late answers there.

--- a/coordination/commit/gatherers_test.go
+++ b/coordination/commit/gatherers_test.go
@@ -193,7 +193,7 @@
 // hand their records on, against a log of 300 appends a second. Each writer gets
 // 40 records a second, one after another in 8 lines.
 func BenchmarkGatherers(b *testing.B) {
-	for _, writers := range []int{2, 8, 20} {
+	for _, writers := range []int{2, 8, 20, 80} {
 		for _, gather := range []bool{false, true} {
 			b.Run(fmt.Sprintf("writers=%d/gather=%v", writers, gather), func(b *testing.B) {
 				s := newSite(writers, gather, logservice.Params{AppendsPerSecond: 300})
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -169,9 +169,15 @@
 // appendAndFold appends a record to the work stream and waits until this
 // process has folded it.
 func (e *Entry) appendAndFold(ctx context.Context, recs ...protocol.Record) error {
-	last, err := e.work.writer.Append(ctx, recs...)
+	_, err := e.work.appendAt(ctx, recs...)
+	return err
+}
+
+// appendAt does the same and returns the position of the last record.
+func (s *stream) appendAt(ctx context.Context, recs ...protocol.Record) (protocol.Position, error) {
+	last, err := s.writer.Append(ctx, recs...)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return e.work.follower.WaitFor(ctx, last.Offset())
+	return last, s.follower.WaitFor(ctx, last.Offset())
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -39,6 +39,7 @@
 type Sidecar struct {
 	settings *settings.Settings
 	config   *state.ConfigFold
+	loads    *state.Loads
 	follower *follow.Follower
 	members  *membership.Manager
 	peers    *transport.Peers
@@ -81,14 +82,17 @@
 		batchPeers.UseDial(p.Dial)
 	}
 	for _, t := range s.Targets {
-		sc.runners[t.Name] = newRunner(t, ring.Add)
+		r := newRunner(t, s.Policy, ring.Add)
+		r.crashes = sc.newCrashes(r)
+		sc.runners[t.Name] = r
 	}
 	sc.metrics.registry.MustRegister(&slotCollector{sidecar: sc})
+	sc.loads = state.NewLoads(sc.config)
 	group := &follow.Group{
 		Self: s.Process.Instance, DataCentre: s.Process.DataCentre, Stream: protocol.StreamConfig,
 		Instances: sc.instances, Follows: func(platform.Instance) bool { return true }, Call: sc.peers.ReadLog,
 	}
-	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, drainWatch{sc})
+	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, sc.config, sc.loads, drainWatch{sc})
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
 	sc.members = membership.New(membership.Params{
 		Self:      s.Process.Instance,
@@ -146,6 +150,7 @@
 				defer s.pulls.Done()
 				return s.pull(ctx, r)
 			})
+			s.tomb.Go(func() error { return s.newOrders(r).run(ctx) })
 		}
 	}
 	klog.InfoS("sidecar started", "instance", s.settings.Process.Instance, "http", s.settings.Process.HTTP, "peer", s.settings.Process.Peer, "targets", len(s.runners))
@@ -262,8 +267,11 @@
 func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
 	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
+	if err != nil {
+		return protocol.ReportReply{}, err // net/rpc may still write to reply
+	}
 	r.clock.Observe(reply.Clock)
-	return reply, err
+	return reply, nil
 }
 
 // instances returns the processes that the platform lists.
