Ask an owner again that does not know its job yet, and survey less

An entry can name the owner of a job before that owner has folded it; the pull then found nothing and the target asked again only at the end of its wait of 30 s. A failed pull had the same end.

Change: a pull carries the highest position of which any entry has told, and an owner that has not folded so far says that there are items; a failed pull is tried up to four times.

--- a/coordination/membership/poll.go
+++ b/coordination/membership/poll.go
@@ -17,7 +17,7 @@
 	// DefaultEntryRate bounds the questions to entries.
 	DefaultEntryRate = 16
 	// surveyRate bounds the questions to sidecars that others watch.
-	surveyRate = 8
+	surveyRate = 4
 )
 
 const (
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -173,6 +173,9 @@
 	h := e.leases.scheduler.Next(now, batch.Pull{Target: args.Target, Want: args.Want, Idle: args.Idle, Serves: serves})
 	reply.Available = e.leases.scheduler.Available(now, serves)
 	e.leases.mu.Unlock()
+	if e.work.follower.Next() < args.Since.Offset() {
+		reply.Available = true // another entry may have told of a job not known here yet
+	}
 	reply.Drain = h.Drain
 	for _, ref := range h.Refs {
 		item, err := e.workItem(ref)
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -116,7 +116,8 @@
 	Idle bool
 	// WaitMillis is the longest wait with a Want of zero, in milliseconds.
 	WaitMillis int64
-	// Since is the Seen of the entry's last answer to a wait; zero for none.
+	// Since is, in a wait, the Seen of the entry's last answer to one, and in a
+	// pull the highest Seen of any entry; zero for none.
 	Since Position
 }
 
--- a/protocol/readlog.go
+++ b/protocol/readlog.go
@@ -37,7 +37,7 @@
 	// HeldMillis is how long the process held the question before it counted the
 	// ages, in milliseconds rounded down.
 	HeldMillis int64
-	Problem      *Problem
+	Problem    *Problem
 }
 
 // Age gives how long ago the peer was current, and whether it ever was.
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -19,6 +19,8 @@
 const (
 	// watchWait is how long an entry may hold a call that waits for items.
 	watchWait = 30 * time.Second
+	// toldTries is how often a pull from an entry that another one told of may fail.
+	toldTries = 4
 	// watchRetry is the time between a failed wait for items and the next one.
 	watchRetry = 250 * time.Millisecond
 	// pullTick is how often the puller looks for changed entries.
@@ -42,6 +44,10 @@
 	watching  map[string]bool
 	// seen holds, by entry, the position before which it has told of jobs.
 	seen map[string]protocol.Position
+	// told is the highest of these positions.
+	told protocol.Position
+	// tries is how often an entry that another one told of may still fail.
+	tries map[string]int
 	// draining is set until no batch item runs here any more.
 	draining bool
 	// failed is set after the target failed, until it answers a probe.
@@ -54,7 +60,7 @@
 func (s *Sidecar) pull(ctx context.Context, r *runner) error {
 	p := &puller{
 		s: s, r: r, renewals: newRenewals(s, r),
-		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{}, seen: map[string]protocol.Position{},
+		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{}, seen: map[string]protocol.Position{}, tries: map[string]int{},
 	}
 	defer p.group.Wait()
 	s.tomb.Go(func() error { return p.renewals.run(ctx) })
@@ -111,8 +117,10 @@
 	delete(p.watching, entry)
 	p.available[entry] = reply.Available
 	p.seen[entry] = reply.Seen
+	p.told = max(p.told, reply.Seen)
 	for _, other := range reply.Others {
 		p.available[other] = true
+		p.tries[other] = toldTries
 	}
 	p.mu.Unlock()
 	signal(p.news)
@@ -125,6 +133,13 @@
 	return p.seen[entry]
 }
 
+// highest returns the position before which any entry has told of jobs.
+func (p *puller) highest() protocol.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.told
+}
+
 func (p *puller) call(entry string, args *protocol.PullArgs, limit time.Duration) (protocol.PullReply, error) {
 	ctx, cancel := context.WithTimeout(p.s.pullCtx, limit)
 	defer cancel()
@@ -172,9 +187,14 @@
 // pullFrom pulls once and starts the items. It reports whether there were any.
 func (p *puller) pullFrom(ctx context.Context, entry string) bool {
 	startBy := time.Now().Add(protocol.StartLimit)
-	reply, err := p.call(entry, &protocol.PullArgs{Want: p.r.spare(), Idle: p.r.batchIdle()}, protocol.StartLimit)
+	reply, err := p.call(entry, &protocol.PullArgs{Want: p.r.spare(), Idle: p.r.batchIdle(), Since: p.highest()}, protocol.StartLimit)
 	p.mu.Lock()
-	p.available[entry] = err == nil && reply.Available
+	p.available[entry] = reply.Available
+	if err != nil {
+		// No wait may be held there that would tell again.
+		p.tries[entry]--
+		p.available[entry] = p.tries[entry] > 0
+	}
 	p.draining = reply.Drain
 	for i := range reply.Items {
 		p.draining = p.draining || reply.Items[i].Alone
