--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,7 @@
 	peers     *transport.Peers
 	attempts  *transport.AttemptClient
 	leases    *leases
+	owners    batch.Owners
 	results   *resultGatherer
 	flights   *flights
 	claims    *claims
@@ -126,7 +127,9 @@
 	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, state.NewLoads(e.config), e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine, e.moved, forget, jobWatch{e})
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
+	e.members = membership.New(membership.Params{
+		Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}, Services: e.serviceMatcher,
+	})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
 	return e, e.listen()
@@ -146,10 +149,11 @@
 	folds = append([]follow.Fold{timeline.Watch{Clock: e.ring.Clock()}}, folds...)
 	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
 	e.metrics.registry.MustRegister(follower.Metrics()...)
-	return stream{
-		follower: follower,
-		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
+	params := commit.Params{Stream: name, Log: log, Observe: observe}
+	if name == protocol.StreamWork {
+		params.Hand = e.gatherers(name).Hand
 	}
+	return stream{follower: follower, writer: commit.New(params)}
 }
 
 func (e *Entry) listen() error {
@@ -271,9 +275,9 @@
 }
 
 // Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
 	if err != nil {
 		return protocol.ReportReply{}, err // net/rpc may still write to reply
 	}
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -8,20 +8,27 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/batch"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// entryRate bounds the questions to entries a second: a sidecar only needs some
+// entry that answers.
+const entryRate = 2
+
 const (
 	// watchWait is how long an entry may hold a call that waits for items.
 	watchWait = 30 * time.Second
+	// toldTries is how often a pull from an entry that another one told of may fail.
+	toldTries = 4
 	// watchRetry is the time between a failed wait for items and the next one.
 	watchRetry = 250 * time.Millisecond
 	// pullTick is how often the puller looks for changed entries.
 	pullTick = 500 * time.Millisecond
 )
 
-// puller fills a target's spare slots with batch items. It waits at every live
-// entry for the news that there are items, and then pulls them as slots come
+// puller fills a target's spare slots with batch items. It waits at a few live
+// entries for the news that there are items, and then pulls them as slots come
 // free. An answer to a wait carries no items: an item must start soon after its
 // pull was sent.
 type puller struct {
@@ -35,6 +42,12 @@
 	mu        sync.Mutex
 	available map[string]bool
 	watching  map[string]bool
+	// seen holds, by entry, the position before which it has told of jobs.
+	seen map[string]protocol.Position
+	// told is the highest of these positions.
+	told protocol.Position
+	// tries is how often an entry that another one told of may still fail.
+	tries map[string]int
 	// draining is set until no batch item runs here any more.
 	draining bool
 	// failed is set after the target failed, until it answers a probe.
@@ -47,13 +60,13 @@
 func (s *Sidecar) pull(ctx context.Context, r *runner) error {
 	p := &puller{
 		s: s, r: r, renewals: newRenewals(s, r),
-		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{},
+		news: make(chan struct{}, 1), available: map[string]bool{}, watching: map[string]bool{}, seen: map[string]protocol.Position{}, tries: map[string]int{},
 	}
 	defer p.group.Wait()
 	s.tomb.Go(func() error { return p.renewals.run(ctx) })
 	for s.pullCtx.Err() == nil && ctx.Err() == nil {
 		live := p.liveEntries()
-		p.watchAll(live)
+		p.watchAll(batch.WaitAt(r.target.Name, live))
 		if entry := p.choose(live); entry == "" || !p.pullFrom(ctx, entry) {
 			p.await()
 		}
@@ -82,7 +95,7 @@
 	return addrs
 }
 
-// watchAll waits for items at every entry that is not known to have some.
+// watchAll waits for items at every given entry that is not known to have some.
 func (p *puller) watchAll(live []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,17 +109,37 @@
 }
 
 func (p *puller) watch(entry string) {
-	reply, err := p.call(entry, &protocol.PullArgs{WaitMillis: watchWait.Milliseconds()}, watchWait+protocol.HeartbeatTimeout)
+	reply, err := p.call(entry, &protocol.PullArgs{WaitMillis: watchWait.Milliseconds(), Since: p.since(entry)}, watchWait+protocol.HeartbeatTimeout)
 	if err != nil {
 		pause(p.s.pullCtx, watchRetry)
 	}
 	p.mu.Lock()
 	delete(p.watching, entry)
 	p.available[entry] = reply.Available
+	p.seen[entry] = reply.Seen
+	p.told = max(p.told, reply.Seen)
+	for _, other := range reply.Others {
+		p.available[other] = true
+		p.tries[other] = toldTries
+	}
 	p.mu.Unlock()
 	signal(p.news)
 }
 
+// since returns the position before which the entry has told of jobs.
+func (p *puller) since(entry string) protocol.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen[entry]
+}
+
+// highest returns the position before which any entry has told of jobs.
+func (p *puller) highest() protocol.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.told
+}
+
 func (p *puller) call(entry string, args *protocol.PullArgs, limit time.Duration) (protocol.PullReply, error) {
 	ctx, cancel := context.WithTimeout(p.s.pullCtx, limit)
 	defer cancel()
@@ -155,9 +188,14 @@
 // pullFrom pulls once and starts the items. It reports whether there were any.
 func (p *puller) pullFrom(ctx context.Context, entry string) bool {
 	startBy := time.Now().Add(protocol.StartLimit)
-	reply, err := p.call(entry, &protocol.PullArgs{Want: p.r.spare(), Idle: p.r.batchIdle()}, protocol.StartLimit)
+	reply, err := p.call(entry, &protocol.PullArgs{Want: p.r.spare(), Idle: p.r.batchIdle(), Since: p.highest()}, protocol.StartLimit)
 	p.mu.Lock()
-	p.available[entry] = err == nil && reply.Available
+	p.available[entry] = reply.Available
+	if err != nil {
+		// No wait may be held there that would tell again.
+		p.tries[entry]--
+		p.available[entry] = p.tries[entry] > 0
+	}
 	p.draining = reply.Drain
 	for i := range reply.Items {
 		p.draining = p.draining || reply.Items[i].Alone
