Remove the announcements of targets, which nothing uses

Cause: watching a subset of the targets was built on slow turns of questions, so the fold of announcements in the log was left without a writer or a reader.

--- a/protocol/record.go
+++ b/protocol/record.go
@@ -35,7 +35,6 @@
 	Snapshot *SnapshotChunk   `msgpack:"sn,omitempty"`
 	Carry    *Carry           `msgpack:"sc,omitempty"`
 	Forget   *Forget          `msgpack:"sf,omitempty"`
-	Announce *Announce        `msgpack:"an,omitempty"`
 
 	Crash   *TargetCrash  `msgpack:"qc,omitempty"`
 	Trial   *SuspectTrial `msgpack:"qt,omitempty"`
@@ -49,20 +48,6 @@
 	Revoke *LoadRevoke  `msgpack:"lv,omitempty"`
 }
 
-// Announce says which targets stand behind a sidecar. Each sidecar appends one
-// to the configuration stream when it starts.
-type Announce struct {
-	Instance string       `msgpack:"i"`
-	Targets  []TargetInfo `msgpack:"t"`
-}
-
-// TargetInfo is what does not change of a target while its sidecar runs.
-type TargetInfo struct {
-	Name   string `msgpack:"n"`
-	Labels Labels `msgpack:"l"`
-	Slots  int    `msgpack:"s"`
-}
-
 // Change sets or deletes configuration objects, all or none.
 type Change struct {
 	// By names the operator.
