Bound retries under overload, and keep overtaken attempts out of later runs

Causes found while reading the merged request path: 1. A retry after any truncated answer cost no budget, so that a stalled engine or a silent sidecar, which overload can cause too, let each request run attempts times: 2000 retries of 1000 requests. Only a connection that ended (its process has gone) is free now; silence costs budget. 2. An attempt that was overtaken could outlive its run and then sent its frames and its end to the channels of the request's next run: a data race, and a stale attempt could win that run, which ended with 'the attempt was given up'. Each attempt keeps the channels of its own run. 3. A hedge that was refused last hid that the first attempt may have run: a repeatable request ended as not_run. The race says whether any attempt may have run, and the dispatch judges by all attempts.

Excluded: retries of crashes, bounded by attempts and the quarantine; requests that may not be repeated, whose attempts are settled in the log.

--- a/coordination/race/race.go
+++ b/coordination/race/race.go
@@ -48,7 +48,10 @@
 	End     *protocol.Frame
 	// Hedged is set where a second attempt was made.
 	Hedged bool
-	Err    error
+	// MayHaveRun is set where some attempt of the race may have run, whatever Err
+	// says of the one that ended it.
+	MayHaveRun bool
+	Err        error
 }
 
 // Race is the state of one race. Tokens keeps what the caller already has over
@@ -63,6 +66,8 @@
 	// moved is the time of the last token, or of the start.
 	moved  time.Time
 	hedges int
+	// mayHaveRun is set once an attempt ended that may have run.
+	mayHaveRun bool
 }
 
 // MaxHedges bounds the second attempts of one race.
@@ -97,6 +102,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.frames, r.ends, r.legs, r.hedges = make(chan legFrame), make(chan legEnd, 1+MaxHedges), nil, 0
+	r.mayHaveRun = false
 	r.moved = time.Now()
 	r.launch(ctx, first)
 	timer := time.NewTimer(time.Hour)
@@ -126,19 +132,20 @@
 	resume := append([]string(nil), r.Tokens...)
 	l := &leg{target: t, attempt: r.params.Build(t, resume), cancel: cancel, next: len(resume)}
 	r.legs = append(r.legs, l)
+	frames, ends := r.frames, r.ends // an overtaken attempt may outlive this run
 	t.InFlight.Add(1)
 	go func() {
 		defer cancel()
 		end, err := r.params.Executor.Execute(ctx, t.HTTP, l.attempt, func(f *protocol.Frame) error {
 			select {
-			case r.frames <- legFrame{l, f}:
+			case frames <- legFrame{l, f}:
 				return nil
 			case <-ctx.Done():
 				return protocol.ErrTruncated.New("the attempt was given up")
 			}
 		})
 		t.InFlight.Add(-1)
-		r.ends <- legEnd{l, end, err} // has room for every attempt
+		ends <- legEnd{l, end, err} // has room for every attempt
 	}()
 }
 
@@ -183,6 +190,7 @@
 
 // overtake cancels every other attempt.
 func (r *Race) overtake(winner *leg) {
+	r.mayHaveRun = true
 	for _, l := range r.legs {
 		if l == winner {
 			continue
@@ -213,6 +221,7 @@
 	if e.err == nil && e.leg.next == len(r.Tokens) {
 		return true
 	}
+	r.mayHaveRun = r.mayHaveRun || e.err == nil || protocol.OutcomeOf(e.err) == protocol.OutcomeUnknown
 	r.legs = rest
 	return len(rest) == 0
 }
@@ -227,7 +236,7 @@
 }
 
 func (r *Race) outcome(e legEnd) Outcome {
-	o := Outcome{Target: e.leg.target, Attempt: e.leg.attempt.Attempt, Head: e.leg.head, End: e.end, Hedged: r.hedges > 0, Err: e.err}
+	o := Outcome{Target: e.leg.target, Attempt: e.leg.attempt.Attempt, Head: e.leg.head, End: e.end, Hedged: r.hedges > 0, MayHaveRun: r.mayHaveRun, Err: e.err}
 	if e.err == nil && e.leg.next != len(r.Tokens) {
 		o.Err = protocol.ErrTruncated.New("the answer ended after %d of %d tokens", e.leg.next, len(r.Tokens))
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -37,7 +37,7 @@
 func (e *Entry) dispatch(ctx context.Context, o *order) (*protocol.Result, error) {
 	run := newDispatchRun(ctx, e, o)
 	e.policy.earn()
-	var err, ran error
+	var err error
 	for n := range e.settings.Entry.Attempts {
 		if n > 0 && !run.again(ctx, n, err) {
 			break
@@ -47,17 +47,20 @@
 		if err == nil {
 			return result, nil
 		}
-		if protocol.OutcomeOf(err) == protocol.OutcomeUnknown {
-			ran = err
-		}
 		if ctx.Err() != nil || !o.mayRetry(err) {
 			break
 		}
 	}
-	if ran != nil && protocol.OutcomeOf(err) == protocol.OutcomeNotRun && !errorx.IsOfType(err, protocol.ErrBadRequest) {
-		return nil, protocol.ErrUnknownOutcome.Wrap(ran, "an earlier attempt may have run; the last one: %v", err)
+	return nil, run.verdict(err)
+}
+
+// verdict returns the error of a request whose last attempt failed with err. A
+// refusal is not the whole truth where another attempt may have run.
+func (d *dispatchRun) verdict(err error) error {
+	if !d.mayHaveRun || protocol.OutcomeOf(err) != protocol.OutcomeNotRun || errorx.IsOfType(err, protocol.ErrBadRequest) {
+		return err
 	}
-	return nil, err
+	return protocol.ErrUnknownOutcome.Wrap(err, "an earlier attempt may have run; the last one")
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -94,6 +97,8 @@
 	deadline time.Time
 	// crashed is set once a target crashed under the request.
 	crashed bool
+	// mayHaveRun is set once an attempt ended that may have run.
+	mayHaveRun bool
 }
 
 func newDispatchRun(ctx context.Context, e *Entry, o *order) *dispatchRun {
@@ -124,9 +129,10 @@
 }
 
 // lostTarget reports whether err shows that the target or the way to it has
-// gone, rather than that it has too much to do.
+// gone, rather than that it has too much to do: one that is silent or slow may
+// have.
 func lostTarget(err error) bool {
-	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrTruncated)
+	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrConnectionLost)
 }
 
 // attempt runs the order once, or twice beside each other where the first stalls.
@@ -151,6 +157,7 @@
 		return d.result(&out), nil
 	}
 	d.tried[out.Target.Name] = true
+	d.mayHaveRun = d.mayHaveRun || d.order.repeatable && out.MayHaveRun // others are settled
 	d.crashed = d.crashed || errorx.IsOfType(out.Err, protocol.ErrTargetCrashed)
 	d.entry.ring.Add(d.order.trace, "attempt failed", "attempt", out.Attempt, "target", out.Target.Name, "error", protocol.ProblemOf(out.Err).Title)
 	if !d.order.repeatable && protocol.OutcomeOf(out.Err) != protocol.OutcomeNotRun {
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -58,6 +58,10 @@
 	ErrInternal       = Errors.NewType("internal")
 )
 
+// ErrConnectionLost is an ErrTruncated whose connection ended, rather than fell
+// silent: the process at its other end has gone. It does not cross processes.
+var ErrConnectionLost = ErrTruncated.NewSubtype("connection_lost")
+
 // VersionConflict says which object a stale change named and shows both versions.
 type VersionConflict struct {
 	Kind ObjectKind `json:"kind" msgpack:"k"`
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -112,7 +112,7 @@
 	if platform.IsDialError(err) {
 		return nil, protocol.ErrNotSent.Wrap(err, "attempt at %s", addr)
 	}
-	return nil, protocol.ErrTruncated.Wrap(err, "attempt at %s", addr)
+	return nil, protocol.ErrConnectionLost.Wrap(err, "attempt at %s", addr)
 }
 
 // frameReader checks that the frames of an answer belong together.
@@ -144,9 +144,9 @@
 	var f protocol.Frame
 	if err := r.decoder.Decode(&f); err != nil {
 		if errors.Is(err, io.EOF) {
-			return nil, protocol.ErrTruncated.New("answer ended without its end frame")
+			return nil, protocol.ErrConnectionLost.New("answer ended without its end frame")
 		}
-		return nil, protocol.ErrTruncated.Wrap(err, "read answer")
+		return nil, protocol.ErrConnectionLost.Wrap(err, "read answer")
 	}
 	if f.Attempt != r.attempt {
 		return nil, protocol.ErrTruncated.New("frame of attempt %s in the answer of %s", f.Attempt, r.attempt)
