Let suspects wait for each other instead of stopping each other

Cause: a suspect that entered its target's lane preempted every other batch item that held a slot, also those that only waited for a permit or for the lane, most of them suspects too. After a crash the suspects of one target so cancelled each other, went back, were pulled again and took a new trial of two appends each, of a log that takes several hundred a second for the whole system.

Change: a suspect preempts only what the target has. A suspect that is a batch item waits for a suspect that runs before it; an online one still stops it.

Excluded: the scheduler's own queue of items that failed (these were yields).

What is left of the failure: a long item that is hit in company and then alone is convicted by its second crash.

--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -60,6 +60,13 @@
 	c.flights[attempt] = &flight{fingerprint: fingerprint}
 }
 
+// inFlight reports whether the target has the attempt.
+func (c *crashes) inFlight(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.flights[attempt] != nil
+}
+
 // ended takes the attempt out of flight and judges its error: an error that came
 // of a crash is returned as ErrTargetCrashed once the crash is durable, or as
 // ErrCrashUnstored where that takes too long. Others are returned as they are.
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -66,7 +66,7 @@
 
 func (s *Sidecar) enterLane(ctx context.Context, p *permit, release func()) (context.Context, func(), error) {
 	if p.alone {
-		p.runner.preemptBatch(p.attempt)
+		p.runner.preemptBatch(p)
 	}
 	leave, err := p.runner.lane.enter(ctx, p.attempt, p.alone)
 	if err == nil {
@@ -218,13 +218,21 @@
 	return r.crashes.ended(ctx, a.Attempt, err)
 }
 
-// preemptBatch stops all other batch work, so that a suspect can run alone soon.
-func (r *runner) preemptBatch(except string) {
+// preemptBatch stops the batch work that keeps a suspect from running alone. What
+// has not been sent to the target waits behind the suspect, and a suspect that
+// is a batch item itself waits for those before it.
+func (r *runner) preemptBatch(p *permit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	yields := r.classes[p.attempt] == protocol.ClassBatch
 	for id, class := range r.classes {
-		if id != except && class == protocol.ClassBatch && r.cancels[id] != nil {
-			r.cancels[id](errPreempted.New("a suspect must run alone"))
+		other := r.permits[id]
+		if id == p.attempt || class != protocol.ClassBatch || r.cancels[id] == nil || !r.crashes.inFlight(id) {
+			continue
 		}
+		if yields && other != nil && other.alone {
+			continue
+		}
+		r.cancels[id](errPreempted.New("a suspect must run alone"))
 	}
 }
