Send no batch item after the time by which it must start

The failure is rare, and was not caught in the act.

Excluded by reading: the entry's staleness, which counts from before its read, and the age of the pull, which is checked before the item is sent.

Change: the time is checked when the request's body is written, as for orders to load; without its body the engine runs nothing.

--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -68,7 +68,7 @@
 		if err := frames.Head(http.StatusOK, "", nil); err != nil {
 			return err
 		}
-		return r.generate(ctx, a, frames.Token)
+		return r.generate(ctx, a, time.Time{}, frames.Token)
 	case a.Repeatable:
 		result, err := r.do(ctx, a, true)
 		if err != nil {
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -53,13 +53,13 @@
 
 // generate runs an admitted item and notes its outcome. It returns the error of
 // the target.
-func (s *Sidecar) generate(ctx context.Context, r *runner, i *batchItem) error {
+func (s *Sidecar) generate(ctx context.Context, r *runner, i *batchItem, startBy time.Time) error {
 	a, finish := i.attempt, i.finish
 	s.metrics.admitted.WithLabelValues(string(protocol.ClassBatch)).Inc()
 	s.ring.Add(a.Trace, "item started", "job", finish.Job, "target", a.Target, "lease", a.Attempt)
 	tokens := append([]string(nil), a.Resume...)
 	finish.Resume = nil
-	err := r.generate(ctx, a, func(token string) error {
+	err := r.generate(ctx, a, startBy, func(token string) error {
 		tokens = append(tokens, token)
 		return nil
 	})
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -186,7 +186,7 @@
 		if err == nil {
 			if time.Now().Before(startBy) {
 				stop := p.renewals.add(i)
-				p.note(p.s.generate(itemCtx, p.r, i))
+				p.note(p.s.generate(itemCtx, p.r, i, startBy))
 				stop()
 			}
 			release()
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -374,10 +374,11 @@
 	return result, r.ended(ctx, a, err)
 }
 
-// generate runs a model call and passes each token to sink.
-func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
+// generate runs a model call and passes each token to sink. The call must be sent
+// by a time; zero stands for any.
+func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, by time.Time, sink func(string) error) error {
 	r.sent(a)
-	return r.ended(ctx, a, r.generateOnce(ctx, a, sink))
+	return r.ended(ctx, a, r.generateOnce(ctx, a, by, sink))
 }
 
 // watchList turns waiting attempts away once the instance list has this
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -16,8 +16,8 @@
 // generateOnce runs a model call and passes each token to sink. Where the call
 // broke off, the engine is told to stop before the slot can go to other work. A
 // stalled engine keeps the slot until it answers a later order to stop.
-func (r *runner) generateOnce(ctx context.Context, a *protocol.AttemptRequest, sink func(string) error) error {
-	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume}, sink)
+func (r *runner) generateOnce(ctx context.Context, a *protocol.AttemptRequest, by time.Time, sink func(string) error) error {
+	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume, By: by}, sink)
 	if err == nil || neverRan(err) {
 		return err
 	}
