--- a/entry/chat.go
+++ b/entry/chat.go
@@ -24,9 +24,9 @@
 	if err != nil {
 		return err
 	}
-	service := e.config.Current().Service(chat.Model)
-	if service == nil || service.Type != protocol.ServiceModel {
-		return protocol.ErrNotFound.New("no model service %q", chat.Model)
+	service, err := e.findService(r.Context(), chat.Model, protocol.ServiceModel)
+	if err != nil {
+		return err
 	}
 	key := r.Header.Get(headerKey)
 	if key == "" {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -129,8 +129,7 @@
 }
 
 // lostTarget reports whether err shows that the target or the way to it has
-// gone, rather than that it has too much to do: one that is silent or slow may
-// have.
+// gone, rather than that it has too much to do: a target that stalls may have.
 func lostTarget(err error) bool {
 	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrConnectionLost)
 }
@@ -140,9 +139,6 @@
 	if err := d.entry.checkQuarantine(d.order.call.Fingerprint()); err != nil {
 		return nil, err
 	}
-	if err := d.awaitPick(ctx); err != nil {
-		return nil, err
-	}
 	target, err := d.awaitTarget(ctx)
 	if err != nil {
 		return nil, err
@@ -190,16 +186,20 @@
 // known as ready within the interval of reports.
 const targetWait = protocol.HeartbeatTimeout
 
-// awaitTarget picks a target, waiting a while where none is ready. It fails with
-// ErrNoTarget.
+// awaitTarget picks a target, waiting a while where none is ready: as long as the
+// request may take where a crash took one from it, since all may be restarting.
+// It fails with ErrNoTarget.
 func (d *dispatchRun) awaitTarget(ctx context.Context) (*routing.Target, error) {
 	published := d.entry.members.Published()
 	target, err := d.pick()
 	if err == nil {
 		return target, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, targetWait)
-	defer cancel()
+	if !d.crashed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, targetWait)
+		defer cancel()
+	}
 	for {
 		select {
 		case <-published:
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -101,9 +101,8 @@
 		}
 		window = parsed
 	}
-	service := e.config.Current().Service(file.Service)
-	if service == nil || service.Type != protocol.ServiceModel {
-		return nil, protocol.ErrNotFound.New("no model service %q", file.Service)
+	if _, err := e.findService(e.context(), file.Service, protocol.ServiceModel); err != nil {
+		return nil, err
 	}
 	identity := key
 	if identity == "" {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -178,17 +178,6 @@
 	return result
 }
 
-// awaitPick waits for a target after a crash took one from the request: the
-// targets may all be restarting.
-func (d *dispatchRun) awaitPick(ctx context.Context) error {
-	for {
-		if _, err := d.pick(); err == nil || !d.crashed || ctx.Err() != nil {
-			return err
-		}
-		pause(ctx, permitPoll)
-	}
-}
-
 // tellTime appends the records by which suspicion expires, while there is any.
 // The time counts from when this entry folded the record that it names.
 func (e *Entry) tellTime(ctx context.Context) error {
--- a/entry/retries_test.go
+++ b/entry/retries_test.go
@@ -21,7 +21,7 @@
 		bound int
 	}{
 		"busy":            {protocol.ErrBusy.New("full"), overload},
-		"silent":          {protocol.ErrTruncated.New("nothing came"), overload},
+		"target stalled":  {protocol.ErrTruncated.New("nothing came"), overload},
 		"timeout":         {protocol.ErrTimeout.New("late"), overload},
 		"target failed":   {protocol.ErrTargetFailed.New("status 500"), overload},
 		"connection lost": {protocol.ErrConnectionLost.New("reset"), requests * (attempts - 1)},
--- a/entry/services.go
+++ b/entry/services.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -9,12 +10,40 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// configWait bounds the wait of a request for the configuration of an entry that
+// has just started.
+const configWait = 2 * time.Second
+
+// findService returns the service of the type. An entry that has not read the
+// configuration yet does not know that there is none: it waits for that, and
+// fails with ErrBusy where it takes too long. Otherwise it fails with ErrNotFound.
+func (e *Entry) findService(ctx context.Context, name string, kind protocol.ServiceType) (*protocol.Service, error) {
+	ctx, cancel := context.WithTimeout(ctx, configWait)
+	defer cancel()
+	for {
+		caughtUp := e.conf.follower.CaughtUp()
+		service := e.config.Current().Service(name)
+		switch {
+		case service != nil && service.Type == kind:
+			return service, nil
+		case caughtUp:
+			return nil, protocol.ErrNotFound.New("no %s service %q", kind, name)
+		case ctx.Err() != nil:
+			return nil, protocol.ErrBusy.New("this entry has not read the configuration yet")
+		}
+		pause(ctx, configPoll)
+	}
+}
+
+// configPoll is how often a request looks whether the configuration is there.
+const configPoll = 10 * time.Millisecond
+
 // serveService passes a call through to a plain service.
 func (e *Entry) serveService(w http.ResponseWriter, r bunrouter.Request) error {
 	name := r.Param("service")
-	service := e.config.Current().Service(name)
-	if service == nil || service.Type != protocol.ServicePlain {
-		return protocol.ErrNotFound.New("no plain service %q", name)
+	service, err := e.findService(r.Context(), name, protocol.ServicePlain)
+	if err != nil {
+		return err
 	}
 	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
 	if err != nil {
--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -58,8 +58,9 @@
 	ErrInternal       = Errors.NewType("internal")
 )
 
-// ErrConnectionLost is an ErrTruncated whose connection ended, rather than fell
-// silent: the process at its other end has gone. It does not cross processes.
+// ErrConnectionLost is an ErrTruncated whose connection ended or carried no
+// heartbeat: the process at its other end has gone, or the way to it, whatever
+// load its target has. It does not cross processes.
 var ErrConnectionLost = ErrTruncated.NewSubtype("connection_lost")
 
 // VersionConflict says which object a stale change named and shows both versions.
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -102,9 +102,10 @@
 	args := &protocol.PermitArgs{
 		Instance: s.settings.Process.Instance, Attempt: p.attempt, Key: a.Key, Fingerprint: p.fingerprint, WaitMillis: wait.Milliseconds(),
 	}
-	var reply protocol.PermitReply
-	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
-	err := s.entries.call(ctx, owner, protocol.MethodPermit, args, &reply)
+	reply, err := s.callPermit(ctx, args, a.Coordinator)
+	if err != nil && ctx.Err() == nil {
+		reply, err = s.callPermit(ctx, args, a.Coordinator) // a silent connection is replaced
+	}
 	if err != nil {
 		p.end()
 		return nil, protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
@@ -120,6 +121,12 @@
 	return p, nil
 }
 
+func (s *Sidecar) callPermit(ctx context.Context, args *protocol.PermitArgs, coordinator string) (reply protocol.PermitReply, err error) {
+	owner := cmp.Or(s.entries.owner(args.Fingerprint), coordinator)
+	err = s.entries.call(ctx, owner, protocol.MethodPermit, args, &reply)
+	return reply, err
+}
+
 // owner returns the peer address of the entry that owns a fingerprint's permit.
 func (e *entries) owner(fingerprint string) string {
 	live := e.members.Entries()
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	c.client.CloseIdleConnections()
-	return protocol.ErrTruncated.Wrap(cause, "attempt")
+	return protocol.ErrConnectionLost.Wrap(cause, "attempt")
 }
 
 func (c *AttemptClient) post(ctx context.Context, addr string, a *protocol.AttemptRequest) (*http.Response, error) {
