Resend keyed requests whose entry has gone

Cause: where an entry closes an idle connection just as a request goes out on it, the HTTP client sends the request again over a new connection, which is refused: the entry has ended. The client must not say not_sent then, since the first sending may have arrived, and gave up with answer_lost.

Change: a request with a key goes on to the next entry: it joins the first one or reads its result. Requests without a key still end as answer_lost.

--- a/client/client.go
+++ b/client/client.go
@@ -59,8 +59,9 @@
 	mimeType string
 }
 
-// do sends a request to the entries in order, going on to the next one only
-// where the last cannot have got it.
+// do sends a request to the entries in order, going on to the next one where the
+// last cannot have got it. It does so too with a keyed request that an entry may
+// have got before it went away: a resend joins the first one or reads its result.
 func (c *Client) do(ctx context.Context, r request) (*http.Response, error) {
 	var err error = protocol.ErrNotSent.New("no entry is configured")
 	for _, base := range c.settings.Entries {
@@ -73,7 +74,8 @@
 			err = transport.ReadProblem(resp)
 			_ = resp.Body.Close()
 		}
-		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) {
+		gone := errorx.IsOfType(err, protocol.ErrAnswerLost) && platform.IsDialError(err)
+		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) && !(gone && r.key != "") {
 			break
 		}
 	}
