See through the wrapping of a lost answer, and copy the instance list

Cause 1: a lost answer hides its cause from errors.As, so that the client did not notice that the entry had gone and its resend never happened (as seen in one more run of TestRollingReplacement). Its cause is read directly now. TestKeyedRequestsOutliveTheirEntry fails without the resend and passes with it.

Cause 2: the stand-in of the instance list handed out its own rows, which TestSilentConnectionToTheSidecar writes to while the entries read them: the data race that was taken for one in the test's relay. It hands out a copy.

--- a/client/client.go
+++ b/client/client.go
@@ -74,14 +74,19 @@
 			err = transport.ReadProblem(resp)
 			_ = resp.Body.Close()
 		}
-		gone := errorx.IsOfType(err, protocol.ErrAnswerLost) && platform.IsDialError(err)
-		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) && !(gone && r.key != "") {
+		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) && !(r.key != "" && isGone(err)) {
 			break
 		}
 	}
 	return nil, err
 }
 
+// isGone reports whether a request may have arrived at an entry that has ended.
+func isGone(err error) bool {
+	typed := errorx.Cast(err)
+	return typed != nil && typed.IsOfType(protocol.ErrAnswerLost) && platform.IsDialError(typed.Cause())
+}
+
 func (c *Client) send(ctx context.Context, base string, r request) (*http.Response, error) {
 	ctx, connected := platform.TraceConnection(ctx)
 	req, err := http.NewRequestWithContext(ctx, r.method, base+r.path, bytes.NewReader(r.body))
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +62,7 @@
 		}
 	}
 	l.versions = l.versions[last:]
-	return l.versions[0].instances, nil
+	return slices.Clone(l.versions[0].instances), nil
 }
 
 // Handler serves GET /instances and PUT /instances, which replaces the list.
