--- a/entry/retries_test.go
+++ b/entry/retries_test.go
@@ -32,11 +32,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &Entry{policy: newPolicy(settings.Policy{}), metrics: newMetrics()}
+				e := &Entry{policy: newPolicy(settings.Policy{}), metrics: newMetrics(), settings: &settings.Settings{}}
+				e.settings.Entry.Attempts = attempts
 				retries := 0
 				for range requests {
 					e.policy.earn()
-					run := &dispatchRun{entry: e, order: &order{repeatable: true}}
+					run := &dispatchRun{entry: e, order: &order{repeatable: true}, patient: !e.policy.retries.Available()}
 					for n := 1; n < attempts && run.order.mayRetry(test.err) && run.again(t.Context(), n, test.err); n++ {
 						retries++
 					}
