Resend reads whose entry has gone

Cause: a read of a result whose connection an entry closed as it ended came back as answer_lost, though it changes nothing and another entry could answer.

Change: the client asks the next entry, except for GET calls to plain services, which may not be repeatable.

TestKeyedRequestsOutliveTheirEntry fails on its read without the change and passes with it.

--- a/client/client.go
+++ b/client/client.go
@@ -60,8 +60,8 @@
 }
 
 // do sends a request to the entries in order, going on to the next one where the
-// last cannot have got it. It does so too with a keyed request that an entry may
-// have got before it went away: a resend joins the first one or reads its result.
+// last cannot have got it. It does so too with a request that an entry may have
+// got before it went away, where that may be sent again.
 func (c *Client) do(ctx context.Context, r request) (*http.Response, error) {
 	var err error = protocol.ErrNotSent.New("no entry is configured")
 	for _, base := range c.settings.Entries {
@@ -74,13 +74,23 @@
 			err = transport.ReadProblem(resp)
 			_ = resp.Body.Close()
 		}
-		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) && !(r.key != "" && isGone(err)) {
+		if !errorx.IsOfType(err, protocol.ErrNotSent) && !errorx.IsOfType(err, protocol.ErrLeaving) && !(r.mayResend() && isGone(err)) {
 			break
 		}
 	}
 	return nil, err
 }
 
+// mayResend reports whether a request that may have arrived may be sent again: one
+// with a key joins the first one or reads its result, and a read of the system's
+// own state changes nothing.
+func (r *request) mayResend() bool {
+	return r.key != "" || r.method == http.MethodGet && !strings.HasPrefix(r.path, servicesPath)
+}
+
+// servicesPath begins the paths of calls to plain services.
+const servicesPath = "/services/"
+
 // isGone reports whether a request may have arrived at an entry that has ended.
 func isGone(err error) bool {
 	typed := errorx.Cast(err)
@@ -161,7 +171,7 @@
 // Call calls a plain service.
 func (c *Client) Call(ctx context.Context, service, method, path string, body []byte, o CallOptions) (*Answer, error) {
 	return c.read(ctx, request{
-		method: method, path: "/services/" + url.PathEscape(service) + path,
+		method: method, path: servicesPath + url.PathEscape(service) + path,
 		key: o.Key, trace: o.Trace, async: o.Async, token: c.settings.CallerKey, body: body,
 	})
 }
--- a/client/gone_test.go
+++ b/client/gone_test.go
@@ -36,7 +36,7 @@
 }
 
 // TestKeyedRequestsOutliveTheirEntry sends a request over a connection whose entry
-// ends on getting it: only one with a key goes on to another entry.
+// ends on getting it: one with a key goes on to another entry, and so does a read.
 func TestKeyedRequestsOutliveTheirEntry(t *testing.T) {
 	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
 	defer other.Close()
@@ -53,4 +53,10 @@
 		}
 		c.Close()
 	}
+	c := New(settings.Client{Entries: []string{dyingEntry(t), other.URL}})
+	defer c.Close()
+	_, err := c.Call(t.Context(), "s", http.MethodPost, "/warm", nil, CallOptions{Key: "warm"})
+	assert.NilError(t, err)
+	_, err = c.Result(t.Context(), "k")
+	assert.NilError(t, err)
 }
