--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/url"
 	"sync"
 	"time"
 
@@ -354,62 +352,6 @@
 	return "false"
 }
 
-func (r *runner) probe(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
-	defer cancel()
-	if r.target.Type == settings.TargetEngine {
-		load, err := r.engine.Load(ctx)
-		if err == nil {
-			r.crashes.observe(load.Boot)
-		}
-		return err
-	}
-	u, err := url.Parse(r.target.URL)
-	if err != nil {
-		return protocol.ErrBadRequest.Wrap(err, "target URL")
-	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", u.Host)
-	if err != nil {
-		return protocol.ErrNotSent.Wrap(err, "probe")
-	}
-	return conn.Close()
-}
-
-// targetBoot returns the target's boot identity, empty for a target that tells none.
-// It fails where the target is down.
-func (r *runner) targetBoot(ctx context.Context) (string, error) {
-	if r.target.Type != settings.TargetEngine {
-		return "", r.probe(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*healthInterval)
-	defer cancel()
-	load, err := r.engine.Load(ctx)
-	return load.Boot, err
-}
-
-// do runs a call of a plain service.
-func (r *runner) do(ctx context.Context, a *protocol.AttemptRequest, repeatable bool) (protocol.Result, error) {
-	r.sent(a)
-	result, err := r.service.Do(ctx, a.Key, &a.Call, repeatable)
-	return result, r.ended(ctx, a, err)
-}
-
-// generate runs a model call and passes each token to sink. The call must be sent
-// by a time; zero stands for any.
-func (r *runner) generate(ctx context.Context, a *protocol.AttemptRequest, by time.Time, sink func(string) error) error {
-	r.sent(a)
-	tokens := len(a.Resume)
-	err := r.generateOnce(ctx, a, by, func(token string) error {
-		tokens++
-		return sink(token)
-	})
-	if err == nil && a.Class == protocol.ClassOnline {
-		r.sizes.answered(a, tokens)
-	}
-	return r.ended(ctx, a, err)
-}
-
 // watchList turns waiting attempts away once the instance list has this
 // instance as leaving.
 func (r *runner) watchList() {
