Run the promises' tests beside each other

Change: tests and their subtests run in parallel, with at most four sites of separate processes and three sites of the test's own process at a time. No bound of any check was changed. The relay test uses the stand-in relay. Failed requests of the silence test are logged.

--- a/promises/at_most_once_test.go
+++ b/promises/at_most_once_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,6 +16,7 @@
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
+	netrelay "github.com/sycamoretally/sycamoretally/standin/relay"
 	"github.com/sycamoretally/sycamoretally/standin/service"
 )
 
@@ -25,8 +24,10 @@
 // start of a call, for longer than any entry waits, while callers resend. What
 // was unknown becomes known, and what was called not_run never runs later.
 func TestPausedSidecarRunsOnce(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{6, 66, 666} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			site, _ := startProcesses(t, processtest.Layout{Entries: 2, Services: 1, Slots: 8})
 			l := newRequestLoad(t, seed, site.Client)
 			random := rand.New(rand.NewPCG(seed, 0))
@@ -48,8 +49,10 @@
 // TestReplacedSidecarRunsOnce kills the only sidecar at a random moment around
 // the start of a call and replaces it under its old name.
 func TestReplacedSidecarRunsOnce(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{7, 77} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			site, _ := startProcesses(t, processtest.Layout{Entries: 2, Services: 1, Slots: 8})
 			l := newRequestLoad(t, seed, site.Client)
 			random := rand.New(rand.NewPCG(seed, 0))
@@ -110,6 +113,7 @@
 // TestOutageBetweenStartAndComplete takes the log away while a call runs. The
 // caller gets its answer, marked as not retained, and a later read finds it.
 func TestOutageBetweenStartAndComplete(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	setServiceFaults(site, service.Faults{DelayMillis: 1000})
@@ -131,6 +135,7 @@
 // TestUnknownBecomesKnown kills the entry of a running call: the call is listed
 // under its key, and its answer turns up there.
 func TestUnknownBecomesKnown(t *testing.T) {
+	t.Parallel()
 	site, c := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	setServiceFaults(site, service.Faults{DelayMillis: 2000})
@@ -148,6 +153,7 @@
 // TestLostAnswerIsUnknown loses a booking's answer after it took effect: every
 // resend says unknown, and it never runs again.
 func TestLostAnswerIsUnknown(t *testing.T) {
+	t.Parallel()
 	site, c := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	setServiceFaults(site, service.Faults{LoseAnswers: 1})
@@ -162,22 +168,25 @@
 // TestSilentConnectionToTheSidecar cuts the connection of a running call without
 // closing it. The caller gets its answer through the log.
 func TestSilentConnectionToTheSidecar(t *testing.T) {
+	t.Parallel()
 	layout := bookingLayout()
 	layout.Services = 1
 	site, _ := startInProcess(t, layout)
 	l := newRequestLoad(t, 0, site.Client)
-	r := newRelay(t, site.SidecarHTTP(0))
+	r, err := netrelay.New(site.SidecarHTTP(0))
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
 	rows, err := site.List.Instances(t.Context())
 	assert.NilError(t, err)
 	for i := range rows {
-		if rows[i].HTTP == r.target {
-			rows[i].HTTP = r.listener.Addr().String()
+		if rows[i].HTTP == site.SidecarHTTP(0) {
+			rows[i].HTTP = r.Address()
 		}
 	}
 	site.List.Set(rows)
 	setServiceFaults(site, service.Faults{DelayMillis: 5000})
 	eventually(t, 20*time.Second, func() error {
-		if r.connections() > 0 {
+		if r.Open() > 0 {
 			return nil
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -188,78 +197,8 @@
 	first := make(chan history.RequestOutput, 1)
 	go func() { first <- l.book(t.Context(), 0, l.entries[0], "silent", "s", time.Minute) }()
 	awaitRun(t, site, "silent")
-	r.silence()
+	r.Silence()
 	out := <-first
 	assert.Equal(t, out.Answer, history.AnswerResult)
 	l.check(t, allRuns(site))
 }
-
-// relay passes connections on to a target until it goes silent.
-type relay struct {
-	target   string
-	listener net.Listener
-
-	mu     sync.Mutex
-	count  int
-	silent bool
-}
-
-func newRelay(t *testing.T, target string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	r := &relay{target: target, listener: l}
-	go r.serve()
-	return r
-}
-
-func (r *relay) serve() {
-	for {
-		in, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		out, err := net.Dial("tcp", r.target)
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		r.mu.Lock()
-		r.count++
-		r.mu.Unlock()
-		go r.pass(in, out)
-		go r.pass(out, in)
-	}
-}
-
-func (r *relay) pass(from, to net.Conn) {
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-		if !r.isSilent() {
-			_, _ = io.Writer(to).Write(buffer[:n])
-		}
-	}
-}
-
-func (r *relay) isSilent() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.silent
-}
-
-func (r *relay) silence() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.silent = true
-}
-
-func (r *relay) connections() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.count
-}
--- a/promises/cancel_test.go
+++ b/promises/cancel_test.go
@@ -42,6 +42,7 @@
 }
 
 func TestStartCheckFindsFaults(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	run := engine.Run{Prompt: "plan 1", Ended: "done", StartUnixMicros: now.Add(time.Second).UnixMicro()}
 	assert.NilError(t, checkStarts([]engine.Run{run}, "plan", now))
@@ -91,6 +92,7 @@
 }
 
 func TestCancelStopsJobs(t *testing.T) {
+	t.Parallel()
 	stopped := func(group func(*processtest.Site) []*processtest.Process) func(*testing.T, *processtest.Site) func() {
 		return func(t *testing.T, site *processtest.Site) func() {
 			for _, p := range group(site) {
@@ -179,6 +181,7 @@
 // TestCancelEndsRunningItems cancels a job whose items run much longer than the
 // bound.
 func TestCancelEndsRunningItems(t *testing.T) {
+	t.Parallel()
 	const seed, tokens = 1, 8000
 	t.Logf("seed %d", seed)
 	site, _ := startInProcess(t, demo.DefaultLayout())
@@ -236,6 +239,7 @@
 // TestCancelReachesEntryCutFromLog cancels through one entry while the other,
 // which owns some of the jobs, cannot read the log.
 func TestCancelReachesEntryCutFromLog(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	t.Logf("seed %d", seed)
 	var cut *cutLog
@@ -278,6 +282,7 @@
 // TestCancelAgainstCompletion cancels short jobs through one entry about when
 // they complete, and reads them through both.
 func TestCancelAgainstCompletion(t *testing.T) {
+	t.Parallel()
 	const seed, rounds = 7, 12
 	t.Logf("seed %d", seed)
 	layout := demo.DefaultLayout()
--- a/promises/configuration_test.go
+++ b/promises/configuration_test.go
@@ -118,10 +118,12 @@
 // entries while answers of the log are lost, the log is slow and down, and
 // single processes are cut from it.
 func TestConfigurationUnderFaults(t *testing.T) {
+	t.Parallel()
 	const operators, changes = 6, 25
 	objects := []string{"one", "two"}
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			site, _ := startInProcess(t, configurationLayout())
 			recorder := history.NewRecorder()
 			watch := &observer{site: site}
@@ -180,6 +182,7 @@
 // TestChangeThroughLaggingEntry sends a change to an entry that has not seen the
 // version it was made from: the entry must not judge it by its own state.
 func TestChangeThroughLaggingEntry(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, demo.DefaultLayout())
 	recorder := history.NewRecorder()
 	known := map[string]protocol.Position{}
@@ -213,8 +216,10 @@
 
 // TestFreshProcessDuringOutage starts a sidecar while the log is down.
 func TestFreshProcessDuringOutage(t *testing.T) {
+	t.Parallel()
 	for name, state := range map[string]logservice.PathState{"outage": logservice.PathOpen, "cut": logservice.PathCut, "silent": logservice.PathSilent} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			layout := demo.DefaultLayout()
 			site, c := startInProcess(t, layout)
 			if name == "outage" {
@@ -252,6 +257,7 @@
 // TestUnknownAgeFailsReadiness cuts processes from the log: they stay ready as
 // long as entries show that nothing is missing, and no longer.
 func TestUnknownAgeFailsReadiness(t *testing.T) {
+	t.Parallel()
 	layout := demo.DefaultLayout()
 	layout.MaxAge = 4 * time.Second
 	site, _ := startInProcess(t, layout)
--- a/promises/exactly_once_jobs_test.go
+++ b/promises/exactly_once_jobs_test.go
@@ -88,6 +88,7 @@
 // TestJobsExactlyOnce runs a job through each fault, with callers that resend
 // and read it all the time.
 func TestJobsExactlyOnce(t *testing.T) {
+	t.Parallel()
 	for i, fault := range jobFaults() {
 		seed := uint64(i + 1)
 		t.Run(fault.name, func(t *testing.T) {
@@ -111,6 +112,7 @@
 // TestJobOutlivesRepeatedEngineLoss kills each engine twice: more often than an
 // item may fail, so that an item must not be charged with all of them.
 func TestJobOutlivesRepeatedEngineLoss(t *testing.T) {
+	t.Parallel()
 	const seed = 40
 	t.Logf("seed %d", seed)
 	faults := jobFaults()
@@ -118,12 +120,7 @@
 	runJobUnder(t, seed, faults[engines], faults[engines])
 }
 
-// sites bounds the sites that run at the same time.
-var sites = make(chan struct{}, 5)
-
 func runJobUnder(t *testing.T, seed uint64, faults ...jobFault) {
-	sites <- struct{}{}
-	defer func() { <-sites }()
 	site, _ := startProcesses(t, processtest.Layout{
 		Entries: 2, Engines: 2, Slots: 4,
 		Engine: settings.StandInEngine{Width: 4, TokenTime: settings.Duration(10 * time.Millisecond), RestartTime: settings.Duration(time.Second)},
@@ -152,6 +149,7 @@
 // TestResultsOutliveAllProcesses reads a job's results before and after every
 // entry and sidecar was replaced, and during a log outage after that.
 func TestResultsOutliveAllProcesses(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	t.Logf("seed %d", seed)
 	site, _ := startProcesses(t, processtest.Layout{
@@ -180,6 +178,7 @@
 
 // TestJobResultChecksFindFaults hands the counting check one forged fault each.
 func TestJobResultChecksFindFaults(t *testing.T) {
+	t.Parallel()
 	job := &jobItems{name: "review", items: 2, tokens: 3}
 	line := func(id string, text string) string {
 		data, err := json.Marshal(entry.ResultLine{CustomID: id, Outcome: protocol.OutcomeCompleted, Status: 200, Text: text})
@@ -197,6 +196,7 @@
 		"a failed feasible item": first + `{"custom_id":"item-1","outcome":"failed","status":502,"text":"x"}` + "\n",
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			assert.Assert(t, job.checkResults([]byte(data), true) != nil, "the forged fault was not found")
 		})
 	}
@@ -206,6 +206,7 @@
 // runs them: they get failed results after a bounded number of crashes, and the
 // items beside them complete.
 func TestCrashingItemsFailAlone(t *testing.T) {
+	t.Parallel()
 	const seed, attempts = 1, 3
 	t.Logf("seed %d", seed)
 	site, _ := startProcesses(t, processtest.Layout{
@@ -237,6 +238,7 @@
 // job: every item that its engine ran whole has its result from that run, and
 // none is run again.
 func TestLeavingSidecarReturnsItsItems(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	t.Logf("seed %d", seed)
 	site, _ := startProcesses(t, processtest.Layout{
--- a/promises/exactly_once_requests_test.go
+++ b/promises/exactly_once_requests_test.go
@@ -26,8 +26,10 @@
 // while callers resend through any entry, then replaces every process of the
 // system and reads every result from every entry.
 func TestKeyedRequestsExactlyOnce(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			site, _ := startProcesses(t, bookingProcesses)
 			l := newRequestLoad(t, seed, site.Client)
 			l.run(t.Context(), func(ctx context.Context, random *rand.Rand) {
@@ -85,6 +87,7 @@
 // TestReceiptOutlivesItsEntry kills the entry that gave receipts: of a booking
 // that then runs, and of a repeatable request that cannot run yet.
 func TestReceiptOutlivesItsEntry(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	setServiceFaults(site, service.Faults{DelayMillis: 1000})
@@ -102,6 +105,7 @@
 // TestReceiptOutlivesARefusal checks that the entry that gave a receipt tries
 // again after every attempt has failed.
 func TestReceiptOutlivesARefusal(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	setServiceFaults(site, service.Faults{Down: true})
--- a/promises/leaving_test.go
+++ b/promises/leaving_test.go
@@ -117,6 +117,7 @@
 // way only, under online, batch and booking load, and reads the targets' own
 // records.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	const marked, markedService = 0, 2
 	ways := []struct {
 		name string
@@ -139,6 +140,7 @@
 	}
 	for _, way := range ways {
 		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
 			site, c := startProcesses(t, processtest.Layout{
 				Entries: 2, Engines: 2, Services: 2, Slots: 2, ListLag: 2 * time.Second, Drain: 20 * time.Second,
 				Engine: settings.StandInEngine{Width: 2, TokenTime: settings.Duration(10 * time.Millisecond)},
--- a/promises/main_test.go
+++ b/promises/main_test.go
@@ -30,9 +30,28 @@
 	os.Exit(code)
 }
 
+// The numbers of sites that run at the same time: those of separate processes,
+// and those in this one.
+const (
+	maxProcessSites = 4
+	maxOwnSites     = 3
+)
+
+var (
+	processSites = make(chan struct{}, maxProcessSites)
+	ownSites     = make(chan struct{}, maxOwnSites)
+)
+
+// takeSite waits until the test may start a site, which it keeps to its end.
+func takeSite(t *testing.T, sites chan struct{}) {
+	sites <- struct{}{}
+	t.Cleanup(func() { <-sites })
+}
+
 // startProcesses starts a site of separate processes and publishes its services.
 func startProcesses(t *testing.T, layout processtest.Layout) (*processtest.Site, *client.Client) {
 	t.Helper()
+	takeSite(t, processSites)
 	site, err := processtest.Start(binary, t.TempDir(), layout)
 	t.Cleanup(func() {
 		site.Close()
@@ -55,6 +74,7 @@
 // startInProcess starts a site in this process and publishes its services.
 func startInProcess(t *testing.T, layout demo.Layout) (*demo.Site, *client.Client) {
 	t.Helper()
+	takeSite(t, ownSites)
 	site, err := demo.Start(layout)
 	t.Cleanup(site.Close)
 	assert.NilError(t, err)
--- a/promises/not_run_test.go
+++ b/promises/not_run_test.go
@@ -45,8 +45,10 @@
 // TestNotRunIsTrueUnderFaults checks every refusal against the booking services'
 // own record, while the log and the services fail in turn.
 func TestNotRunIsTrueUnderFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{5, 55, 555} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			site, _ := startInProcess(t, bookingLayout())
 			l := newRequestLoad(t, seed, site.Client)
 			l.run(t.Context(), func(ctx context.Context, random *rand.Rand) {
@@ -83,6 +85,7 @@
 // TestResendJoinsTheRunningCall checks that a resend through any entry, also the
 // same one, waits for the call that runs instead of refusing or giving up.
 func TestResendJoinsTheRunningCall(t *testing.T) {
+	t.Parallel()
 	site, c := startInProcess(t, bookingLayout())
 	setServiceFaults(site, service.Faults{DelayMillis: 4000})
 	l := newRequestLoad(t, 0, site.Client)
@@ -118,6 +121,7 @@
 // TestCompletedIsNeverCalledNotRun resends a completed booking, and reads it,
 // through entries that cannot reach the log.
 func TestCompletedIsNeverCalledNotRun(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	out := l.book(t.Context(), 0, l.entries[0], "done", "s", time.Minute)
@@ -136,6 +140,7 @@
 // TestOutageRefusesTruly checks that a booking that the log cannot record is
 // refused as not run, and that its resend runs.
 func TestOutageRefusesTruly(t *testing.T) {
+	t.Parallel()
 	site, _ := startInProcess(t, bookingLayout())
 	l := newRequestLoad(t, 0, site.Client)
 	site.Log.SetFaults(logservice.Faults{Outage: true})
--- a/promises/online_first_test.go
+++ b/promises/online_first_test.go
@@ -79,6 +79,7 @@
 // wait while batch work keeps a slot that it was not told to give back. The
 // engines, which know no priorities, must never queue.
 func TestOnlineNeverBehindBatch(t *testing.T) {
+	t.Parallel()
 	const seed, slots, bursts = 3, 4, 8
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, seed))
@@ -113,6 +114,7 @@
 // their slots stay taken, so that the engine never queues online work, and come
 // back once the engine obeys.
 func TestLostSlots(t *testing.T) {
+	t.Parallel()
 	const slots = 2
 	site, c := startInProcess(t, demo.Layout{Entries: 1, Engines: 1, Slots: slots, Engine: engine.Params{
 		Width: slots, TokenTime: 5 * time.Millisecond, CacheTokens: 4096, RestartTime: time.Second,
--- a/promises/orders_test.go
+++ b/promises/orders_test.go
@@ -26,6 +26,7 @@
 	layout.Engine.LoadTime = 100 * time.Millisecond
 	layout.Engine.ChecksFence = checks
 	layout.Weights = weights
+	takeSite(t, ownSites)
 	site, err := demo.Start(layout)
 	t.Cleanup(site.Close)
 	assert.NilError(t, err)
@@ -111,6 +112,7 @@
 // TestRollIsStaggered rolls 12 targets under requests with a weight store that
 // limits its rate: never more than a quarter is out, and no request fails.
 func TestRollIsStaggered(t *testing.T) {
+	t.Parallel()
 	weights := weightstore.New(10, 1, 1<<16)
 	site, c := orderSite(t, 12, true, weights)
 	stop := make(chan struct{})
@@ -148,8 +150,10 @@
 // last accepted one ends up loaded, and no engine ever goes back, whether it
 // checks fencing numbers or not.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks %v", checks), func(t *testing.T) {
+			t.Parallel()
 			site, c := orderSite(t, 4, checks, nil)
 			var operators sync.WaitGroup
 			for _, name := range []string{"left", "right"} {
@@ -174,6 +178,7 @@
 // TestWeightStoreDown has the store fail when a roll begins: no target gets an
 // order, the others go on serving, and the roll ends after the store is back.
 func TestWeightStoreDown(t *testing.T) {
+	t.Parallel()
 	weights := weightstore.New(100, 10, 1<<10)
 	weights.SetDown(true)
 	site, c := orderSite(t, 4, true, weights)
@@ -199,6 +204,7 @@
 // TestCrashWhileLoading crashes a target in its turn: it loads again, and the
 // turn is not lost to the others.
 func TestCrashWhileLoading(t *testing.T) {
+	t.Parallel()
 	weights := weightstore.New(100, 10, 1<<10)
 	weights.SetDown(true)
 	site, c := orderSite(t, 2, false, weights)
--- a/promises/paused_orders_test.go
+++ b/promises/paused_orders_test.go
@@ -95,8 +95,10 @@
 // TestReplacedHolderGivesNoOrder pauses a sidecar in its turn, replaces it, has
 // two versions loaded by the new one, and lets the old one go on.
 func TestReplacedHolderGivesNoOrder(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks %v", checks), func(t *testing.T) {
+			t.Parallel()
 			site, c := pausedSite(t, 1, checks)
 			assert.NilError(t, place(t, c, "drafter", "1"))
 			loadingTarget(t, c)
@@ -121,8 +123,10 @@
 // its target's placement changes: the other target gets the turn, and the paused
 // one loads only the newest version when it goes on.
 func TestPausedHolderLosesItsTurn(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks %v", checks), func(t *testing.T) {
+			t.Parallel()
 			site, c := pausedSite(t, 2, checks)
 			assert.NilError(t, place(t, c, "drafter", "1"))
 			paused := loadingTarget(t, c)
--- a/promises/poison_test.go
+++ b/promises/poison_test.go
@@ -33,6 +33,7 @@
 	layout := demo.DefaultLayout()
 	layout.Entries, layout.Engines, layout.Services = 3, 5, 0
 	layout.Engine.RestartTime = 300 * time.Millisecond
+	takeSite(t, ownSites)
 	site, err := demo.Start(layout)
 	t.Cleanup(site.Close)
 	assert.NilError(t, err)
@@ -126,8 +127,10 @@
 // TestPoisonResentInTurn has a caller send a poison request again and again,
 // under new keys and through all entries.
 func TestPoisonResentInTurn(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 0))
 			s := startPoisonSite(t)
 			finish := s.innocents(t, rng, 12, 60)
@@ -148,8 +151,10 @@
 // TestPoisonResentAtOnce sends copies through all entries before any crash is
 // known, with innocent requests beside them.
 func TestPoisonResentAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 1))
 			s := startPoisonSite(t)
 			finish := s.innocents(t, rng, 20, 60)
@@ -170,6 +175,7 @@
 // TestPoisonInJob has poison lines in a job, sent online too; the job ends with
 // a failed result for these and whole results for the rest.
 func TestPoisonInJob(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	rng := rand.New(rand.NewPCG(seed, 2))
 	s := startPoisonSite(t)
@@ -216,6 +222,7 @@
 // TestPoisonDuringLogOutage has the first crash fall into an outage of the log:
 // the suspicion cannot be stored, so that no copy runs until it is.
 func TestPoisonDuringLogOutage(t *testing.T) {
+	t.Parallel()
 	s := startPoisonSite(t)
 	s.Log.SetFaults(logservice.Faults{Outage: true})
 	prompt := engine.MarkerCrash + " in an outage"
@@ -243,6 +250,7 @@
 // TestCutStreamIsNoCrash slows the targets and lets callers go in the middle:
 // nothing becomes a suspect.
 func TestCutStreamIsNoCrash(t *testing.T) {
+	t.Parallel()
 	s := startPoisonSite(t)
 	for i := range 6 {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/promises/retention_test.go
+++ b/promises/retention_test.go
@@ -74,6 +74,7 @@
 // booking and a job from every entry after the log's retention has passed
 // several times and all processes were replaced, twice.
 func TestResultsOutliveProcessesAndRetention(t *testing.T) {
+	t.Parallel()
 	const questions, items = 10, 40
 	site, c := startProcesses(t, retentionLayout())
 	ctx := t.Context()
@@ -147,6 +148,7 @@
 // TestFrozenPastRetention stops an entry and a sidecar until every entry that
 // they have not read has expired, and lets them go on.
 func TestFrozenPastRetention(t *testing.T) {
+	t.Parallel()
 	site, _ := startProcesses(t, retentionLayout())
 	ctx := t.Context()
 	peers := transport.NewPeers(site.Sidecars[0].Settings.Process.PeerSecret)
--- a/promises/silent_test.go
+++ b/promises/silent_test.go
@@ -96,12 +96,14 @@
 // request goes on after at most one more attempt, hedges aside, and so do later
 // ones.
 func TestSilentConnectionsBetweenProcesses(t *testing.T) {
+	t.Parallel()
 	for _, noHedges := range []bool{true, false} {
 		t.Run(fmt.Sprintf("no hedges %t", noHedges), func(t *testing.T) { silenceAll(t, settings.Policy{NoHedges: noHedges}) })
 	}
 }
 
 func silenceAll(t *testing.T, policy settings.Policy) {
+	t.Parallel()
 	n, _, c := startBehindRelays(t, policy)
 	burst(t, c, 12, 2, "before") // leaves idle connections
 	a := &asker{client: c}
@@ -112,6 +114,7 @@
 	awaitRunning(t, c, 12)
 	n.silence()
 	group.Wait()
+	a.logFailures(t)
 	assert.NilError(t, history.CheckAnswers(a.answers))
 	assert.Equal(t, a.failed(), 0)
 	burst(t, c, 12, 2, "after")
@@ -155,6 +158,7 @@
 // booking runs: it runs once, its caller hears that the outcome is unknown or
 // gets the answer, and the answer can be read afterwards.
 func TestSilentConnectionUnderBooking(t *testing.T) {
+	t.Parallel()
 	n, site, c := startBehindRelays(t, settings.Policy{})
 	site.Services[0].SetFaults(service.Faults{DelayMillis: 500})
 	var err error
@@ -182,6 +186,7 @@
 // TestSilentInstanceList lets the connections to the instance list go silent:
 // a change on it is known within the limit.
 func TestSilentInstanceList(t *testing.T) {
+	t.Parallel()
 	list := instancelist.New(0, []platform.Instance{{Name: "e", Role: platform.RoleEntry}})
 	r := relayBefore(t, list.Handler())
 	m := membership.New(membership.Params{Self: "e", List: platform.NewHTTPInstanceList("http://" + r.Address())})
@@ -227,6 +232,7 @@
 // TestSilentLog lets a follower's connection to the log go silent: it reads on
 // over a new one within the limit of its poll and the heartbeat timeout.
 func TestSilentLog(t *testing.T) {
+	t.Parallel()
 	log := logservice.New(logservice.Params{AppendsPerSecond: 1000})
 	r := relayBefore(t, log.Handler())
 	fold := countFold{records: make(chan string, 8)}
--- a/promises/timeline_test.go
+++ b/promises/timeline_test.go
@@ -14,6 +14,7 @@
 // sidecars: many short requests fall into each millisecond, and none of their
 // events may stand before its cause in another process.
 func TestTimelineShowsCausesFirst(t *testing.T) {
+	t.Parallel()
 	layout := demo.DefaultLayout()
 	layout.Engine.TokenTime = 0
 	_, c := startInProcess(t, layout)
--- a/promises/upload_test.go
+++ b/promises/upload_test.go
@@ -23,6 +23,7 @@
 // TestUploadsOfSameContent uploads one file through all entries at the same
 // time, after an upload that was broken off and one with a malformed line.
 func TestUploadsOfSameContent(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	t.Logf("seed %d", seed)
 	site, c := startInProcess(t, demo.DefaultLayout())
--- a/promises/whole_answers_test.go
+++ b/promises/whole_answers_test.go
@@ -61,6 +61,15 @@
 	return whole.Choices[0].Message.Content
 }
 
+// logFailures lists the requests that failed.
+func (a *asker) logFailures(t *testing.T) {
+	for _, answer := range a.answers {
+		if answer.Err != nil {
+			t.Logf("%s: %v", answer.Request, answer.Err)
+		}
+	}
+}
+
 func (a *asker) failed() int {
 	failed := 0
 	for _, answer := range a.answers {
@@ -74,6 +83,7 @@
 // TestWholeAnswersFromBrokenEngines has engines cut and stall streams at random
 // places, also between the last token and the end marker.
 func TestWholeAnswersFromBrokenEngines(t *testing.T) {
+	t.Parallel()
 	const seed, callers, rounds = 5, 8, 6
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, seed))
@@ -107,6 +117,7 @@
 // TestWholeAnswersWhenSidecarsDie kills sidecars while streams run; the rest of
 // each answer comes from another target.
 func TestWholeAnswersWhenSidecarsDie(t *testing.T) {
+	t.Parallel()
 	site, c := startProcesses(t, processtest.Layout{Entries: 1, Engines: 3, Slots: 16, Engine: settings.StandInEngine{
 		Width: 16, TokenTime: settings.Duration(20 * time.Millisecond),
 	}})
@@ -128,6 +139,7 @@
 
 // TestLongAnswersResume resumes after far more text than any header holds.
 func TestLongAnswersResume(t *testing.T) {
+	t.Parallel()
 	const size, tokens = 300 << 10, 6
 	site, c := startInProcess(t, demo.Layout{Entries: 1, Engines: 2, Slots: 2, Engine: engine.Params{Width: 2, RestartTime: time.Second}})
 	for _, e := range site.Engines {
@@ -143,6 +155,7 @@
 // heartbeat timeout. Another caller with the same key gets the whole answer
 // meanwhile, the target's slot is free again, and the slow one gets it whole later.
 func TestSlowCaller(t *testing.T) {
+	t.Parallel()
 	const size, tokens = 1 << 20, 24
 	site, c := startInProcess(t, demo.Layout{Entries: 1, Engines: 1, Slots: 1, Engine: engine.Params{Width: 1, RestartTime: time.Second}})
 	site.Engines[0].SetFaults(engine.Faults{TokenBytes: size})
@@ -179,6 +192,7 @@
 // TestCutServiceAnswers has a plain service end its answers in their middle: an
 // idempotent call is made again, and a booking gets an error that says unknown.
 func TestCutServiceAnswers(t *testing.T) {
+	t.Parallel()
 	site, c := startInProcess(t, demo.Layout{Entries: 1, Services: 1, Slots: 2})
 	site.Services[0].SetFaults(service.Faults{CutAnswers: 1})
 	_, err := c.Call(t.Context(), "booking", http.MethodPost, "/bookings", []byte(`{"slot":"7"}`), client.CallOptions{Key: "cut"})
