--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/logcache"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
 	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
+	"github.com/sycamoretally/sycamoretally/coordination/quota"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -34,6 +35,8 @@
 	Instances platform.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
+	// Now is the wall clock of the time line; nil means time.Now.
+	Now func() time.Time
 }
 
 // stream bundles what an entry has for one stream of the log.
@@ -61,6 +64,7 @@
 	peers     *transport.Peers
 	attempts  *transport.AttemptClient
 	leases    *leases
+	owners    batch.Owners
 	results   *resultGatherer
 	flights   *flights
 	claims    *claims
@@ -71,6 +75,7 @@
 	log       platform.Log
 	callers   map[string]string
 	policy    *policy
+	quotas    *quota.Limiter
 
 	tomb    tomb.Tomb
 	server  *http.Server
@@ -82,7 +87,11 @@
 // New builds an entry from its settings. It listens at once, so that a taken
 // address is found here, and fails with settings.ErrSettings.
 func New(s *settings.Settings, p Platform) (*Entry, error) {
-	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(time.Now), timeline.DefaultRingSize)
+	now := p.Now
+	if now == nil {
+		now = time.Now
+	}
+	ring := timeline.NewRing(s.Process.Instance, timeline.NewClock(now), timeline.DefaultRingSize)
 	observe := func(clock uint64) { ring.Clock().Observe(clock) }
 	e := &Entry{
 		settings:   s,
@@ -103,20 +112,24 @@
 		log:        p.Log,
 		callers:    map[string]string{},
 		policy:     newPolicy(s.Policy),
+		quotas:     quota.New(time.Now),
 		leaving:    make(chan struct{}),
 	}
 	if p.Dial != nil {
 		e.peers.UseDial(p.Dial)
 		e.attempts.UseDial(p.Dial)
 	}
+	e.metrics.registry.MustRegister(quarantineMetrics(e.quarantine)...)
 	e.bodies = logcache.New(p.Log, protocol.StreamWork, logcache.DefaultBytes, e.moved.Locate)
 	for _, c := range s.Entry.Callers {
 		e.callers[c.Key] = c.Workspace
 	}
-	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, e.confMarks)
+	e.conf = e.newStream(p.Log, protocol.StreamConfig, e.config, state.NewLoads(e.config), e.confMarks)
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine, e.moved, forget, jobWatch{e})
-	e.members = membership.New(membership.Params{Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}})
+	e.members = membership.New(membership.Params{
+		Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}, Services: e.serviceMatcher,
+	})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
 	return e, e.listen()
@@ -132,12 +145,15 @@
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
 		e.metrics.appendedBytes.WithLabelValues(name).Add(float64(bytes))
 	}
+	// First: what the other folds wake may record events at once.
+	folds = append([]follow.Fold{timeline.Watch{Clock: e.ring.Clock()}}, folds...)
 	follower := follow.New(follow.Params{Stream: name, Source: log, Peers: e.logGroup(name), PollWait: pollWait}, folds...)
 	e.metrics.registry.MustRegister(follower.Metrics()...)
-	return stream{
-		follower: follower,
-		writer:   commit.New(commit.Params{Stream: name, Log: log, Observe: observe}),
+	params := commit.Params{Stream: name, Log: log, Observe: observe}
+	if name == protocol.StreamWork {
+		params.Hand = e.gatherers(name).Hand
 	}
+	return stream{follower: follower, writer: commit.New(params)}
 }
 
 func (e *Entry) listen() error {
@@ -168,7 +184,8 @@
 	e.tomb.Go(func() error { return peers.Serve(e.peerL) })
 	e.tomb.Go(func() error { return e.tasks.close(ctx) })
 	e.tomb.Go(func() error { return e.adopt(ctx) })
-	e.tomb.Go(func() error { return e.retain(ctx) })
+	keepers := e.newKeepers()
+	e.tomb.Go(func() error { return e.retain(ctx, keepers) })
 	e.tomb.Go(func() error { return e.tellTime(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error {
@@ -258,9 +275,9 @@
 }
 
 // Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string) (protocol.ReportReply, error) {
+func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
 	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now()}, &reply)
+	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
 	if err != nil {
 		return protocol.ReportReply{}, err // net/rpc may still write to reply
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -21,7 +21,7 @@
 
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
-	reply.Events = p.e.ring.Events(*args)
+	reply.Events, reply.Cut = p.e.ring.Events(*args)
 	return nil
 }
 
@@ -43,11 +43,35 @@
 func (p *peerAPI) Append(args *protocol.AppendArgs, reply *protocol.AppendReply) error {
 	ctx, cancel := context.WithTimeout(p.e.context(), recordWait)
 	defer cancel()
+	p.e.ring.Clock().Stamp(args.Records)
 	last, err := p.e.streamNamed(args.Stream).appendAt(ctx, args.Records...)
 	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
 	return nil
 }
 
+// Gather appends records of another entry together with those of others.
+func (p *peerAPI) Gather(args *protocol.GatherArgs, reply *protocol.GatherReply) error {
+	last, err := p.e.gather(args)
+	reply.Last, reply.Problem = last, protocol.ProblemOf(err)
+	return nil
+}
+
+func (e *Entry) gather(args *protocol.GatherArgs) (protocol.Position, error) {
+	if args.Stream != protocol.StreamWork {
+		return 0, protocol.ErrNotSent.New("no records of stream %q are gathered here", args.Stream)
+	}
+	if e.isLeaving() {
+		return 0, protocol.ErrLeaving.New("this entry is shutting down")
+	}
+	records, err := protocol.DecodeBatch(args.Data)
+	if err != nil {
+		return 0, protocol.ErrNotSent.Wrap(err, "records of another entry")
+	}
+	ctx, cancel := context.WithTimeout(e.context(), recordWait)
+	defer cancel()
+	return e.work.writer.AppendHere(ctx, records...)
+}
+
 // ReadLog answers with entries of a stream.
 func (p *peerAPI) ReadLog(args *protocol.ReadLogArgs, reply *protocol.ReadLogReply) error {
 	switch args.Stream {
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -43,6 +43,8 @@
 // ReportArgs asks a process how it is.
 type ReportArgs struct {
 	Clock uint64
+	// Mark is that of the report which the asking process has; zero for none.
+	Mark uint64
 }
 
 // ReportReply is the answer to ReportArgs. An entry has no targets.
@@ -51,6 +53,9 @@
 	// Leaving is true once the process takes no new work.
 	Leaving bool
 	Targets []TargetReport
+	// Mark names what Leaving and Targets say. Targets is empty where Mark is
+	// the one asked with.
+	Mark uint64
 	// Config is the position up to which the process has folded configuration.
 	Config Position
 	Clock  uint64
@@ -111,6 +116,9 @@
 	Idle bool
 	// WaitMillis is the longest wait with a Want of zero, in milliseconds.
 	WaitMillis int64
+	// Since is, in a wait, the Seen of the entry's last answer to one, and in a
+	// pull the highest Seen of any entry; zero for none.
+	Since Position
 }
 
 // WorkItem is one batch item handed to a sidecar under a lease.
@@ -132,8 +140,14 @@
 	Items []WorkItem
 	// Available is set where more items wait that the target can run.
 	Available bool
+	// Others are the peer addresses of other entries that own running jobs which
+	// the target can run. They answer a wait where a target waits at few entries.
+	Others []string
+	// Seen is the position before which the entry has considered jobs for Others.
+	Seen Position
 	// Drain asks the target to finish its batch items before it pulls again.
 	Drain   bool
+	Clock   uint64
 	Problem *Problem
 }
 
@@ -179,6 +193,8 @@
 	Trace string
 	// SinceUnixMillis leaves out older events; zero asks for all.
 	SinceUnixMillis int64
+	// Limit is the largest number of events, the newest ones; zero asks for all.
+	Limit int
 }
 
 // Event is one event of a process's time line.
@@ -194,4 +210,6 @@
 // EventsReply carries events in order of their clocks.
 type EventsReply struct {
 	Events []Event
+	// Cut is set where Limit left events out.
+	Cut bool
 }
--- a/protocol/record.go
+++ b/protocol/record.go
@@ -18,6 +18,9 @@
 type Record struct {
 	// ID is unique to the record and the same in every append that retries it.
 	ID string `msgpack:"i"`
+	// Clock is the hybrid logical time at which its process made the record, for
+	// the time line alone.
+	Clock uint64 `msgpack:"hc,omitempty"`
 
 	Change   *Change          `msgpack:"cc,omitempty"`
 	Accept   *RequestAccept   `msgpack:"ra,omitempty"`
@@ -32,7 +35,6 @@
 	Snapshot *SnapshotChunk   `msgpack:"sn,omitempty"`
 	Carry    *Carry           `msgpack:"sc,omitempty"`
 	Forget   *Forget          `msgpack:"sf,omitempty"`
-	Announce *Announce        `msgpack:"an,omitempty"`
 
 	Crash   *TargetCrash  `msgpack:"qc,omitempty"`
 	Trial   *SuspectTrial `msgpack:"qt,omitempty"`
@@ -46,25 +48,14 @@
 	Revoke *LoadRevoke  `msgpack:"lv,omitempty"`
 }
 
-// Announce says which targets stand behind a sidecar. Each sidecar appends one
-// to the configuration stream when it starts.
-type Announce struct {
-	Instance string       `msgpack:"i"`
-	Targets  []TargetInfo `msgpack:"t"`
-}
-
-// TargetInfo is what does not change of a target while its sidecar runs.
-type TargetInfo struct {
-	Name   string `msgpack:"n"`
-	Labels Labels `msgpack:"l"`
-	Slots  int    `msgpack:"s"`
-}
-
 // Change sets or deletes configuration objects, all or none.
 type Change struct {
 	// By names the operator.
-	By      string   `msgpack:"b"`
-	Objects []Object `msgpack:"o"`
+	By string `msgpack:"b"`
+	// UnixMillis is when the entry took the change, in milliseconds since the
+	// epoch, by its own clock. It is shown to operators and decides nothing.
+	UnixMillis int64    `msgpack:"t,omitempty"`
+	Objects    []Object `msgpack:"o"`
 }
 
 // RequestAccept makes an asynchronous request durable before its receipt.
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -23,6 +23,7 @@
 		report.Healthy = report.Healthy && permitted
 		reply.Targets = append(reply.Targets, report)
 	}
+	reply.Shorten(args.Mark)
 	return nil
 }
 
@@ -44,7 +45,7 @@
 
 // Events answers with the process's events.
 func (p *peerAPI) Events(args *protocol.EventsArgs, reply *protocol.EventsReply) error {
-	reply.Events = p.s.ring.Events(*args)
+	reply.Events, reply.Cut = p.s.ring.Events(*args)
 	return nil
 }
 
@@ -58,11 +59,16 @@
 	return nil
 }
 
-// Holds says whether an attempt still holds its permit here.
+// Holds says whether an attempt still holds its permit here, and then has its end
+// told to the entries that granted it.
 func (p *peerAPI) Holds(args *protocol.HoldsArgs, reply *protocol.HoldsReply) error {
 	for _, r := range p.s.runners {
 		r.mu.Lock()
-		reply.Held = reply.Held || r.permits[args.Attempt] != nil
+		if held := r.permits[args.Attempt]; held != nil {
+			held.contested = true
+			reply.Held = true
+		}
+		reply.Completed = reply.Completed || r.completed.Has(args.Attempt)
 		r.mu.Unlock()
 	}
 	return nil
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -16,6 +17,8 @@
 	permitWait = time.Second
 	// batchPermitWait is the same for a batch item, which holds a slot meanwhile.
 	batchPermitWait = 200 * time.Millisecond
+	// ownerTries is how often the owner is asked over connections that break.
+	ownerTries = 3
 	// permitPause is the time between two questions.
 	permitPause = 20 * time.Millisecond
 )
@@ -26,8 +29,13 @@
 	runner      *runner
 	attempt     string
 	fingerprint string
-	alone       bool
-	completed   bool
+	// asked are the addresses of the entries that may hold the permit as granted.
+	asked     []string
+	granted   bool
+	alone     bool
+	completed bool
+	// contested is set once an entry has asked for the permit.
+	contested bool
 }
 
 // enter waits until the call may run on the target: for a slot, for the permit of
@@ -88,43 +96,111 @@
 
 // awaitPermit asks again until the permit is granted or the time is up.
 func (s *Sidecar) awaitPermit(ctx context.Context, r *runner, a *protocol.AttemptRequest) (*permit, error) {
+	p := s.newPermit(r, a)
 	for {
-		p, err := s.askPermit(ctx, r, a, permitWait)
-		if err == nil || ctx.Err() != nil || !errorx.IsOfType(err, protocol.ErrBusy) {
-			return p, err
+		err := p.ask(ctx, a, permitWait)
+		if err == nil {
+			return p, nil
+		}
+		if ctx.Err() != nil || !errorx.IsOfType(err, protocol.ErrBusy) {
+			p.giveUp()
+			return nil, err
 		}
 		pause(ctx, permitPause)
 	}
 }
 
+// askPermit asks once.
 func (s *Sidecar) askPermit(ctx context.Context, r *runner, a *protocol.AttemptRequest, wait time.Duration) (*permit, error) {
-	p := &permit{sidecar: s, runner: r, attempt: a.Attempt, fingerprint: a.Call.Fingerprint()}
+	p := s.newPermit(r, a)
+	if err := p.ask(ctx, a, wait); err != nil {
+		p.giveUp()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (s *Sidecar) newPermit(r *runner, a *protocol.AttemptRequest) *permit {
+	return &permit{sidecar: s, runner: r, attempt: a.Attempt, fingerprint: a.Call.Fingerprint()}
+}
+
+// ask asks the owner of the fingerprint, or any entry where that one fails. An
+// entry whose answer was lost may have granted the permit too.
+func (p *permit) ask(ctx context.Context, a *protocol.AttemptRequest, wait time.Duration) error {
+	s := p.sidecar
 	args := &protocol.PermitArgs{
 		Instance: s.settings.Process.Instance, Attempt: p.attempt, Key: a.Key, Fingerprint: p.fingerprint, WaitMillis: wait.Milliseconds(),
 	}
-	reply, err := s.callPermit(ctx, args, a.Coordinator)
-	if err != nil && ctx.Err() == nil {
-		reply, err = s.callPermit(ctx, args, a.Coordinator) // a silent connection is replaced
-	}
+	var reply protocol.PermitReply
+	owner := cmp.Or(s.entries.owner(p.fingerprint), a.Coordinator)
+	// An entry may ask for the holder before its grant arrives here.
+	p.runner.hold(p)
+	tried, err := s.entries.callOwner(ctx, owner, args, &reply)
 	if err != nil {
-		p.end()
-		return nil, protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
+		p.mayHold(tried)
+		return protocol.ErrNotSent.Wrap(err, "no entry answers for the call")
+	}
+	granted := reply.Problem == nil && reply.Granted
+	if granted && ctx.Err() != nil {
+		p.mayHold(tried)
+		return protocol.ErrBusy.Wrap(ctx.Err(), "the permit came too late")
+	}
+	if !granted {
+		tried = tried[:len(tried)-1]
 	}
+	p.mayHold(tried)
 	if err := reply.Problem.Err(); err != nil {
-		return nil, err
+		return err
 	}
-	if !reply.Granted {
-		return nil, protocol.ErrBusy.New("another copy of the call is running")
+	if !granted {
+		return protocol.ErrBusy.New("another copy of the call is running")
 	}
-	p.alone = reply.Alone
-	r.hold(p)
-	return p, nil
+	p.alone, p.granted = reply.Alone, true
+	return nil
+}
+
+// mayHold notes the newest addresses last, each once.
+func (p *permit) mayHold(addresses []string) {
+	p.asked = slices.DeleteFunc(p.asked, func(addr string) bool { return slices.Contains(addresses, addr) })
+	p.asked = append(p.asked, addresses...)
 }
 
-func (s *Sidecar) callPermit(ctx context.Context, args *protocol.PermitArgs, coordinator string) (reply protocol.PermitReply, err error) {
-	owner := cmp.Or(s.entries.owner(args.Fingerprint), coordinator)
-	err = s.entries.call(ctx, owner, protocol.MethodPermit, args, &reply)
-	return reply, err
+// giveUp gives back what an entry may have granted although no answer came.
+func (p *permit) giveUp() {
+	if len(p.asked) > 0 {
+		p.end()
+		return
+	}
+	p.runner.drop(p)
+}
+
+// callOwner asks the owner, and the other entries only where it does not answer.
+// Another entry knows nothing of the copies that run, so that neither a connection
+// that other calls broke nor the end of ctx may lead there. A question ends with
+// its own wait, soon after that of its caller.
+func (e *entries) callOwner(ctx context.Context, owner string, args *protocol.PermitArgs, reply *protocol.PermitReply) ([]string, error) {
+	wait := time.Duration(args.WaitMillis) * time.Millisecond
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+protocol.HeartbeatTimeout)
+	defer cancel()
+	var err error
+	for range ownerTries {
+		var own protocol.PermitReply
+		if err = e.peers.Call(callCtx, owner, protocol.MethodPermit, args, &own); err == nil {
+			err = logTrouble(&own)
+		}
+		if err == nil {
+			*reply = own
+			return []string{owner}, nil
+		}
+		if !errorx.IsOfType(err, protocol.ErrTargetFailed) {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		return []string{owner}, err
+	}
+	tried, err := e.callAny(ctx, "", protocol.MethodPermit, args, reply)
+	return append([]string{owner}, tried...), err
 }
 
 // owner returns the peer address of the entry that owns a fingerprint's permit.
@@ -139,10 +215,14 @@
 	return byName[routing.Owner(fingerprint, names)]
 }
 
-// end gives the permit back. After a crash it first waits until the crash is
+// end gives the permit back. The entry is not told of a permit that no one asked
+// for meanwhile: it asks here before it lets another copy run. After a crash it first waits until the crash is
 // durable, so that no other copy runs before that is known.
 func (p *permit) end() {
 	in := p.runner.crashes.incidentOf(p.attempt)
+	if in == nil && p.runner.endQuietly(p) {
+		return
+	}
 	p.sidecar.goOn(func(ctx context.Context) {
 		defer p.runner.drop(p)
 		args := &protocol.EndPermitArgs{Attempt: p.attempt, Fingerprint: p.fingerprint, Completed: p.completed}
@@ -154,15 +234,47 @@
 				return
 			}
 		}
-		p.sidecar.give(ctx, args)
+		p.sidecar.give(ctx, args, p.asked)
 	})
 }
 
-// give tells the owner until it has taken the permit back.
-func (s *Sidecar) give(ctx context.Context, args *protocol.EndPermitArgs) {
+// give tells every entry that was asked that the permit is free, the newest one
+// first, and any entry where none of them is left. The owner may have changed
+// since, so that it is not the one that holds the permit.
+func (s *Sidecar) give(ctx context.Context, args *protocol.EndPermitArgs, asked []string) {
+	told := s.giveAny(ctx, args, asked)
+	for _, addr := range asked {
+		if addr != told {
+			s.giveTo(ctx, args, addr)
+		}
+	}
+}
+
+// giveAny tells one entry, the last one asked if it answers, and returns its
+// address.
+func (s *Sidecar) giveAny(ctx context.Context, args *protocol.EndPermitArgs, asked []string) string {
+	preferred := s.entries.owner(args.Fingerprint)
+	if len(asked) > 0 && s.entries.listed(asked[len(asked)-1]) {
+		preferred = asked[len(asked)-1]
+	}
 	for ctx.Err() == nil {
 		var reply protocol.EndPermitReply
-		err := s.entries.call(ctx, s.entries.owner(args.Fingerprint), protocol.MethodEndPermit, args, &reply)
+		tried, err := s.entries.callAny(ctx, preferred, protocol.MethodEndPermit, args, &reply)
+		if err == nil && reply.Problem == nil {
+			return tried[len(tried)-1]
+		}
+		pause(ctx, appendRetryDelay)
+	}
+	return ""
+}
+
+// giveTo tells one entry for as long as it is listed; its permits end with it.
+func (s *Sidecar) giveTo(ctx context.Context, args *protocol.EndPermitArgs, addr string) {
+	for ctx.Err() == nil && s.entries.listed(addr) {
+		var reply protocol.EndPermitReply
+		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+		err := s.peers.Call(callCtx, addr, protocol.MethodEndPermit, args, &reply)
+		cancel()
 		if err == nil && reply.Problem == nil {
 			return
 		}
@@ -196,7 +308,7 @@
 	}
 }
 
-// hold and drop keep the permits in use by attempt.
+// hold and drop keep the permits asked for or in use by attempt.
 func (r *runner) hold(p *permit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -209,6 +321,24 @@
 	delete(r.permits, p.attempt)
 }
 
+// maxCompleted bounds the attempts remembered as run to their end.
+const maxCompleted = 1 << 14
+
+// endQuietly drops the permit of a call that one entry granted and nobody else
+// wants. It reports whether that was so.
+func (r *runner) endQuietly(p *permit) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.permits[p.attempt] != p || !p.granted || p.alone || p.contested || len(p.asked) > 1 {
+		return false
+	}
+	delete(r.permits, p.attempt)
+	if p.completed {
+		r.completed.Add(p.attempt)
+	}
+	return true
+}
+
 // sent and ended frame the time in which the target has the attempt.
 func (r *runner) sent(a *protocol.AttemptRequest) {
 	r.crashes.sent(a.Attempt, a.Call.Fingerprint())
