--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -37,7 +37,7 @@
 func (e *Entry) dispatch(ctx context.Context, o *order) (*protocol.Result, error) {
 	run := newDispatchRun(ctx, e, o)
 	e.policy.earn()
-	var err, ran error
+	var err error
 	for n := range e.settings.Entry.Attempts {
 		if n > 0 && !run.again(ctx, n, err) {
 			break
@@ -47,17 +47,20 @@
 		if err == nil {
 			return result, nil
 		}
-		if protocol.OutcomeOf(err) == protocol.OutcomeUnknown {
-			ran = err
-		}
 		if ctx.Err() != nil || !o.mayRetry(err) {
 			break
 		}
 	}
-	if ran != nil && protocol.OutcomeOf(err) == protocol.OutcomeNotRun && !errorx.IsOfType(err, protocol.ErrBadRequest) {
-		return nil, protocol.ErrUnknownOutcome.Wrap(ran, "an earlier attempt may have run; the last one: %v", err)
+	return nil, run.verdict(err)
+}
+
+// verdict returns the error of a request whose last attempt failed with err. A
+// refusal is not the whole truth where another attempt may have run.
+func (d *dispatchRun) verdict(err error) error {
+	if !d.mayHaveRun || protocol.OutcomeOf(err) != protocol.OutcomeNotRun || errorx.IsOfType(err, protocol.ErrBadRequest) {
+		return err
 	}
-	return nil, err
+	return protocol.ErrUnknownOutcome.Wrap(err, "an earlier attempt may have run; the last one")
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -99,6 +102,8 @@
 	deadline time.Time
 	// crashed is set once a target crashed under the request.
 	crashed bool
+	// mayHaveRun is set once an attempt ended that may have run.
+	mayHaveRun bool
 }
 
 func newDispatchRun(ctx context.Context, e *Entry, o *order) *dispatchRun {
@@ -129,6 +134,7 @@
 		d.patient = true
 		return probed
 	}
+	d.patient = d.patient || !d.entry.policy.retries.Available() // no further look would be paid
 	d.entry.metrics.retries.Inc()
 	if !probed {
 		pause(ctx, time.Duration(rand.Int64N(int64(retryPause<<n))))
@@ -137,10 +143,10 @@
 }
 
 // lostTarget reports whether err shows that the target or the way to it has
-// gone, rather than that it has too much to do.
+// gone, rather than that it has too much to do: a target that stalls may have.
 func lostTarget(err error) bool {
 	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLeaving) ||
-		errorx.IsOfType(err, protocol.ErrTruncated) || errorx.IsOfType(err, protocol.ErrMoved)
+		errorx.IsOfType(err, protocol.ErrConnectionLost) || errorx.IsOfType(err, protocol.ErrMoved)
 }
 
 // attempt runs the order once, or twice beside each other where the first stalls.
@@ -148,9 +154,6 @@
 	if err := d.entry.checkQuarantine(d.order.call.Fingerprint()); err != nil {
 		return nil, err
 	}
-	if err := d.awaitPick(ctx); err != nil {
-		return nil, err
-	}
 	target, err := d.awaitTarget(ctx)
 	if err != nil {
 		return nil, err
@@ -165,6 +168,7 @@
 		return d.result(&out), nil
 	}
 	d.tried[out.Target.Name] = true
+	d.mayHaveRun = d.mayHaveRun || d.order.repeatable && out.MayHaveRun // others are settled
 	if errorx.IsOfType(out.Err, protocol.ErrMoved) {
 		d.moves++
 	}
@@ -203,16 +207,20 @@
 // known as ready within the interval of reports.
 const targetWait = protocol.HeartbeatTimeout
 
-// awaitTarget picks a target, waiting a while where none is ready. It fails with
-// ErrNoTarget.
+// awaitTarget picks a target, waiting a while where none is ready: as long as the
+// request may take where a crash took one from it, since all may be restarting.
+// It fails with ErrNoTarget.
 func (d *dispatchRun) awaitTarget(ctx context.Context) (*routing.Target, error) {
 	published := d.entry.members.Published()
 	target, err := d.pick()
 	if err == nil {
 		return target, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, targetWait)
-	defer cancel()
+	if !d.crashed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, targetWait)
+		defer cancel()
+	}
 	for {
 		select {
 		case <-published:
