--- a/protocol/errors.go
+++ b/protocol/errors.go
@@ -62,6 +62,11 @@
 	ErrInternal      = Errors.NewType("internal")
 )
 
+// ErrConnectionLost is an ErrTruncated whose connection ended or carried no
+// heartbeat: the process at its other end has gone, or the way to it, whatever
+// load its target has. It does not cross processes.
+var ErrConnectionLost = ErrTruncated.NewSubtype("connection_lost")
+
 // VersionConflict says which object a stale change named and shows both versions.
 type VersionConflict struct {
 	Kind ObjectKind `json:"kind" msgpack:"k"`
