Let both roles listen, serve and report by the same code

Cause: entries and sidecars had copies of the listening, of the serving of HTTP and of the reporter, which had to be mended twice. They are one each now, in settings and transport. Behaviour is the same; the tests of both roles pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -128,11 +127,13 @@
 	forget := state.ForgetFold{Requests: e.requests, Jobs: e.jobs}
 	e.work = e.newStream(p.Log, protocol.StreamWork, e.requests, e.jobs, e.quarantine, e.moved, forget, jobWatch{e})
 	e.members = membership.New(membership.Params{
-		Self: s.Process.Instance, List: p.Instances, Reporter: reporter{e.peers, ring.Clock()}, Services: e.serviceMatcher,
+		Self: s.Process.Instance, List: p.Instances, Reporter: transport.Reporter{Peers: e.peers, Clock: ring.Clock()}, Services: e.serviceMatcher,
 	})
 	e.leases = newLeases(batch.New(e.batchParams()))
 	e.results = newResultGatherer(e)
-	return e, e.listen()
+	var err error
+	e.httpL, e.peerL, err = s.Process.Listen()
+	return e, err
 }
 
 // pollWait bounds one read of the log that waits for new entries. It is well
@@ -156,18 +157,6 @@
 	return stream{follower: follower, writer: commit.New(params)}
 }
 
-func (e *Entry) listen() error {
-	var err error
-	if e.httpL, err = net.Listen("tcp", e.settings.Process.HTTP); err != nil {
-		return settings.ErrSettings.Wrap(err, "process.http")
-	}
-	if e.peerL, err = net.Listen("tcp", e.settings.Process.Peer); err != nil {
-		_ = e.httpL.Close()
-		return settings.ErrSettings.Wrap(err, "process.peer")
-	}
-	return nil
-}
-
 // Start runs the entry's goroutines.
 func (e *Entry) Start() error {
 	peers, err := transport.NewPeerServer(e.settings.Process.PeerSecret, protocol.PeerService, &peerAPI{e})
@@ -188,12 +177,7 @@
 	e.tomb.Go(func() error { return e.retain(ctx, keepers) })
 	e.tomb.Go(func() error { return e.tellTime(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
-	e.tomb.Go(func() error {
-		if err := e.server.Serve(e.httpL); !errors.Is(err, http.ErrServerClosed) {
-			return protocol.ErrInternal.Wrap(err, "serve")
-		}
-		return nil
-	})
+	e.tomb.Go(func() error { return transport.ServeHTTP(e.server, e.httpL) })
 	klog.InfoS("entry started", "instance", e.settings.Process.Instance, "http", e.settings.Process.HTTP, "peer", e.settings.Process.Peer)
 	return nil
 }
@@ -267,20 +251,3 @@
 	}
 	return names
 }
-
-// reporter asks peers for their reports over net/rpc.
-type reporter struct {
-	peers *transport.Peers
-	clock *timeline.Clock
-}
-
-// Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
-	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
-	if err != nil {
-		return protocol.ReportReply{}, err // net/rpc may still write to reply
-	}
-	r.clock.Observe(reply.Clock)
-	return reply, nil
-}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -103,7 +102,7 @@
 	sc.members = membership.New(membership.Params{
 		Self:      s.Process.Instance,
 		List:      p.Instances,
-		Reporter:  reporter{sc.peers, ring.Clock()},
+		Reporter:  transport.Reporter{Peers: sc.peers, Clock: ring.Clock()},
 		Polls:     func(role platform.Role) bool { return role == platform.RoleEntry },
 		EntryRate: entryRate,
 	})
@@ -115,19 +114,9 @@
 	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.append(ctx, "", records) })
 	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox))
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
-	return sc, sc.listen()
-}
-
-func (s *Sidecar) listen() error {
 	var err error
-	if s.httpL, err = net.Listen("tcp", s.settings.Process.HTTP); err != nil {
-		return settings.ErrSettings.Wrap(err, "process.http")
-	}
-	if s.peerL, err = net.Listen("tcp", s.settings.Process.Peer); err != nil {
-		_ = s.httpL.Close()
-		return settings.ErrSettings.Wrap(err, "process.peer")
-	}
-	return nil
+	sc.httpL, sc.peerL, err = s.Process.Listen()
+	return sc, err
 }
 
 // Start runs the sidecar's goroutines.
@@ -147,7 +136,7 @@
 	s.tomb.Go(func() error { return s.members.Run(ctx) })
 	s.tomb.Go(func() error { return s.outbox.run(ctx) })
 	s.tomb.Go(func() error { return server.Serve(s.peerL) })
-	s.tomb.Go(func() error { return serveHTTP(s.http, s.httpL) })
+	s.tomb.Go(func() error { return transport.ServeHTTP(s.http, s.httpL) })
 	for _, r := range s.runners {
 		s.tomb.Go(func() error { return r.watch(ctx) })
 		if r.target.Type == settings.TargetEngine {
@@ -163,13 +152,6 @@
 	return nil
 }
 
-func serveHTTP(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return protocol.ErrInternal.Wrap(err, "serve")
-	}
-	return nil
-}
-
 // Shutdown refuses new work, waits for what is in progress within the drain
 // timeout, and stops. What is left then is cut: batch items are given back with
 // their text so far, and other attempts end with an error that says so.
@@ -263,23 +245,6 @@
 	}
 }
 
-// reporter asks peers for their reports over net/rpc.
-type reporter struct {
-	peers *transport.Peers
-	clock *timeline.Clock
-}
-
-// Report implements membership.Reporter.
-func (r reporter) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
-	var reply protocol.ReportReply
-	err := r.peers.Call(ctx, peer, protocol.MethodReport, &protocol.ReportArgs{Clock: r.clock.Now(), Mark: mark}, &reply)
-	if err != nil {
-		return protocol.ReportReply{}, err // net/rpc may still write to reply
-	}
-	r.clock.Observe(reply.Clock)
-	return reply, nil
-}
-
 // instances returns the processes that the platform lists.
 func (s *Sidecar) instances() []platform.Instance { return s.members.Instances() }
 
