Name three functions by what they do

Cause: fly, tellTime and greet need an explanation to a newcomer; they are runFlight, appendTimes and claimTarget now. Nothing else changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,7 @@
 	e.tomb.Go(func() error { return e.adopt(ctx) })
 	keepers := e.newKeepers()
 	e.tomb.Go(func() error { return e.retain(ctx, keepers) })
-	e.tomb.Go(func() error { return e.tellTime(ctx) })
+	e.tomb.Go(func() error { return e.appendTimes(ctx) })
 	e.tomb.Go(func() error { return e.results.run(ctx) })
 	e.tomb.Go(func() error { return transport.ServeHTTP(e.server, e.httpL) })
 	klog.InfoS("entry started", "instance", e.settings.Process.Instance, "http", e.settings.Process.HTTP, "peer", e.settings.Process.Peer)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -195,9 +195,9 @@
 	return result
 }
 
-// tellTime appends the records by which suspicion expires, while there is any.
+// appendTimes appends the records by which suspicion expires, while there is any.
 // The time counts from when this entry folded the record that it names.
-func (e *Entry) tellTime(ctx context.Context) error {
+func (e *Entry) appendTimes(ctx context.Context) error {
 	ticker := time.NewTicker(elapsedInterval)
 	defer ticker.Stop()
 	since, begun := e.quarantine.TimeAt(), time.Now()
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -42,7 +42,7 @@
 	}
 	defer e.flights.leave(fl)
 	if first {
-		e.tombGo(func() { e.fly(fl, o) })
+		e.tombGo(func() { e.runFlight(fl, o) })
 	}
 	select {
 	case <-fl.done:
@@ -74,8 +74,8 @@
 	}
 }
 
-// fly carries a flight through to its outcome.
-func (e *Entry) fly(fl *flight, o *order) {
+// runFlight carries a flight through to its outcome.
+func (e *Entry) runFlight(fl *flight, o *order) {
 	ctx, cancel := context.WithTimeout(fl.ctx, o.service.Timeout())
 	defer cancel()
 	begun := time.Now()
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -56,7 +56,7 @@
 
 // run works until ctx ends. A turn that ends badly is taken again later.
 func (o *orders) run(ctx context.Context) error {
-	o.greet(ctx)
+	o.claimTarget(ctx)
 	for ctx.Err() == nil {
 		o.revokeSilent(ctx)
 		if err := o.step(ctx); err != nil && ctx.Err() == nil {
@@ -70,8 +70,8 @@
 // jitter returns between half and all of d.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
-// greet makes this process the holder of its target.
-func (o *orders) greet(ctx context.Context) {
+// claimTarget makes this process the holder of its target.
+func (o *orders) claimTarget(ctx context.Context) {
 	t := o.runner.target
 	rec := protocol.Record{ID: protocol.NewID(), Hello: &protocol.TargetHello{Target: t.Name, Holder: o.holder, Instance: o.instance, Labels: t.Labels}}
 	for ctx.Err() == nil {
@@ -99,7 +99,7 @@
 	want, found := config.Desired(config.Labels(o.runner.target.Labels))
 	known, greeted := o.loads.Target(o.runner.target.Name)
 	if !greeted {
-		o.greet(ctx) // forgotten while its instance was not listed
+		o.claimTarget(ctx) // forgotten while its instance was not listed
 		return nil
 	}
 	boot, up := o.runner.crashes.current()
