Let a request that was moved go on until it has a slot

A moved request used up its attempts and the budget of retries at targets without a slot; and a request that had looked for a slot three times had one attempt left that could wait.

Excluded: admission alone (none was refused without looking for slots first).

TestMovedRequestGoesOn makes 1 attempt without the change, and 8 with it.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -38,7 +38,7 @@
 	run := newDispatchRun(ctx, e, o)
 	e.policy.earn()
 	var err error
-	for n := range e.settings.Entry.Attempts {
+	for n := 0; n < run.allowed(); n++ {
 		if n > 0 && !run.again(ctx, n, err) {
 			break
 		}
@@ -54,6 +54,15 @@
 	return nil, run.verdict(err)
 }
 
+// moveAttempts is the number of further attempts of a request that was moved.
+const moveAttempts = 4
+
+// allowed returns how many attempts the request may make. One that gave its slot
+// to shorter work must not fail for it.
+func (d *dispatchRun) allowed() int {
+	return d.entry.settings.Entry.Attempts + moveAttempts*d.moves
+}
+
 // verdict returns the error of a request whose last attempt failed with err. A
 // refusal is not the whole truth where another attempt may have run.
 func (d *dispatchRun) verdict(err error) error {
@@ -124,11 +133,12 @@
 
 // again spends one retry after err and pauses before it. A retry after the loss
 // of a target costs no budget: those requests are as few as the target's slots,
-// and after a crash the quarantine bounds them.
+// after a crash the quarantine bounds them, and moves are few. The second half of
+// the attempts waits for a slot.
 func (d *dispatchRun) again(ctx context.Context, n int, err error) bool {
 	probed := !d.patient && errorx.IsOfType(err, protocol.ErrBusy)
-	d.patient = d.patient || n == d.entry.settings.Entry.Attempts-1
-	if !d.crashed && !lostTarget(err) && !d.entry.policy.retries.Spend() {
+	d.patient = d.patient || n >= d.entry.settings.Entry.Attempts/2
+	if !d.crashed && d.moves == 0 && !lostTarget(err) && !d.entry.policy.retries.Spend() {
 		// Without a retry to spend, a request that was only looking for a free slot
 		// waits for one.
 		d.patient = true
--- a/entry/retries_test.go
+++ b/entry/retries_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// TestMovedRequestGoesOn spends the whole budget of retries: a request that gave
+// its slot to shorter work still gets further attempts, and only so many.
+func TestMovedRequestGoesOn(t *testing.T) {
+	const attempts = 4
+	synctest.Test(t, func(t *testing.T) {
+		e := &Entry{policy: newPolicy(settings.Policy{}), metrics: newMetrics(), settings: &settings.Settings{}}
+		e.settings.Entry.Attempts = attempts
+		for e.policy.retries.Spend() {
+		}
+		busy := protocol.ErrBusy.New("full")
+		still := &dispatchRun{entry: e, order: &order{repeatable: true}, patient: true}
+		assert.Assert(t, !still.again(t.Context(), 1, busy))
+		moved := &dispatchRun{entry: e, order: &order{repeatable: true}, patient: true, moves: 1}
+		made := 1
+		for made < moved.allowed() && moved.again(t.Context(), made, busy) {
+			made++
+		}
+		assert.Equal(t, made, attempts+moveAttempts)
+	})
+}
+
 // TestVerdict checks what a request is told whose last attempt was refused.
 func TestVerdict(t *testing.T) {
 	busy, refused := protocol.ErrBusy.New("full"), protocol.ErrBadRequest.New("no")
