--- a/platform/engine_test.go
+++ b/backend/engine_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backend_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
 	"github.com/sycamoretally/sycamoretally/standin/relay"
@@ -34,10 +34,10 @@
 
 func generate(t *testing.T, url, body string, resume []string) ([]string, error) {
 	t.Helper()
-	client := platform.NewEngine(url, stall)
+	client := backend.NewEngine(url, stall)
 	t.Cleanup(client.Close)
 	var tokens []string
-	err := client.Generate(t.Context(), platform.Generation{ID: "g", Body: []byte(body), Resume: resume}, func(token string) error {
+	err := client.Generate(t.Context(), backend.Generation{ID: "g", Body: []byte(body), Resume: resume}, func(token string) error {
 		tokens = append(tokens, token)
 		return nil
 	})
@@ -62,7 +62,7 @@
 			_, url := engineAt(t, c.faults)
 			tokens, err := generate(t, url, chatBody, nil)
 			assert.Equal(t, protocol.OutcomeOf(err), protocol.OutcomeUnknown)
-			assert.Equal(t, platform.IsStall(err), c.faults.Stalls > 0, "%v", err)
+			assert.Equal(t, backend.IsStall(err), c.faults.Stalls > 0, "%v", err)
 			rest, err := generate(t, url, chatBody, tokens)
 			assert.NilError(t, err)
 			assert.Equal(t, strings.Join(append(tokens, rest...), ""), engine.Answer("q", 6))
@@ -90,14 +90,14 @@
 	r, err := relay.New(strings.TrimPrefix(url, "http://"))
 	assert.NilError(t, err)
 	t.Cleanup(r.Close)
-	client := platform.NewEngine("http://"+r.Address(), stall)
+	client := backend.NewEngine("http://"+r.Address(), stall)
 	t.Cleanup(client.Close)
 	ask := func() error {
-		return client.Generate(t.Context(), platform.Generation{ID: "g", Body: []byte(chatBody)}, func(string) error { return nil })
+		return client.Generate(t.Context(), backend.Generation{ID: "g", Body: []byte(chatBody)}, func(string) error { return nil })
 	}
 	assert.NilError(t, ask())
 	r.Silence()
-	assert.Assert(t, platform.IsStall(ask()))
+	assert.Assert(t, backend.IsStall(ask()))
 	assert.NilError(t, ask())
 }
 
@@ -106,8 +106,8 @@
 	assert.NilError(t, err)
 	addr := l.Addr().String()
 	_ = l.Close()
-	err = platform.NewEngine("http://"+addr, stall).Cancel(t.Context(), "g")
-	assert.Assert(t, platform.IsRefused(err), "%v", err)
+	err = backend.NewEngine("http://"+addr, stall).Cancel(t.Context(), "g")
+	assert.Assert(t, backend.IsRefused(err), "%v", err)
 	assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotSent))
 }
 
@@ -138,7 +138,7 @@
 			t.Run(c.name, func(t *testing.T) {
 				server := httptest.NewServer(c.handler)
 				defer server.Close()
-				client := platform.NewPlainService(server.URL)
+				client := backend.NewPlainService(server.URL)
 				defer client.Close()
 				call := &protocol.Call{Method: http.MethodPost, Path: "/bookings", Body: []byte(`{"slot":"s"}`)}
 				_, err := client.Do(context.Background(), "key", call, repeatable)
--- a/platform/order_test.go
+++ b/backend/order_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backend_test
 
 import (
 	"net/http/httptest"
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
 )
@@ -20,12 +20,12 @@
 		e := engine.New(engine.Params{ChecksFence: checks})
 		server := httptest.NewServer(e.Handler())
 		defer server.Close()
-		client := platform.NewEngine(server.URL, 0)
+		client := backend.NewEngine(server.URL, 0)
 		soon, past := time.Now().Add(time.Minute), time.Now().Add(-time.Millisecond)
-		assert.NilError(t, client.OrderBy(t.Context(), soon, platform.Order{Version: "1", Fence: 2}))
-		err := client.OrderBy(t.Context(), past, platform.Order{Version: "late", Fence: 3})
+		assert.NilError(t, client.OrderBy(t.Context(), soon, backend.Order{Version: "1", Fence: 2}))
+		err := client.OrderBy(t.Context(), past, backend.Order{Version: "late", Fence: 3})
 		assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotSent), "%v", err)
-		err = client.OrderBy(t.Context(), soon, platform.Order{Version: "old", Fence: 1})
+		err = client.OrderBy(t.Context(), soon, backend.Order{Version: "old", Fence: 1})
 		assert.Equal(t, errorx.IsOfType(err, protocol.ErrVersion), checks)
 		assert.Equal(t, e.Orders()[0].Version, "1")
 		want := 1
@@ -42,14 +42,14 @@
 	e := engine.New(engine.Params{Width: 1})
 	server := httptest.NewServer(e.Handler())
 	defer server.Close()
-	client := platform.NewEngine(server.URL, 0)
+	client := backend.NewEngine(server.URL, 0)
 	defer client.Close()
 	body := []byte(`{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"q"}]}`)
 	sink := func(string) error { return nil }
-	late := platform.Generation{ID: "late", Body: body, By: time.Now().Add(-time.Millisecond)}
+	late := backend.Generation{ID: "late", Body: body, By: time.Now().Add(-time.Millisecond)}
 	err := client.Generate(t.Context(), late, sink)
 	assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotSent), "%v", err)
-	soon := platform.Generation{ID: "soon", Body: body, By: time.Now().Add(time.Minute)}
+	soon := backend.Generation{ID: "soon", Body: body, By: time.Now().Add(time.Minute)}
 	assert.NilError(t, client.Generate(t.Context(), soon, sink))
 	assert.Equal(t, len(e.Runs()), 1)
 }
--- a/platform/send.go
+++ b/backend/send.go
@@ -1,4 +1,4 @@
-package platform
+package backend
 
 import (
 	"context"
--- a/client/client.go
+++ b/client/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/entry"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/transport"
@@ -94,18 +94,18 @@
 // isGone reports whether a request may have arrived at an entry that has ended.
 func isGone(err error) bool {
 	typed := errorx.Cast(err)
-	return typed != nil && typed.IsOfType(protocol.ErrAnswerLost) && platform.IsDialError(typed.Cause())
+	return typed != nil && typed.IsOfType(protocol.ErrAnswerLost) && backend.IsDialError(typed.Cause())
 }
 
 func (c *Client) send(ctx context.Context, base string, r request) (*http.Response, error) {
-	ctx, connected := platform.TraceConnection(ctx)
+	ctx, connected := backend.TraceConnection(ctx)
 	req, err := http.NewRequestWithContext(ctx, r.method, base+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, protocol.ErrBadRequest.Wrap(err, "%s %s", r.method, r.path)
 	}
 	req.Header.Set("Authorization", "Bearer "+r.token)
 	if r.key != "" {
-		req.Header.Set(platform.HeaderKey, r.key)
+		req.Header.Set(backend.HeaderKey, r.key)
 	}
 	if r.async {
 		req.Header.Set("Prefer", "respond-async")
@@ -123,7 +123,7 @@
 	if err == nil {
 		return resp, nil
 	}
-	if platform.IsDialError(err) && !connected() {
+	if backend.IsDialError(err) && !connected() {
 		return nil, protocol.ErrNotSent.Wrap(err, "entry %s", base)
 	}
 	return nil, protocol.ErrAnswerLost.Wrap(err, "entry %s", base)
@@ -143,7 +143,7 @@
 	return &Answer{
 		Status:   resp.StatusCode,
 		Body:     body,
-		Key:      resp.Header.Get(platform.HeaderKey),
+		Key:      resp.Header.Get(backend.HeaderKey),
 		Retained: resp.Header.Get("X-Retained") == "true",
 	}, nil
 }
@@ -211,7 +211,7 @@
 // readStream reads server-sent events up to the end marker. It fails with
 // ErrTruncated where the marker is missing.
 func readStream(resp *http.Response, token func(string)) (*Answer, error) {
-	a := &Answer{Status: resp.StatusCode, Key: resp.Header.Get(platform.HeaderKey)}
+	a := &Answer{Status: resp.StatusCode, Key: resp.Header.Get(backend.HeaderKey)}
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		body, err := io.ReadAll(resp.Body)
 		a.Body = body
--- a/cmd/sycamoretally/daemon.go
+++ b/cmd/sycamoretally/daemon.go
@@ -11,8 +11,8 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/entry"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/sidecar"
 )
@@ -63,8 +63,8 @@
 				return err
 			}
 			e, err := entry.New(s, entry.Platform{
-				Log:       platform.NewHTTPLog(s.Platform.Log),
-				Instances: platform.NewHTTPInstanceList(s.Platform.Instances),
+				Log:       backend.NewHTTPLog(s.Platform.Log),
+				Instances: backend.NewHTTPInstanceList(s.Platform.Instances),
 			})
 			if err != nil {
 				return err
@@ -85,8 +85,8 @@
 				return err
 			}
 			sc, err := sidecar.New(s, sidecar.Platform{
-				Log:       platform.NewHTTPLog(s.Platform.Log),
-				Instances: platform.NewHTTPInstanceList(s.Platform.Instances),
+				Log:       backend.NewHTTPLog(s.Platform.Log),
+				Instances: backend.NewHTTPInstanceList(s.Platform.Instances),
 			})
 			if err != nil {
 				return err
--- a/coordination/commit/gatherers.go
+++ b/coordination/commit/gatherers.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -30,7 +30,7 @@
 	DataCentre string
 	Stream     string
 	// Entries returns the live entries.
-	Entries func() []platform.Instance
+	Entries func() []backend.Instance
 	// Call asks the process at a peer address to append records.
 	Call func(ctx context.Context, addr string, args protocol.GatherArgs) (protocol.GatherReply, error)
 }
@@ -75,28 +75,28 @@
 
 // chosen returns the gatherer for this process, and the one to try after it. It
 // returns none where there are few entries or this process is a gatherer.
-func (g *Gatherers) chosen() []platform.Instance {
+func (g *Gatherers) chosen() []backend.Instance {
 	live := g.Entries()
 	if len(live) < GatherFrom {
 		return nil
 	}
-	var here []platform.Instance
+	var here []backend.Instance
 	for _, i := range live {
 		if i.DataCentre == g.DataCentre {
 			here = append(here, i)
 		}
 	}
 	sortByScore(here, g.Stream)
-	place := slices.IndexFunc(here, func(i platform.Instance) bool { return i.Name == g.Self })
+	place := slices.IndexFunc(here, func(i backend.Instance) bool { return i.Name == g.Self })
 	if place >= 0 && place < GatherersPerDataCentre {
 		return nil
 	}
 	return here[:min(maxTries, len(here))]
 }
 
-func sortByScore(all []platform.Instance, key string) {
-	score := func(i platform.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
-	slices.SortFunc(all, func(a, b platform.Instance) int {
+func sortByScore(all []backend.Instance, key string) {
+	score := func(i backend.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
+	slices.SortFunc(all, func(a, b backend.Instance) int {
 		if score(a) > score(b) {
 			return -1
 		}
--- a/coordination/commit/gatherers_test.go
+++ b/coordination/commit/gatherers_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/commit"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/logservice"
 )
@@ -26,7 +26,7 @@
 // site is entries in one data centre that append to one log.
 type site struct {
 	log     *logservice.Service
-	rows    []platform.Instance
+	rows    []backend.Instance
 	writers map[string]*commit.Writer
 	handed  atomic.Int64
 
@@ -41,8 +41,8 @@
 	s := &site{log: logservice.New(params), writers: map[string]*commit.Writer{}, fail: map[string]error{}}
 	for i := range n {
 		name := fmt.Sprintf("e%d", i)
-		s.rows = append(s.rows, platform.Instance{Name: name, Peer: name, Role: platform.RoleEntry, DataCentre: "dc"})
-		g := &commit.Gatherers{Self: name, DataCentre: "dc", Stream: stream, Entries: func() []platform.Instance { return s.rows }, Call: s.call}
+		s.rows = append(s.rows, backend.Instance{Name: name, Peer: name, Role: backend.RoleEntry, DataCentre: "dc"})
+		g := &commit.Gatherers{Self: name, DataCentre: "dc", Stream: stream, Entries: func() []backend.Instance { return s.rows }, Call: s.call}
 		p := commit.Params{Stream: stream, Log: s.log}
 		if gather {
 			p.Hand = g.Hand
@@ -84,7 +84,7 @@
 // found returns how often each record stands in the log, and at which positions.
 func (s *site) found(tb testing.TB) map[string][]protocol.Position {
 	all := map[string][]protocol.Position{}
-	page, err := s.log.Read(tb.Context(), stream, 0, platform.PageLimit, 0)
+	page, err := s.log.Read(tb.Context(), stream, 0, backend.PageLimit, 0)
 	assert.NilError(tb, err)
 	for _, e := range page.Entries {
 		records, err := protocol.DecodeBatch(e.Data)
--- a/coordination/follow/fanout.go
+++ b/coordination/follow/fanout.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -25,9 +25,9 @@
 	// PerDataCentre is the number of tails in one data centre.
 	PerDataCentre int
 	// Instances returns the processes that the platform lists.
-	Instances func() []platform.Instance
+	Instances func() []backend.Instance
 	// Follows reports whether a process follows the stream.
-	Follows func(platform.Instance) bool
+	Follows func(backend.Instance) bool
 	// Call asks the process at a peer address for entries.
 	Call func(ctx context.Context, addr string, args protocol.ReadLogArgs) (protocol.ReadLogReply, error)
 }
@@ -35,7 +35,7 @@
 // TailsLog implements Peers. A process that is not listed yet tails the log.
 func (g *Group) TailsLog() bool {
 	ranked := g.ranked(g.DataCentre)
-	place := slices.IndexFunc(ranked, func(i platform.Instance) bool { return i.Name == g.Self })
+	place := slices.IndexFunc(ranked, func(i backend.Instance) bool { return i.Name == g.Self })
 	return place < g.tails()
 }
 
@@ -68,7 +68,7 @@
 func (g *Group) Authorities() []string {
 	var addresses []string
 	for _, i := range g.Instances() {
-		if i.Role == platform.RoleEntry && i.Name != g.Self {
+		if i.Role == backend.RoleEntry && i.Name != g.Self {
 			addresses = append(addresses, i.Peer)
 		}
 	}
@@ -85,8 +85,8 @@
 
 // ranked returns the followers of the stream in a data centre in the order of
 // rendezvous hashing.
-func (g *Group) ranked(dataCentre string) []platform.Instance {
-	var found []platform.Instance
+func (g *Group) ranked(dataCentre string) []backend.Instance {
+	var found []backend.Instance
 	for _, i := range g.Instances() {
 		if i.DataCentre == dataCentre && !i.Leaving && g.Follows(i) {
 			found = append(found, i)
@@ -96,7 +96,7 @@
 	return found
 }
 
-func sortByScore(all []platform.Instance, key string) {
-	score := func(i platform.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
-	slices.SortFunc(all, func(a, b platform.Instance) int { return cmp.Compare(score(b), score(a)) })
+func sortByScore(all []backend.Instance, key string) {
+	score := func(i backend.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
+	slices.SortFunc(all, func(a, b backend.Instance) int { return cmp.Compare(score(b), score(a)) })
 }
--- a/coordination/follow/fanout_test.go
+++ b/coordination/follow/fanout_test.go
@@ -7,31 +7,31 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
-	"github.com/sycamoretally/sycamoretally/platform"
 )
 
 // fleet returns data centres of a number of processes, the first of each an entry.
-func fleet(dataCentres, processes int) []platform.Instance {
-	var all []platform.Instance
+func fleet(dataCentres, processes int) []backend.Instance {
+	var all []backend.Instance
 	for d := range dataCentres {
 		for i := range processes {
 			name := fmt.Sprintf("p-%d-%d", d, i)
-			role := platform.RoleSidecar
+			role := backend.RoleSidecar
 			if i == 0 {
-				role = platform.RoleEntry
+				role = backend.RoleEntry
 			}
-			all = append(all, platform.Instance{Name: name, Role: role, DataCentre: fmt.Sprint(d), Peer: name})
+			all = append(all, backend.Instance{Name: name, Role: role, DataCentre: fmt.Sprint(d), Peer: name})
 		}
 	}
 	return all
 }
 
-func groupOf(self platform.Instance, all []platform.Instance) *follow.Group {
+func groupOf(self backend.Instance, all []backend.Instance) *follow.Group {
 	return &follow.Group{
 		Self: self.Name, DataCentre: self.DataCentre, Stream: "s", PerDataCentre: 3,
-		Instances: func() []platform.Instance { return all },
-		Follows:   func(platform.Instance) bool { return true },
+		Instances: func() []backend.Instance { return all },
+		Follows:   func(backend.Instance) bool { return true },
 	}
 }
 
@@ -62,13 +62,13 @@
 // TestGroupWithoutOneTail checks that the loss of a tail moves no other.
 func TestGroupWithoutOneTail(t *testing.T) {
 	all := fleet(1, 20)
-	lost := slices.IndexFunc(all, func(i platform.Instance) bool { return groupOf(i, all).TailsLog() })
+	lost := slices.IndexFunc(all, func(i backend.Instance) bool { return groupOf(i, all).TailsLog() })
 	rest := slices.Delete(slices.Clone(all), lost, lost+1)
 	for _, i := range rest {
 		if groupOf(i, all).TailsLog() {
 			assert.Assert(t, groupOf(i, rest).TailsLog())
 		}
 	}
-	fresh := platform.Instance{Name: "fresh", DataCentre: "0"}
+	fresh := backend.Instance{Name: "fresh", DataCentre: "0"}
 	assert.Assert(t, groupOf(fresh, rest).TailsLog())
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -11,14 +11,14 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
 // Source is where a follower reads: the log itself or a peer that follows it.
 type Source interface {
-	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.LogPage, error)
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (backend.LogPage, error)
 }
 
 // Fold receives records in order of their positions.
@@ -160,7 +160,7 @@
 		f.behind = errorx.IsOfType(err, protocol.ErrOffsetExpired)
 		f.mu.Unlock()
 		if err != nil && ctx.Err() == nil {
-			klog.V(1).InfoS("log read failed", "stream", f.params.Stream, "error", err)
+			klog.V(1).InfoS("log read failed", "stream", f.params.Stream, "error", protocol.CauseOf(err))
 			pause.For(ctx, f.params.RetryDelay)
 		}
 	}
@@ -203,14 +203,14 @@
 }
 
 // read reads one page. A read that never answers is given up.
-func (f *Follower) read(ctx context.Context, from uint64, wait time.Duration) (platform.LogPage, error) {
+func (f *Follower) read(ctx context.Context, from uint64, wait time.Duration) (backend.LogPage, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	return f.params.Source.Read(readCtx, f.params.Stream, from, platform.PageLimit, wait)
+	return f.params.Source.Read(readCtx, f.params.Stream, from, backend.PageLimit, wait)
 }
 
 // take folds the entries that follow on and returns the first offset not folded.
-func (f *Follower) take(entries []platform.LogEntry) uint64 {
+func (f *Follower) take(entries []backend.LogEntry) uint64 {
 	f.foldMu.Lock()
 	defer f.foldMu.Unlock()
 	next := f.position()
@@ -240,7 +240,7 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *Follower) fold(e platform.LogEntry) {
+func (f *Follower) fold(e backend.LogEntry) {
 	records, err := protocol.DecodeBatch(e.Data)
 	if err != nil {
 		// Every reader skips the same entry, so the folds stay the same.
@@ -283,7 +283,7 @@
 	return b
 }
 
-func (f *Follower) count(entries []platform.LogEntry) {
+func (f *Follower) count(entries []backend.LogEntry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range entries {
--- a/coordination/follow/peers.go
+++ b/coordination/follow/peers.go
@@ -8,8 +8,8 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -77,7 +77,7 @@
 	defer cancel()
 	begun := time.Now()
 	reply, err := f.params.Peers.ReadLog(callCtx, addr, protocol.ReadLogArgs{
-		Stream: f.params.Stream, From: f.position(), Limit: platform.PageLimit, WaitMillis: wait.Milliseconds(),
+		Stream: f.params.Stream, From: f.position(), Limit: backend.PageLimit, WaitMillis: wait.Milliseconds(),
 	})
 	if err == nil {
 		err = reply.Problem.Err()
@@ -88,7 +88,7 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			klog.V(1).InfoS("peer read failed", "stream", f.params.Stream, "peer", addr, "error", err)
+			klog.V(1).InfoS("peer read failed", "stream", f.params.Stream, "peer", addr, "error", protocol.CauseOf(err))
 			pause.For(ctx, f.params.RetryDelay)
 		}
 		return false
@@ -116,9 +116,9 @@
 			return 0, err
 		}
 	}
-	entries := make([]platform.LogEntry, 0, len(reply.Entries))
+	entries := make([]backend.LogEntry, 0, len(reply.Entries))
 	for _, e := range reply.Entries {
-		entries = append(entries, platform.LogEntry{Offset: e.Offset, Data: e.Data})
+		entries = append(entries, backend.LogEntry{Offset: e.Offset, Data: e.Data})
 	}
 	f.count(entries)
 	return f.take(entries), nil
--- a/coordination/follow/recent.go
+++ b/coordination/follow/recent.go
@@ -1,20 +1,20 @@
 package follow
 
-import "github.com/sycamoretally/sycamoretally/platform"
+import "github.com/sycamoretally/sycamoretally/backend"
 
 // recent keeps the newest entries for peers, consecutive and within a limit.
 type recent struct {
 	limit   int
 	size    int
-	entries []platform.LogEntry
+	entries []backend.LogEntry
 }
 
-func (r *recent) add(e platform.LogEntry) {
+func (r *recent) add(e backend.LogEntry) {
 	r.entries = append(r.entries, e)
 	r.size += len(e.Data)
 	for r.size > r.limit && len(r.entries) > 0 {
 		r.size -= len(r.entries[0].Data)
-		r.entries[0] = platform.LogEntry{}
+		r.entries[0] = backend.LogEntry{}
 		r.entries = r.entries[1:]
 	}
 }
@@ -24,7 +24,7 @@
 
 // from returns at most limit entries from an offset on. It reports false where
 // the first of them is no longer kept; next is the offset after the newest.
-func (r *recent) from(offset, next uint64, limit int) ([]platform.LogEntry, bool) {
+func (r *recent) from(offset, next uint64, limit int) ([]backend.LogEntry, bool) {
 	oldest := next - uint64(len(r.entries))
 	if offset < oldest {
 		return nil, false
--- a/coordination/follow/snapshot.go
+++ b/coordination/follow/snapshot.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -98,7 +98,7 @@
 	return nil
 }
 
-func (f *Follower) readOne(ctx context.Context, from uint64) (platform.LogPage, error) {
+func (f *Follower) readOne(ctx context.Context, from uint64) (backend.LogPage, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return f.params.Source.Read(readCtx, f.params.Stream, from, 1, 0)
@@ -107,7 +107,7 @@
 // findSnapshot reads pages from the end of the stream backwards until it has
 // the newest snapshot whose chunks are all retained and after which no entry
 // has expired. It returns nil where there is none, and the entries that it read.
-func (f *Follower) findSnapshot(ctx context.Context, first, next uint64) (*protocol.Snapshot, []platform.LogEntry, error) {
+func (f *Follower) findSnapshot(ctx context.Context, first, next uint64) (*protocol.Snapshot, []backend.LogEntry, error) {
 	collected := collector{}
 	var read backlog
 	for end := next; end > first; {
@@ -137,8 +137,8 @@
 const backwardPage = 64
 
 // readRange reads the entries from begin to before end.
-func (f *Follower) readRange(ctx context.Context, begin, end uint64) ([]platform.LogEntry, error) {
-	var entries []platform.LogEntry
+func (f *Follower) readRange(ctx context.Context, begin, end uint64) ([]backend.LogEntry, error) {
+	var entries []backend.LogEntry
 	for begin < end {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		page, err := f.params.Source.Read(readCtx, f.params.Stream, begin, int(end-begin), 0)
@@ -166,11 +166,11 @@
 // backlog keeps pages read towards the beginning of a stream, so that they need
 // not be read again. Past its bound it keeps nothing.
 type backlog struct {
-	pages [][]platform.LogEntry
+	pages [][]backend.LogEntry
 	size  int
 }
 
-func (b *backlog) add(page []platform.LogEntry) {
+func (b *backlog) add(page []backend.LogEntry) {
 	for _, e := range page {
 		b.size += len(e.Data)
 	}
@@ -181,7 +181,7 @@
 }
 
 // entries returns what was kept, in order of offsets.
-func (b *backlog) entries() []platform.LogEntry {
+func (b *backlog) entries() []backend.LogEntry {
 	if b.size > backlogBytes {
 		return nil
 	}
@@ -201,7 +201,7 @@
 
 // add takes the chunks in an entry and returns the snapshot that they complete.
 // A snapshot after which entries have expired is of no use.
-func (c collector) add(e platform.LogEntry, first uint64) *chunks {
+func (c collector) add(e backend.LogEntry, first uint64) *chunks {
 	records, err := protocol.DecodeBatch(e.Data)
 	if err != nil {
 		return nil
--- a/coordination/logcache/logcache.go
+++ b/coordination/logcache/logcache.go
@@ -7,7 +7,7 @@
 	"context"
 	"sync"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -16,7 +16,7 @@
 
 // Cache reads records of one stream. Its methods may be called at the same time.
 type Cache struct {
-	log    platform.Log
+	log    backend.Log
 	stream string
 	limit  int
 	locate func(protocol.Position) protocol.Position
@@ -35,7 +35,7 @@
 
 // New returns an empty cache of limit bytes over a stream. locate gives the
 // position at which the body of a record can be read.
-func New(log platform.Log, stream string, limit int, locate func(protocol.Position) protocol.Position) *Cache {
+func New(log backend.Log, stream string, limit int, locate func(protocol.Position) protocol.Position) *Cache {
 	return &Cache{log: log, stream: stream, limit: limit, locate: locate, order: list.New(), entries: map[uint64]*list.Element{}}
 }
 
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -6,14 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
 // member is one listed process.
 type member struct {
-	instance platform.Instance
+	instance backend.Instance
 	heard    time.Time
 	leaving  bool
 	polling  bool
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -15,9 +15,9 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -32,7 +32,7 @@
 type Params struct {
 	// Self is the name of this process, which always counts as alive.
 	Self     string
-	List     platform.InstanceList
+	List     backend.InstanceList
 	Reporter Reporter
 	// Interval is the time between two rounds of reports.
 	Interval time.Duration
@@ -40,7 +40,7 @@
 	// unreachable.
 	SilenceLimit time.Duration
 	// Polls says which roles this process asks for reports; nil stands for all.
-	Polls func(platform.Role) bool
+	Polls func(backend.Role) bool
 	// Services returns a function that tells which services a target with the
 	// labels can run. Where there are many entries, each watches some targets of
 	// every service; nil stands for no services.
@@ -64,7 +64,7 @@
 type Manager struct {
 	params Params
 	table  atomic.Pointer[routing.Table]
-	rows   atomic.Pointer[[]platform.Instance]
+	rows   atomic.Pointer[[]backend.Instance]
 	// listed is true while the instance list has this process as leaving.
 	listed  atomic.Bool
 	changed chan struct{}
@@ -90,11 +90,11 @@
 		p.EntryRate = DefaultEntryRate
 	}
 	if p.Polls == nil {
-		p.Polls = func(platform.Role) bool { return true }
+		p.Polls = func(backend.Role) bool { return true }
 	}
 	m := &Manager{params: p, members: map[string]*member{}, changed: make(chan struct{}, 1), published: make(chan struct{})}
 	m.table.Store(&routing.Table{})
-	m.rows.Store(&[]platform.Instance{})
+	m.rows.Store(&[]backend.Instance{})
 	return m
 }
 
@@ -126,12 +126,12 @@
 
 // Entries returns the entries that are alive and not leaving, in order of their
 // names.
-func (m *Manager) Entries() []platform.Instance {
+func (m *Manager) Entries() []backend.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var entries []platform.Instance
+	var entries []backend.Instance
 	for _, i := range *m.rows.Load() {
-		if i.Role == platform.RoleEntry && !i.Leaving && m.alive(i.Name) {
+		if i.Role == backend.RoleEntry && !i.Leaving && m.alive(i.Name) {
 			entries = append(entries, i)
 		}
 	}
@@ -147,7 +147,7 @@
 }
 
 // Instances returns every row of the instance list.
-func (m *Manager) Instances() []platform.Instance { return *m.rows.Load() }
+func (m *Manager) Instances() []backend.Instance { return *m.rows.Load() }
 
 // Run refreshes the table until ctx ends. A slow instance list or a slow process
 // holds up no report of another.
@@ -179,16 +179,16 @@
 	if err == nil {
 		m.setInstances(instances)
 	} else if ctx.Err() == nil {
-		klog.V(1).InfoS("instance list failed", "error", err)
+		klog.V(1).InfoS("instance list failed", "error", protocol.CauseOf(err))
 	}
 }
 
-func (m *Manager) setInstances(instances []platform.Instance) {
+func (m *Manager) setInstances(instances []backend.Instance) {
 	m.mu.Lock()
 	m.read = true
 	m.mu.Unlock()
 	rows := slices.Clone(instances)
-	slices.SortFunc(rows, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(rows, func(a, b backend.Instance) int { return strings.Compare(a.Name, b.Name) })
 	if slices.Equal(rows, *m.rows.Load()) {
 		return
 	}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -21,7 +21,7 @@
 // fakeFleet is an instance list and the processes on it.
 type fakeFleet struct {
 	mu   sync.Mutex
-	rows []platform.Instance
+	rows []backend.Instance
 	// hang holds the peers that never answer.
 	hang map[string]bool
 	// listHangs makes the list never answer.
@@ -29,8 +29,8 @@
 	reports   map[string]protocol.ReportReply
 }
 
-// Instances implements platform.InstanceList.
-func (f *fakeFleet) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements backend.InstanceList.
+func (f *fakeFleet) Instances(ctx context.Context) ([]backend.Instance, error) {
 	f.mu.Lock()
 	hangs, rows := f.listHangs, f.rows
 	f.mu.Unlock()
@@ -64,7 +64,7 @@
 	f := &fakeFleet{hang: map[string]bool{}, reports: map[string]protocol.ReportReply{}}
 	for i := range n {
 		name := "s" + strconv.Itoa(i)
-		f.rows = append(f.rows, platform.Instance{Name: name, Role: platform.RoleSidecar, Peer: name})
+		f.rows = append(f.rows, backend.Instance{Name: name, Role: backend.RoleSidecar, Peer: name})
 		f.set(i, protocol.TargetReport{Target: "t" + strconv.Itoa(i), Boot: "1", Healthy: true})
 	}
 	return f
@@ -191,12 +191,12 @@
 func TestListedLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1)
-		f.rows = append(f.rows, platform.Instance{Name: "e0", Role: platform.RoleEntry})
+		f.rows = append(f.rows, backend.Instance{Name: "e0", Role: backend.RoleEntry})
 		m := f.run(t)
 		after(DefaultInterval)
 		assert.Assert(t, !m.ListedLeaving())
 		f.change(func() {
-			f.rows = []platform.Instance{f.rows[0], {Name: "e0", Role: platform.RoleEntry, Leaving: true}}
+			f.rows = []backend.Instance{f.rows[0], {Name: "e0", Role: backend.RoleEntry, Leaving: true}}
 		})
 		after(DefaultInterval)
 		assert.Assert(t, m.ListedLeaving())
--- a/coordination/membership/poll.go
+++ b/coordination/membership/poll.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 )
 
 // The rates at which a process asks those that it does not watch, in questions
@@ -40,7 +40,7 @@
 	outdated bool
 	made     time.Time
 	// paced counts the processes by role that are asked by turns.
-	paced map[platform.Role]int
+	paced map[backend.Role]int
 }
 
 // asks reports whether this process ever asks s.
@@ -51,15 +51,15 @@
 // surveyed reports whether s is a sidecar that other entries watch: it is asked
 // now and then for what it serves, and gets no requests from here.
 func (m *Manager) surveyed(s *member) bool {
-	return m.plan.crowded && !s.watched && s.instance.Role == platform.RoleSidecar
+	return m.plan.crowded && !s.watched && s.instance.Role == backend.RoleSidecar
 }
 
 // paced reports whether s is asked by turns with others of its role.
 func (m *Manager) paced(s *member) bool { return m.plan.crowded && !s.watched }
 
 // rate is the number of questions a second to the paced processes of a role.
-func (m *Manager) rate(role platform.Role) float64 {
-	if role == platform.RoleEntry {
+func (m *Manager) rate(role backend.Role) float64 {
+	if role == backend.RoleEntry {
 		return m.params.EntryRate
 	}
 	return surveyRate
@@ -82,9 +82,9 @@
 	}
 	crowded, changed := m.plan.crowded, false
 	entries, sidecars := m.listedNames()
-	m.plan = plan{crowded: len(entries) > Coverage, made: now, paced: map[platform.Role]int{}}
+	m.plan = plan{crowded: len(entries) > Coverage, made: now, paced: map[backend.Role]int{}}
 	watched := map[string]bool{}
-	if m.plan.crowded && m.params.Polls(platform.RoleSidecar) {
+	if m.plan.crowded && m.params.Polls(backend.RoleSidecar) {
 		watched = Covered(m.params.Self, entries, sidecars, Coverage)
 		Supplement(m.params.Self, watched, m.groups(), MinTargets)
 	}
@@ -101,7 +101,7 @@
 // listedNames returns the names of the listed entries and sidecars.
 func (m *Manager) listedNames() (entries, sidecars []string) {
 	for name, s := range m.members {
-		if s.instance.Role == platform.RoleEntry {
+		if s.instance.Role == backend.RoleEntry {
 			entries = append(entries, name)
 		} else {
 			sidecars = append(sidecars, name)
@@ -154,7 +154,7 @@
 // entries, the watched ones and the next of the others.
 func (m *Manager) due(now time.Time) []*member {
 	var due []*member
-	waiting := map[platform.Role][]*member{}
+	waiting := map[backend.Role][]*member{}
 	for _, s := range m.members {
 		switch {
 		case s.polling || !m.asks(s):
@@ -178,7 +178,7 @@
 }
 
 // turn returns those that have waited longest. New ones go first.
-func (m *Manager) turn(role platform.Role, all []*member) []*member {
+func (m *Manager) turn(role backend.Role, all []*member) []*member {
 	slices.SortFunc(all, func(a, b *member) int {
 		return cmp.Or(a.asked.Compare(b.asked), strings.Compare(a.instance.Name, b.instance.Name))
 	})
--- a/coordination/membership/watch_test.go
+++ b/coordination/membership/watch_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -51,11 +51,11 @@
 	f := &countingFleet{fakeFleet: newFleet(0), asked: map[string]int{}}
 	for i := range entries {
 		name := "e" + strconv.Itoa(i)
-		f.rows = append(f.rows, platform.Instance{Name: name, Role: platform.RoleEntry, Peer: name})
+		f.rows = append(f.rows, backend.Instance{Name: name, Role: backend.RoleEntry, Peer: name})
 	}
 	for i := range sidecars {
 		name := "s" + strconv.Itoa(i)
-		f.rows = append(f.rows, platform.Instance{Name: name, Role: platform.RoleSidecar, Peer: name})
+		f.rows = append(f.rows, backend.Instance{Name: name, Role: backend.RoleSidecar, Peer: name})
 		f.set(i, f.report(i, services))
 	}
 	return f
--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -19,8 +19,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/client"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
 	"github.com/sycamoretally/sycamoretally/transport"
@@ -115,7 +115,7 @@
 	for range layout.Engines {
 		server := httptest.NewServer(engine.New(layout.Engine).Handler())
 		defer server.Close()
-		client := platform.NewEngine(server.URL, 0)
+		client := backend.NewEngine(server.URL, 0)
 		for slot := range layout.Slots {
 			group.Go(func() { generateAll(b, client, fmt.Sprintf("slot %d", slot), tokens, perSlot) })
 		}
@@ -124,13 +124,13 @@
 	return float64(layout.Engines*layout.Slots*perSlot) / time.Since(begun).Seconds()
 }
 
-func generateAll(b *testing.B, e *platform.Engine, prompt string, tokens, n int) {
+func generateAll(b *testing.B, e *backend.Engine, prompt string, tokens, n int) {
 	request := chat(prompt, true)
 	request.MaxTokens = tokens
 	body, err := json.Marshal(request)
 	assert.Check(b, err)
 	for range n {
-		g := platform.Generation{ID: protocol.NewID(), Body: body}
+		g := backend.Generation{ID: protocol.NewID(), Body: body}
 		assert.Check(b, e.Generate(b.Context(), g, func(string) error { return nil }))
 	}
 }
@@ -168,7 +168,7 @@
 	})
 	entries, err := site.List.Instances(b.Context())
 	assert.NilError(b, err)
-	entry := entries[slices.IndexFunc(entries, func(i platform.Instance) bool { return i.Role == platform.RoleEntry })]
+	entry := entries[slices.IndexFunc(entries, func(i backend.Instance) bool { return i.Role == backend.RoleEntry })]
 	args := &protocol.PullArgs{
 		Instance: "sidecar-a", Target: "target-a", WaitMillis: 1,
 		Labels: protocol.Labels{"role": "drafting", "unit": "a", "zone": "north", "model": "large"},
--- a/demo/site.go
+++ b/demo/site.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/entry"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/sidecar"
@@ -47,7 +47,7 @@
 	// Weights is the weight store, nil for none.
 	Weights *weightstore.Store
 	// Log, where set, gives the log that the instance uses in place of the site's.
-	Log func(instance string, log platform.Log) platform.Log
+	Log func(instance string, log backend.Log) backend.Log
 	// DataCentres is the number of data centres; zero means two.
 	DataCentres int
 	// Policy is in force in every process.
@@ -81,7 +81,7 @@
 
 	layout  Layout
 	servers []*http.Server
-	rows    []platform.Instance
+	rows    []backend.Instance
 	// startState is the state of the path of the next process to start.
 	startState logservice.PathState
 }
@@ -231,9 +231,9 @@
 	return s.Sidecars[len(s.Sidecars)-1], err
 }
 
-func rowOf(p *settings.Settings) platform.Instance {
-	return platform.Instance{
-		Name: p.Process.Instance, Role: platform.Role(p.Role), DataCentre: p.Process.DataCentre,
+func rowOf(p *settings.Settings) backend.Instance {
+	return backend.Instance{
+		Name: p.Process.Instance, Role: backend.Role(p.Role), DataCentre: p.Process.DataCentre,
 		HTTP: p.Process.HTTP, Peer: p.Process.Peer,
 	}
 }
@@ -291,7 +291,7 @@
 	return en.Start()
 }
 
-func (s *Site) logOf(instance string, path *logservice.Path) platform.Log {
+func (s *Site) logOf(instance string, path *logservice.Path) backend.Log {
 	if s.layout.Log == nil {
 		return path
 	}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -181,7 +181,7 @@
 	for _, ref := range h.Refs {
 		item, err := e.workItem(ref)
 		if err != nil {
-			klog.InfoS("item not handed out", "job", ref.Job, "index", ref.Index, "error", err)
+			klog.InfoS("item not handed out", "job", ref.Job, "index", ref.Index, "error", protocol.CauseOf(err))
 			e.leases.mu.Lock()
 			e.leases.scheduler.Yield(ref.Job, ref.Index, ref.Lease, ref.Resume)
 			e.leases.mu.Unlock()
--- a/entry/endoflog.go
+++ b/entry/endoflog.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -15,7 +15,7 @@
 // endOfLog asks the log for its end. Questions that wait at the same time share
 // one read.
 type endOfLog struct {
-	log    platform.Log
+	log    backend.Log
 	stream string
 
 	mu    sync.Mutex
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/batch"
 	"github.com/sycamoretally/sycamoretally/coordination/commit"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
@@ -20,7 +21,6 @@
 	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/coordination/quota"
 	"github.com/sycamoretally/sycamoretally/coordination/routing"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/state"
@@ -30,8 +30,8 @@
 
 // Platform is what the entry uses of the platform.
 type Platform struct {
-	Log       platform.Log
-	Instances platform.InstanceList
+	Log       backend.Log
+	Instances backend.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
 	// Now is the wall clock of the time line; nil means time.Now.
@@ -71,7 +71,7 @@
 	tasks     tasks
 	ring      *timeline.Ring
 	metrics   *metrics
-	log       platform.Log
+	log       backend.Log
 	callers   map[string]string
 	policy    *policy
 	quotas    *quota.Limiter
@@ -140,7 +140,7 @@
 // below protocol.PullStaleness, so that a quiet log does not hold up batch work.
 const pollWait = protocol.PullStaleness / 4
 
-func (e *Entry) newStream(log platform.Log, name string, folds ...follow.Fold) stream {
+func (e *Entry) newStream(log backend.Log, name string, folds ...follow.Fold) stream {
 	observe := func(records, bytes int) {
 		e.metrics.appends.WithLabelValues(name).Inc()
 		e.metrics.appendedRecords.WithLabelValues(name).Add(float64(records))
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -219,7 +219,7 @@
 		rec := protocol.Record{ID: protocol.NewID(), Elapsed: &protocol.Elapsed{Since: since, Millis: time.Since(begun).Milliseconds()}}
 		appendCtx, cancel := context.WithTimeout(ctx, recordWait)
 		if err := e.appendAndFold(appendCtx, rec); err != nil {
-			klog.V(1).InfoS("time record not stored", "error", err)
+			klog.V(1).InfoS("time record not stored", "error", protocol.CauseOf(err))
 		}
 		cancel()
 	}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -152,7 +152,7 @@
 		Key: o.key, Attempt: o.trace, Fingerprint: o.fingerprint, Result: *result,
 	}}
 	if err := e.appendAndFold(ctx, rec); err != nil {
-		klog.InfoS("result not retained", "trace", o.trace, "error", err)
+		klog.InfoS("result not retained", "trace", o.trace, "error", protocol.CauseOf(err))
 		return ending{result: result}
 	}
 	r, _ := e.requests.Get(o.key)
--- a/entry/retain.go
+++ b/entry/retain.go
@@ -6,10 +6,10 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/commit"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/retention"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -19,15 +19,15 @@
 
 // logGroup chooses the peers from which this entry reads a stream.
 func (e *Entry) logGroup(stream string) *follow.Group {
-	follows := func(platform.Instance) bool { return true }
+	follows := func(backend.Instance) bool { return true }
 	tails := follow.DefaultTailsPerDataCentre
 	if stream == protocol.StreamWork {
 		tails = workTails
-		follows = func(i platform.Instance) bool { return i.Role == platform.RoleEntry }
+		follows = func(i backend.Instance) bool { return i.Role == backend.RoleEntry }
 	}
 	return &follow.Group{
 		Self: e.settings.Process.Instance, DataCentre: e.settings.Process.DataCentre, Stream: stream,
-		Instances: func() []platform.Instance { return e.members.Instances() }, Follows: follows, Call: e.peers.ReadLog, PerDataCentre: tails,
+		Instances: func() []backend.Instance { return e.members.Instances() }, Follows: follows, Call: e.peers.ReadLog, PerDataCentre: tails,
 	}
 }
 
@@ -35,7 +35,7 @@
 func (e *Entry) gatherers(stream string) *commit.Gatherers {
 	return &commit.Gatherers{
 		Self: e.settings.Process.Instance, DataCentre: e.settings.Process.DataCentre, Stream: stream,
-		Entries: func() []platform.Instance { return e.members.Entries() },
+		Entries: func() []backend.Instance { return e.members.Entries() },
 		Call: func(ctx context.Context, addr string, args protocol.GatherArgs) (protocol.GatherReply, error) {
 			var reply protocol.GatherReply
 			err := e.peers.Call(ctx, addr, protocol.MethodGather, &args, &reply)
@@ -109,6 +109,6 @@
 	stepCtx, cancel := context.WithTimeout(ctx, retainTimeout)
 	defer cancel()
 	if err := k.Step(stepCtx, time.Now()); err != nil && ctx.Err() == nil {
-		klog.InfoS("retention step failed", "stream", stream, "error", err)
+		klog.InfoS("retention step failed", "stream", stream, "error", protocol.CauseOf(err))
 	}
 }
--- a/history/requests.go
+++ b/history/requests.go
@@ -7,7 +7,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/joomcode/errorx"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -191,7 +191,7 @@
 		return AnswerResult
 	case p.Title == protocol.ProblemOf(protocol.ErrKeyConflict.New("")).Title:
 		return AnswerConflict
-	case errorx.IsOfType(err, protocol.ErrNotSent) && platform.IsDialError(errorx.Cast(err).Cause()): // the caller's own; a problem document has no cause
+	case errorx.IsOfType(err, protocol.ErrNotSent) && backend.IsDialError(errorx.Cast(err).Cause()): // the caller's own; a problem document has no cause
 		return AnswerNotSent
 	case p.Outcome == protocol.OutcomeNotRun:
 		return AnswerNotRun
--- a/load/scale_test.go
+++ b/load/scale_test.go
@@ -13,8 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
@@ -79,7 +79,7 @@
 
 // scaleFleet is an instance list of fake processes.
 type scaleFleet struct {
-	rows  []platform.Instance
+	rows  []backend.Instance
 	peers *transport.Peers
 	bytes atomic.Int64
 	fakes []*scaleFake
@@ -89,8 +89,8 @@
 	answered map[string]bool
 }
 
-// Instances implements platform.InstanceList.
-func (f *scaleFleet) Instances(context.Context) ([]platform.Instance, error) { return f.rows, nil }
+// Instances implements backend.InstanceList.
+func (f *scaleFleet) Instances(context.Context) ([]backend.Instance, error) { return f.rows, nil }
 
 // Report implements membership.Reporter.
 func (f *scaleFleet) Report(ctx context.Context, peer string, mark uint64) (protocol.ReportReply, error) {
@@ -119,7 +119,7 @@
 }
 
 // add lists count processes that a fake answers for.
-func (f *scaleFleet) add(b *testing.B, role platform.Role, count int, fake *scaleFake) {
+func (f *scaleFleet) add(b *testing.B, role backend.Role, count int, fake *scaleFake) {
 	listener, err := net.Listen("tcp4", "0.0.0.0:0")
 	assert.NilError(b, err)
 	server, err := transport.NewPeerServer(secret, protocol.PeerService, fake)
@@ -132,7 +132,7 @@
 	})
 	port := listener.Addr().(*net.TCPAddr).Port
 	for i := range count {
-		f.rows = append(f.rows, platform.Instance{
+		f.rows = append(f.rows, backend.Instance{
 			Name: fmt.Sprintf("%s-%04d", role, i), Role: role, DataCentre: "dc1",
 			Peer: fmt.Sprintf("127.1.%d.%d:%d", i/200, 1+i%200, port),
 		})
@@ -146,8 +146,8 @@
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 		return countingConn{conn, &f.bytes}, err
 	})
-	f.add(b, platform.RoleSidecar, max(1, targets/targetsPerSidecar), &scaleFake{targets: targetsPerSidecar, busy: busy})
-	f.add(b, platform.RoleEntry, entries, &scaleFake{})
+	f.add(b, backend.RoleSidecar, max(1, targets/targetsPerSidecar), &scaleFake{targets: targetsPerSidecar, busy: busy})
+	f.add(b, backend.RoleEntry, entries, &scaleFake{})
 	b.Cleanup(f.peers.Close)
 	return f
 }
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -16,8 +16,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/demo"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 )
@@ -254,12 +254,12 @@
 	for _, name := range leaving {
 		marked[name] = true
 	}
-	var rows []platform.Instance
+	var rows []backend.Instance
 	for _, group := range [][]*Process{s.Entries, s.Sidecars} {
 		for _, p := range group {
 			pr := p.Settings.Process
-			rows = append(rows, platform.Instance{
-				Name: pr.Instance, Role: platform.Role(p.Settings.Role), DataCentre: pr.DataCentre,
+			rows = append(rows, backend.Instance{
+				Name: pr.Instance, Role: backend.Role(p.Settings.Role), DataCentre: pr.DataCentre,
 				HTTP: pr.HTTP, Peer: pr.Peer, Leaving: marked[pr.Instance],
 			})
 		}
--- a/promises/cancel_test.go
+++ b/promises/cancel_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/demo"
 	"github.com/sycamoretally/sycamoretally/history"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -212,7 +212,7 @@
 
 // cutLog is an entry's log whose reads can be made to find nothing new.
 type cutLog struct {
-	platform.Log
+	backend.Log
 	mu  sync.Mutex
 	cut bool
 }
@@ -223,15 +223,15 @@
 	l.cut = cut
 }
 
-// Read implements platform.Log. While the entry is cut off, reads of the work
+// Read implements backend.Log. While the entry is cut off, reads of the work
 // stream that follow it never answer.
-func (l *cutLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.LogPage, error) {
+func (l *cutLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (backend.LogPage, error) {
 	l.mu.Lock()
 	cut := l.cut && stream == protocol.StreamWork && limit > 1
 	l.mu.Unlock()
 	if cut {
 		<-ctx.Done()
-		return platform.LogPage{}, protocol.ErrLogUnavailable.New("cut off")
+		return backend.LogPage{}, protocol.ErrLogUnavailable.New("cut off")
 	}
 	return l.Log.Read(ctx, stream, from, limit, wait)
 }
@@ -244,7 +244,7 @@
 	t.Logf("seed %d", seed)
 	var cut *cutLog
 	layout := demo.DefaultLayout()
-	layout.Log = func(instance string, log platform.Log) platform.Log {
+	layout.Log = func(instance string, log backend.Log) backend.Log {
 		if instance != "entry-b" {
 			return log
 		}
--- a/promises/orders_test.go
+++ b/promises/orders_test.go
@@ -8,9 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/client"
 	"github.com/sycamoretally/sycamoretally/demo"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
 	"github.com/sycamoretally/sycamoretally/standin/weightstore"
@@ -69,7 +69,7 @@
 
 // checkFences checks that no engine took an order with an older fencing number
 // after a newer one.
-func checkFences(t *testing.T, orders []platform.Order) {
+func checkFences(t *testing.T, orders []backend.Order) {
 	t.Helper()
 	for i := 1; i < len(orders); i++ {
 		assert.Assert(t, orders[i].Fence >= orders[i-1].Fence, "%v", orders)
@@ -84,7 +84,7 @@
 	loads := state.NewLoads(config)
 	known := map[string]bool{}
 	for from := uint64(0); ; {
-		page, err := site.Log.Read(t.Context(), protocol.StreamConfig, from, platform.PageLimit, 0)
+		page, err := site.Log.Read(t.Context(), protocol.StreamConfig, from, backend.PageLimit, 0)
 		assert.NilError(t, err)
 		if len(page.Entries) == 0 {
 			return most, records, len(known)
--- a/promises/paused_orders_test.go
+++ b/promises/paused_orders_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/client"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -64,7 +64,7 @@
 
 func versionsAt(t *testing.T, p *processtest.Process) string {
 	t.Helper()
-	var orders []platform.Order
+	var orders []backend.Order
 	assert.NilError(t, processtest.Read("http://"+p.Settings.StandIn.Listen+"/orders", &orders))
 	checkFences(t, orders)
 	var versions []string
--- a/promises/retention_quarantine_test.go
+++ b/promises/retention_quarantine_test.go
@@ -7,8 +7,8 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/client"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/processtest"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -31,7 +31,7 @@
 
 // restarted fails while the engine does not answer.
 func restarted(p *processtest.Process) error {
-	var orders []platform.Order
+	var orders []backend.Order
 	return processtest.Read("http://"+p.Settings.StandIn.Listen+"/orders", &orders)
 }
 
--- a/promises/silent_test.go
+++ b/promises/silent_test.go
@@ -13,12 +13,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/client"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
 	"github.com/sycamoretally/sycamoretally/demo"
 	"github.com/sycamoretally/sycamoretally/history"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/standin/engine"
@@ -187,9 +187,9 @@
 // a change on it is known within the limit.
 func TestSilentInstanceList(t *testing.T) {
 	t.Parallel()
-	list := instancelist.New(0, []platform.Instance{{Name: "e", Role: platform.RoleEntry}})
+	list := instancelist.New(0, []backend.Instance{{Name: "e", Role: backend.RoleEntry}})
 	r := relayBefore(t, list.Handler())
-	m := membership.New(membership.Params{Self: "e", List: platform.NewHTTPInstanceList("http://" + r.Address())})
+	m := membership.New(membership.Params{Self: "e", List: backend.NewHTTPInstanceList("http://" + r.Address())})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- m.Run(ctx) }()
@@ -199,7 +199,7 @@
 	})
 	eventually(t, silentLimit, func() error { return unless(m.Ready()) })
 	r.Silence()
-	list.Set([]platform.Instance{{Name: "e", Role: platform.RoleEntry, Leaving: true}})
+	list.Set([]backend.Instance{{Name: "e", Role: backend.RoleEntry, Leaving: true}})
 	eventually(t, silentLimit, func() error { return unless(m.ListedLeaving()) })
 }
 
@@ -236,7 +236,7 @@
 	log := logservice.New(logservice.Params{AppendsPerSecond: 1000})
 	r := relayBefore(t, log.Handler())
 	fold := countFold{records: make(chan string, 8)}
-	f := follow.New(follow.Params{Stream: protocol.StreamWork, Source: platform.NewHTTPLog("http://" + r.Address())}, fold)
+	f := follow.New(follow.Params{Stream: protocol.StreamWork, Source: backend.NewHTTPLog("http://" + r.Address())}, fold)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- f.Run(ctx) }()
--- a/settings/check.go
+++ b/settings/check.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -171,7 +171,7 @@
 	for i, inst := range s.StandIn.List.Instances {
 		key := "standin.list.instance[" + itoa(i) + "]"
 		f.require(key+".name", inst.Name)
-		if inst.Role != platform.RoleEntry && inst.Role != platform.RoleSidecar {
+		if inst.Role != backend.RoleEntry && inst.Role != backend.RoleSidecar {
 			f.add(key+".role", `must be "entry" or "sidecar"`)
 		}
 		f.address(key+".http", inst.HTTP)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,7 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -146,8 +146,8 @@
 
 // StandInList holds the settings of the instance list's stand-in.
 type StandInList struct {
-	Lag       Duration            `toml:"lag"`
-	Instances []platform.Instance `toml:"instance"`
+	Lag       Duration           `toml:"lag"`
+	Instances []backend.Instance `toml:"instance"`
 }
 
 // StandInStore holds the settings of the weight store's stand-in.
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -46,7 +46,7 @@
 	report := runner.report()
 	if err != nil {
 		s.ring.Add(a.Trace, "attempt failed", "attempt", a.Attempt, "target", a.Target, "error", protocol.ProblemOf(err).Title)
-		klog.V(2).InfoS("attempt failed", "trace", a.Trace, "attempt", a.Attempt, "target", a.Target, "error", err)
+		klog.V(2).InfoS("attempt failed", "trace", a.Trace, "attempt", a.Attempt, "target", a.Target, "error", protocol.CauseOf(err))
 		_ = frames.Fail(err, &report)
 		return
 	}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -99,7 +99,7 @@
 		if err == nil {
 			return
 		}
-		klog.V(1).InfoS("item not returned yet", "job", args.Job, "index", args.Index, "error", err)
+		klog.V(1).InfoS("item not returned yet", "job", args.Job, "index", args.Index, "error", protocol.CauseOf(err))
 		pause.For(ctx, appendRetryDelay)
 	}
 }
--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -217,7 +217,7 @@
 func (c *crashes) persist(in *incident, rec protocol.Record) {
 	at, err := c.store(context.Background(), rec)
 	if err != nil {
-		klog.InfoS("crash record not stored", "target", c.target, "incident", in.id, "error", err)
+		klog.InfoS("crash record not stored", "target", c.target, "incident", in.id, "error", protocol.CauseOf(err))
 		return
 	}
 	in.at = at
--- a/sidecar/entries.go
+++ b/sidecar/entries.go
@@ -7,8 +7,8 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
@@ -55,7 +55,7 @@
 
 // listed reports whether the platform lists a process with the peer address.
 func (e *entries) listed(addr string) bool {
-	return slices.ContainsFunc(e.members.Instances(), func(i platform.Instance) bool { return i.Peer == addr })
+	return slices.ContainsFunc(e.members.Instances(), func(i backend.Instance) bool { return i.Peer == addr })
 }
 
 // logTrouble returns the error of a reply that says that the entry could not
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeWait)
 	defer cancel()
 	if err := s.append(ctx, x.Coordinator, []protocol.Record{rec}); err != nil {
-		klog.InfoS("result not stored yet", "trace", x.Trace, "attempt", x.Attempt, "error", err)
+		klog.InfoS("result not stored yet", "trace", x.Trace, "attempt", x.Attempt, "error", protocol.CauseOf(err))
 		s.outbox.add(rec)
 	}
 }
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -9,11 +9,11 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/placement"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/state"
 )
@@ -46,7 +46,7 @@
 	config   *state.ConfigFold
 	loads    *state.Loads
 	follower *follow.Follower
-	weights  *platform.WeightStore
+	weights  *backend.WeightStore
 	metrics  *metrics
 	members  *membership.Manager
 	instance string
@@ -62,7 +62,7 @@
 	for ctx.Err() == nil {
 		o.revokeSilent(ctx)
 		if err := o.step(ctx); err != nil && ctx.Err() == nil {
-			klog.InfoS("load not done", "target", o.runner.target.Name, "error", err)
+			klog.InfoS("load not done", "target", o.runner.target.Name, "error", protocol.CauseOf(err))
 		}
 		pause.For(ctx, jitter(ordersInterval))
 	}
@@ -242,7 +242,7 @@
 	defer cancel()
 	by := t.lease.OrderBy()
 	err := t.keep(ctx, func(ctx context.Context) error {
-		return t.runner.engine.OrderBy(ctx, by, platform.Order{
+		return t.runner.engine.OrderBy(ctx, by, backend.Order{
 			Model: t.want.Model, Version: t.want.Version, Adapters: t.want.Adapters, Fence: uint64(t.want.Fence),
 		})
 	})
@@ -316,7 +316,7 @@
 		},
 	}
 	if s.settings.Platform.Weights != "" {
-		o.weights = platform.NewWeightStore(s.settings.Platform.Weights)
+		o.weights = backend.NewWeightStore(s.settings.Platform.Weights)
 	}
 	return o
 }
--- a/sidecar/outbox.go
+++ b/sidecar/outbox.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		if err := o.append(ctx, batch); err != nil {
-			klog.V(1).InfoS("records not stored yet", "records", len(batch), "error", err)
+			klog.V(1).InfoS("records not stored yet", "records", len(batch), "error", protocol.CauseOf(err))
 			pause.For(ctx, appendRetryDelay)
 			continue
 		}
--- a/sidecar/permit_test.go
+++ b/sidecar/permit_test.go
@@ -11,9 +11,9 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
 	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/timeline"
@@ -103,14 +103,14 @@
 // fakeList is an instance list that a test changes.
 type fakeList struct {
 	mu   sync.Mutex
-	rows []platform.Instance
+	rows []backend.Instance
 }
 
-// Instances implements platform.InstanceList.
-func (l *fakeList) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements backend.InstanceList.
+func (l *fakeList) Instances(context.Context) ([]backend.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Instance(nil), l.rows...), nil
+	return append([]backend.Instance(nil), l.rows...), nil
 }
 
 // set lists the entries; leaving names one that leaves.
@@ -119,7 +119,7 @@
 	defer l.mu.Unlock()
 	l.rows = nil
 	for _, e := range entries {
-		l.rows = append(l.rows, platform.Instance{Name: e.name, Role: platform.RoleEntry, Peer: e.addr, Leaving: e.name == leaving})
+		l.rows = append(l.rows, backend.Instance{Name: e.name, Role: backend.RoleEntry, Peer: e.addr, Leaving: e.name == leaving})
 	}
 }
 
--- a/sidecar/pull.go
+++ b/sidecar/pull.go
@@ -221,7 +221,7 @@
 			release, err = p.s.enterItem(itemCtx, p.r, i, startBy, release)
 		}
 		if err != nil {
-			klog.InfoS("item not started", "target", p.r.target.Name, "lease", i.attempt.Attempt, "error", err)
+			klog.InfoS("item not started", "target", p.r.target.Name, "lease", i.attempt.Attempt, "error", protocol.CauseOf(err))
 		}
 		if err == nil {
 			if time.Now().Before(startBy) {
--- a/sidecar/runner.go
+++ b/sidecar/runner.go
@@ -8,9 +8,9 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/coordination/slots"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/timeline"
@@ -23,8 +23,8 @@
 // work that runs or waits.
 type runner struct {
 	target  settings.Target
-	engine  *platform.Engine
-	service *platform.PlainService
+	engine  *backend.Engine
+	service *backend.PlainService
 	events  func(trace, name string, fields ...string)
 
 	mu      sync.Mutex
@@ -57,8 +57,8 @@
 func newRunner(t settings.Target, p settings.Policy, events func(trace, name string, fields ...string)) *runner {
 	return &runner{
 		target:  t,
-		engine:  platform.NewEngine(t.URL, time.Duration(t.StallTimeout)),
-		service: platform.NewPlainService(t.URL),
+		engine:  backend.NewEngine(t.URL, time.Duration(t.StallTimeout)),
+		service: backend.NewPlainService(t.URL),
 		events:  events,
 		slots: slots.New(slots.Params{
 			Slots: t.Slots, Reserve: t.Reserve, Queue: t.Queue, NoPreemption: p.NoPreemption,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,9 +16,9 @@
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/coordination/follow"
 	"github.com/sycamoretally/sycamoretally/coordination/membership"
-	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 	"github.com/sycamoretally/sycamoretally/state"
@@ -28,8 +28,8 @@
 
 // Platform is what the sidecar uses of the platform.
 type Platform struct {
-	Log       platform.Log
-	Instances platform.InstanceList
+	Log       backend.Log
+	Instances backend.InstanceList
 	// Dial makes connections to peers; nil means the ordinary dialer.
 	Dial transport.Dial
 	// Now is the wall clock of the time line; nil means time.Now.
@@ -95,7 +95,7 @@
 	sc.loads = state.NewLoads(sc.config)
 	group := &follow.Group{
 		Self: s.Process.Instance, DataCentre: s.Process.DataCentre, Stream: protocol.StreamConfig,
-		Instances: sc.instances, Follows: func(platform.Instance) bool { return true }, Call: sc.peers.ReadLog,
+		Instances: sc.instances, Follows: func(backend.Instance) bool { return true }, Call: sc.peers.ReadLog,
 	}
 	sc.follower = follow.New(follow.Params{Stream: protocol.StreamConfig, Source: p.Log, Peers: group}, timeline.Watch{Clock: ring.Clock()}, sc.config, sc.loads, drainWatch{sc})
 	sc.metrics.registry.MustRegister(sc.follower.Metrics()...)
@@ -103,7 +103,7 @@
 		Self:      s.Process.Instance,
 		List:      p.Instances,
 		Reporter:  transport.Reporter{Peers: sc.peers, Clock: ring.Clock()},
-		Polls:     func(role platform.Role) bool { return role == platform.RoleEntry },
+		Polls:     func(role backend.Role) bool { return role == backend.RoleEntry },
 		EntryRate: entryRate,
 	})
 	for _, r := range sc.runners {
@@ -246,7 +246,7 @@
 }
 
 // instances returns the processes that the platform lists.
-func (s *Sidecar) instances() []platform.Instance { return s.members.Instances() }
+func (s *Sidecar) instances() []backend.Instance { return s.members.Instances() }
 
 // Config returns the configuration in force.
 func (s *Sidecar) Config() *state.Config { return s.config.Current() }
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -8,7 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/timeline"
 )
@@ -17,11 +17,11 @@
 // broke off, the engine is told to stop before the slot can go to other work. A
 // stalled engine keeps the slot until it answers a later order to stop.
 func (r *runner) generateOnce(ctx context.Context, a *protocol.AttemptRequest, by time.Time, sink func(string) error) error {
-	err := r.engine.Generate(ctx, platform.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume, By: by}, sink)
+	err := r.engine.Generate(ctx, backend.Generation{ID: a.Attempt, Body: a.Call.Body, Resume: a.Resume, By: by}, sink)
 	if err == nil || neverRan(err) {
 		return err
 	}
-	if platform.IsStall(err) || !r.stopped(ctx, a.Attempt) {
+	if backend.IsStall(err) || !r.stopped(ctx, a.Attempt) {
 		r.lose(a.Attempt)
 	}
 	if cause := context.Cause(ctx); errorx.IsOfType(cause, errPreempted) || errorx.IsOfType(cause, protocol.ErrMoved) || errorx.IsOfType(cause, protocol.ErrCancelled) {
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	err := r.engine.Cancel(ctx, attempt)
-	return err == nil || platform.IsRefused(err)
+	return err == nil || backend.IsRefused(err)
 }
 
 // lose marks the attempt's slot as lost.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -82,14 +82,14 @@
 	queued  int
 	runs    []Run
 	cache   *prefixCache
-	orders  []platform.Order
+	orders  []backend.Order
 	fence   uint64
 	reports []report
 }
 
 type report struct {
 	at   time.Time
-	load platform.EngineLoad
+	load backend.EngineLoad
 }
 
 // New returns an idle engine.
@@ -162,10 +162,10 @@
 }
 
 // Orders returns the orders that took effect.
-func (e *Engine) Orders() []platform.Order {
+func (e *Engine) Orders() []backend.Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]platform.Order(nil), e.orders...)
+	return append([]backend.Order(nil), e.orders...)
 }
 
 func (e *Engine) isDown() bool {
@@ -250,7 +250,7 @@
 }
 
 // order loads a model. A crash meanwhile loses the order.
-func (e *Engine) order(ctx context.Context, o platform.Order) error {
+func (e *Engine) order(ctx context.Context, o backend.Order) error {
 	if err := e.checkFence(o); err != nil {
 		return err
 	}
@@ -261,7 +261,7 @@
 	return e.loaded(o)
 }
 
-func (e *Engine) checkFence(o platform.Order) error {
+func (e *Engine) checkFence(o backend.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.params.ChecksFence && o.Fence < e.fence {
@@ -271,7 +271,7 @@
 	return nil
 }
 
-func (e *Engine) loaded(o platform.Order) error {
+func (e *Engine) loaded(o backend.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.params.ChecksFence && o.Fence < e.fence {
@@ -283,11 +283,11 @@
 }
 
 // load returns the report of ReportLag ago.
-func (e *Engine) load() platform.EngineLoad {
+func (e *Engine) load() backend.EngineLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	current := platform.EngineLoad{
+	current := backend.EngineLoad{
 		Running:         len(e.slots),
 		Waiting:         e.waiting,
 		CacheHitTokens:  e.cache.hits,
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -11,7 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -80,7 +80,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { <-e.slots }()
-	run := e.begin(r.Header.Get(platform.HeaderRequestID), prompt, cancel)
+	run := e.begin(r.Header.Get(backend.HeaderRequestID), prompt, cancel)
 	how := "crashed"
 	defer func() { e.end(run, how) }()
 	switch {
@@ -180,7 +180,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o backend.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-// List is the list. It implements platform.InstanceList.
+// List is the list. It implements backend.InstanceList.
 type List struct {
 	lag time.Duration
 
@@ -25,16 +25,16 @@
 
 type version struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []backend.Instance
 }
 
 // New returns a list that shows a change after lag.
-func New(lag time.Duration, instances []platform.Instance) *List {
+func New(lag time.Duration, instances []backend.Instance) *List {
 	return &List{lag: lag, versions: []version{{instances: instances}}}
 }
 
 // Set replaces the list. Readers see it after the lag.
-func (l *List) Set(instances []platform.Instance) {
+func (l *List) Set(instances []backend.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, version{at: time.Now(), instances: instances})
@@ -47,8 +47,8 @@
 	l.outage = on
 }
 
-// Instances implements platform.InstanceList.
-func (l *List) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements backend.InstanceList.
+func (l *List) Instances(context.Context) ([]backend.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outage {
@@ -78,7 +78,7 @@
 		_ = json.NewEncoder(w).Encode(instances)
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
-		var instances []platform.Instance
+		var instances []backend.Instance
 		if err := json.NewDecoder(r.Body).Decode(&instances); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
--- a/standin/logservice/http.go
+++ b/standin/logservice/http.go
@@ -10,14 +10,14 @@
 	"github.com/joomcode/errorx"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
 // maxEntry bounds one entry, in bytes.
 const maxEntry = 16 << 20
 
-// Handler serves the interface that platform.HTTPLog speaks, and POST /faults,
+// Handler serves the interface that backend.HTTPLog speaks, and POST /faults,
 // which replaces the failures in force.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -41,7 +41,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_ = msgpack.NewEncoder(w).Encode(platform.LogAppended{Offset: offset})
+	_ = msgpack.NewEncoder(w).Encode(backend.LogAppended{Offset: offset})
 }
 
 func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
--- a/standin/logservice/http_test.go
+++ b/standin/logservice/http_test.go
@@ -10,7 +10,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -20,7 +20,7 @@
 	service := New(Params{Retention: time.Hour})
 	server := httptest.NewServer(service.Handler())
 	defer server.Close()
-	log := platform.NewHTTPLog(server.URL)
+	log := backend.NewHTTPLog(server.URL)
 	set := func(faults string) {
 		resp, err := http.Post(server.URL+"/faults", "application/json", strings.NewReader(faults))
 		assert.NilError(t, err)
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -32,7 +32,7 @@
 	LoseAnswers int `json:"lose_answers"`
 }
 
-// Service is the log service. It implements platform.Log.
+// Service is the log service. It implements backend.Log.
 type Service struct {
 	params  Params
 	limiter *rate.Limiter
@@ -82,7 +82,7 @@
 	return s.appends, s.bytes
 }
 
-// Append implements platform.Log.
+// Append implements backend.Log.
 func (s *Service) Append(ctx context.Context, name string, data []byte) (uint64, error) {
 	if err := s.delay(ctx); err != nil {
 		return 0, err
@@ -108,15 +108,15 @@
 	return st.next() - 1, nil
 }
 
-// Read implements platform.Log.
-func (s *Service) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.LogPage, error) {
+// Read implements backend.Log.
+func (s *Service) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (backend.LogPage, error) {
 	if err := s.delay(ctx); err != nil {
-		return platform.LogPage{}, err
+		return backend.LogPage{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		page, grown, err := s.page(name, from, min(limit, platform.PageLimit))
+		page, grown, err := s.page(name, from, min(limit, backend.PageLimit))
 		if err != nil || len(page.Entries) > 0 || wait <= 0 {
 			return page, err
 		}
@@ -130,15 +130,15 @@
 	}
 }
 
-func (s *Service) page(name string, from uint64, limit int) (platform.LogPage, chan struct{}, error) {
+func (s *Service) page(name string, from uint64, limit int) (backend.LogPage, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Outage {
-		return platform.LogPage{}, nil, protocol.ErrLogUnavailable.New("outage")
+		return backend.LogPage{}, nil, protocol.ErrLogUnavailable.New("outage")
 	}
 	st := s.stream(name)
 	st.expire(s.params.Retention)
-	page := platform.LogPage{First: st.first, Next: st.next()}
+	page := backend.LogPage{First: st.first, Next: st.next()}
 	if from == 0 {
 		from = st.first
 	}
@@ -146,7 +146,7 @@
 		return page, nil, protocol.ErrOffsetExpired.New("offset %d, oldest is %d", from, st.first)
 	}
 	for o := from; o < st.next() && len(page.Entries) < limit; o++ {
-		page.Entries = append(page.Entries, platform.LogEntry{Offset: o, Data: st.entries[o-st.first].data})
+		page.Entries = append(page.Entries, backend.LogEntry{Offset: o, Data: st.entries[o-st.first].data})
 	}
 	return page, st.grown, nil
 }
--- a/standin/logservice/path.go
+++ b/standin/logservice/path.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -22,14 +22,14 @@
 )
 
 // Path is one process's way to the log, which a test can cut. It implements
-// platform.Log.
+// backend.Log.
 type Path struct {
-	log   platform.Log
+	log   backend.Log
 	state atomic.Int32
 }
 
 // NewPath returns an open path to log.
-func NewPath(log platform.Log) *Path { return &Path{log: log} }
+func NewPath(log backend.Log) *Path { return &Path{log: log} }
 
 // Set changes the state of the path for later calls.
 func (p *Path) Set(s PathState) { p.state.Store(int32(s)) }
@@ -46,7 +46,7 @@
 	}
 }
 
-// Append implements platform.Log.
+// Append implements backend.Log.
 func (p *Path) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	if err := p.pass(ctx); err != nil {
 		return 0, err
@@ -54,10 +54,10 @@
 	return p.log.Append(ctx, stream, data)
 }
 
-// Read implements platform.Log.
-func (p *Path) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.LogPage, error) {
+// Read implements backend.Log.
+func (p *Path) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (backend.LogPage, error) {
 	if err := p.pass(ctx); err != nil {
-		return platform.LogPage{}, err
+		return backend.LogPage{}, err
 	}
 	return p.log.Read(ctx, stream, from, limit, wait)
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 )
 
 // Faults are the failures in force.
@@ -92,7 +92,7 @@
 		http.Error(w, "a booking names its slot", http.StatusBadRequest)
 		return
 	}
-	booking, delay, lose, cut := s.book(r.Header.Get(platform.HeaderKey), want.Slot)
+	booking, delay, lose, cut := s.book(r.Header.Get(backend.HeaderKey), want.Slot)
 	if booking.Run == 0 {
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -13,7 +13,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/backend"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -109,7 +109,7 @@
 	if err == nil {
 		return resp, nil
 	}
-	if platform.IsDialError(err) {
+	if backend.IsDialError(err) {
 		return nil, protocol.ErrNotSent.Wrap(err, "attempt at %s", addr)
 	}
 	return nil, protocol.ErrConnectionLost.Wrap(err, "attempt at %s", addr)
--- a/transport/peers.go
+++ b/transport/peers.go
@@ -178,7 +178,7 @@
 
 func (s *PeerServer) serve(conn net.Conn) {
 	if err := challenge(conn, s.secret); err != nil {
-		klog.V(1).InfoS("peer refused", "remote", conn.RemoteAddr(), "error", err)
+		klog.V(1).InfoS("peer refused", "remote", conn.RemoteAddr(), "error", protocol.CauseOf(err))
 		_ = conn.Close()
 		return
 	}
