Let the engine stand-in confirm a stop only once the place is free

The stand-in answered the order to stop before the stopped request had released its place, so that the sidecar's next request could arrive first. Change: the stand-in waits for the release.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -76,7 +76,7 @@
 	downUntil time.Time
 	boot      int
 	down      chan struct{}
-	active    map[string]context.CancelFunc
+	active    map[string]*activeRun
 	waiting   int
 	// queued counts the requests that found no place in the running batch.
 	queued  int
@@ -87,6 +87,13 @@
 	reports []report
 }
 
+// activeRun is a request that has a place in the running batch.
+type activeRun struct {
+	cancel context.CancelFunc
+	// released is closed once its place is free again.
+	released chan struct{}
+}
+
 type report struct {
 	at   time.Time
 	load backend.EngineLoad
@@ -102,7 +109,7 @@
 		slots:  make(chan struct{}, p.Width),
 		slow:   1,
 		down:   make(chan struct{}),
-		active: map[string]context.CancelFunc{},
+		active: map[string]*activeRun{},
 		cache:  newPrefixCache(p.CacheTokens),
 	}
 }
@@ -180,19 +187,23 @@
 	return e.down
 }
 
-func (e *Engine) begin(id, prompt string, cancel context.CancelFunc) int {
+func (e *Engine) begin(id, prompt string, run *activeRun) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.active[id] = cancel
+	e.active[id] = run
 	e.runs = append(e.runs, Run{ID: id, Prompt: prompt, StartUnixMicros: time.Now().UnixMicro()})
 	return len(e.runs) - 1
 }
 
-func (e *Engine) end(run int, how string) {
+func (e *Engine) end(index int, run *activeRun, how string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.active, e.runs[run].ID)
-	e.runs[run].Ended = how
+	e.runs[index].Ended = how
+	<-e.slots
+	close(run.released)
+	if id := e.runs[index].ID; e.active[id] == run {
+		delete(e.active, id)
+	}
 }
 
 func (e *Engine) isActive(id string) bool {
@@ -201,11 +212,21 @@
 	return e.active[id] != nil
 }
 
-func (e *Engine) cancel(id string) {
+// cancel stops the request and returns once its place is free, or false where
+// ctx ends before.
+func (e *Engine) cancel(ctx context.Context, id string) bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if cancel := e.active[id]; cancel != nil {
-		cancel()
+	run := e.active[id]
+	e.mu.Unlock()
+	if run == nil {
+		return true
+	}
+	run.cancel()
+	select {
+	case <-run.released:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -79,10 +79,10 @@
 	if !e.acquire(ctx) {
 		panic(http.ErrAbortHandler)
 	}
-	defer func() { <-e.slots }()
-	run := e.begin(r.Header.Get(backend.HeaderRequestID), prompt, cancel)
+	active := &activeRun{cancel: cancel, released: make(chan struct{})}
+	run := e.begin(r.Header.Get(backend.HeaderRequestID), prompt, active)
 	how := "crashed"
-	defer func() { e.end(run, how) }()
+	defer func() { e.end(run, active, how) }()
 	switch {
 	case strings.Contains(prompt, MarkerImpossible):
 		how = "refused"
@@ -175,7 +175,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.cancel(want.ID)
+	if !e.cancel(r.Context(), want.ID) {
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
