--- /dev/null
+++ b/batcher/batcher.go
@@ -0,0 +1,339 @@
+package batcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/claims"
+	"github.com/sycamoretally/sycamoretally/coordination/outbox"
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/coordination/spare"
+	"github.com/sycamoretally/sycamoretally/coordination/tail"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+const (
+	// lookInterval is the time between two looks at the target's load: how long
+	// online work may wait until items give slots back.
+	lookInterval = 25 * time.Millisecond
+	// lookTimeout bounds a look.
+	lookTimeout = 500 * time.Millisecond
+	// workInterval and configInterval are the times between two reads of a topic.
+	workInterval   = 300 * time.Millisecond
+	configInterval = 700 * time.Millisecond
+	// aliveInterval is the time between two signs of life while items are held.
+	aliveInterval = time.Second
+	// lostAfter is how long the target may not answer before its items go to others.
+	lostAfter = time.Second
+	// stopFlush bounds the storing of the last records when the batcher stops.
+	stopFlush = 1500 * time.Millisecond
+)
+
+// params of the decision of how many items run.
+var spareParams = spare.Params{Reserve: 1, MaxStarts: 2}
+
+// Reporter tells of the target beside the batcher.
+type Reporter interface {
+	// Report returns the target's state.
+	Report(ctx context.Context, address string) (fleet.TargetState, error)
+	// Identify returns the ID of the target's lifetime.
+	Identify(ctx context.Context, address, healthPath string) (string, error)
+}
+
+// Params are what a batcher works with.
+type Params struct {
+	Node     *fleet.Node
+	Store    fleet.Store
+	Sender   fleet.Sender
+	Reporter Reporter
+	Decoder  registry.Decoder
+}
+
+// Batcher runs items at one target.
+type Batcher struct {
+	params  Params
+	configs *registry.Configurations
+
+	configTail *tail.Follower
+	workTail   *tail.Follower
+	outbox     *outbox.Outbox
+
+	mu     sync.Mutex
+	fold   *worklog.Fold
+	writer *worklog.Writer
+	// since is when the log became readable.
+	since time.Time
+	held  map[worklog.ItemRef]*held
+	// target is the lifetime of the target, empty if not known.
+	target   string
+	answered time.Time
+	claiming bool
+	alive    time.Time
+	stopping bool
+
+	tomb tomb.Tomb
+}
+
+// New returns a batcher that has not started.
+func New(p Params) *Batcher {
+	b := &Batcher{
+		params:  p,
+		configs: registry.NewConfigurations(p.Decoder),
+		outbox:  outbox.New(p.Store, fleet.TopicWork, p.Node.MaxCallBytes/2),
+		fold:    worklog.NewFold(),
+		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
+		held:    map[worklog.ItemRef]*held{},
+	}
+	b.configTail = tail.New(tail.Params{
+		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: configInterval,
+		Reset: b.configs.Apply, Apply: b.configs.Apply,
+	})
+	b.workTail = tail.New(tail.Params{
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: workInterval,
+		Reset: b.reset, Apply: b.apply, Returned: b.storeReturned,
+	})
+	return b
+}
+
+// Start begins to look for work.
+func (b *Batcher) Start() {
+	ctx := b.tomb.Context(nil)
+	b.tomb.Go(func() error { return b.configTail.Run(ctx) })
+	b.tomb.Go(func() error { return b.workTail.Run(ctx) })
+	b.tomb.Go(func() error { return b.outbox.Run(ctx) })
+	b.tomb.Go(b.look)
+	klog.InfoS("batcher started", "instance", b.params.Node.Name, "target", b.params.Node.TargetAddress, "writer", b.writer.Name())
+}
+
+// Stop gives every item back with what has been done of it and stops.
+func (b *Batcher) Stop() error {
+	b.mu.Lock()
+	b.stopping = true
+	klog.InfoS("batcher stopping", "items", len(b.held))
+	b.releaseAll("the batcher stops")
+	b.mu.Unlock()
+	for begun := time.Now(); b.outbox.Len() > 0 && time.Since(begun) < stopFlush; {
+		pause.For(context.Background(), lookInterval)
+	}
+	b.tomb.Kill(nil)
+	err := b.tomb.Wait()
+	klog.InfoS("batcher stopped", "unstored_records", b.outbox.Len())
+	return err
+}
+
+func (b *Batcher) reset(records []fleet.Record) {
+	fold := worklog.NewFold()
+	fold.Apply(time.Now(), records)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fold = fold
+	b.since = time.Now()
+	b.dropLost()
+	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
+}
+
+func (b *Batcher) apply(records []fleet.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fold.Apply(time.Now(), records)
+	b.dropLost()
+}
+
+func (b *Batcher) storeReturned() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.since = time.Now()
+}
+
+// dropLost lets go of items that have a result, belong to a job that has ended,
+// or were claimed by another. The lock is held.
+func (b *Batcher) dropLost() {
+	for ref, h := range b.held {
+		job, item := b.fold.Job(ref.Job), b.fold.Item(ref)
+		if job != nil && !job.Ended && !item.Done && item.Holder == b.writer.Name() {
+			continue
+		}
+		h.stop(errLost.New("the item is no longer held"))
+		delete(b.held, ref)
+	}
+}
+
+// look watches the target and adapts the number of items that run there.
+func (b *Batcher) look() error {
+	ctx := b.tomb.Context(nil)
+	for ctx.Err() == nil {
+		state, err := b.report(ctx)
+		b.adapt(ctx, state, err)
+		pause.For(ctx, lookInterval)
+	}
+	return nil
+}
+
+func (b *Batcher) report(ctx context.Context) (fleet.TargetState, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	state, err := b.params.Reporter.Report(ctx, b.params.Node.TargetAddress)
+	if err != nil {
+		return state, err
+	}
+	b.mu.Lock()
+	known := b.target
+	b.mu.Unlock()
+	if state.ID == "" {
+		state.ID = known
+	}
+	if service := b.service(); state.ID == "" && service != nil {
+		state.ID, err = b.params.Reporter.Identify(ctx, b.params.Node.TargetAddress, service.HealthPath)
+	}
+	return state, err
+}
+
+// service returns what is configured of the target's service, nil if nothing is.
+func (b *Batcher) service() *fleet.Service {
+	c := b.configs.Current()
+	if c == nil {
+		return nil
+	}
+	return c.Services[b.params.Node.Service]
+}
+
+// adapt carries out what the target's state asks for.
+func (b *Batcher) adapt(ctx context.Context, state fleet.TargetState, failure error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopping {
+		return
+	}
+	now := time.Now()
+	if failure != nil {
+		if b.target != "" && now.Sub(b.answered) > lostAfter {
+			klog.InfoS("target lost", "target", b.target, "error", protocol.CauseOf(failure))
+			b.target = ""
+			b.releaseAll("the target does not answer")
+		}
+		return
+	}
+	b.answered = now
+	if b.target != state.ID {
+		klog.InfoS("target found", "target", state.ID, "before", b.target)
+		b.target = state.ID
+	}
+	if state.Draining {
+		b.releaseAll("the target drains")
+		return
+	}
+	service := b.service()
+	if service == nil || b.target == "" {
+		return
+	}
+	b.signAlive(now)
+	plan := spare.Decide(spareParams, spare.Load{
+		Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.running()),
+	})
+	switch {
+	case plan.Stop > 0:
+		b.yield(plan.Stop)
+	case plan.Start > 0:
+		started := b.startHeld(ctx, plan.Start)
+		b.claim(ctx, now, plan.Start-started)
+	}
+}
+
+// signAlive says from time to time that the batcher goes on with its items. The
+// lock is held.
+func (b *Batcher) signAlive(now time.Time) {
+	if len(b.held) == 0 || now.Sub(b.alive) < aliveInterval || b.outbox.Len() > 0 {
+		return
+	}
+	b.alive = now
+	b.put(worklog.Entry{Alive: true})
+}
+
+// put hands an entry to the outbox. The lock is held.
+func (b *Batcher) put(e worklog.Entry) {
+	record, err := b.writer.Record(e)
+	if err != nil {
+		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
+		return
+	}
+	b.outbox.Add(record)
+}
+
+// claim asks the log for more items. The lock is held.
+func (b *Batcher) claim(ctx context.Context, now time.Time, want int) {
+	if want <= 0 || b.claiming {
+		return
+	}
+	chosen := claims.Choose(claims.Params{
+		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: rand.Shuffle,
+	}, b.fold, want)
+	if len(chosen) == 0 {
+		return
+	}
+	record, err := b.writer.Record(worklog.Entry{Claim: &worklog.Claim{Items: chosen}})
+	if err != nil {
+		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
+		return
+	}
+	b.claiming = true
+	b.tomb.Go(func() error {
+		b.appendClaim(ctx, record, chosen)
+		return nil
+	})
+}
+
+func (b *Batcher) appendClaim(ctx context.Context, record fleet.Record, chosen []worklog.ClaimedItem) {
+	_, err := b.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+	if err == nil {
+		err = b.workTail.CatchUp(ctx)
+	}
+	if err != nil {
+		klog.V(1).InfoS("items not claimed", "items", len(chosen), "error", protocol.CauseOf(err))
+		pause.For(ctx, claimPause)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.claiming = false
+	for _, c := range chosen {
+		b.take(c.ItemRef)
+	}
+}
+
+// claimPause is the time after a claim that the store did not take.
+const claimPause = 200 * time.Millisecond
+
+// take holds the item if the log says that it is this batcher's. The lock is held.
+func (b *Batcher) take(ref worklog.ItemRef) {
+	job, item := b.fold.Job(ref.Job), b.fold.Item(ref)
+	if item == nil || item.Done || job.Ended || item.Holder != b.writer.Name() || b.held[ref] != nil {
+		return
+	}
+	b.held[ref] = &held{ref: ref, job: job.Accept, item: item.Item, offset: job.Offset, progress: item.Progress}
+}
+
+// runs reports whether the target's service runs the job's items.
+func (b *Batcher) runs(job *worklog.Job) bool {
+	route := b.route(job.Accept)
+	return route == nil || route.Serves(b.params.Node.Service)
+}
+
+// route returns the route of the job, nil where it has been removed.
+func (b *Batcher) route(a *worklog.Accept) *fleet.Route {
+	c := b.configs.Current()
+	if c == nil {
+		return nil
+	}
+	route := c.Match(a.Job.Host, a.Path)
+	if route == nil || route.Kind != fleet.KindBatch {
+		return nil
+	}
+	return route
+}
--- /dev/null
+++ b/batcher/item.go
@@ -0,0 +1,274 @@
+package batcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+// Reasons to break an item's run off.
+var (
+	// errYield gives the slot to online work; the item goes on here later.
+	errYield = protocol.Errors.NewType("yield")
+	// errLost means that the item is no longer this batcher's.
+	errLost = protocol.Errors.NewType("item_lost")
+)
+
+const (
+	// brokenPause is the time before an item whose run broke off goes on.
+	brokenPause = 100 * time.Millisecond
+	// silence bounds the time without an event of a run.
+	silence = 5 * time.Second
+	// readBytes is the size of a read from the target.
+	readBytes = 8 << 10
+)
+
+// held is an item that the log says is this batcher's.
+type held struct {
+	ref      worklog.ItemRef
+	job      *worklog.Accept
+	item     fleet.Item
+	offset   int64
+	progress worklog.Progress
+	// cancel stops the run, nil while the item does not run; yielding is set once
+	// it was told to stop.
+	cancel   context.CancelCauseFunc
+	yielding bool
+	started  time.Time
+	// until is when the item may run again.
+	until time.Time
+}
+
+// stop breaks the run off, if there is one.
+func (h *held) stop(cause error) {
+	if h.cancel != nil {
+		h.cancel(cause)
+	}
+}
+
+// running returns the items that run and were not told to stop, those started
+// last first. The lock is held.
+func (b *Batcher) running() []*held {
+	var running []*held
+	for _, h := range b.held {
+		if h.cancel != nil && !h.yielding {
+			running = append(running, h)
+		}
+	}
+	slices.SortFunc(running, func(x, y *held) int { return y.started.Compare(x.started) })
+	return running
+}
+
+// yield stops the items started last. The lock is held.
+func (b *Batcher) yield(n int) {
+	running := b.running()
+	for _, h := range running[:min(n, len(running))] {
+		h.yielding = true
+		h.stop(errYield.New("online work needs the slot"))
+	}
+}
+
+// startHeld runs up to n held items that do not run, those of the oldest jobs
+// first, and returns how many it could. The lock is held.
+func (b *Batcher) startHeld(ctx context.Context, n int) int {
+	now := time.Now()
+	var parked []*held
+	for _, h := range b.held {
+		if h.cancel == nil && now.After(h.until) {
+			parked = append(parked, h)
+		}
+	}
+	slices.SortFunc(parked, func(x, y *held) int { return int(x.offset - y.offset) })
+	parked = parked[:min(n, len(parked))]
+	for _, h := range parked {
+		b.start(ctx, h, now)
+	}
+	return len(parked)
+}
+
+// start runs the item. The lock is held.
+func (b *Batcher) start(ctx context.Context, h *held, now time.Time) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	h.cancel = cancel
+	h.started = now
+	target := &fleet.Target{ID: b.target, Address: b.params.Node.TargetAddress}
+	route := b.route(h.job)
+	progress := h.progress
+	b.tomb.Go(func() error {
+		defer cancel(nil)
+		end := b.run(ctx, h, target, route, progress)
+		b.ended(ctx, h, end)
+		return nil
+	})
+}
+
+// outcome is how a run ended.
+type outcome struct {
+	progress worklog.Progress
+	// result is set where the item has ended.
+	result *fleet.Result
+	// moved is set where another target answered than was meant.
+	moved bool
+	err   error
+}
+
+// ended notes how a run ended.
+func (b *Batcher) ended(ctx context.Context, h *held, end outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	cause := context.Cause(ctx)
+	if b.held[h.ref] != h {
+		return // lost or released meanwhile
+	}
+	h.progress = end.progress
+	h.cancel = nil
+	h.yielding = false
+	if !errorx.IsOfType(cause, errYield) {
+		h.until = time.Now().Add(brokenPause)
+	}
+	if end.moved {
+		b.target = ""
+	}
+	klog.V(1).InfoS("item run ended", "job", h.ref.Job, "item", h.ref.Item, "after_event", end.progress.After, "failures", end.progress.Failures,
+		"done", end.result != nil, "error", protocol.CauseOf(end.err), "cause", protocol.CauseOf(cause))
+	if end.result != nil {
+		delete(b.held, h.ref)
+		b.put(worklog.Entry{Done: &worklog.Done{Job: h.ref.Job, Result: *end.result}})
+	}
+}
+
+// releaseAll gives every item back with what has been done of it. The lock is held.
+func (b *Batcher) releaseAll(why string) {
+	if len(b.held) == 0 {
+		return
+	}
+	klog.InfoS("items released", "items", len(b.held), "reason", why)
+	for ref, h := range b.held {
+		h.stop(errLost.New("released"))
+		delete(b.held, ref)
+		b.put(worklog.Entry{Release: &worklog.Release{ItemRef: ref, Progress: h.progress}})
+	}
+}
+
+// run sends the item to the target once and reads its events.
+func (b *Batcher) run(ctx context.Context, h *held, target *fleet.Target, route *fleet.Route, progress worklog.Progress) outcome {
+	if route == nil {
+		return outcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDead}}
+	}
+	request := &fleet.Request{
+		ID: h.item.ID, Method: http.MethodPost, Host: h.job.Job.Host, URI: h.item.Path, Path: h.item.Path, Header: h.item.Header, Body: h.item.Body,
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(silence, cancel)
+	defer watchdog.Stop()
+	answer, err := b.params.Sender.Send(ctx, fleet.Attempt{Request: request, Target: target, After: progress.After})
+	if err != nil {
+		return outcome{progress: progress, err: err}
+	}
+	defer answer.Close()
+	if answer.Verdict != fleet.VerdictAnswer {
+		_, _ = io.Copy(io.Discard, answer.Body)
+		return outcome{progress: progress, moved: answer.Verdict == fleet.VerdictOtherTarget, err: fleet.ErrBroken.New("verdict %d", answer.Verdict)}
+	}
+	if answer.Status != http.StatusOK {
+		_, _ = io.Copy(io.Discard, answer.Body)
+		return failed(h, route, progress, answer.Status)
+	}
+	err = readEvents(answer.Body, func(e event) {
+		watchdog.Reset(silence)
+		progress = progress.With(e.id, e.data)
+		b.note(h, progress)
+	})
+	if err != nil {
+		return outcome{progress: progress, err: err}
+	}
+	return outcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultCompleted, Text: progress.Text}}
+}
+
+// note keeps the item's progress, for a release while it runs.
+func (b *Batcher) note(h *held, p worklog.Progress) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.progress = p
+}
+
+// failed judges an answer other than a success.
+func failed(h *held, route *fleet.Route, progress worklog.Progress, status int) outcome {
+	dead := status == http.StatusUnprocessableEntity
+	if status == http.StatusInternalServerError {
+		progress.Failures++
+		dead = progress.Failures >= route.Attempts
+	}
+	end := outcome{progress: progress, err: fleet.ErrBroken.New("target answers %d", status)}
+	if dead {
+		end.result = &fleet.Result{Item: h.ref.Item, State: fleet.ResultDead}
+	}
+	return end
+}
+
+// event is one event of a stream.
+type event struct {
+	id   string
+	data string
+}
+
+// eventEnd ends each event of a stream.
+var eventEnd = []byte("\n\n")
+
+// readEvents passes whole events on. It returns nil only where the stream ended
+// by itself.
+func readEvents(body io.Reader, each func(event)) error {
+	buffer := make([]byte, readBytes)
+	var pending []byte
+	for {
+		n, err := body.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		for {
+			end := bytes.Index(pending, eventEnd)
+			if end < 0 {
+				break
+			}
+			each(parseEvent(string(pending[:end])))
+			pending = pending[end+len(eventEnd):]
+		}
+		if errors.Is(err, io.EOF) {
+			if len(bytes.TrimSpace(pending)) > 0 {
+				return fleet.ErrBroken.New("the stream ends within an event")
+			}
+			return nil
+		}
+		if err != nil {
+			return fleet.ErrBroken.Wrap(err, "stream")
+		}
+	}
+}
+
+func parseEvent(block string) event {
+	var e event
+	var data []string
+	for line := range strings.SplitSeq(block, "\n") {
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "id":
+			e.id = value
+		case "data":
+			data = append(data, value)
+		}
+	}
+	e.data = strings.Join(data, "\n")
+	return e
+}
--- /dev/null
+++ b/coordination/claims/claims.go
@@ -0,0 +1,69 @@
+// Package claims decides which batch items a process runs.
+//
+// It answers many batchers that look for work in the same log, each with a few
+// free slots at moments of its own: items of the oldest jobs go first, and
+// batchers draw at random from the first few, so that few claims collide. Items
+// whose holder has been silent while the log was readable are free again.
+package claims
+
+import (
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+// Lapse is how long a holder may be silent before others take its items.
+const Lapse = 4 * time.Second
+
+// spread is how many items a claim draws from for each item that it wants.
+const spread = 4
+
+// Params are the inputs of a choice.
+type Params struct {
+	// Self is the chooser's writer name.
+	Self string
+	Now  time.Time
+	// Since is when the log became readable; silence counts from then on.
+	Since time.Time
+	// Runs reports whether the chooser's target may run the job's items.
+	Runs func(*worklog.Job) bool
+	// Shuffle permutes n things.
+	Shuffle func(n int, swap func(i, j int))
+}
+
+// Choose returns up to want items to claim.
+func Choose(p Params, fold *worklog.Fold, want int) []worklog.ClaimedItem {
+	if want <= 0 {
+		return nil
+	}
+	var free []worklog.ClaimedItem
+	for _, job := range fold.OpenJobs() {
+		if !p.Runs(job) {
+			continue
+		}
+		for _, item := range job.Items {
+			if !item.Done && isFree(p, fold, item) {
+				free = append(free, worklog.ClaimedItem{ItemRef: item.Ref, Over: item.Claim})
+			}
+		}
+		if len(free) >= want*spread {
+			break
+		}
+	}
+	p.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	return free[:min(want, len(free))]
+}
+
+func isFree(p Params, fold *worklog.Fold, item *worklog.Item) bool {
+	if item.Claim == worklog.NoClaim {
+		return true
+	}
+	if item.Holder == p.Self {
+		return false
+	}
+	heard := fold.Heard(item.Holder)
+	if heard.Before(p.Since) {
+		heard = p.Since
+	}
+	return p.Now.Sub(heard) > Lapse
+}
--- /dev/null
+++ b/coordination/placing/placing.go
@@ -0,0 +1,159 @@
+// Package placing chooses the target of an online request.
+//
+// It answers several gateways that send to the same targets without a word to
+// each other, while bursts come in steps and some targets fail: each gateway
+// counts its own requests exactly, adds what targets last reported of others,
+// which fades within a fraction of a second, and leaves out targets that just
+// failed for a time that doubles with each failure.
+package placing
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+const (
+	// reportHalfLife is the time in which half of a reported load counts no more.
+	reportHalfLife = 200 * time.Millisecond
+	// othersWeight is how much a request of others counts against one's own.
+	othersWeight = 0.5
+	// firstSuspicion is how long a target is left out after a failure; each
+	// further failure doubles it up to maxSuspicion.
+	firstSuspicion = 300 * time.Millisecond
+	maxSuspicion   = 3 * time.Second
+	// forgetAfter is when an idle target's counts are dropped.
+	forgetAfter = 30 * time.Second
+)
+
+// state is what a gateway knows of one target.
+type state struct {
+	inFlight   int
+	others     float64
+	reportedAt time.Time
+	suspicion  time.Duration
+	suspect    time.Time
+	used       time.Time
+}
+
+// Table is what a gateway knows of the targets. It is safe for concurrent use.
+type Table struct {
+	now    func() time.Time
+	random func() float64
+
+	mu      sync.Mutex
+	targets map[string]*state
+}
+
+// New returns a table that knows nothing. random draws from [0, 1).
+func New(now func() time.Time, random func() float64) *Table {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Table{now: now, random: random, targets: map[string]*state{}}
+}
+
+// Begin chooses the least loaded of the targets that are not in tried and counts
+// a request at it. It returns nil where there is none. Suspects are chosen only
+// where there are no others.
+func (t *Table) Begin(targets []*fleet.Target, tried map[string]bool) *fleet.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var best *fleet.Target
+	bestLoad := math.Inf(1)
+	for _, target := range targets {
+		if tried[target.ID] {
+			continue
+		}
+		if load := t.load(target, now) + t.random()*0.5; load < bestLoad {
+			best, bestLoad = target, load
+		}
+	}
+	if best != nil {
+		s := t.state(best.ID)
+		s.inFlight++
+		s.used = now
+	}
+	return best
+}
+
+// suspectLoad is added to the load of a suspect, above any real load.
+const suspectLoad = 1000
+
+func (t *Table) load(target *fleet.Target, now time.Time) float64 {
+	s := t.targets[target.ID]
+	if s == nil {
+		return 0
+	}
+	fade := math.Exp2(-float64(now.Sub(s.reportedAt)) / float64(reportHalfLife))
+	load := float64(s.inFlight) + othersWeight*s.others*fade
+	if now.Before(s.suspect) {
+		load += suspectLoad
+	}
+	return load
+}
+
+func (t *Table) state(id string) *state {
+	s := t.targets[id]
+	if s == nil {
+		s = &state{}
+		t.targets[id] = s
+	}
+	return s
+}
+
+// End takes the request off again.
+func (t *Table) End(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(target.ID)
+	s.inFlight = max(0, s.inFlight-1)
+	s.used = t.now()
+}
+
+// Report takes the load that a target reported with an answer.
+func (t *Table) Report(target *fleet.Target, load fleet.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(target.ID)
+	s.others = max(0, float64(load.Running+load.Waiting-s.inFlight))
+	s.reportedAt = t.now()
+}
+
+// Failed leaves a target out for a while.
+func (t *Table) Failed(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(target.ID)
+	now := t.now()
+	if now.Before(s.suspect) {
+		return // failures of requests that were sent at the same time count once
+	}
+	s.suspicion = min(max(firstSuspicion, 2*s.suspicion), maxSuspicion)
+	s.suspect = now.Add(s.suspicion)
+}
+
+// Succeeded ends a suspicion.
+func (t *Table) Succeeded(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(target.ID)
+	s.suspicion = 0
+	s.suspect = time.Time{}
+}
+
+// Forget drops targets that have had no request for a while.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for id, s := range t.targets {
+		if s.inFlight == 0 && now.Sub(s.used) > forgetAfter {
+			delete(t.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/tail/tail.go
@@ -0,0 +1,172 @@
+// Package tail follows a topic of the platform's store: the newest record of each
+// key at first, then every record in the order of their offsets. Where the store
+// no longer has the records that follow, it begins again.
+//
+// It answers many readers of a log whose calls are priced: each process reads at
+// a steady pace, whatever the rate of records, and at once where a caller must
+// know what others have written.
+package tail
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// Params say what to follow.
+type Params struct {
+	Store fleet.Store
+	Topic fleet.Topic
+	// Name is the topic's name in log lines.
+	Name string
+	// Interval is the time between two reads.
+	Interval time.Duration
+	// Reset replaces all that is known by the newest records; Apply adds to it.
+	// They are never called at the same time.
+	Reset func(records []fleet.Record)
+	Apply func(records []fleet.Record)
+	// Returned, if set, is called before the first records are applied after the
+	// store did not answer.
+	Returned func()
+}
+
+// Follower follows one topic.
+type Follower struct {
+	params Params
+	// mu is held by the one read that runs.
+	mu   sync.Mutex
+	next int64
+	// begun is when the last read that reached the end began, as nanoseconds
+	// after base; 0 before the first.
+	begun atomic.Int64
+	base  time.Time
+	away  bool
+}
+
+// New returns a follower that knows nothing.
+func New(p Params) *Follower {
+	return &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond)}
+}
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_ = f.CatchUp(ctx) // the failure was logged
+		pause.For(ctx, f.params.Interval)
+	}
+	return nil
+}
+
+// Age returns how old the knowledge is: the time since the last read began that
+// reached the end. It returns false where there was none.
+func (f *Follower) Age() (time.Duration, bool) {
+	begun := f.begun.Load()
+	if begun == 0 {
+		return 0, false
+	}
+	return time.Since(f.base.Add(time.Duration(begun))), true
+}
+
+// CatchUp returns once everything is known that was in the topic when it was
+// called, or an error of the store.
+func (f *Follower) CatchUp(ctx context.Context) error {
+	called := time.Since(f.base)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.begun.Load() > int64(called) {
+		return nil
+	}
+	err := f.readToEnd(ctx)
+	f.note(err)
+	return err
+}
+
+// back tells of the store's return.
+func (f *Follower) back() {
+	if f.away && f.params.Returned != nil {
+		f.params.Returned()
+	}
+}
+
+// Next returns the offset after the last record known. Only Locked's function
+// may use it to append.
+func (f *Follower) Next() int64 { return f.next }
+
+// Locked catches up and calls do while no other read changes what is known.
+func (f *Follower) Locked(ctx context.Context, do func() error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	err := f.readToEnd(ctx)
+	f.note(err)
+	if err != nil {
+		return err
+	}
+	return do()
+}
+
+func (f *Follower) readToEnd(ctx context.Context) error {
+	for {
+		begun, before := time.Since(f.base), f.next
+		end, err := f.read(ctx)
+		if err != nil {
+			return err
+		}
+		if f.next >= end {
+			f.begun.Store(int64(begun))
+			return nil
+		}
+		if f.next == before {
+			return fleet.ErrUnavailable.New("no records from offset %d, the topic ends at %d", f.next, end)
+		}
+	}
+}
+
+// read makes one step and returns where the topic ends.
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	if f.next < 0 {
+		records, next, err := f.params.Store.Newest(ctx, f.params.Topic)
+		if err != nil {
+			return 0, err
+		}
+		f.back()
+		f.params.Reset(records)
+		f.next = next
+		return next, nil
+	}
+	page, err := f.params.Store.Read(ctx, f.params.Topic, f.next)
+	if errorx.IsOfType(err, fleet.ErrExpired) {
+		klog.InfoS("records expired, reading the newest again", "topic", f.params.Name, "offset", f.next)
+		f.next = -1
+		return f.read(ctx)
+	}
+	if err != nil {
+		return 0, err
+	}
+	f.back()
+	if len(page.Records) > 0 {
+		f.params.Apply(page.Records)
+		f.next = page.Next
+	}
+	return page.End, nil
+}
+
+// note logs when the store is lost and when it is back.
+func (f *Follower) note(err error) {
+	if (err != nil) == f.away {
+		return
+	}
+	f.away = err != nil
+	if f.away {
+		klog.InfoS("topic not readable", "topic", f.params.Name, "offset", f.next, "error", protocol.CauseOf(err))
+		return
+	}
+	klog.InfoS("topic readable", "topic", f.params.Name, "offset", f.next)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/coordination/placing"
+	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/coordination/tail"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+const (
+	// readInterval is the time between two reads of a topic. Targets leave and
+	// configurations come into force within two seconds.
+	readInterval = 400 * time.Millisecond
+	// housekeepingInterval is the time between two sweeps of what has grown old.
+	housekeepingInterval = 500 * time.Millisecond
+	// noticeTime is how long the platform may go on sending new connections to a
+	// gateway that says it is not ready.
+	noticeTime = 3 * time.Second
+	// stopMargin is how long before the end of its grace time a gateway stops.
+	stopMargin = 700 * time.Millisecond
+	// stopPoll is the time between two looks at whether all requests have ended.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Params are what a gateway works with.
+type Params struct {
+	Node    *fleet.Node
+	Store   fleet.Store
+	Sender  fleet.Sender
+	Decoder registry.Decoder
+	// Sweep closes connections that have been idle for too long.
+	Sweep func()
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	params  Params
+	configs *registry.Configurations
+	targets *registry.Targets
+	table   *placing.Table
+	metrics *metrics
+
+	configTail *tail.Follower
+	targetTail *tail.Follower
+	workTail   *tail.Follower
+
+	jobsMu sync.RWMutex
+	fold   *worklog.Fold
+	// changed is closed and replaced whenever the fold changes.
+	changed chan struct{}
+	// submitMu lets one submission at a time write, under which the writer is.
+	submitMu sync.Mutex
+	writer   *worklog.Writer
+
+	active  atomic.Int64
+	closing atomic.Bool
+	tomb    tomb.Tomb
+}
+
+// New returns a gateway that has not started.
+func New(p Params) *Gateway {
+	g := &Gateway{
+		params:  p,
+		configs: registry.NewConfigurations(p.Decoder),
+		targets: registry.NewTargets(p.Decoder, time.Now),
+		table:   placing.New(time.Now, nil),
+		metrics: newMetrics(),
+		fold:    worklog.NewFold(),
+		changed: make(chan struct{}),
+		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
+	}
+	g.configTail = tail.New(tail.Params{
+		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
+		Reset: g.configs.Apply, Apply: g.configs.Apply,
+	})
+	g.targetTail = tail.New(tail.Params{
+		Store: p.Store, Topic: fleet.TopicTargets, Name: "targets", Interval: readInterval,
+		Reset: g.targets.Reset, Apply: g.targets.Apply, Returned: g.targets.StoreReturned,
+	})
+	g.workTail = tail.New(tail.Params{
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
+		Reset: g.resetJobs, Apply: g.applyJobs,
+	})
+	return g
+}
+
+// Start begins to follow the store.
+func (g *Gateway) Start() {
+	for _, f := range []*tail.Follower{g.configTail, g.targetTail, g.workTail} {
+		g.tomb.Go(func() error { return f.Run(g.tomb.Context(nil)) })
+	}
+	g.tomb.Go(g.keepHouse)
+	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
+}
+
+func (g *Gateway) keepHouse() error {
+	ctx := g.tomb.Context(nil)
+	for ctx.Err() == nil {
+		pause.For(ctx, housekeepingInterval)
+		g.targets.Expire()
+		g.table.Forget()
+		if g.params.Sweep != nil {
+			g.params.Sweep()
+		}
+	}
+	return nil
+}
+
+// Ready reports whether callers may connect.
+func (g *Gateway) Ready() bool {
+	return !g.closing.Load() && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+}
+
+// Closing implements fleet.Callers.
+func (g *Gateway) Closing() bool { return g.closing.Load() }
+
+// Drain stops being ready, lets requests end while callers notice, and returns
+// once none runs or the grace time is nearly over.
+func (g *Gateway) Drain() {
+	klog.InfoS("gateway draining", "requests", g.active.Load())
+	g.closing.Store(true)
+	begun := time.Now()
+	last := begun.Add(g.params.Node.Grace - stopMargin)
+	for time.Now().Before(last) {
+		pause.For(context.Background(), stopPoll)
+		if g.active.Load() == 0 && time.Since(begun) > noticeTime {
+			break
+		}
+	}
+	klog.InfoS("gateway drained", "requests", g.active.Load(), "after", time.Since(begun))
+}
+
+// Stop ends following the store.
+func (g *Gateway) Stop() error {
+	g.tomb.Kill(nil)
+	err := g.tomb.Wait()
+	klog.InfoS("gateway stopped", "instance", g.params.Node.Name)
+	return err
+}
+
+// Limits implements fleet.Callers.
+func (g *Gateway) Limits() fleet.Limits {
+	if c := g.configs.Current(); c != nil {
+		return c.Limits
+	}
+	return fleet.Limits{}
+}
+
+// Match implements fleet.Callers.
+func (g *Gateway) Match(host, path string) (*fleet.Route, error) {
+	c := g.configs.Current()
+	if c == nil {
+		return nil, refuse("no configuration is known yet")
+	}
+	route := c.Match(host, path)
+	if route == nil {
+		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
+		return nil, fleet.ErrNoRoute.New("no route in version %d", c.Version)
+	}
+	return route, nil
+}
+
+// TakesJobs implements fleet.Callers.
+func (g *Gateway) TakesJobs(host string) bool {
+	c := g.configs.Current()
+	return c != nil && c.HasBatch(host)
+}
+
+// retryAfter is when a caller whose request was refused should come back: a slot
+// comes free within this time unless the overload lasts.
+const retryAfter = 150 * time.Millisecond
+
+func refuse(format string, args ...any) error {
+	return fleet.RetryAfter(fleet.ErrRefused.New(format, args...), retryAfter)
+}
--- /dev/null
+++ b/gateway/jobs.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+const (
+	// submitPatience bounds the tries to accept a job; its caller then tries
+	// another gateway.
+	submitPatience = 1500 * time.Millisecond
+	// submitPause is the time between two tries.
+	submitPause = 10 * time.Millisecond
+	// maxPageBytes bounds the text of one page of results.
+	maxPageBytes = 800 << 10
+	// maxWait bounds how long a reader of results may wait.
+	maxWait = 2 * time.Second
+	// jobRetryAfter is when the caller of a refused job should come back.
+	jobRetryAfter = 500 * time.Millisecond
+)
+
+func (g *Gateway) resetJobs(records []fleet.Record) {
+	fold := worklog.NewFold()
+	fold.Apply(time.Now(), records)
+	g.jobsMu.Lock()
+	g.fold = fold
+	g.signalJobs()
+	g.jobsMu.Unlock()
+	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
+}
+
+func (g *Gateway) applyJobs(records []fleet.Record) {
+	g.jobsMu.Lock()
+	defer g.jobsMu.Unlock()
+	g.fold.Apply(time.Now(), records)
+	g.signalJobs()
+}
+
+// signalJobs wakes those that wait for a change. The lock is held.
+func (g *Gateway) signalJobs() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Submit implements fleet.Callers. The append succeeds only where the log ends
+// where this gateway has folded it, so that its success is the verdict on the
+// quota and on who came first.
+func (g *Gateway) Submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	begun := time.Now()
+	err := g.submit(ctx, route, path, job)
+	g.metrics.observe(route, err, time.Since(begun))
+	klog.V(1).InfoS("job submitted", "job", job.ID, "route", route.Name, "items", len(job.Items), "tokens", tokensOf(job),
+		"after", time.Since(begun), "error", protocol.CauseOf(err))
+	return err
+}
+
+func (g *Gateway) submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
+	if g.known(job.ID) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitPatience)
+	defer cancel()
+	g.submitMu.Lock()
+	defer g.submitMu.Unlock()
+	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{Job: *job, Route: route.Name, Path: path}})
+	if err != nil {
+		return err
+	}
+	if g.params.Node.MaxRecordBytes > 0 && len(record.Value)+len(record.Key) >= g.params.Node.MaxRecordBytes {
+		return fleet.ErrTooLarge.New("job of %d bytes", len(record.Value))
+	}
+	appended := false
+	err = fleet.ErrUnavailable.New("no time left")
+	for ctx.Err() == nil {
+		err = g.workTail.Locked(ctx, func() error {
+			if g.known(job.ID) {
+				return nil
+			}
+			if err := g.fits(route, job); err != nil {
+				return err
+			}
+			_, err := g.params.Store.Append(ctx, fleet.TopicWork, g.workTail.Next(), []fleet.Record{record})
+			appended = appended || errorx.IsOfType(err, fleet.ErrUnknown)
+			return err
+		})
+		if !errorx.IsOfType(err, fleet.ErrMoved) && !errorx.IsOfType(err, fleet.ErrUnknown) {
+			break
+		}
+		pause.For(ctx, submitPause)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case appended:
+		return fleet.ErrUncertain.Wrap(err, "the job may have been accepted")
+	case errorx.IsOfType(err, fleet.ErrNoRoom):
+		return err
+	default:
+		return fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "job not accepted"), jobRetryAfter)
+	}
+}
+
+func (g *Gateway) known(job string) bool {
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	return g.fold.Job(job) != nil
+}
+
+// fits fails with ErrNoRoom where the job's tokens go beyond the route's quota.
+func (g *Gateway) fits(route *fleet.Route, job *fleet.Job) error {
+	if route.TokenQuota == 0 {
+		return nil
+	}
+	g.jobsMu.RLock()
+	waiting := g.fold.Waiting(route.Name)
+	g.jobsMu.RUnlock()
+	if tokens := tokensOf(job); waiting+tokens > route.TokenQuota {
+		return fleet.RetryAfter(fleet.ErrNoRoom.New("%d tokens wait, %d more do not fit %d", waiting, tokens, route.TokenQuota), jobRetryAfter)
+	}
+	return nil
+}
+
+func tokensOf(job *fleet.Job) int64 {
+	var tokens int64
+	for _, item := range job.Items {
+		tokens += item.Tokens
+	}
+	return tokens
+}
+
+// look calls see with the job, after reading the log to its end where the job,
+// or what see wants of it, is not known yet. see reports whether it found that.
+// It fails with ErrRefused where the log cannot be read.
+func (g *Gateway) look(ctx context.Context, id string, see func(*worklog.Job) bool) error {
+	if g.view(id, see) {
+		return nil
+	}
+	if err := g.workTail.CatchUp(ctx); err != nil {
+		return fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "job %s is not known here yet", id), jobRetryAfter)
+	}
+	if g.view(id, see) {
+		return nil
+	}
+	return fleet.ErrUnknownJob.New("job %s", id)
+}
+
+func (g *Gateway) view(id string, see func(*worklog.Job) bool) bool {
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	job := g.fold.Job(id)
+	return job != nil && see(job)
+}
+
+// Results implements fleet.Callers.
+func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	err := g.look(ctx, id, func(job *worklog.Job) bool { return after <= len(job.Results) })
+	if err != nil {
+		return fleet.ResultPage{}, err
+	}
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	for {
+		page, open, changed := g.page(id, after)
+		if len(page.Results) > 0 || !open || wait == 0 || g.closing.Load() {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, nil
+		}
+	}
+}
+
+// page returns the results from a position on, whether more will come, and what
+// is closed when that changes.
+func (g *Gateway) page(id string, after int) (fleet.ResultPage, bool, <-chan struct{}) {
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	job := g.fold.Job(id)
+	if job == nil {
+		return fleet.ResultPage{}, false, g.changed
+	}
+	page := fleet.ResultPage{Total: len(job.Items), Next: after}
+	size := 0
+	for _, result := range job.Results[min(after, len(job.Results)):] {
+		size += len(result.Text)
+		if size > maxPageBytes && len(page.Results) > 0 {
+			break
+		}
+		page.Results = append(page.Results, result)
+		page.Next++
+	}
+	return page, job.Open(), g.changed
+}
+
+// ItemBody implements fleet.Callers.
+func (g *Gateway) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	var body []byte
+	err := g.look(ctx, id, func(job *worklog.Job) bool {
+		for _, i := range job.Items {
+			if i.ID == item {
+				body = i.Body
+				return true
+			}
+		}
+		return false
+	})
+	return body, err
+}
+
+// End implements fleet.Callers.
+func (g *Gateway) End(ctx context.Context, id string) error {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	ended := false
+	if err := g.look(ctx, id, func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
+		return err
+	}
+	g.submitMu.Lock()
+	record, err := g.writer.Record(worklog.Entry{End: &worklog.End{Job: id}})
+	g.submitMu.Unlock()
+	if err != nil {
+		return err
+	}
+	_, err = g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+	klog.V(1).InfoS("job ended", "job", id, "error", protocol.CauseOf(err))
+	switch {
+	case err == nil:
+		return g.workTail.CatchUp(ctx)
+	case errorx.IsOfType(err, fleet.ErrUnknown):
+		return fleet.ErrUncertain.Wrap(err, "the job may have been ended")
+	default:
+		return fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "job not ended"), jobRetryAfter)
+	}
+}
--- /dev/null
+++ b/gateway/online.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+const (
+	// maxRefusals bounds the targets that may turn one request away as full.
+	maxRefusals = 4
+	// maxWholeBytes bounds an answer that is held until it is whole.
+	maxWholeBytes = 4 << 20
+	// firstEventPatience is how long a stream may be without its first event
+	// before it starts anew elsewhere, eventPatience how long between events
+	// before it goes on elsewhere. Both are well beyond what counts as on time.
+	firstEventPatience = 1500 * time.Millisecond
+	eventPatience      = 1200 * time.Millisecond
+	// streamBufferBytes is the size of a read from a target.
+	streamBufferBytes = 8 << 10
+)
+
+// Serve implements fleet.Callers.
+func (g *Gateway) Serve(ctx context.Context, route *fleet.Route, r *fleet.Request, sink fleet.Sink) error {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	limit := route.Timeout
+	if r.Patience > 0 && (limit == 0 || r.Patience < limit) {
+		limit = r.Patience
+	}
+	begun := time.Now()
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	o := &online{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), bounded: limit > 0, after: r.After, tried: map[string]bool{}}
+	err := o.run(ctx)
+	g.metrics.observe(route, err, time.Since(begun))
+	if err != nil {
+		klog.V(1).InfoS("request ended", "request", r.ID, "route", route.Name, "sends", o.sends, "runs", o.runs, "begun", o.begun,
+			"after", time.Since(begun), "error", protocol.CauseOf(err))
+	}
+	return err
+}
+
+// online is one caller's request on its way.
+type online struct {
+	g        *Gateway
+	route    *fleet.Route
+	request  *fleet.Request
+	sink     fleet.Sink
+	deadline time.Time
+	bounded  bool
+
+	// after is the number of the last event that the caller has.
+	after string
+	// begun is set once the caller has the head of an answer.
+	begun bool
+	// tried holds the targets that shall not get the request again.
+	tried map[string]bool
+	sends int
+	// runs counts the targets that may have run the request.
+	runs     int
+	refusals int
+}
+
+// errElsewhere ends an attempt whose request may go on at another target.
+var errElsewhere = protocol.Errors.NewType("elsewhere")
+
+func (o *online) run(ctx context.Context) error {
+	service := o.route.Pick(rand.Float64())
+	for {
+		target := o.g.table.Begin(o.g.targets.Current().Services[service], o.tried)
+		if target == nil {
+			return o.giveUp(ctx, "no target left")
+		}
+		err := o.attempt(ctx, target)
+		o.g.table.End(target)
+		if err == nil || !errorx.IsOfType(err, errElsewhere) {
+			return err
+		}
+		o.tried[target.ID] = true
+		klog.V(1).InfoS("attempt ended", "request", o.request.ID, "target", target.ID, "after_event", o.after, "runs", o.runs, "error", protocol.CauseOf(err))
+		if ctx.Err() != nil || !o.mayGoOn() {
+			return o.giveUp(ctx, "no attempt left")
+		}
+	}
+}
+
+// mayGoOn reports whether the request may be sent once more.
+func (o *online) mayGoOn() bool {
+	if o.refusals >= maxRefusals {
+		return false
+	}
+	return o.runs == 0 || o.route.Repeatable() && o.runs < o.route.Attempts
+}
+
+// giveUp returns the final error.
+func (o *online) giveUp(ctx context.Context, why string) error {
+	switch {
+	case o.runs == 0 && !o.begun:
+		return refuse("%s after %d sends", why, o.sends)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fleet.ErrTimedOut.New("%s", why)
+	default:
+		return fleet.ErrUncertain.New("%s", why)
+	}
+}
+
+// attempt sends the request to the target. errElsewhere lets it go on at another.
+func (o *online) attempt(ctx context.Context, target *fleet.Target) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := newStall(o, cancel)
+	defer stall.stop()
+	o.sends++
+	a := fleet.Attempt{Request: o.request, Target: target, After: o.after}
+	if o.bounded {
+		a.TimeLeft = time.Until(o.deadline)
+	}
+	answer, err := o.g.params.Sender.Send(ctx, a)
+	if err != nil {
+		return o.lost(ctx, target, err)
+	}
+	defer answer.Close()
+	if answer.Load != nil {
+		o.g.table.Report(target, *answer.Load)
+	}
+	switch answer.Verdict {
+	case fleet.VerdictNotRun, fleet.VerdictOtherTarget:
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes)) // so that the connection can be kept
+		o.refusals++
+		return errElsewhere.New("target has not run it, verdict %d", answer.Verdict)
+	case fleet.VerdictForeign:
+		o.runs++
+		return errElsewhere.New("answer of another request")
+	}
+	o.runs++
+	if !answer.Signed {
+		return errElsewhere.New("unsigned answer with status %d", answer.Status)
+	}
+	if o.route.Kind == fleet.KindStream && answer.Status == http.StatusOK {
+		return o.stream(ctx, target, answer, stall)
+	}
+	return o.whole(ctx, target, answer)
+}
+
+// lost judges an attempt without an answer.
+func (o *online) lost(ctx context.Context, target *fleet.Target, err error) error {
+	if ctx.Err() != nil && !isStall(ctx) {
+		if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
+			o.runs++
+		}
+		return o.giveUp(ctx, "the time is over or the caller has gone")
+	}
+	o.g.table.Failed(target)
+	if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
+		o.runs++
+	}
+	return errElsewhere.Wrap(err, "no answer")
+}
+
+// whole passes an answer on once it is whole.
+func (o *online) whole(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
+	if err != nil {
+		return o.broken(ctx, target, err)
+	}
+	if answer.Status >= http.StatusInternalServerError && o.mayGoOn() {
+		return errElsewhere.New("target answers %d", answer.Status)
+	}
+	if promises(answer.Status) {
+		return o.giveUp(ctx, "the target's answer promises what it does not know")
+	}
+	if o.begun {
+		return fleet.ErrBroken.New("target answers %d to a stream that goes on", answer.Status)
+	}
+	o.g.table.Succeeded(target)
+	if answer.Length < 0 && o.request.Method != http.MethodHead {
+		answer.Header.Set("Content-Length", strconv.Itoa(len(body)))
+		answer.Length = int64(len(body))
+	}
+	o.begun = true
+	if err := o.sink.Begin(answer); err != nil {
+		return err
+	}
+	if len(body) == 0 {
+		return nil
+	}
+	return o.sink.Write(body)
+}
+
+// promises reports whether the status would tell the caller that nothing has run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (o *online) broken(ctx context.Context, target *fleet.Target, err error) error {
+	if ctx.Err() != nil && !isStall(ctx) {
+		return o.giveUp(ctx, "the time is over or the caller has gone")
+	}
+	o.g.table.Failed(target)
+	return errElsewhere.Wrap(err, "answer broke off")
+}
+
+// stream passes events on as they come, each whole.
+func (o *online) stream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stall) error {
+	buffer := make([]byte, streamBufferBytes)
+	var pending []byte
+	for {
+		n, err := answer.Body.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
+			end += len(eventEnd)
+			stall.event()
+			if failure := o.pass(answer, pending[:end]); failure != nil {
+				return failure
+			}
+			pending = append(pending[:0], pending[end:]...)
+		}
+		if errors.Is(err, io.EOF) {
+			o.g.table.Succeeded(target)
+			return o.pass(answer, pending)
+		}
+		if err != nil {
+			return o.broken(ctx, target, err)
+		}
+	}
+}
+
+// eventEnd ends each event of a stream.
+var eventEnd = []byte("\n\n")
+
+// pass sends whole events to the caller.
+func (o *online) pass(answer *fleet.Answer, events []byte) error {
+	if !o.begun {
+		o.begun = true
+		answer.Length = -1
+		if err := o.sink.Begin(answer); err != nil {
+			return err
+		}
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	if id := lastEventID(events); id != "" {
+		o.after = id
+	}
+	return o.sink.Write(events)
+}
+
+// lastEventID returns the number of the last event, empty where none has one.
+func lastEventID(events []byte) string {
+	text := string(events)
+	at := strings.LastIndex(text, "\nid:")
+	if at < 0 {
+		if !strings.HasPrefix(text, "id:") {
+			return ""
+		}
+		at = -1
+	}
+	line, _, _ := strings.Cut(text[at+1:], "\n")
+	return strings.TrimSpace(strings.TrimPrefix(line, "id:"))
+}
--- a/state/quarantine.go
+++ b/state/quarantine.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// convictingCrashes is the number of crashes that convicts a suspect.
-	convictingCrashes = 2
+	// convictingCrashes is the number of crashes that convicts a suspect. Two are not
+	// enough: an innocent long call may be in flight at one lost target and alone on
+	// the next.
+	convictingCrashes = 3
 	// maxSuspects bounds the suspects kept; the oldest go first.
 	maxSuspects = 4096
 )
--- /dev/null
+++ b/state/worklog/record.go
@@ -0,0 +1,162 @@
+package worklog
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// Accept makes a job the system's to keep.
+type Accept struct {
+	Job fleet.Job `msgpack:"j"`
+	// Route is the name of the job's route.
+	Route string `msgpack:"r"`
+	// Path is the path of the submission, by which the route is found again in
+	// later configurations.
+	Path string `msgpack:"p"`
+}
+
+// End stops a job.
+type End struct {
+	Job string `msgpack:"j"`
+}
+
+// ItemRef names an item.
+type ItemRef struct {
+	Job  string `msgpack:"j"`
+	Item string `msgpack:"i"`
+}
+
+// Claim says that its writer runs items.
+type Claim struct {
+	Items []ClaimedItem `msgpack:"i"`
+}
+
+// ClaimedItem is one item of a claim.
+type ClaimedItem struct {
+	ItemRef
+	// Over is the offset of the claim that this one replaces, NoClaim for an item
+	// that nobody holds.
+	Over int64 `msgpack:"o"`
+}
+
+// NoClaim stands for an item that nobody holds.
+const NoClaim = -1
+
+// Release gives a claimed item back with what has been done of it.
+type Release struct {
+	ItemRef
+	Progress Progress `msgpack:"p"`
+}
+
+// Progress is how far an item has come.
+type Progress struct {
+	// Text holds the data of the events so far, After the number of the last.
+	Text  string `msgpack:"t"`
+	After string `msgpack:"a"`
+	// Failures counts the runs that the target itself failed, Crashes those
+	// under which targets crashed.
+	Failures int `msgpack:"f"`
+	Crashes  int `msgpack:"c"`
+}
+
+// Done is the result of an item.
+type Done struct {
+	Job    string       `msgpack:"j"`
+	Result fleet.Result `msgpack:"r"`
+}
+
+// Entry is one record of the log; exactly one of its members but Writer is set.
+type Entry struct {
+	// Writer is the process that wrote the record.
+	Writer  string   `msgpack:"w"`
+	Accept  *Accept  `msgpack:"a,omitempty"`
+	End     *End     `msgpack:"e,omitempty"`
+	Claim   *Claim   `msgpack:"c,omitempty"`
+	Release *Release `msgpack:"l,omitempty"`
+	Done    *Done    `msgpack:"d,omitempty"`
+	// Alive says only that the writer goes on with what it has claimed.
+	Alive bool `msgpack:"v,omitempty"`
+}
+
+// Writer makes records with keys that no other record has, so that the store
+// keeps each; only the newest Alive record of a writer stays.
+type Writer struct {
+	name string
+	seq  uint64
+}
+
+// NewWriter returns the writer of a process. The name must be unique to its
+// lifetime. It is not safe for concurrent use.
+func NewWriter(name string) *Writer { return &Writer{name: name} }
+
+// Name returns the writer's name.
+func (w *Writer) Name() string { return w.name }
+
+// Record encodes an entry. It fails with ErrMalformed.
+func (w *Writer) Record(e Entry) (fleet.Record, error) {
+	e.Writer = w.name
+	value, err := msgpack.Marshal(&e)
+	if err != nil {
+		return fleet.Record{}, fleet.ErrMalformed.Wrap(err, "encode record")
+	}
+	key := "alive/" + w.name
+	if !e.Alive {
+		w.seq++
+		key = w.name + "/" + strconv.FormatUint(w.seq, 36)
+	}
+	return fleet.Record{Key: key, Value: value}, nil
+}
+
+// decode returns the entry of a record, false for one of another form.
+func decode(r fleet.Record) (e Entry, ok bool) {
+	if len(r.Value) == 0 {
+		return Entry{}, false
+	}
+	if err := msgpack.Unmarshal(r.Value, &e); err != nil {
+		return Entry{}, false
+	}
+	return e, e.Writer != ""
+}
+
+// Item is the state of one item.
+type Item struct {
+	fleet.Item
+	Ref ItemRef
+	// Claim is the offset of the claim in force, NoClaim without one, and Holder
+	// its writer.
+	Claim    int64
+	Holder   string
+	Progress Progress
+	// Done is set once the item has a result.
+	Done bool
+}
+
+// Job is the state of one job.
+type Job struct {
+	Accept  *Accept
+	Offset  int64
+	Ended   bool
+	Items   []*Item
+	Results []fleet.Result
+	// Seen is when this process first folded the job, by its monotonic clock.
+	Seen time.Time
+}
+
+// Open reports whether items of the job are still to be done.
+func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+
+// With returns the progress after one more event.
+func (p Progress) With(id, data string) Progress {
+	if p.After != "" || p.Text != "" {
+		p.Text += "\n"
+	}
+	p.Text += data
+	if id != "" {
+		p.After = id
+	}
+	return p
+}
--- /dev/null
+++ b/transport/connpool.go
@@ -0,0 +1,180 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+)
+
+const (
+	// userTimeout bounds how long sent bytes may stay unacknowledged: a peer
+	// that has lost power, or is cut off, never resets a connection.
+	userTimeout = 3 * time.Second
+	// targetDialTimeout bounds the opening of a connection within a site.
+	targetDialTimeout = 500 * time.Millisecond
+	// defaultIdleTime is how long an idle connection is kept where its target
+	// does not say.
+	defaultIdleTime = 4 * time.Second
+	// idleMargin is how much sooner than its target an idle connection is closed.
+	idleMargin = 500 * time.Millisecond
+	// connBufferBytes is the size of a connection's read buffer.
+	connBufferBytes = 4 << 10
+)
+
+// ErrDial means that a connection could not be opened.
+var ErrDial = protocol.Errors.NewType("dial")
+
+// SetUserTimeout bounds the time that a connection's sent bytes may stay
+// unacknowledged. It is a net.Dialer's or net.ListenConfig's Control.
+func SetUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errorx.Decorate(err, "set user timeout")
+	}
+	return failure
+}
+
+// Conn is a connection that carries one request at a time.
+type Conn struct {
+	net.Conn
+	Reader *bufio.Reader
+	pool   *ConnPool
+	addr   string
+	until  time.Time
+}
+
+// ConnPool keeps idle connections by address. The last used is taken first, so
+// that the others can time out. It is safe for concurrent use.
+type ConnPool struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+}
+
+// NewConnPool returns an empty pool.
+func NewConnPool() *ConnPool {
+	return &ConnPool{dialer: net.Dialer{Timeout: targetDialTimeout, Control: SetUserTimeout}, idle: map[string][]*Conn{}}
+}
+
+// Get returns an idle connection that is still open, or opens one. It fails with
+// ErrDial.
+func (p *ConnPool) Get(ctx context.Context, addr string) (*Conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.until) && c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, ErrDial.Wrap(err, "dial")
+	}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, connBufferBytes), pool: p, addr: addr}, nil
+}
+
+func (p *ConnPool) take(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[addr]
+	if len(idle) == 0 {
+		delete(p.idle, addr)
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[addr] = idle[:len(idle)-1]
+	return c
+}
+
+// Forget closes the idle connections to the address.
+func (p *ConnPool) Forget(addr string) {
+	p.mu.Lock()
+	idle := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (p *ConnPool) Sweep() {
+	now := time.Now()
+	var old []*Conn
+	p.mu.Lock()
+	for addr, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		if p.idle[addr] = kept; len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// Release gives the connection back. keep is how long the other end keeps it
+// idle, 0 if it did not say. A connection with unread bytes is closed.
+func (c *Conn) Release(keep time.Duration) {
+	if keep == 0 {
+		keep = defaultIdleTime
+	}
+	if c.Reader.Buffered() > 0 || keep <= idleMargin {
+		_ = c.Close()
+		return
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.until = time.Now().Add(keep - idleMargin)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.idle[c.addr] = append(c.pool.idle[c.addr], c)
+}
+
+// quiet reports whether the connection is open and nothing has arrived on it
+// since its last answer: what does arrive then belongs to no request.
+func (c *Conn) quiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	sys, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = sys.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, readErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case readErr != nil:
+			peeked = readErr
+		case n == 0:
+			peeked = io.EOF
+		}
+		return true
+	})
+	return err == nil && peeked == unix.EAGAIN
+}
