--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -79,7 +79,9 @@
 	alive    time.Time
 	stopping bool
 
-	tomb tomb.Tomb
+	// ctx ends when the tomb is dying.
+	ctx  context.Context
+	tomb *tomb.Tomb
 }
 
 // New returns a batcher that has not started.
@@ -92,6 +94,7 @@
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 		held:    map[worklog.ItemRef]*held{},
 	}
+	b.tomb, b.ctx = tomb.WithContext(context.Background())
 	b.configTail = tail.New(tail.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: configInterval,
 		Reset: b.configs.Apply, Apply: b.configs.Apply,
@@ -105,7 +108,7 @@
 
 // Start begins to look for work.
 func (b *Batcher) Start() {
-	ctx := b.tomb.Context(nil)
+	ctx := b.ctx
 	b.tomb.Go(func() error { return b.configTail.Run(ctx) })
 	b.tomb.Go(func() error { return b.workTail.Run(ctx) })
 	b.tomb.Go(func() error { return b.outbox.Run(ctx) })
@@ -168,7 +171,7 @@
 
 // look watches the target and adapts the number of items that run there.
 func (b *Batcher) look() error {
-	ctx := b.tomb.Context(nil)
+	ctx := b.ctx
 	for ctx.Err() == nil {
 		state, err := b.report(ctx)
 		b.adapt(ctx, state, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,9 @@
 
 	active  atomic.Int64
 	closing atomic.Bool
-	tomb    tomb.Tomb
+	// ctx ends when the tomb is dying.
+	ctx  context.Context
+	tomb *tomb.Tomb
 }
 
 // New returns a gateway that has not started.
@@ -80,6 +82,7 @@
 		changed: make(chan struct{}),
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 	}
+	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.configTail = tail.New(tail.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
 		Reset: g.configs.Apply, Apply: g.configs.Apply,
@@ -98,14 +101,14 @@
 // Start begins to follow the store.
 func (g *Gateway) Start() {
 	for _, f := range []*tail.Follower{g.configTail, g.targetTail, g.workTail} {
-		g.tomb.Go(func() error { return f.Run(g.tomb.Context(nil)) })
+		g.tomb.Go(func() error { return f.Run(g.ctx) })
 	}
 	g.tomb.Go(g.keepHouse)
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
 }
 
 func (g *Gateway) keepHouse() error {
-	ctx := g.tomb.Context(nil)
+	ctx := g.ctx
 	for ctx.Err() == nil {
 		pause.For(ctx, housekeepingInterval)
 		g.targets.Expire()
