Test the adapter, the work log and the decisions of the platform's roles

Cause: the thin path had no tests of its own. Change: the turn to read is a channel; a gateway's submissions queue for it only.

--- /dev/null
+++ b/coordination/claims/claims_test.go
@@ -0,0 +1,83 @@
+package claims_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/coordination/claims"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+var start = time.Unix(1000, 0)
+
+type log struct {
+	t    *testing.T
+	fold *worklog.Fold
+	next int64
+}
+
+func (l *log) put(at time.Time, w *worklog.Writer, e worklog.Entry) {
+	r, err := w.Record(e)
+	assert.NilError(l.t, err)
+	r.Offset = l.next
+	l.next++
+	l.fold.Apply(at, []fleet.Record{r})
+}
+
+func newLog(t *testing.T) *log {
+	l := &log{t: t, fold: worklog.NewFold()}
+	for _, id := range []string{"old", "new"} {
+		job := fleet.Job{ID: id}
+		for _, item := range []string{"a", "b", "c", "d", "e", "f"} {
+			job.Items = append(job.Items, fleet.Item{ID: item})
+		}
+		l.put(start, worklog.NewWriter("gateway"), worklog.Entry{Accept: &worklog.Accept{Job: job}})
+	}
+	return l
+}
+
+func params(now time.Time) claims.Params {
+	return claims.Params{
+		Self: "me", Now: now, Since: start, Runs: func(*worklog.Job) bool { return true }, Shuffle: func(int, func(i, j int)) {},
+	}
+}
+
+// TestOldestJobsFirst draws from the first items only, as far as they go round.
+func TestOldestJobsFirst(t *testing.T) {
+	l := newLog(t)
+	chosen := claims.Choose(params(start), l.fold, 1)
+	assert.Equal(t, len(chosen), 1)
+	assert.Equal(t, chosen[0].Job, "old")
+	assert.Equal(t, chosen[0].Over, int64(worklog.NoClaim))
+	assert.Equal(t, len(claims.Choose(params(start), l.fold, 20)), 12)
+	assert.Equal(t, len(claims.Choose(params(start), l.fold, 0)), 0)
+	p := params(start)
+	p.Runs = func(job *worklog.Job) bool { return job.Accept.Job.ID == "new" }
+	assert.Equal(t, claims.Choose(p, l.fold, 1)[0].Job, "new")
+}
+
+// TestSilentHolder replays a batcher that dies with an item, an outage of the
+// log in which nobody can be heard, and one that goes on.
+func TestSilentHolder(t *testing.T) {
+	l := newLog(t)
+	holder := worklog.NewWriter("other")
+	items := claims.Choose(params(start), l.fold, 20)
+	l.put(start, holder, worklog.Entry{Claim: &worklog.Claim{Items: items}})
+	free := func(now, since time.Time) int {
+		p := params(now)
+		p.Since = since
+		return len(claims.Choose(p, l.fold, 20))
+	}
+	soon, late := start.Add(claims.Lapse), start.Add(claims.Lapse+time.Second)
+	assert.Equal(t, free(soon, start), 0)
+	assert.Equal(t, free(late, start), 12, "a silent holder's items are free")
+	assert.Equal(t, free(late, start.Add(2*time.Second)), 0, "silence counts from the log's return")
+	l.put(soon, holder, worklog.Entry{Alive: true})
+	assert.Equal(t, free(late, start), 0, "a sign of life keeps them")
+	p := params(late)
+	p.Self = "other"
+	assert.Equal(t, len(claims.Choose(p, l.fold, 20)), 0, "own items are not claimed again")
+}
--- /dev/null
+++ b/coordination/placing/placing_test.go
@@ -0,0 +1,76 @@
+package placing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/coordination/placing"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+func targets(n int) []*fleet.Target {
+	var list []*fleet.Target
+	for i := range n {
+		list = append(list, &fleet.Target{ID: fmt.Sprint("t", i)})
+	}
+	return list
+}
+
+func newTable() (*placing.Table, *time.Time) {
+	now := time.Unix(1000, 0)
+	return placing.New(func() time.Time { return now }, func() float64 { return 0 }), &now
+}
+
+// TestStepOfTraffic replays a step: many requests at once spread evenly.
+func TestStepOfTraffic(t *testing.T) {
+	table, _ := newTable()
+	list := targets(4)
+	counts := map[string]int{}
+	for range 32 {
+		counts[table.Begin(list, nil).ID]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"t0": 8, "t1": 8, "t2": 8, "t3": 8})
+	table.End(list[2])
+	assert.Equal(t, table.Begin(list, nil).ID, "t2")
+}
+
+// TestOthersLoad counts what a target reports of other gateways, for a moment.
+func TestOthersLoad(t *testing.T) {
+	table, now := newTable()
+	list := targets(2)
+	table.Report(list[0], fleet.Load{Running: 6, Waiting: 2})
+	assert.Equal(t, table.Begin(list, nil).ID, "t1")
+	assert.Equal(t, table.Begin(list, nil).ID, "t1")
+	*now = now.Add(3 * time.Second)
+	assert.Equal(t, table.Begin(list, nil).ID, "t0")
+}
+
+// TestFailingTarget replays a target that goes dark under traffic: requests leave
+// it out for times that double, and use it where there is no other.
+func TestFailingTarget(t *testing.T) {
+	table, now := newTable()
+	list := targets(2)
+	for range 5 {
+		table.Failed(list[0]) // requests sent at the same time fail together
+	}
+	assert.Equal(t, table.Begin(list, nil).ID, "t1")
+	assert.Equal(t, table.Begin(list, map[string]bool{"t1": true}).ID, "t0")
+	table.End(list[0])
+	*now = now.Add(400 * time.Millisecond)
+	assert.Equal(t, table.Begin(list, nil).ID, "t0", "it is tried again")
+	table.End(list[0])
+	table.Failed(list[0])
+	*now = now.Add(400 * time.Millisecond)
+	assert.Equal(t, table.Begin(list, nil).ID, "t1", "the second time is longer")
+	table.Succeeded(list[0])
+	assert.Equal(t, table.Begin(list, nil).ID, "t0")
+}
+
+func TestNoTargetLeft(t *testing.T) {
+	table, _ := newTable()
+	assert.Assert(t, table.Begin(nil, nil) == nil)
+	assert.Assert(t, table.Begin(targets(1), map[string]bool{"t0": true}) == nil)
+}
--- /dev/null
+++ b/coordination/registry/registry_test.go
@@ -0,0 +1,106 @@
+package registry_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// decoder reads "VERSION" as a configuration, and "BORN" or "BORN draining" as a
+// target at the address of its own name.
+type decoder struct{}
+
+func (decoder) Configuration(r fleet.Record) (*fleet.Configuration, error) {
+	version, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		return nil, fleet.ErrMalformed.Wrap(err, "version")
+	}
+	return fleet.NewConfiguration(version, nil, nil, fleet.Limits{}), nil
+}
+
+func (decoder) Target(r fleet.Record) (*fleet.Target, error) {
+	if len(r.Value) == 0 {
+		return nil, nil
+	}
+	born, state, _ := strings.Cut(string(r.Value), " ")
+	at, err := strconv.ParseInt(born, 10, 64)
+	if err != nil {
+		return nil, fleet.ErrMalformed.Wrap(err, "born")
+	}
+	return &fleet.Target{ID: r.Key, Born: at, Service: "s", Address: r.Key, Draining: state == "draining"}, nil
+}
+
+func record(key, value string) fleet.Record { return fleet.Record{Key: key, Value: []byte(value)} }
+
+// clock is a time that a test moves.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func newTargets() (*registry.Targets, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	return registry.NewTargets(decoder{}, c.read), c
+}
+
+func ready(t *registry.Targets) string {
+	ids := map[string]bool{}
+	for _, target := range t.Current().Services["s"] {
+		ids[target.ID] = true
+	}
+	return fmt.Sprint(ids)
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	c := registry.NewConfigurations(decoder{})
+	assert.Assert(t, c.Current() == nil)
+	c.Apply([]fleet.Record{record("c", "3"), record("c", "oops"), record("c", "7"), record("c", "5")})
+	assert.Equal(t, c.Current().Version, int64(7))
+	c.Apply([]fleet.Record{record("c", "6")})
+	assert.Equal(t, c.Current().Version, int64(7))
+}
+
+func TestTargets(t *testing.T) {
+	targets, _ := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1"), record("x", "oops")})
+	assert.Equal(t, ready(targets), "map[a:true b:true]")
+	targets.Apply([]fleet.Record{record("a", "1 draining"), record("b", "")})
+	assert.Equal(t, ready(targets), "map[]")
+	assert.Equal(t, len(targets.Current().Addresses), 1)
+	targets.Apply([]fleet.Record{record("a", "9")})
+	assert.Equal(t, ready(targets), "map[a:true]")
+	targets.Apply([]fleet.Record{record("a", "8 draining")})
+	assert.Equal(t, ready(targets), "map[a:true]", "a record of an earlier lifetime changes nothing")
+	targets.Apply([]fleet.Record{record("a", "oops")})
+	assert.Equal(t, ready(targets), "map[]", "an unreadable record names no target")
+}
+
+// TestLapseWhileStoreWasAway removes registrations as the store comes back: the
+// targets stay for the grace period, those that register again for good.
+func TestLapseWhileStoreWasAway(t *testing.T) {
+	targets, c := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1"), record("c", "1")})
+	targets.StoreReturned()
+	targets.Apply([]fleet.Record{record("a", ""), record("b", ""), record("c", "1 draining")})
+	assert.Equal(t, ready(targets), "map[a:true b:true]", "a target that says that it drains does")
+	c.now = c.now.Add(time.Second)
+	targets.Apply([]fleet.Record{record("a", "1")})
+	c.now = c.now.Add(2 * time.Second)
+	targets.Expire()
+	assert.Equal(t, ready(targets), "map[a:true]")
+	targets.Apply([]fleet.Record{record("a", "")})
+	assert.Equal(t, ready(targets), "map[]", "later removals count at once")
+}
+
+func TestResetRemovesWhatIsGone(t *testing.T) {
+	targets, _ := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1")})
+	targets.Reset([]fleet.Record{record("b", "1"), record("c", "1")})
+	assert.Equal(t, ready(targets), "map[b:true c:true]")
+}
--- a/coordination/tail/tail.go
+++ b/coordination/tail/tail.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,8 +40,9 @@
 // Follower follows one topic.
 type Follower struct {
 	params Params
-	// mu is held by the one read that runs.
-	mu   sync.Mutex
+	// turn holds a token while no read runs. It is no mutex, so that waiting for
+	// it ends with the caller's patience.
+	turn chan struct{}
 	next int64
 	// begun is when the last read that reached the end began, as nanoseconds
 	// after base; 0 before the first.
@@ -53,9 +53,23 @@
 
 // New returns a follower that knows nothing.
 func New(p Params) *Follower {
-	return &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond)}
+	f := &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond), turn: make(chan struct{}, 1)}
+	f.turn <- struct{}{}
+	return f
 }
 
+// take waits for the turn to read.
+func (f *Follower) take(ctx context.Context) error {
+	select {
+	case <-f.turn:
+		return nil
+	case <-ctx.Done():
+		return fleet.ErrUnavailable.Wrap(ctx.Err(), "another read goes on")
+	}
+}
+
+func (f *Follower) give() { f.turn <- struct{}{} }
+
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -79,8 +93,10 @@
 // called, or an error of the store.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	called := time.Since(f.base)
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	if err := f.take(ctx); err != nil {
+		return err
+	}
+	defer f.give()
 	if f.begun.Load() > int64(called) {
 		return nil
 	}
@@ -102,8 +118,10 @@
 
 // Locked catches up and calls do while no other read changes what is known.
 func (f *Follower) Locked(ctx context.Context, do func() error) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	if err := f.take(ctx); err != nil {
+		return err
+	}
+	defer f.give()
 	err := f.readToEnd(ctx)
 	f.note(err)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,7 @@
 	fold   *worklog.Fold
 	// changed is closed and replaced whenever the fold changes.
 	changed chan struct{}
-	// submitMu lets one submission at a time write, under which the writer is.
-	submitMu sync.Mutex
+	writerMu sync.Mutex
 	writer   *worklog.Writer
 
 	active  atomic.Int64
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -70,9 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitPatience)
 	defer cancel()
-	g.submitMu.Lock()
-	defer g.submitMu.Unlock()
-	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{Job: *job, Route: route.Name, Path: path}})
+	record, err := g.record(worklog.Entry{Accept: &worklog.Accept{Job: *job, Route: route.Name, Path: path}})
 	if err != nil {
 		return err
 	}
@@ -110,6 +108,12 @@
 	}
 }
 
+func (g *Gateway) record(e worklog.Entry) (fleet.Record, error) {
+	g.writerMu.Lock()
+	defer g.writerMu.Unlock()
+	return g.writer.Record(e)
+}
+
 func (g *Gateway) known(job string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
@@ -231,9 +235,7 @@
 	if err := g.look(ctx, id, func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
 		return err
 	}
-	g.submitMu.Lock()
-	record, err := g.writer.Record(worklog.Entry{End: &worklog.End{Job: id}})
-	g.submitMu.Unlock()
+	record, err := g.record(worklog.Entry{End: &worklog.End{Job: id}})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/standin/fleetstore/fleetstore.go
@@ -0,0 +1,159 @@
+// Package fleetstore is a stand-in for the platform's store: topics in memory
+// that keep the newest record of each key, with failures that a test switches on.
+package fleetstore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// Faults are the failures in force.
+type Faults struct {
+	// Down makes every call fail with ErrUnavailable.
+	Down bool
+	// LoseAnswers is the number of appends yet to be done and not answered.
+	LoseAnswers int
+	// LoseAppends is the number of appends yet to be neither done nor answered.
+	LoseAppends int
+	// Delay is the time that each call takes.
+	Delay time.Duration
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	faults Faults
+	topics map[fleet.Topic]*topic
+	calls  int
+}
+
+type topic struct {
+	// records are those from the offset first on; newest holds every key's last.
+	first   int64
+	records []fleet.Record
+	newest  map[string]fleet.Record
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{topics: map[fleet.Topic]*topic{}} }
+
+// SetFaults replaces the failures in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops all records of the topic but the newest of each key.
+func (s *Store) Forget(t fleet.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	top := s.topic(t)
+	top.first += int64(len(top.records))
+	top.records = nil
+}
+
+// begin counts a call and returns its failures.
+func (s *Store) begin(ctx context.Context) (Faults, error) {
+	s.mu.Lock()
+	s.calls++
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if ctx.Err() != nil {
+		return faults, fleet.ErrUnknown.Wrap(ctx.Err(), "store call")
+	}
+	if faults.Down {
+		return faults, fleet.ErrUnavailable.New("the store is down")
+	}
+	return faults, nil
+}
+
+func (s *Store) topic(t fleet.Topic) *topic {
+	top := s.topics[t]
+	if top == nil {
+		top = &topic{newest: map[string]fleet.Record{}}
+		s.topics[t] = top
+	}
+	return top
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// Newest implements fleet.Store.
+func (s *Store) Newest(ctx context.Context, t fleet.Topic) ([]fleet.Record, int64, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	top := s.topic(t)
+	var records []fleet.Record
+	for _, r := range top.newest {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b fleet.Record) int { return int(a.Offset - b.Offset) })
+	return records, top.end(), nil
+}
+
+// Read implements fleet.Store.
+func (s *Store) Read(ctx context.Context, t fleet.Topic, from int64) (fleet.Page, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return fleet.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	top := s.topic(t)
+	if from < top.first {
+		return fleet.Page{}, fleet.ErrExpired.New("offset %d", from)
+	}
+	return fleet.Page{Records: slices.Clone(top.records[from-top.first:]), Next: top.end(), End: top.end()}, nil
+}
+
+// Append implements fleet.Store.
+func (s *Store) Append(ctx context.Context, t fleet.Topic, at int64, records []fleet.Record) (int64, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAppends > 0 {
+		s.faults.LoseAppends--
+		return 0, fleet.ErrUnknown.New("nothing was done")
+	}
+	top := s.topic(t)
+	offset := top.end()
+	if at != fleet.AnyOffset && at != offset {
+		return 0, fleet.ErrMoved.New("the topic ends at %d", offset)
+	}
+	for i, r := range records {
+		r.Offset = offset + int64(i)
+		top.records = append(top.records, r)
+		if len(r.Value) == 0 {
+			delete(top.newest, r.Key)
+			continue
+		}
+		top.newest[r.Key] = r
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, fleet.ErrUnknown.New("the answer is lost")
+	}
+	return offset, nil
+}
--- /dev/null
+++ b/state/worklog/fold_test.go
@@ -0,0 +1,204 @@
+package worklog
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+var now = time.Unix(1000, 0)
+
+// log collects records as a topic would.
+type log struct {
+	t       assert.TestingT
+	records []fleet.Record
+}
+
+func (l *log) put(w *Writer, e Entry) {
+	r, err := w.Record(e)
+	assert.NilError(l.t, err)
+	r.Offset = int64(len(l.records))
+	l.records = append(l.records, r)
+}
+
+// newest returns the newest record of each key in order of their offsets.
+func (l *log) newest() []fleet.Record {
+	last := map[string]fleet.Record{}
+	for _, r := range l.records {
+		last[r.Key] = r
+	}
+	var kept []fleet.Record
+	for _, r := range last {
+		kept = append(kept, r)
+	}
+	slices.SortFunc(kept, func(a, b fleet.Record) int { return int(a.Offset - b.Offset) })
+	return kept
+}
+
+func (l *log) fold() *Fold {
+	f := NewFold()
+	f.Apply(now, l.records)
+	return f
+}
+
+func accept(id string, items ...string) Entry {
+	a := &Accept{Job: fleet.Job{ID: id}, Route: "review", Path: "/p/"}
+	for _, item := range items {
+		a.Job.Items = append(a.Job.Items, fleet.Item{ID: item, Tokens: 10})
+	}
+	return Entry{Accept: a}
+}
+
+func done(job, item, text string) Entry {
+	return Entry{Done: &Done{Job: job, Result: fleet.Result{Item: item, Text: text}}}
+}
+
+func claim(job, item string, over int64) Entry {
+	return Entry{Claim: &Claim{Items: []ClaimedItem{{ItemRef: ItemRef{job, item}, Over: over}}}}
+}
+
+func TestFirstResultCounts(t *testing.T) {
+	l := &log{t: t}
+	a, b := NewWriter("a"), NewWriter("b")
+	l.put(a, accept("j", "x", "y"))
+	l.put(a, done("j", "y", "first"))
+	l.put(b, done("j", "y", "second"))
+	l.put(b, done("j", "x", "other"))
+	l.put(b, done("j", "z", "of no item"))
+	f := l.fold()
+	assert.DeepEqual(t, f.Job("j").Results, []fleet.Result{{Item: "y", Text: "first"}, {Item: "x", Text: "other"}})
+	assert.Equal(t, f.Waiting("review"), int64(0))
+	assert.Equal(t, len(f.OpenJobs()), 0)
+}
+
+func TestEndedJobTakesNoResults(t *testing.T) {
+	l := &log{t: t}
+	w := NewWriter("a")
+	l.put(w, accept("j", "x", "y"))
+	l.put(w, done("j", "x", "1"))
+	assert.Equal(t, l.fold().Waiting("review"), int64(10))
+	l.put(w, Entry{End: &End{Job: "j"}})
+	l.put(w, Entry{End: &End{Job: "j"}})
+	l.put(w, done("j", "y", "late"))
+	f := l.fold()
+	assert.Equal(t, len(f.Job("j").Results), 1)
+	assert.Equal(t, f.Waiting("review"), int64(0))
+	assert.Assert(t, !f.Job("j").Open())
+}
+
+func TestResentJobIsAcceptedOnce(t *testing.T) {
+	l := &log{t: t}
+	l.put(NewWriter("a"), accept("j", "x"))
+	l.put(NewWriter("b"), accept("j", "x"))
+	f := l.fold()
+	assert.Equal(t, len(f.OpenJobs()), 1)
+	assert.Equal(t, f.Waiting("review"), int64(10))
+}
+
+// TestClaims lets two writers claim an item: the first holds it, a later one only
+// by naming the claim that it replaces.
+func TestClaims(t *testing.T) {
+	l := &log{t: t}
+	a, b := NewWriter("a"), NewWriter("b")
+	ref := ItemRef{"j", "x"}
+	l.put(a, accept("j", "x"))
+	l.put(a, claim("j", "x", NoClaim))
+	l.put(b, claim("j", "x", NoClaim))
+	assert.Equal(t, l.fold().Item(ref).Holder, "a")
+	l.put(b, claim("j", "x", 1))
+	assert.Equal(t, l.fold().Item(ref).Holder, "b")
+	l.put(a, Entry{Release: &Release{ItemRef: ref, Progress: Progress{Text: "stale", After: "9"}}})
+	assert.Equal(t, l.fold().Item(ref).Holder, "b", "only the holder releases")
+	l.put(b, Entry{Release: &Release{ItemRef: ref, Progress: Progress{Text: "one", After: "1"}}})
+	item := l.fold().Item(ref)
+	assert.Equal(t, item.Claim, int64(NoClaim))
+	assert.DeepEqual(t, item.Progress, Progress{Text: "one", After: "1"})
+}
+
+func TestForeignRecordsAreCounted(t *testing.T) {
+	f := NewFold()
+	f.Apply(now, []fleet.Record{{Key: "k", Value: []byte("not msgpack")}, {Key: "k"}, {Key: "k", Value: []byte{0x80}}})
+	assert.Equal(t, f.Malformed(), 2)
+}
+
+func TestProgress(t *testing.T) {
+	p := Progress{}.With("0", "").With("1", "a").With("2", "b")
+	assert.DeepEqual(t, p, Progress{Text: "\na\nb", After: "2"})
+}
+
+// TestNewestRecordsMakeTheSameState checks for any order of records that a
+// process which reads only the newest record of each key knows the same jobs,
+// results, positions, ends and claims as one that read them all, and that
+// results never change or move.
+func TestNewestRecordsMakeTheSameState(t *testing.T) {
+	assert.NilError(t, flag.Set("rapid.seed", "1"))
+	rapid.Check(t, func(t *rapid.T) {
+		l := &log{t: t}
+		writers := []*Writer{NewWriter("a"), NewWriter("b"), NewWriter("c")}
+		before := map[string][]fleet.Result{}
+		for range rapid.IntRange(1, 50).Draw(t, "records") {
+			w := rapid.SampledFrom(writers).Draw(t, "writer")
+			l.put(w, drawEntry(t, l.fold()))
+			f := l.fold()
+			for _, id := range []string{"j", "k"} {
+				job := f.Job(id)
+				if job == nil {
+					continue
+				}
+				assert.Assert(t, slices.Equal(job.Results[:len(before[id])], before[id]))
+				before[id] = slices.Clone(job.Results)
+			}
+		}
+		checkSame(t, l)
+	})
+}
+
+func drawEntry(t *rapid.T, f *Fold) Entry {
+	job := rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job")
+	item := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "item")
+	ref := ItemRef{job, item}
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return accept(job, "x", "y")
+	case 1:
+		return Entry{End: &End{Job: job}}
+	case 2:
+		over := int64(NoClaim)
+		if i := f.Item(ref); i != nil && rapid.Bool().Draw(t, "current") {
+			over = i.Claim
+		}
+		return claim(job, item, over)
+	case 3:
+		return Entry{Release: &Release{ItemRef: ref, Progress: Progress{Text: "t", After: "1"}}}
+	case 4:
+		return Entry{Alive: true}
+	default:
+		return done(job, item, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
+	}
+}
+
+func checkSame(t *rapid.T, l *log) {
+	all, newest := l.fold(), NewFold()
+	newest.Apply(now, l.newest())
+	for _, id := range []string{"j", "k"} {
+		a, b := all.Job(id), newest.Job(id)
+		assert.Equal(t, a == nil, b == nil)
+		if a == nil {
+			continue
+		}
+		assert.DeepEqual(t, a.Results, b.Results)
+		assert.Equal(t, a.Ended, b.Ended)
+		for i := range a.Items {
+			assert.DeepEqual(t, a.Items[i], b.Items[i])
+		}
+	}
+	assert.Equal(t, all.Waiting("review"), newest.Waiting("review"))
+	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
+}
