Give each try of a record a key of its own

While the store lost answers, a batcher's outbox appended a result again under its key; the store keeps the newest record of a key, so a gateway that started later knew the result at a later place than those that had followed the log. Ruled out: two results of one item (the first counts) and the fold (rapid). Change: the outbox takes a new key for each try.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -89,11 +89,13 @@
 	b := &Batcher{
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
-		outbox:  outbox.New(p.Store, fleet.TopicWork, p.Node.MaxCallBytes/2),
 		fold:    worklog.NewFold(),
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 		held:    map[worklog.ItemRef]*held{},
 	}
+	b.outbox = outbox.New(outbox.Params{
+		Store: p.Store, Topic: fleet.TopicWork, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey,
+	})
 	b.tomb, b.ctx = tomb.WithContext(context.Background())
 	b.configTail = tail.New(tail.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: configInterval,
@@ -262,7 +264,7 @@
 
 // put hands an entry to the outbox. The lock is held.
 func (b *Batcher) put(e worklog.Entry) {
-	record, err := b.writer.Record(e)
+	record, err := b.writer.Encode(e)
 	if err != nil {
 		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
 		return
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -3,7 +3,9 @@
 //
 // It answers results that end at about the same time, calls that are priced, and
 // a store that is away for seconds or loses its answers: records whose append
-// may have been done are appended again, which their readers must allow.
+// may have been done are appended again, which their readers must allow. Each try
+// has keys of its own: the store keeps the newest record of a key only, and a
+// copy must not take the place of the first.
 package outbox
 
 import (
@@ -25,23 +27,29 @@
 	retryPause = 250 * time.Millisecond
 )
 
+// Params say where records go.
+type Params struct {
+	Store fleet.Store
+	Topic fleet.Topic
+	// MaxBytes bounds the records of one append.
+	MaxBytes int
+	// NextKey returns a key that no other record has.
+	NextKey func() string
+}
+
 // Outbox holds records until they are stored. It is safe for concurrent use.
 type Outbox struct {
-	store    fleet.Store
-	topic    fleet.Topic
-	maxBytes int
+	params Params
 
 	mu      sync.Mutex
 	records []fleet.Record
 	filled  chan struct{}
 }
 
-// New returns an empty outbox. maxBytes bounds the records of one append.
-func New(store fleet.Store, topic fleet.Topic, maxBytes int) *Outbox {
-	return &Outbox{store: store, topic: topic, maxBytes: maxBytes, filled: make(chan struct{}, 1)}
-}
+// New returns an empty outbox.
+func New(p Params) *Outbox { return &Outbox{params: p, filled: make(chan struct{}, 1)} }
 
-// Add takes records to append.
+// Add takes records to append. Those without a key get one.
 func (o *Outbox) Add(records ...fleet.Record) {
 	o.mu.Lock()
 	o.records = append(o.records, records...)
@@ -78,7 +86,7 @@
 // append tries to store the first records.
 func (o *Outbox) append(ctx context.Context) {
 	batch := o.first()
-	_, err := o.store.Append(ctx, o.topic, fleet.AnyOffset, batch)
+	_, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
 	if err != nil {
 		klog.V(1).InfoS("records not stored yet", "records", len(batch), "error", protocol.CauseOf(err))
 		pause.For(ctx, retryPause)
@@ -89,16 +97,21 @@
 	o.records = o.records[len(batch):]
 }
 
-// first returns the first records that fit into one call.
+// first returns copies of the first records that fit into one call, with keys.
 func (o *Outbox) first() []fleet.Record {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	var batch []fleet.Record
 	size := 0
-	for i, r := range o.records {
+	for _, r := range o.records {
+		if r.Key == "" {
+			r.Key = o.params.NextKey()
+		}
 		size += len(r.Key) + len(r.Value)
-		if i > 0 && size > o.maxBytes {
-			return o.records[:i:i]
+		if len(batch) > 0 && size > o.params.MaxBytes {
+			break
 		}
+		batch = append(batch, r)
 	}
-	return o.records[:len(o.records):len(o.records)]
+	return batch
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,7 @@
 	fold   *worklog.Fold
 	// changed is closed and replaced whenever the fold changes.
 	changed chan struct{}
-	writerMu sync.Mutex
-	writer   *worklog.Writer
+	writer  *worklog.Writer
 
 	active  atomic.Int64
 	closing atomic.Bool
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -70,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitPatience)
 	defer cancel()
-	record, err := g.record(worklog.Entry{Accept: &worklog.Accept{Job: *job, Route: route.Name, Path: path}})
+	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{Job: *job, Route: route.Name, Path: path}})
 	if err != nil {
 		return err
 	}
@@ -108,12 +108,6 @@
 	}
 }
 
-func (g *Gateway) record(e worklog.Entry) (fleet.Record, error) {
-	g.writerMu.Lock()
-	defer g.writerMu.Unlock()
-	return g.writer.Record(e)
-}
-
 func (g *Gateway) known(job string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
@@ -235,7 +229,7 @@
 	if err := g.look(ctx, id, func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
 		return err
 	}
-	record, err := g.record(worklog.Entry{End: &worklog.End{Job: id}})
+	record, err := g.writer.Record(worklog.Entry{End: &worklog.End{Job: id}})
 	if err != nil {
 		return err
 	}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -86,29 +87,44 @@
 // keeps each; only the newest Alive record of a writer stays.
 type Writer struct {
 	name string
-	seq  uint64
+	seq  atomic.Uint64
 }
 
 // NewWriter returns the writer of a process. The name must be unique to its
-// lifetime. It is not safe for concurrent use.
+// lifetime. It is safe for concurrent use.
 func NewWriter(name string) *Writer { return &Writer{name: name} }
 
 // Name returns the writer's name.
 func (w *Writer) Name() string { return w.name }
 
-// Record encodes an entry. It fails with ErrMalformed.
-func (w *Writer) Record(e Entry) (fleet.Record, error) {
+// NextKey returns a key that no other record has.
+func (w *Writer) NextKey() string {
+	return w.name + "/" + strconv.FormatUint(w.seq.Add(1), 36)
+}
+
+// Encode encodes an entry into a record without a key, unless it only says that
+// the writer goes on. It fails with ErrMalformed.
+func (w *Writer) Encode(e Entry) (fleet.Record, error) {
 	e.Writer = w.name
 	value, err := msgpack.Marshal(&e)
 	if err != nil {
 		return fleet.Record{}, fleet.ErrMalformed.Wrap(err, "encode record")
 	}
-	key := "alive/" + w.name
-	if !e.Alive {
-		w.seq++
-		key = w.name + "/" + strconv.FormatUint(w.seq, 36)
+	r := fleet.Record{Value: value}
+	if e.Alive {
+		r.Key = "alive/" + w.name
+	}
+	return r, nil
+}
+
+// Record encodes an entry into a record with a key of its own. The record must
+// not be appended again where the first append may have been done.
+func (w *Writer) Record(e Entry) (fleet.Record, error) {
+	r, err := w.Encode(e)
+	if err == nil && r.Key == "" {
+		r.Key = w.NextKey()
 	}
-	return fleet.Record{Key: key, Value: value}, nil
+	return r, err
 }
 
 // decode returns the entry of a record, false for one of another form.
