Test a gateway's requests and jobs in virtual time

Scripted targets for each kind of route, and two gateways over one store: quota, resent jobs, lost answers, an outage, and all processes replaced while the store's history is forgotten.

--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,182 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/gateway"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+)
+
+// decoder takes a configuration and targets that the test holds, by the record's
+// value.
+type decoder struct{ config *fleet.Configuration }
+
+func (d decoder) Configuration(fleet.Record) (*fleet.Configuration, error) { return d.config, nil }
+
+func (decoder) Target(r fleet.Record) (*fleet.Target, error) {
+	if len(r.Value) == 0 {
+		return nil, nil
+	}
+	return &fleet.Target{ID: r.Key, Service: string(r.Value), Address: r.Key}, nil
+}
+
+// step is what a scripted target does with an attempt.
+type step struct {
+	err     error
+	verdict fleet.Verdict
+	status  int
+	// events are sent as a stream; then the stream ends, breaks off where broken
+	// is set, or stays silent until the attempt is given up.
+	events   []string
+	broken   bool
+	silent   bool
+	unsigned bool
+}
+
+// sender plays targets that take the steps in turn, whatever their names.
+type sender struct {
+	mu    sync.Mutex
+	steps []step
+	sent  []fleet.Attempt
+}
+
+func (s *sender) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, a)
+	next := step{err: fleet.ErrNotDelivered.New("no step left")}
+	if len(s.steps) > 0 {
+		next, s.steps = s.steps[0], s.steps[1:]
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	status := max(next.status, http.StatusOK)
+	return &fleet.Answer{
+		Verdict: next.verdict, Status: status, Header: http.Header{}, Signed: !next.unsigned, Length: -1,
+		Body: &script{ctx: ctx, step: next}, Close: func() {},
+	}, nil
+}
+
+// script is the body of an answer.
+type script struct {
+	ctx  context.Context
+	step step
+}
+
+// Read implements io.Reader.
+func (s *script) Read(p []byte) (int, error) {
+	if len(s.step.events) > 0 {
+		n := copy(p, s.step.events[0])
+		s.step.events = s.step.events[1:]
+		return n, nil
+	}
+	if s.step.silent {
+		<-s.ctx.Done()
+		return 0, errors.New("closed")
+	}
+	if s.step.broken {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return 0, io.EOF
+}
+
+// sink collects an answer.
+type sink struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (s *sink) Begin(a *fleet.Answer) error {
+	s.status = a.Status
+	return nil
+}
+
+func (s *sink) Write(p []byte) error {
+	s.body.Write(p)
+	return nil
+}
+
+func events(from, to int) []string {
+	var list []string
+	for i := from; i <= to; i++ {
+		list = append(list, fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i))
+	}
+	return list
+}
+
+const whole = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
+
+var routes = map[string]*fleet.Route{
+	"resumable": {Name: "resumable", Host: "h", Prefix: "/r/", Kind: fleet.KindStream, Resumable: true, Attempts: 2, Timeout: 5 * time.Second, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
+	"stream":    {Name: "stream", Host: "h", Prefix: "/s/", Kind: fleet.KindStream, Attempts: 2, Timeout: 5 * time.Second, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
+	"safe":      {Name: "safe", Host: "h", Prefix: "/safe/", Kind: fleet.KindSafe, Attempts: 3, Timeout: 3 * time.Second, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
+	"unsafe":    {Name: "unsafe", Host: "h", Prefix: "/u/", Kind: fleet.KindUnsafe, Attempts: 3, Timeout: 3 * time.Second, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
+	"jobs":      {Name: "jobs", Host: "h", Prefix: "/j/", Kind: fleet.KindBatch, Attempts: 3, TokenQuota: 100, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
+}
+
+// site is a gateway with its store and its targets.
+type site struct {
+	t *testing.T
+	*gateway.Gateway
+	store  *fleetstore.Store
+	sender *sender
+}
+
+// newStore returns a store with a configuration and six targets.
+func newStore(t *testing.T) *fleetstore.Store {
+	t.Helper()
+	store := fleetstore.New()
+	put := func(topic fleet.Topic, key, value string) {
+		_, err := store.Append(t.Context(), topic, fleet.AnyOffset, []fleet.Record{{Key: key, Value: []byte(value)}})
+		assert.NilError(t, err)
+	}
+	put(fleet.TopicConfiguration, "config", "1")
+	for i := range 6 {
+		put(fleet.TopicTargets, fmt.Sprint("t", i), "llm")
+	}
+	return store
+}
+
+// startSite runs a gateway whose targets take the steps. It must be stopped.
+func startSite(t *testing.T, store *fleetstore.Store, steps ...step) *site {
+	t.Helper()
+	var list []*fleet.Route
+	for _, r := range routes {
+		list = append(list, r)
+	}
+	s := &site{t: t, store: store, sender: &sender{steps: steps}}
+	s.Gateway = gateway.New(gateway.Params{
+		Node:    &fleet.Node{Name: "gateway-1", Grace: 8 * time.Second, MaxRecordBytes: 1 << 18},
+		Store:   store,
+		Sender:  s.sender,
+		Decoder: decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})},
+	})
+	s.Start()
+	time.Sleep(time.Second)
+	return s
+}
+
+// serve sends a request of the route and returns the answer's body.
+func (s *site) serve(ctx context.Context, route string) (string, error) {
+	out := &sink{}
+	r := &fleet.Request{ID: "r1", Method: http.MethodPost, Host: "h", URI: "/x", Header: http.Header{}, Patience: 5 * time.Second}
+	err := s.Serve(ctx, routes[route], r, out)
+	return out.body.String(), err
+}
+
+func (s *site) stop() { assert.NilError(s.t, s.Stop()) }
+
+func text(list ...string) string { return strings.Join(list, "") }
--- /dev/null
+++ b/gateway/jobs_test.go
@@ -0,0 +1,209 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+func job(id string, items int) *fleet.Job {
+	j := &fleet.Job{ID: id, Host: "h"}
+	for i := range items {
+		j.Items = append(j.Items, fleet.Item{ID: fmt.Sprint("i", i), Path: "/j/x", Body: []byte("body"), Tokens: 10})
+	}
+	return j
+}
+
+func (s *site) submit(j *fleet.Job) error {
+	return s.Submit(s.t.Context(), routes["jobs"], "/j/1", j)
+}
+
+// finish appends a result as a batcher would.
+func finish(t *testing.T, store *fleetstore.Store, w *worklog.Writer, job, item, text string) {
+	t.Helper()
+	record, err := w.Record(worklog.Entry{Done: &worklog.Done{Job: job, Result: fleet.Result{Item: item, Text: text}}})
+	assert.NilError(t, err)
+	_, err = store.Append(t.Context(), fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+	assert.NilError(t, err)
+}
+
+// TestQuotaHoldsAcrossGateways submits jobs at two gateways at once, each job at
+// both: no more are accepted than fit, and the same at both.
+func TestQuotaHoldsAcrossGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		a, b := startSite(t, store), startSite(t, store)
+		defer a.stop()
+		defer b.stop()
+		store.SetFaults(fleetstore.Faults{Delay: 4 * time.Millisecond})
+		var accepted [8]atomic.Bool
+		var group sync.WaitGroup
+		for i := range accepted {
+			for _, s := range []*site{a, b} {
+				group.Go(func() {
+					err := s.submit(job(fmt.Sprint("job", i), 3))
+					if err == nil {
+						accepted[i].Store(true)
+						return
+					}
+					assert.Check(t, errorx.IsOfType(err, fleet.ErrNoRoom), "%v", err)
+				})
+			}
+		}
+		group.Wait()
+		time.Sleep(time.Second)
+		count := 0
+		for i := range accepted {
+			_, errA := a.Results(t.Context(), fmt.Sprint("job", i), 0, 0)
+			_, errB := b.Results(t.Context(), fmt.Sprint("job", i), 0, 0)
+			assert.Equal(t, errA == nil, accepted[i].Load(), "%v", errA)
+			assert.Equal(t, errB == nil, accepted[i].Load(), "%v", errB)
+			if errA == nil {
+				count++
+			}
+		}
+		assert.Equal(t, count, 3, "3 jobs of 30 tokens fit 100")
+	})
+}
+
+// TestQuotaComesBack accepts a job once results or an end make room.
+func TestQuotaComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("big", 9)))
+		assert.Assert(t, errorx.IsOfType(s.submit(job("two", 2)), fleet.ErrNoRoom))
+		finish(t, s.store, worklog.NewWriter("b"), "big", "i0", "x")
+		assert.NilError(t, s.submit(job("two", 2)))
+		assert.Assert(t, errorx.IsOfType(s.submit(job("three", 9)), fleet.ErrNoRoom))
+		assert.NilError(t, s.End(t.Context(), "big"))
+		assert.Assert(t, errorx.IsOfType(s.submit(job("three", 9)), fleet.ErrNoRoom), "two still waits")
+		assert.NilError(t, s.submit(job("three", 8)))
+	})
+}
+
+// TestLostAnswersOfTheStore accepts a job whose append was done and not answered
+// at once, and refuses nothing that may yet be accepted.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		s.store.SetFaults(fleetstore.Faults{LoseAnswers: 1})
+		assert.NilError(t, s.submit(job("one", 1)))
+		s.store.SetFaults(fleetstore.Faults{LoseAppends: 1})
+		assert.NilError(t, s.submit(job("two", 1)))
+		s.store.SetFaults(fleetstore.Faults{LoseAppends: 1000})
+		err := s.submit(job("three", 1))
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUncertain), "%v", err)
+	})
+}
+
+// TestStoreOutage refuses what would need the store, answers what is known, and
+// is sure of nothing else.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("one", 2)))
+		finish(t, s.store, worklog.NewWriter("b"), "one", "i1", "x")
+		time.Sleep(time.Second)
+		s.store.SetFaults(fleetstore.Faults{Down: true})
+		assert.Assert(t, errorx.IsOfType(s.submit(job("two", 1)), fleet.ErrRefused))
+		assert.NilError(t, s.submit(job("one", 2)), "a job that is known is accepted again")
+		assert.Assert(t, errorx.IsOfType(s.End(t.Context(), "one"), fleet.ErrRefused))
+		page, err := s.Results(t.Context(), "one", 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Results), 1)
+		_, err = s.Results(t.Context(), "two", 0, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
+		_, err = s.Results(t.Context(), "one", 2, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "a position read elsewhere: %v", err)
+		s.store.SetFaults(fleetstore.Faults{})
+		_, err = s.Results(t.Context(), "two", 0, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob), "%v", err)
+	})
+}
+
+// TestResultsWait wakes a reader at the next result, and at the end of its wait.
+func TestResultsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("one", 2)))
+		begun := time.Now()
+		page, err := s.Results(t.Context(), "one", 0, time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, page, fleet.ResultPage{Total: 2})
+		assert.Equal(t, time.Since(begun), time.Second)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			finish(t, s.store, worklog.NewWriter("b"), "one", "i1", "x")
+		}()
+		page, err = s.Results(t.Context(), "one", 0, 2*time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, page, fleet.ResultPage{Total: 2, Next: 1, Results: []fleet.Result{{Item: "i1", Text: "x"}}})
+	})
+}
+
+// TestPowerLoss replaces every gateway and lets the store forget its history: the
+// new one knows the same jobs, results, positions, bodies and ends.
+func TestPowerLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		s := startSite(t, store)
+		assert.NilError(t, s.submit(job("one", 3)))
+		assert.NilError(t, s.submit(job("ended", 1)))
+		assert.NilError(t, s.End(t.Context(), "ended"))
+		w := worklog.NewWriter("b")
+		finish(t, store, w, "one", "i2", "first")
+		finish(t, store, w, "one", "i0", "second")
+		finish(t, store, w, "one", "i2", "again")
+		finish(t, store, w, "ended", "i0", "late")
+		before, err := s.Results(t.Context(), "one", 0, 2*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(before.Results), 2)
+		s.stop()
+		store.Forget(fleet.TopicWork)
+		s = startSite(t, store)
+		defer s.stop()
+		after, err := s.Results(t.Context(), "one", 0, 0)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, before, after)
+		body, err := s.ItemBody(t.Context(), "one", "i1")
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "body")
+		page, err := s.Results(t.Context(), "ended", 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Results), 0)
+		_, err = s.ItemBody(t.Context(), "one", "i9")
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob))
+	})
+}
+
+// TestSubmitPatience ends with its caller's patience while the store is silent.
+func TestSubmitPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		s.store.SetFaults(fleetstore.Faults{Delay: time.Minute})
+		begun := time.Now()
+		err := s.submit(job("one", 1))
+		assert.Assert(t, err != nil)
+		assert.Assert(t, time.Since(begun) <= 2*time.Second, "%v", time.Since(begun))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = s.Results(ctx, "unknown", 0, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
+	})
+}
--- /dev/null
+++ b/gateway/online_test.go
@@ -0,0 +1,137 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// TestOutcomes checks for each kind of route what becomes of a request whose
+// targets take the steps: what its caller gets, and how often it was sent.
+func TestOutcomes(t *testing.T) {
+	lost := step{err: fleet.ErrBroken.New("no answer")}
+	unreachable := step{err: fleet.ErrNotDelivered.New("refused")}
+	full := step{verdict: fleet.VerdictNotRun, status: 503}
+	other := step{verdict: fleet.VerdictOtherTarget, status: 421}
+	foreign := step{verdict: fleet.VerdictForeign}
+	good := step{events: events(1, 3)}
+	for name, test := range map[string]struct {
+		route string
+		steps []step
+		body  string
+		err   *errorx.Type
+		sent  int
+	}{
+		"a stream passes":                         {"resumable", []step{good}, whole, nil, 1},
+		"a cut stream goes on":                    {"resumable", []step{{events: events(1, 2), broken: true}, {events: events(3, 3)}}, whole, nil, 2},
+		"half an event is not passed":             {"resumable", []step{{events: []string{"id: 1\ndata: token 1\n\nid: 2\nda"}, broken: true}, {events: events(2, 3)}}, whole, nil, 2},
+		"a stream is cut more often than allowed": {"resumable", []step{{events: events(1, 1), broken: true}, {events: events(2, 2), broken: true}, good}, text(events(1, 2)...), fleet.ErrUncertain, 2},
+		"another stream must not be repeated":     {"stream", []step{{events: events(1, 1), broken: true}, good}, text(events(1, 1)...), fleet.ErrUncertain, 1},
+		"a lost call must not be repeated":        {"unsafe", []step{lost, good}, "", fleet.ErrUncertain, 1},
+		"a foreign answer may hide a run":         {"unsafe", []step{foreign, good}, "", fleet.ErrUncertain, 1},
+		"an unsigned answer may hide a run":       {"unsafe", []step{{unsigned: true}, good}, "", fleet.ErrUncertain, 1},
+		"a call that was not run moves on":        {"unsafe", []step{full, other, unreachable, good}, whole, nil, 4},
+		"a call that nobody ran is refused":       {"unsafe", []step{full, full, full, full, good}, "", fleet.ErrRefused, 4},
+		"a call lost after refusals is uncertain": {"unsafe", []step{full, lost}, "", fleet.ErrUncertain, 2},
+		"a safe call is repeated":                 {"safe", []step{lost, foreign, good}, whole, nil, 3},
+		"a safe call is not repeated for ever":    {"safe", []step{lost, lost, lost, good}, "", fleet.ErrUncertain, 3},
+		"a broken whole answer is repeated":       {"safe", []step{{events: events(1, 1), broken: true}, good}, whole, nil, 2},
+		"a failed safe call is repeated":          {"safe", []step{{status: 500}, good}, whole, nil, 2},
+		"a target's failure passes":               {"unsafe", []step{{status: 500, events: []string{"oops"}}}, "oops", nil, 1},
+		"a target's promise does not":             {"unsafe", []step{{status: 503}}, "", fleet.ErrUncertain, 1},
+		"all targets are gone":                    {"safe", nil, "", fleet.ErrRefused, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSite(t, newStore(t), test.steps...)
+				defer s.stop()
+				body, err := s.serve(t.Context(), test.route)
+				assert.Equal(t, body, test.body)
+				if test.err == nil {
+					assert.NilError(t, err)
+				} else {
+					assert.Assert(t, errorx.IsOfType(err, test.err), "%v", err)
+				}
+				assert.Equal(t, len(s.sender.sent), test.sent)
+			})
+		})
+	}
+}
+
+// TestAttemptsNameTheRest checks what each attempt of a resumed stream carries.
+func TestAttemptsNameTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t), step{events: events(1, 2), broken: true}, step{events: events(3, 3)})
+		defer s.stop()
+		_, err := s.serve(t.Context(), "resumable")
+		assert.NilError(t, err)
+		first, second := s.sender.sent[0], s.sender.sent[1]
+		assert.Equal(t, first.After, "")
+		assert.Equal(t, second.After, "2")
+		assert.Assert(t, first.Target.ID != second.Target.ID)
+		assert.Equal(t, first.TimeLeft, 5*time.Second)
+	})
+}
+
+// TestDarkTarget replays a target that goes silent before or in a stream: the
+// stream goes on elsewhere, where it may, and ends with its route's time, where not.
+func TestDarkTarget(t *testing.T) {
+	for _, had := range []int{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := startSite(t, newStore(t), step{events: events(1, had), silent: true}, step{events: events(had+1, 3)})
+			defer s.stop()
+			begun := time.Now()
+			body, err := s.serve(t.Context(), "resumable")
+			assert.NilError(t, err)
+			assert.Equal(t, body, whole)
+			assert.Assert(t, time.Since(begun) < 2*time.Second, "%v", time.Since(begun))
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t), step{events: events(1, 1), silent: true})
+		defer s.stop()
+		begun := time.Now()
+		_, err := s.serve(t.Context(), "stream")
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrTimedOut), "%v", err)
+		assert.Equal(t, time.Since(begun), 5*time.Second)
+	})
+}
+
+// TestCallerLeaves ends the attempt with its caller.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t), step{silent: true})
+		defer s.stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		begun := time.Now()
+		_, err := s.serve(ctx, "resumable")
+		assert.Assert(t, err != nil)
+		assert.Equal(t, time.Since(begun), 100*time.Millisecond)
+		assert.Equal(t, len(s.sender.sent), 1)
+	})
+}
+
+// TestDrain lets a request end that runs when the gateway is told to stop.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t), step{events: events(1, 1), silent: true})
+		defer s.stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		go func() { _, _ = s.serve(ctx, "stream") }()
+		synctest.Wait()
+		assert.Assert(t, s.Ready())
+		begun := time.Now()
+		s.Drain()
+		assert.Assert(t, !s.Ready() && s.Closing())
+		took := time.Since(begun)
+		assert.Assert(t, took >= 4*time.Second && took < 4500*time.Millisecond, "%v", took)
+	})
+}
