Test a batcher's items in virtual time

A scripted target beside a log of work: steps of online traffic, failures that are final, ended jobs, batchers that stop, drain or lose their target, a store that is away, another lifetime under the same address. The order in which free items are drawn is a parameter, so that a test repeats.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -55,6 +55,8 @@
 	Sender   fleet.Sender
 	Reporter Reporter
 	Decoder  registry.Decoder
+	// Shuffle permutes n things; nil stands for a random order.
+	Shuffle func(n int, swap func(i, j int))
 }
 
 // Batcher runs items at one target.
@@ -86,6 +88,9 @@
 
 // New returns a batcher that has not started.
 func New(p Params) *Batcher {
+	if p.Shuffle == nil {
+		p.Shuffle = rand.Shuffle
+	}
 	b := &Batcher{
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
@@ -278,7 +283,7 @@
 		return
 	}
 	chosen := claims.Choose(claims.Params{
-		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: rand.Shuffle,
+		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: b.params.Shuffle,
 	}, b.fold, want)
 	if len(chosen) == 0 {
 		return
--- /dev/null
+++ b/batcher/batcher_test.go
@@ -0,0 +1,339 @@
+package batcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/batcher"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+const (
+	slots     = 4
+	tokens    = 40
+	tokenTime = 50 * time.Millisecond
+)
+
+// target is a model target that the batcher runs items at: each answers with
+// numbered events at a steady pace, after the event that the attempt names.
+type target struct {
+	mu       sync.Mutex
+	id       string
+	online   int
+	waiting  int
+	draining bool
+	down     bool
+	running  int
+	most     int
+	sends    map[string]int
+	// statuses are answered to an item before it runs.
+	statuses map[string][]int
+}
+
+func newTarget() *target {
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}}
+}
+
+func (e *target) set(change func(*target)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+// busy returns the number of items that run.
+func (e *target) busy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// sent returns how often an item was sent, that of all items for an empty name.
+func (e *target) sent(item string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if item != "" {
+		return e.sends[item]
+	}
+	sum := 0
+	for _, n := range e.sends {
+		sum += n
+	}
+	return sum
+}
+
+// Report implements batcher.Reporter.
+func (e *target) Report(context.Context, string) (fleet.TargetState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return fleet.TargetState{}, fleet.ErrNotDelivered.New("down")
+	}
+	return fleet.TargetState{ID: e.id, Running: e.running + e.online, Waiting: e.waiting, Draining: e.draining}, nil
+}
+
+// Identify implements batcher.Reporter.
+func (e *target) Identify(context.Context, string, string) (string, error) { return e.id, nil }
+
+// Send implements fleet.Sender.
+func (e *target) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, fleet.ErrNotDelivered.New("down")
+	}
+	id := a.Request.ID
+	e.sends[id]++
+	answer := &fleet.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, Body: strings.NewReader(""), Close: func() {}}
+	if a.Target.ID != e.id {
+		answer.Verdict = fleet.VerdictOtherTarget
+		return answer, nil
+	}
+	if left := e.statuses[id]; len(left) > 0 {
+		answer.Status, e.statuses[id] = left[0], left[1:]
+		return answer, nil
+	}
+	e.running++
+	e.most = max(e.most, e.running+e.online)
+	after := 0
+	_, _ = fmt.Sscan(a.After, &after)
+	answer.Body = &stream{e: e, ctx: ctx, item: id, next: after + 1}
+	answer.Close = func() { e.set(func(e *target) { e.running-- }) }
+	return answer, nil
+}
+
+type stream struct {
+	e    *target
+	ctx  context.Context
+	item string
+	next int
+}
+
+// Read implements io.Reader.
+func (s *stream) Read(p []byte) (int, error) {
+	if s.next > tokens {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(tokenTime):
+	case <-s.ctx.Done():
+		return 0, errors.New("closed")
+	}
+	down := false
+	s.e.set(func(e *target) { down = e.down })
+	if down {
+		return 0, errors.New("reset")
+	}
+	n := copy(p, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", s.next, s.item, s.next))
+	s.next++
+	return n, nil
+}
+
+func wholeText(item string) string {
+	var lines []string
+	for i := 1; i <= tokens; i++ {
+		lines = append(lines, fmt.Sprintf("%s-%d", item, i))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// decoder gives the configuration that the test holds.
+type decoder struct{ config *fleet.Configuration }
+
+func (d decoder) Configuration(fleet.Record) (*fleet.Configuration, error) { return d.config, nil }
+func (decoder) Target(fleet.Record) (*fleet.Target, error)                 { return nil, nil }
+
+// site is a store with a log of work.
+type site struct {
+	t      *testing.T
+	store  *fleetstore.Store
+	writer *worklog.Writer
+	config *fleet.Configuration
+}
+
+func newSite(t *testing.T) *site {
+	route := &fleet.Route{Name: "jobs", Host: "h", Prefix: "/j/", Kind: fleet.KindBatch, Attempts: 3, Services: []fleet.Share{{Service: "llm", Weight: 1}}}
+	s := &site{t: t, store: fleetstore.New(), writer: worklog.NewWriter("gateway")}
+	s.config = fleet.NewConfiguration(1, []*fleet.Route{route}, []*fleet.Service{{Name: "llm", Slots: slots}}, fleet.Limits{})
+	_, err := s.store.Append(t.Context(), fleet.TopicConfiguration, fleet.AnyOffset, []fleet.Record{{Key: "config", Value: []byte("1")}})
+	assert.NilError(t, err)
+	return s
+}
+
+func (s *site) put(e worklog.Entry) {
+	s.t.Helper()
+	record, err := s.writer.Record(e)
+	assert.NilError(s.t, err)
+	_, err = s.store.Append(s.t.Context(), fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+	assert.NilError(s.t, err)
+}
+
+func (s *site) accept(id string, items int) {
+	job := fleet.Job{ID: id, Host: "h"}
+	for i := range items {
+		job.Items = append(job.Items, fleet.Item{ID: fmt.Sprint(id, i), Path: "/j/x", Header: http.Header{}})
+	}
+	s.put(worklog.Entry{Accept: &worklog.Accept{Job: job, Route: "jobs", Path: "/j/1"}})
+}
+
+func (s *site) start(name string, e *target) *batcher.Batcher {
+	b := batcher.New(batcher.Params{
+		Node:  &fleet.Node{Name: name, TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20},
+		Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config},
+		Shuffle: rand.New(rand.NewPCG(1, uint64(len(name)))).Shuffle,
+	})
+	b.Start()
+	return b
+}
+
+func (s *site) job(id string) *worklog.Job {
+	s.t.Helper()
+	records, _, err := s.store.Newest(s.t.Context(), fleet.TopicWork)
+	assert.NilError(s.t, err)
+	fold := worklog.NewFold()
+	fold.Apply(time.Now(), records)
+	return fold.Job(id)
+}
+
+// checkWhole checks that every item of the job has its whole output.
+func (s *site) checkWhole(id string) {
+	s.t.Helper()
+	job := s.job(id)
+	assert.Equal(s.t, len(job.Results), len(job.Items))
+	for _, r := range job.Results {
+		assert.Equal(s.t, r.State, fleet.ResultCompleted)
+		assert.Equal(s.t, r.Text, wholeText(r.Item))
+	}
+}
+
+// TestItemsFillSpareSlots runs a job beside online requests that come in a step:
+// items leave the reserve free, yield in the step, and go on after their last event.
+func TestItemsFillSpareSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		s.accept("j", 6)
+		b := s.start("b", e)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, e.busy(), slots-1)
+		e.set(func(e *target) { e.online = slots })
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, e.busy(), 0, "items yield within a look")
+		e.set(func(e *target) { e.online = 0 })
+		time.Sleep(10 * time.Second)
+		s.checkWhole("j")
+		assert.NilError(t, b.Stop())
+		assert.Assert(t, e.most <= 2*slots-1)
+	})
+}
+
+// TestFailures follows what a target says of items that it cannot do.
+func TestFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		e.statuses["j0"] = []int{422}
+		e.statuses["j1"] = []int{500, 500, 500, 500, 500}
+		e.statuses["j2"] = []int{500, 503, 500}
+		s.accept("j", 3)
+		b := s.start("b", e)
+		time.Sleep(10 * time.Second)
+		states := map[string]fleet.ResultState{}
+		for _, r := range s.job("j").Results {
+			states[r.Item] = r.State
+		}
+		assert.DeepEqual(t, states, map[string]fleet.ResultState{"j0": fleet.ResultDead, "j1": fleet.ResultDead, "j2": fleet.ResultCompleted})
+		assert.Equal(t, e.sent("j0"), 1)
+		assert.Equal(t, e.sent("j1"), 3, "as many failures as attempts, no more")
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// TestEndedJobStops breaks off what runs of a job that its caller ends.
+func TestEndedJobStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		s.accept("j", 8)
+		b := s.start("b", e)
+		time.Sleep(1200 * time.Millisecond)
+		assert.Assert(t, e.busy() > 0)
+		s.put(worklog.Entry{End: &worklog.End{Job: "j"}})
+		time.Sleep(time.Second)
+		assert.Equal(t, e.busy(), 0)
+		sends := e.sent("")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, e.sent(""), sends)
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// TestBatcherIsReplaced kills, stops or drains one of two batchers in the middle:
+// the other finishes the job, from where a released item was.
+func TestBatcherIsReplaced(t *testing.T) {
+	for name, leave := range map[string]func(*batcher.Batcher, *target){
+		"stopped":     func(b *batcher.Batcher, _ *target) { _ = b.Stop() },
+		"drained":     func(_ *batcher.Batcher, e *target) { e.set(func(e *target) { e.draining = true }) },
+		"target down": func(_ *batcher.Batcher, e *target) { e.set(func(e *target) { e.down = true }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e, other := newSite(t), newTarget(), newTarget()
+				s.accept("j", 12)
+				first, second := s.start("first", e), s.start("second", other)
+				time.Sleep(1600 * time.Millisecond)
+				assert.Assert(t, e.busy() > 0 && other.busy() > 0)
+				leave(first, e)
+				time.Sleep(30 * time.Second)
+				s.checkWhole("j")
+				assert.Equal(t, e.busy(), 0)
+				assert.NilError(t, second.Stop())
+				_ = first.Stop()
+			})
+		})
+	}
+}
+
+// TestStoreOutage finishes held items while the store is away, and stores their
+// results once after its return.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		s.accept("j", 3)
+		b := s.start("b", e)
+		time.Sleep(1200 * time.Millisecond)
+		s.store.SetFaults(fleetstore.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		s.store.SetFaults(fleetstore.Faults{LoseAnswers: 2})
+		time.Sleep(3 * time.Second)
+		s.checkWhole("j")
+		for i := range 3 {
+			assert.Equal(t, e.sent(fmt.Sprint("j", i)), 1)
+		}
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// TestAnotherLifetime lets the target start again under another ID between two
+// items: no item runs at a target that was not meant.
+func TestAnotherLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		b := s.start("b", e)
+		time.Sleep(1200 * time.Millisecond)
+		e.set(func(e *target) { e.id = "t2" })
+		s.accept("j", 2)
+		time.Sleep(5 * time.Second)
+		s.checkWhole("j")
+		assert.NilError(t, b.Stop())
+	})
+}
