Refuse what reaches a gateway late in its grace time

While fewer than half of a data centre's gateways are ready the platform sends callers to all of them, so that requests never ceased. Ruled out: a hanging stop. Change: requests are taken while callers notice, and refused after that. TestLateRequestIsRefused fails without it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 
 	active  atomic.Int64
 	closing atomic.Bool
+	// late is set once callers have had the time to notice that it closes.
+	late atomic.Bool
 	// ctx ends when the tomb is dying.
 	ctx  context.Context
 	tomb *tomb.Tomb
@@ -126,8 +128,10 @@
 // Closing implements fleet.Callers.
 func (g *Gateway) Closing() bool { return g.closing.Load() }
 
-// Drain stops being ready, lets requests end while callers notice, and returns
-// once none runs or the grace time is nearly over.
+// Drain stops being ready and lets requests end. While callers notice it takes
+// more; after that it refuses them, since callers may come for as long as too few
+// other gateways are ready. It returns once none runs or the grace time is nearly
+// over.
 func (g *Gateway) Drain() {
 	klog.InfoS("gateway draining", "requests", g.active.Load())
 	g.closing.Store(true)
@@ -135,7 +139,8 @@
 	last := begun.Add(g.params.Node.Grace - stopMargin)
 	for time.Now().Before(last) {
 		pause.For(context.Background(), stopPoll)
-		if g.active.Load() == 0 && time.Since(begun) > noticeTime {
+		g.late.Store(time.Since(begun) > noticeTime)
+		if g.active.Load() == 0 && g.late.Load() {
 			break
 		}
 	}
@@ -144,6 +149,7 @@
 
 // Stop ends following the store.
 func (g *Gateway) Stop() error {
+	g.late.Store(true)
 	g.tomb.Kill(nil)
 	err := g.tomb.Wait()
 	klog.InfoS("gateway stopped", "instance", g.params.Node.Name)
@@ -178,6 +184,17 @@
 	return c != nil && c.HasBatch(host)
 }
 
+// enter counts a request until leave is called. It fails with ErrRefused where the
+// gateway is about to stop.
+func (g *Gateway) enter() (leave func(), err error) {
+	g.active.Add(1)
+	if g.late.Load() {
+		g.active.Add(-1)
+		return nil, refuse("the gateway stops")
+	}
+	return func() { g.active.Add(-1) }, nil
+}
+
 // retryAfter is when a caller whose request was refused should come back: a slot
 // comes free within this time unless the overload lasts.
 const retryAfter = 150 * time.Millisecond
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -54,10 +54,13 @@
 // where this gateway has folded it, so that its success is the verdict on the
 // quota and on who came first.
 func (g *Gateway) Submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
-	g.active.Add(1)
-	defer g.active.Add(-1)
+	leave, err := g.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
 	begun := time.Now()
-	err := g.submit(ctx, route, path, job)
+	err = g.submit(ctx, route, path, job)
 	g.metrics.observe(route, err, time.Since(begun))
 	klog.V(1).InfoS("job submitted", "job", job.ID, "route", route.Name, "items", len(job.Items), "tokens", tokensOf(job),
 		"after", time.Since(begun), "error", protocol.CauseOf(err))
@@ -161,9 +164,12 @@
 
 // Results implements fleet.Callers.
 func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
-	err := g.look(ctx, id, func(job *worklog.Job) bool { return after <= len(job.Results) })
+	leave, err := g.enter()
+	if err != nil {
+		return fleet.ResultPage{}, err
+	}
+	defer leave()
+	err = g.look(ctx, id, func(job *worklog.Job) bool { return after <= len(job.Results) })
 	if err != nil {
 		return fleet.ResultPage{}, err
 	}
@@ -223,8 +229,11 @@
 
 // End implements fleet.Callers.
 func (g *Gateway) End(ctx context.Context, id string) error {
-	g.active.Add(1)
-	defer g.active.Add(-1)
+	leave, err := g.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
 	ended := false
 	if err := g.look(ctx, id, func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
 		return err
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -34,8 +34,11 @@
 
 // Serve implements fleet.Callers.
 func (g *Gateway) Serve(ctx context.Context, route *fleet.Route, r *fleet.Request, sink fleet.Sink) error {
-	g.active.Add(1)
-	defer g.active.Add(-1)
+	leave, err := g.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
 	limit := route.Timeout
 	if r.Patience > 0 && (limit == 0 || r.Patience < limit) {
 		limit = r.Patience
@@ -47,7 +50,7 @@
 		defer cancel()
 	}
 	o := &online{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), bounded: limit > 0, after: r.After, tried: map[string]bool{}}
-	err := o.run(ctx)
+	err = o.run(ctx)
 	g.metrics.observe(route, err, time.Since(begun))
 	if err != nil {
 		klog.V(1).InfoS("request ended", "request", r.ID, "route", route.Name, "sends", o.sends, "runs", o.runs, "begun", o.begun,
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +136,32 @@
 		assert.Assert(t, took >= 4*time.Second && took < 4500*time.Millisecond, "%v", took)
 	})
 }
+
+// TestLateRequestIsRefused keeps sending to a gateway that was told to stop, as
+// callers do while too few others are ready: what comes late is refused before it
+// runs, so that nothing is cut at the end.
+func TestLateRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		long := step{events: events(1, 1), silent: true}
+		s := startSite(t, newStore(t), long, long, long, long, long, long, long, long, long, long)
+		defer s.stop()
+		var refused atomic.Int32
+		go func() {
+			for range 10 {
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				_, err := s.serve(ctx, "stream")
+				cancel()
+				if errorx.IsOfType(err, fleet.ErrRefused) {
+					refused.Add(1)
+				}
+			}
+		}()
+		begun := time.Now()
+		s.Drain()
+		synctest.Wait()
+		assert.Assert(t, time.Since(begun) < 6*time.Second, "%v", time.Since(begun))
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, refused.Load() >= 7, "%d refused", refused.Load())
+	})
+}
