Log every decision as key=value lines, and forget lifetimes that are over

Change: logs writes bounded lines to standard output without blocking; a request has a line for each attempt with what decided it; gateways and batchers serve metrics; explain gathers the lines of an ID. A target that another lifetime answers for is dropped at once, and a service without targets is refused with the time in which one registers. TestLostPowerEverywhere fails without that.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
@@ -16,6 +18,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/spare"
 	"github.com/sycamoretally/sycamoretally/coordination/tail"
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
+	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
@@ -63,6 +66,8 @@
 	Decoder  registry.Decoder
 	// Shuffle permutes n things; nil stands for a random order.
 	Shuffle func(n int, swap func(i, j int))
+	// Registry takes the metrics; nil stands for one of its own.
+	Registry *prometheus.Registry
 }
 
 // Batcher runs items at one target.
@@ -73,6 +78,7 @@
 	configTail *tail.Follower
 	workTail   *tail.Follower
 	outbox     *outbox.Outbox
+	metrics    *metrics
 
 	mu     sync.Mutex
 	fold   *worklog.Fold
@@ -99,6 +105,9 @@
 	if p.Shuffle == nil {
 		p.Shuffle = rand.Shuffle
 	}
+	if p.Registry == nil {
+		p.Registry = prometheus.NewRegistry()
+	}
 	b := &Batcher{
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
@@ -110,6 +119,7 @@
 	b.outbox = outbox.New(outbox.Params{
 		Store: p.Store, Topic: fleet.TopicWork, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey,
 	})
+	b.metrics = newMetrics(b)
 	b.tomb, b.ctx = tomb.WithContext(context.Background())
 	b.configTail = tail.New(tail.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: configInterval,
@@ -316,14 +326,18 @@
 		err = b.workTail.CatchUp(ctx)
 	}
 	if err != nil {
-		klog.V(1).InfoS("items not claimed", "items", len(chosen), "error", protocol.CauseOf(err))
+		klog.InfoS("items not claimed", "items", len(chosen), "error", protocol.CauseOf(err))
 		pause.For(ctx, claimPause)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.claiming = false
 	for _, c := range chosen {
-		b.take(c.ItemRef)
+		won := b.take(c.ItemRef)
+		b.metrics.claims.WithLabelValues(strconv.FormatBool(won)).Inc()
+		if won || logs.Sampled(c.Item) {
+			klog.InfoS("item claimed", "job", c.Job, "item", c.Item, "over", c.Over, "won", won)
+		}
 	}
 }
 
@@ -331,15 +345,16 @@
 const claimPause = 200 * time.Millisecond
 
 // take holds the item if the log says that it is this batcher's. The lock is held.
-func (b *Batcher) take(ref worklog.ItemRef) {
+func (b *Batcher) take(ref worklog.ItemRef) bool {
 	job, item := b.fold.Job(ref.Job), b.fold.Item(ref)
 	if item == nil || item.Done || job.Ended || item.Holder != b.writer.Name() || b.held[ref] != nil {
-		return
+		return false
 	}
 	b.held[ref] = &held{
 		ref: ref, job: job.Accept, item: item.Item, offset: job.Offset, submitted: job.Seen,
 		progress: item.Progress, since: time.Now(), begunAt: item.Progress.Events,
 	}
+	return true
 }
 
 // runs reports whether the target's service runs the job's items.
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamoretally/sycamoretally/coordination/spare"
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
+	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
@@ -150,6 +151,8 @@
 		if i < room || r.cancel != nil || r.InTime() {
 			continue
 		}
+		klog.InfoS("item given back", "job", r.ref.Job, "item", r.ref.Item, "reason", "late", "age", r.Age, "due", r.Due, "left", r.Left,
+			"last_event", r.progress.After)
 		delete(b.held, r.ref)
 		b.put(worklog.Entry{Release: &worklog.Release{ItemRef: r.ref, Progress: r.progress}})
 	}
@@ -198,8 +201,21 @@
 	if end.moved {
 		b.target = ""
 	}
-	klog.V(1).InfoS("item run ended", "job", h.ref.Job, "item", h.ref.Item, "after_event", end.progress.After, "failures", end.progress.Failures,
-		"done", end.result != nil, "error", protocol.CauseOf(end.err), "cause", protocol.CauseOf(cause))
+	outcome := "broken"
+	switch {
+	case end.result != nil && end.result.State == fleet.ResultDead:
+		outcome = "dead"
+	case end.result != nil:
+		outcome = "done"
+	case errorx.IsOfType(cause, errYield):
+		outcome = "yielded"
+	}
+	b.metrics.runs.WithLabelValues(outcome).Inc()
+	if outcome != "yielded" || logs.Sampled(h.ref.Item) {
+		klog.InfoS("item run ended", "job", h.ref.Job, "item", h.ref.Item, "target", b.target, "ran", time.Since(h.started),
+			"held", time.Since(h.since), "age", time.Since(h.submitted), "last_event", end.progress.After, "failures", end.progress.Failures,
+			"outcome", outcome, "error", protocol.CauseOf(end.err), "cause", protocol.CauseOf(cause))
+	}
 	if end.result != nil {
 		if h.begunAt == 0 {
 			b.pace.Observe(h.item.Tokens, end.progress.Events, time.Since(h.since))
@@ -216,6 +232,7 @@
 	}
 	klog.InfoS("items released", "items", len(b.held), "reason", why)
 	for ref, h := range b.held {
+		klog.InfoS("item given back", "job", ref.Job, "item", ref.Item, "reason", why, "last_event", h.progress.After)
 		h.stop(errLost.New("released"))
 		delete(b.held, ref)
 		b.put(worklog.Entry{Release: &worklog.Release{ItemRef: ref, Progress: h.progress}})
--- /dev/null
+++ b/cmd/sycamoretally/explain_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestExplain gathers a request's lines from the logs of two processes.
+func TestExplain(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	a := write("a.log", "time=2026-01-01T00:00:02Z level=info event=\"request ended\" request=r1 outcome=answered\nnot a log line\n")
+	b := write("b.log", "12.5 side-1 time=2026-01-01T00:00:01Z level=info event=attempt request=r1\ntime=2026-01-01T00:00:03Z level=info event=attempt request=r2\n")
+	run := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		cmd := rootCommand()
+		cmd.SetOut(&out)
+		cmd.SetArgs(append([]string{"explain"}, args...))
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	text, err := run("r1", a, b)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "12.5 side-1 time=2026-01-01T00:00:01Z level=info event=attempt request=r1\n"+
+		"time=2026-01-01T00:00:02Z level=info event=\"request ended\" request=r1 outcome=answered\n")
+	_, err = run("r3", a, b)
+	assert.ErrorContains(t, err, "r3")
+	_, err = run("r1", filepath.Join(dir, "none"))
+	assert.Assert(t, err != nil)
+}
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -10,11 +10,16 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/spf13/cobra"
+	"github.com/uptrace/bunrouter"
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/batcher"
 	"github.com/sycamoretally/sycamoretally/gateway"
+	"github.com/sycamoretally/sycamoretally/instrument"
+	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/transport"
@@ -28,6 +33,12 @@
 	// memoryShare is the part of the instance's memory that the runtime may fill
 	// before it collects more often.
 	memoryShare = 0.6
+	// metricsPort and metricsPath are where each role serves its metrics; the
+	// deploy file names them too.
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+	// logFlush bounds the writing of the last log lines.
+	logFlush = 500 * time.Millisecond
 	// collectPercent is how much the heap may grow between two collections.
 	collectPercent = 60
 )
@@ -45,6 +56,31 @@
 	return node, nil
 }
 
+// process is what every role on the platform has.
+type process struct {
+	node     *fleet.Node
+	log      *logs.Writer
+	registry *prometheus.Registry
+	store    fleet.Store
+	pool     *transport.ConnPool
+}
+
+// newProcess reads the settings, begins to log to standard output and serves the
+// role's metrics.
+func newProcess() (*process, error) {
+	node, err := loadNode()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{node: node, log: logs.NewWriter(os.Stdout), registry: prometheus.NewRegistry(), pool: transport.NewConnPool()}
+	p.log.Install()
+	p.store = instrument.NewStore(platform.NewStore(node.StoreAddress), p.registry)
+	instrument.Log(p.log, p.registry)
+	router := bunrouter.New()
+	router.GET(metricsPath, bunrouter.HTTPHandler(promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{})))
+	return p, listenAndServe(net.JoinHostPort(node.Address, metricsPort), router)
+}
+
 // listenAndServe serves the handler at the address until the process ends.
 func listenAndServe(address string, h http.Handler) error {
 	config := net.ListenConfig{Control: transport.SetUserTimeout}
@@ -79,20 +115,20 @@
 		Short: "Run a gateway on the users' platform: callers' requests and batch jobs",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			node, err := loadNode()
+			p, err := newProcess()
 			if err != nil {
 				return err
 			}
-			pool := transport.NewConnPool()
+			defer p.log.Close(logFlush)
 			g := gateway.New(gateway.Params{
-				Node: node, Store: platform.NewStore(node.StoreAddress), Sender: platform.NewTargets(pool),
-				Decoder: platform.Decoder{}, Sweep: pool.Sweep,
+				Node: p.node, Store: p.store, Sender: platform.NewTargets(p.pool),
+				Decoder: platform.Decoder{}, Sweep: p.pool.Sweep, Registry: p.registry,
 			})
 			g.Start()
-			if err := listenAndServe(node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
+			if err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
 				return err
 			}
-			if err := listenAndServe(node.CallerAddress, platform.NewIngress(g)); err != nil {
+			if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
 				return err
 			}
 			awaitStop()
@@ -108,13 +144,14 @@
 		Short: "Run a batcher on the users' platform: items of batch jobs beside a target",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			node, err := loadNode()
+			p, err := newProcess()
 			if err != nil {
 				return err
 			}
-			targets := platform.NewTargets(transport.NewConnPool())
+			defer p.log.Close(logFlush)
+			targets := platform.NewTargets(p.pool)
 			b := batcher.New(batcher.Params{
-				Node: node, Store: platform.NewStore(node.StoreAddress), Sender: targets, Reporter: targets, Decoder: platform.Decoder{},
+				Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
 			})
 			b.Start()
 			awaitStop()
--- a/coordination/placing/placing.go
+++ b/coordination/placing/placing.go
@@ -56,10 +56,22 @@
 	return &Table{now: now, random: random, targets: map[string]*state{}}
 }
 
+// Choice is a target with what decided for it.
+type Choice struct {
+	Target *fleet.Target
+	// InFlight counts this process's other requests there, Others those that the
+	// target reported of others, ReportAge ago; 0 if it never did.
+	InFlight  int
+	Others    int
+	ReportAge time.Duration
+	// Suspect is set where no target was left that had not just failed.
+	Suspect bool
+}
+
 // Begin chooses the least loaded of the targets that are not in tried and counts
-// a request at it. It returns nil where there is none. Suspects are chosen only
+// a request at it. It returns false where there is none. Suspects are chosen only
 // where there are no others.
-func (t *Table) Begin(targets []*fleet.Target, tried map[string]bool) *fleet.Target {
+func (t *Table) Begin(targets []*fleet.Target, tried map[string]bool) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -73,12 +85,17 @@
 			best, bestLoad = target, load
 		}
 	}
-	if best != nil {
-		s := t.state(best.ID)
-		s.inFlight++
-		s.used = now
+	if best == nil {
+		return Choice{}, false
+	}
+	s := t.state(best.ID)
+	choice := Choice{Target: best, InFlight: s.inFlight, Suspect: now.Before(s.suspect)}
+	if !s.reportedAt.IsZero() {
+		choice.Others, choice.ReportAge = int(s.others), now.Sub(s.reportedAt)
 	}
-	return best
+	s.inFlight++
+	s.used = now
+	return choice, true
 }
 
 // suspectLoad is added to the load of a suspect, above any real load.
--- a/coordination/placing/placing_test.go
+++ b/coordination/placing/placing_test.go
@@ -24,17 +24,23 @@
 	return placing.New(func() time.Time { return now }, func() float64 { return 0 }), &now
 }
 
+// begin returns the name of the target that is chosen.
+func begin(table *placing.Table, list []*fleet.Target, tried map[string]bool) string {
+	choice, _ := table.Begin(list, tried)
+	return choice.Target.ID
+}
+
 // TestStepOfTraffic replays a step: many requests at once spread evenly.
 func TestStepOfTraffic(t *testing.T) {
 	table, _ := newTable()
 	list := targets(4)
 	counts := map[string]int{}
 	for range 32 {
-		counts[table.Begin(list, nil).ID]++
+		counts[begin(table, list, nil)]++
 	}
 	assert.DeepEqual(t, counts, map[string]int{"t0": 8, "t1": 8, "t2": 8, "t3": 8})
 	table.End(list[2])
-	assert.Equal(t, table.Begin(list, nil).ID, "t2")
+	assert.Equal(t, begin(table, list, nil), "t2")
 }
 
 // TestOthersLoad counts what a target reports of other gateways, for a moment.
@@ -42,10 +48,10 @@
 	table, now := newTable()
 	list := targets(2)
 	table.Report(list[0], fleet.Load{Running: 6, Waiting: 2})
-	assert.Equal(t, table.Begin(list, nil).ID, "t1")
-	assert.Equal(t, table.Begin(list, nil).ID, "t1")
+	assert.Equal(t, begin(table, list, nil), "t1")
+	assert.Equal(t, begin(table, list, nil), "t1")
 	*now = now.Add(3 * time.Second)
-	assert.Equal(t, table.Begin(list, nil).ID, "t0")
+	assert.Equal(t, begin(table, list, nil), "t0")
 }
 
 // TestFailingTarget replays a target that goes dark under traffic: requests leave
@@ -56,21 +62,23 @@
 	for range 5 {
 		table.Failed(list[0]) // requests sent at the same time fail together
 	}
-	assert.Equal(t, table.Begin(list, nil).ID, "t1")
-	assert.Equal(t, table.Begin(list, map[string]bool{"t1": true}).ID, "t0")
+	assert.Equal(t, begin(table, list, nil), "t1")
+	assert.Equal(t, begin(table, list, map[string]bool{"t1": true}), "t0")
 	table.End(list[0])
 	*now = now.Add(400 * time.Millisecond)
-	assert.Equal(t, table.Begin(list, nil).ID, "t0", "it is tried again")
+	assert.Equal(t, begin(table, list, nil), "t0", "it is tried again")
 	table.End(list[0])
 	table.Failed(list[0])
 	*now = now.Add(400 * time.Millisecond)
-	assert.Equal(t, table.Begin(list, nil).ID, "t1", "the second time is longer")
+	assert.Equal(t, begin(table, list, nil), "t1", "the second time is longer")
 	table.Succeeded(list[0])
-	assert.Equal(t, table.Begin(list, nil).ID, "t0")
+	assert.Equal(t, begin(table, list, nil), "t0")
 }
 
 func TestNoTargetLeft(t *testing.T) {
 	table, _ := newTable()
-	assert.Assert(t, table.Begin(nil, nil) == nil)
-	assert.Assert(t, table.Begin(targets(1), map[string]bool{"t0": true}) == nil)
+	_, found := table.Begin(nil, nil)
+	assert.Assert(t, !found)
+	_, found = table.Begin(targets(1), map[string]bool{"t0": true})
+	assert.Assert(t, !found)
 }
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -93,6 +93,21 @@
 // Current returns the registry as it is known now.
 func (t *Targets) Current() *Snapshot { return t.snapshot.Load() }
 
+// Gone drops a lifetime of which another one at its address has told that it is
+// over. A later lifetime under the same ID stays.
+func (t *Targets) Gone(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.byID[target.ID]
+	if known == nil || known.Born != target.Born {
+		return
+	}
+	klog.InfoS("target gone", "target", target.ID, "reason", "another lifetime answers at its address")
+	delete(t.missing, target.ID)
+	delete(t.byID, target.ID)
+	t.publish()
+}
+
 // StoreReturned says that the store answers again after it did not. Targets
 // whose registration lapsed meanwhile stay for a grace period.
 func (t *Targets) StoreReturned() {
@@ -158,7 +173,7 @@
 		return // a late record of an earlier lifetime
 	}
 	if old == nil || old.Draining != target.Draining || old.Born != target.Born {
-		klog.V(1).InfoS("target registered", "target", target.ID, "service", target.Service, "draining", target.Draining, "born", target.Born)
+		klog.InfoS("target registered", "target", target.ID, "service", target.Service, "draining", target.Draining, "born", target.Born)
 	}
 	delete(t.missing, target.ID)
 	t.byID[target.ID] = target
@@ -174,7 +189,7 @@
 		}
 		return
 	}
-	klog.V(1).InfoS("target gone", "target", id, "reason", "registration removed")
+	klog.InfoS("target gone", "target", id, "reason", "registration removed")
 	delete(t.missing, id)
 	delete(t.byID, id)
 }
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -104,3 +104,15 @@
 	targets.Reset([]fleet.Record{record("b", "1"), record("c", "1")})
 	assert.Equal(t, ready(targets), "map[b:true c:true]")
 }
+
+// TestGoneLifetime drops a target that another answered for, but not the lifetime
+// that has followed it under the same ID.
+func TestGoneLifetime(t *testing.T) {
+	targets, _ := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1")})
+	targets.Gone(&fleet.Target{ID: "a", Born: 1})
+	assert.Equal(t, ready(targets), "map[b:true]")
+	targets.Apply([]fleet.Record{record("a", "2")})
+	targets.Gone(&fleet.Target{ID: "a", Born: 1})
+	assert.Equal(t, ready(targets), "map[a:true b:true]")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
@@ -41,6 +42,8 @@
 	Decoder registry.Decoder
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
+	// Registry takes the metrics; nil stands for one of its own.
+	Registry *prometheus.Registry
 }
 
 // Gateway serves callers.
@@ -72,12 +75,15 @@
 
 // New returns a gateway that has not started.
 func New(p Params) *Gateway {
+	if p.Registry == nil {
+		p.Registry = prometheus.NewRegistry()
+	}
 	g := &Gateway{
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
 		targets: registry.NewTargets(p.Decoder, time.Now),
 		table:   placing.New(time.Now, nil),
-		metrics: newMetrics(),
+		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		changed: make(chan struct{}),
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
@@ -95,6 +101,7 @@
 		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
+	g.registerState()
 	return g
 }
 
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -62,8 +62,12 @@
 	begun := time.Now()
 	err = g.submit(ctx, route, path, job)
 	g.metrics.observe(route, err, time.Since(begun))
-	klog.V(1).InfoS("job submitted", "job", job.ID, "route", route.Name, "items", len(job.Items), "tokens", tokensOf(job),
-		"after", time.Since(begun), "error", protocol.CauseOf(err))
+	g.jobsMu.RLock()
+	waiting := g.fold.Waiting(route.Name)
+	g.jobsMu.RUnlock()
+	age, _ := g.workTail.Age()
+	klog.InfoS("job submitted", "job", job.ID, "route", route.Name, "items", len(job.Items), "tokens", tokensOf(job),
+		"tokens_waiting", waiting, "quota", route.TokenQuota, "log_age", age, "took", time.Since(begun), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
 	return err
 }
 
@@ -245,7 +249,7 @@
 		return err
 	}
 	_, err = g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
-	klog.V(1).InfoS("job ended", "job", id, "error", protocol.CauseOf(err))
+	klog.InfoS("job ended", "job", id, "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
 	switch {
 	case err == nil:
 		return g.workTail.CatchUp(ctx)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sycamoretally/sycamoretally/coordination/tail"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
@@ -14,11 +15,12 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
+func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		registry: registry,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_requests_total", Help: "Callers' requests by the kind of their route and their outcome.",
 		}, []string{"kind", "outcome"}),
@@ -26,8 +28,11 @@
 			Name: "sycamoretally_gateway_request_seconds", Help: "Time from a request to the end of its answer, by the kind of its route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
 		}, []string{"kind"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_attempts_total", Help: "Attempts at targets by their outcome.",
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts)
 	return m
 }
 
@@ -51,5 +56,43 @@
 	return "failed"
 }
 
+// registerState registers what the gateway knows.
+func (g *Gateway) registerState() {
+	gauge := func(name, help string, value func() float64) {
+		g.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("sycamoretally_gateway_requests_active", "Requests that run now.", func() float64 { return float64(g.active.Load()) })
+	gauge("sycamoretally_gateway_ready", "1 while callers may connect.", func() float64 {
+		if g.Ready() {
+			return 1
+		}
+		return 0
+	})
+	gauge("sycamoretally_gateway_configuration_version", "Version of the configuration in force.", func() float64 {
+		if c := g.configs.Current(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	gauge("sycamoretally_gateway_targets", "Targets that are registered and do not drain.", func() float64 {
+		count := 0
+		for _, list := range g.targets.Current().Services {
+			count += len(list)
+		}
+		return float64(count)
+	})
+	for name, f := range map[string]*tail.Follower{"configuration": g.configTail, "targets": g.targetTail, "work": g.workTail} {
+		gauge("sycamoretally_gateway_"+name+"_age_seconds", "Time since the topic "+name+" was last known to be current.", func() float64 {
+			age, _ := f.Age()
+			return age.Seconds()
+		})
+	}
+	gauge("sycamoretally_gateway_jobs_open", "Jobs with items still to be done.", func() float64 {
+		g.jobsMu.RLock()
+		defer g.jobsMu.RUnlock()
+		return float64(len(g.fold.OpenJobs()))
+	})
+}
+
 // Metrics returns the gateway's metrics.
 func (g *Gateway) Metrics() *prometheus.Registry { return g.metrics.registry }
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -14,6 +14,8 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/placing"
+	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
@@ -28,6 +30,9 @@
 	// before it goes on elsewhere. Both are well beyond what counts as on time.
 	firstEventPatience = 1500 * time.Millisecond
 	eventPatience      = 1200 * time.Millisecond
+	// registerTime is when a caller should come back whose service has no target:
+	// a target that starts registers within about this time.
+	registerTime = time.Second
 	// streamBufferBytes is the size of a read from a target.
 	streamBufferBytes = 8 << 10
 )
@@ -51,14 +56,36 @@
 	}
 	o := &online{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), bounded: limit > 0, after: r.After, tried: map[string]bool{}}
 	err = o.run(ctx)
-	g.metrics.observe(route, err, time.Since(begun))
-	if err != nil {
-		klog.V(1).InfoS("request ended", "request", r.ID, "route", route.Name, "sends", o.sends, "runs", o.runs, "begun", o.begun,
-			"after", time.Since(begun), "error", protocol.CauseOf(err))
+	took := time.Since(begun)
+	g.metrics.observe(route, err, took)
+	if err != nil || len(o.trail) > 1 || logs.Sampled(r.ID) {
+		o.log(err, took)
 	}
 	return err
 }
 
+// log tells every decision about the request.
+func (o *online) log(err error, took time.Duration) {
+	for i, a := range o.trail {
+		klog.InfoS("attempt", "request", o.request.ID, "number", i+1, "target", a.choice.Target.ID, "in_flight", a.choice.InFlight,
+			"others", a.choice.Others, "report_age", a.choice.ReportAge, "suspect", a.choice.Suspect, "targets_age", a.targetsAge,
+			"after_event", a.after, "time_left", a.timeLeft, "took", a.took, "outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
+	}
+	klog.InfoS("request ended", "request", o.request.ID, "route", o.route.Name, "kind", kindNames[o.route.Kind], "service", o.service,
+		"version", o.version, "targets", o.known, "attempts", len(o.trail), "runs", o.runs, "answer_begun", o.begun, "last_event", o.after,
+		"took", took, "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+}
+
+// attempted is one attempt with what decided for it.
+type attempted struct {
+	choice     placing.Choice
+	targetsAge time.Duration
+	after      string
+	timeLeft   time.Duration
+	took       time.Duration
+	err        error
+}
+
 // online is one caller's request on its way.
 type online struct {
 	g        *Gateway
@@ -74,7 +101,12 @@
 	begun bool
 	// tried holds the targets that shall not get the request again.
 	tried map[string]bool
-	sends int
+	// trail holds the attempts so far; service, version and known are what the
+	// first was decided by.
+	trail   []attempted
+	service string
+	version int64
+	known   int
 	// runs counts the targets that may have run the request.
 	runs     int
 	refusals int
@@ -84,25 +116,47 @@
 var errElsewhere = protocol.Errors.NewType("elsewhere")
 
 func (o *online) run(ctx context.Context) error {
-	service := o.route.Pick(rand.Float64())
+	o.service = o.route.Pick(rand.Float64())
+	if c := o.g.configs.Current(); c != nil {
+		o.version = c.Version
+	}
 	for {
-		target := o.g.table.Begin(o.g.targets.Current().Services[service], o.tried)
-		if target == nil {
+		targets := o.g.targets.Current().Services[o.service]
+		o.known = len(targets)
+		choice, found := o.g.table.Begin(targets, o.tried)
+		if !found && len(targets) == 0 && len(o.trail) == 0 {
+			return fleet.RetryAfter(fleet.ErrRefused.New("service %s has no target", o.service), registerTime)
+		}
+		if !found {
 			return o.giveUp(ctx, "no target left")
 		}
-		err := o.attempt(ctx, target)
-		o.g.table.End(target)
+		err := o.try(ctx, choice)
 		if err == nil || !errorx.IsOfType(err, errElsewhere) {
 			return err
 		}
-		o.tried[target.ID] = true
-		klog.V(1).InfoS("attempt ended", "request", o.request.ID, "target", target.ID, "after_event", o.after, "runs", o.runs, "error", protocol.CauseOf(err))
+		o.tried[choice.Target.ID] = true
 		if ctx.Err() != nil || !o.mayGoOn() {
 			return o.giveUp(ctx, "no attempt left")
 		}
 	}
 }
 
+// try makes one attempt and notes it.
+func (o *online) try(ctx context.Context, choice placing.Choice) error {
+	begun := time.Now()
+	note := attempted{choice: choice, after: o.after}
+	note.targetsAge, _ = o.g.targetTail.Age()
+	if o.bounded {
+		note.timeLeft = time.Until(o.deadline)
+	}
+	note.err = o.attempt(ctx, choice.Target)
+	o.g.table.End(choice.Target)
+	note.took = time.Since(begun)
+	o.trail = append(o.trail, note)
+	o.g.metrics.attempts.WithLabelValues(outcomeOf(note.err)).Inc()
+	return note.err
+}
+
 // mayGoOn reports whether the request may be sent once more.
 func (o *online) mayGoOn() bool {
 	if o.refusals >= maxRefusals {
@@ -115,7 +169,7 @@
 func (o *online) giveUp(ctx context.Context, why string) error {
 	switch {
 	case o.runs == 0 && !o.begun:
-		return refuse("%s after %d sends", why, o.sends)
+		return refuse("%s after %d attempts", why, len(o.trail))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return fleet.ErrTimedOut.New("%s", why)
 	default:
@@ -129,7 +183,6 @@
 	defer cancel(nil)
 	stall := newStall(o, cancel)
 	defer stall.stop()
-	o.sends++
 	a := fleet.Attempt{Request: o.request, Target: target, After: o.after}
 	if o.bounded {
 		a.TimeLeft = time.Until(o.deadline)
@@ -144,6 +197,9 @@
 	}
 	switch answer.Verdict {
 	case fleet.VerdictNotRun, fleet.VerdictOtherTarget:
+		if answer.Verdict == fleet.VerdictOtherTarget {
+			o.g.targets.Gone(target)
+		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes)) // so that the connection can be kept
 		o.refusals++
 		return errElsewhere.New("target has not run it, verdict %d", answer.Verdict)
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -165,3 +165,22 @@
 		assert.Assert(t, refused.Load() >= 7, "%d refused", refused.Load())
 	})
 }
+
+// TestLostPowerEverywhere replays targets that have all started anew while their
+// old registrations stand: each is asked once, and the caller of a service
+// without targets is told to come back when one may have registered.
+func TestLostPowerEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := step{verdict: fleet.VerdictOtherTarget, status: 421}
+		s := startSite(t, newStore(t), other, other, other, other, other, other)
+		defer s.stop()
+		for range 2 {
+			_, err := s.serve(t.Context(), "safe")
+			assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
+		}
+		assert.Equal(t, len(s.sender.sent), 6)
+		_, err := s.serve(t.Context(), "safe")
+		assert.Equal(t, fleet.RetryAfterOf(err), time.Second)
+		assert.Equal(t, len(s.sender.sent), 6)
+	})
+}
