--- a/batcher/item.go
+++ b/batcher/item.go
@@ -179,6 +179,8 @@
 	progress worklog.Progress
 	// result is set where the item has ended.
 	result *fleet.Result
+	// status is the target's where that was no success.
+	status int
 	// moved is set where another target answered than was meant.
 	moved bool
 	err   error
@@ -214,7 +216,7 @@
 	if outcome != "yielded" || logs.Sampled(h.ref.Item) {
 		klog.InfoS("item run ended", "job", h.ref.Job, "item", h.ref.Item, "target", b.target, "ran", time.Since(h.started),
 			"held", time.Since(h.since), "age", time.Since(h.submitted), "last_event", end.progress.After, "failures", end.progress.Failures,
-			"outcome", outcome, "error", protocol.CauseOf(end.err), "cause", protocol.CauseOf(cause))
+			"status", end.status, "outcome", outcome, "error", protocol.CauseOf(end.err), "cause", protocol.CauseOf(cause))
 	}
 	if end.result != nil {
 		if h.begunAt == 0 {
@@ -289,7 +291,7 @@
 		progress.Failures++
 		dead = progress.Failures >= route.Attempts
 	}
-	end := outcome{progress: progress, err: fleet.ErrBroken.New("target answers %d", status)}
+	end := outcome{progress: progress, status: status, err: fleet.ErrBroken.New("target answers %d", status)}
 	if dead {
 		end.result = &fleet.Result{Item: h.ref.Item, State: fleet.ResultDead}
 	}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -21,6 +21,9 @@
 	submitPause = 10 * time.Millisecond
 	// maxPageBytes bounds the text of one page of results.
 	maxPageBytes = 800 << 10
+	// maxWorkAge is how old the knowledge of the work log may be for an answer
+	// that there are no more results: a few reads of it.
+	maxWorkAge = 1500 * time.Millisecond
 	// maxWait bounds how long a reader of results may wait.
 	maxWait = 2 * time.Second
 	// jobRetryAfter is when the caller of a refused job should come back.
@@ -183,6 +186,9 @@
 	defer timer.Stop()
 	for {
 		page, open, changed := g.page(id, after)
+		if len(page.Results) == 0 && open && g.stale() {
+			return page, fleet.RetryAfter(fleet.ErrRefused.New("job %s may have results that are not known here", id), jobRetryAfter)
+		}
 		if len(page.Results) > 0 || !open || wait == 0 || g.closing.Load() {
 			return page, nil
 		}
@@ -196,6 +202,13 @@
 	}
 }
 
+// stale reports whether others may know of results since longer than a reader has
+// to put up with: this gateway is cut from the store.
+func (g *Gateway) stale() bool {
+	age, known := g.workTail.Age()
+	return !known || age > maxWorkAge
+}
+
 // page returns the results from a position on, whether more will come, and what
 // is closed when that changes.
 func (g *Gateway) page(id string, after int) (fleet.ResultPage, bool, <-chan struct{}) {
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -73,7 +73,7 @@
 	}
 	klog.InfoS("request ended", "request", o.request.ID, "route", o.route.Name, "kind", kindNames[o.route.Kind], "service", o.service,
 		"version", o.version, "targets", o.known, "attempts", len(o.trail), "runs", o.runs, "answer_begun", o.begun, "last_event", o.after,
-		"took", took, "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+		"took", took, "outcome", outcomeOf(err), "reason", o.reason, "error", protocol.CauseOf(err))
 }
 
 // attempted is one attempt with what decided for it.
@@ -110,10 +110,22 @@
 	// runs counts the targets that may have run the request.
 	runs     int
 	refusals int
+	// reason says why the request was given up.
+	reason string
 }
 
-// errElsewhere ends an attempt whose request may go on at another target.
-var errElsewhere = protocol.Errors.NewType("elsewhere")
+// errElsewhere ends an attempt whose request may go on at another target; its
+// subtypes say why, for the log.
+var (
+	errElsewhere   = protocol.Errors.NewType("elsewhere")
+	errNotRun      = errElsewhere.NewSubtype("target_full")
+	errOtherTarget = errElsewhere.NewSubtype("another_lifetime")
+	errForeign     = errElsewhere.NewSubtype("foreign_answer")
+	errUnsigned    = errElsewhere.NewSubtype("unsigned_answer")
+	errNoAnswer    = errElsewhere.NewSubtype("no_answer")
+	errCut         = errElsewhere.NewSubtype("answer_cut")
+	errTargetFails = errElsewhere.NewSubtype("target_fails")
+)
 
 func (o *online) run(ctx context.Context) error {
 	o.service = o.route.Pick(rand.Float64())
@@ -125,6 +137,7 @@
 		o.known = len(targets)
 		choice, found := o.g.table.Begin(targets, o.tried)
 		if !found && len(targets) == 0 && len(o.trail) == 0 {
+			o.reason = "the service has no target"
 			return fleet.RetryAfter(fleet.ErrRefused.New("service %s has no target", o.service), registerTime)
 		}
 		if !found {
@@ -167,6 +180,7 @@
 
 // giveUp returns the final error.
 func (o *online) giveUp(ctx context.Context, why string) error {
+	o.reason = why
 	switch {
 	case o.runs == 0 && !o.begun:
 		return refuse("%s after %d attempts", why, len(o.trail))
@@ -197,19 +211,20 @@
 	}
 	switch answer.Verdict {
 	case fleet.VerdictNotRun, fleet.VerdictOtherTarget:
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes)) // so that the connection can be kept
+		o.refusals++
 		if answer.Verdict == fleet.VerdictOtherTarget {
 			o.g.targets.Gone(target)
+			return errOtherTarget.New("another lifetime answers")
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes)) // so that the connection can be kept
-		o.refusals++
-		return errElsewhere.New("target has not run it, verdict %d", answer.Verdict)
+		return errNotRun.New("the target has not run it")
 	case fleet.VerdictForeign:
 		o.runs++
-		return errElsewhere.New("answer of another request")
+		return errForeign.New("answer of another request")
 	}
 	o.runs++
 	if !answer.Signed {
-		return errElsewhere.New("unsigned answer with status %d", answer.Status)
+		return errUnsigned.New("unsigned answer with status %d", answer.Status)
 	}
 	if o.route.Kind == fleet.KindStream && answer.Status == http.StatusOK {
 		return o.stream(ctx, target, answer, stall)
@@ -229,7 +244,7 @@
 	if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 		o.runs++
 	}
-	return errElsewhere.Wrap(err, "no answer")
+	return errNoAnswer.Wrap(err, "no answer")
 }
 
 // whole passes an answer on once it is whole.
@@ -239,7 +254,7 @@
 		return o.broken(ctx, target, err)
 	}
 	if answer.Status >= http.StatusInternalServerError && o.mayGoOn() {
-		return errElsewhere.New("target answers %d", answer.Status)
+		return errTargetFails.New("target answers %d", answer.Status)
 	}
 	if promises(answer.Status) {
 		return o.giveUp(ctx, "the target's answer promises what it does not know")
@@ -276,7 +291,7 @@
 		return o.giveUp(ctx, "the time is over or the caller has gone")
 	}
 	o.g.table.Failed(target)
-	return errElsewhere.Wrap(err, "answer broke off")
+	return errCut.Wrap(err, "answer broke off")
 }
 
 // stream passes events on as they come, each whole.
