--- a/cmd/sycamoretally/exit.go
+++ b/cmd/sycamoretally/exit.go
@@ -4,6 +4,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/settings"
 )
 
@@ -39,7 +40,7 @@
 		return exitDiffers
 	case errorx.IsOfType(err, errJobIncomplete):
 		return exitJobIncomplete
-	case errorx.IsOfType(err, settings.ErrSettings):
+	case errorx.IsOfType(err, settings.ErrSettings), errorx.IsOfType(err, fleet.ErrMalformed):
 		return exitFailed
 	case errorx.IsOfType(err, protocol.ErrVersion), errorx.IsOfType(err, protocol.ErrKeyConflict):
 		return exitConflict
--- a/cmd/sycamoretally/explain_test.go
+++ b/cmd/sycamoretally/explain_test.go
@@ -36,3 +36,22 @@
 	_, err = run("r1", filepath.Join(dir, "none"))
 	assert.Assert(t, err != nil)
 }
+
+// TestNodeCheck names every fault of a settings file with its key.
+func TestNodeCheck(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.conf")
+	assert.NilError(t, os.WriteFile(path, []byte("node_name=a\nlimits.memory_mb=lots\n"), 0o600))
+	cmd := rootCommand()
+	cmd.SetArgs([]string{"node", "check", path})
+	err := cmd.Execute()
+	assert.ErrorContains(t, err, "limits.memory_mb")
+	assert.ErrorContains(t, err, "platform.address is missing")
+	assert.Equal(t, exitCode(err), exitFailed)
+	assert.NilError(t, os.WriteFile(path, []byte("node_name=a\nip_address=10.0.0.1\nzone=z\nplatform.address=10.0.0.2:1\n"), 0o600))
+	var out bytes.Buffer
+	cmd = rootCommand()
+	cmd.SetOut(&out)
+	cmd.SetArgs([]string{"node", "check", path})
+	assert.NilError(t, cmd.Execute())
+	assert.Assert(t, bytes.Contains(out.Bytes(), []byte("10.0.0.2:1")), out.String())
+}
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -159,3 +159,20 @@
 		},
 	}
 }
+
+func nodeCommand() *cobra.Command {
+	node := &cobra.Command{Use: "node", Short: "Settings of an instance on the users' platform"}
+	node.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Read a settings file, print what it says and name every fault with its key",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			n, err := platform.LoadNode(args[0])
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd, n)
+		},
+	})
+	return node
+}
--- a/demo/metrics_test.go
+++ b/demo/metrics_test.go
@@ -3,14 +3,24 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"regexp"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/batcher"
+	"github.com/sycamoretally/sycamoretally/gateway"
+	"github.com/sycamoretally/sycamoretally/instrument"
+	"github.com/sycamoretally/sycamoretally/logs"
+	"github.com/sycamoretally/sycamoretally/platform"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 )
 
 var update = flag.Bool("update-metrics", false, "write docs/METRICS.md anew")
@@ -71,6 +81,7 @@
 	t.Cleanup(site.Close)
 	assert.NilError(t, err)
 	rows := append(rowsOf(t, "entry", site.Entries[0].Metrics()), rowsOf(t, "sidecar", site.Sidecars[0].Metrics())...)
+	rows = append(rows, platformRows(t)...)
 	slices.SortFunc(rows, func(a, b metricRow) int { return strings.Compare(a.name+a.role, b.name+b.role) })
 	rows = slices.Compact(rows) // a constant label gives a metric several descriptions
 	for _, r := range rows {
@@ -86,3 +97,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(page), text)
 }
+
+// platformRows returns the metrics of the roles on the users' platform.
+func platformRows(t *testing.T) []metricRow {
+	node := &fleet.Node{Name: "page"}
+	log := logs.NewWriter(io.Discard)
+	defer log.Close(time.Second)
+	var rows []metricRow
+	for _, role := range []string{"gateway", "batcher"} {
+		registry := prometheus.NewRegistry()
+		store := instrument.NewStore(fleetstore.New(), registry)
+		instrument.Log(log, registry)
+		if role == "gateway" {
+			gateway.New(gateway.Params{Node: node, Store: store, Decoder: platform.Decoder{}, Registry: registry})
+		} else {
+			batcher.New(batcher.Params{Node: node, Store: store, Decoder: platform.Decoder{}, Registry: registry})
+		}
+		rows = append(rows, rowsOf(t, role, registry)...)
+	}
+	return rows
+}
