--- a/load/load_test.go
+++ b/load/load_test.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// TestScenarioFaultsNameTheKey lists every unknown key.
+func TestScenarioFaultsNameTheKey(t *testing.T) {
+	_, err := ParseScenario([]byte("bogus = 1\nduration = \"1s\"\n[[policy]]\nname = \"a\"\nodd = 2\n"))
+	assert.ErrorContains(t, err, "bogus: unknown key")
+	assert.ErrorContains(t, err, "policy.odd: unknown key")
+}
+
 func TestArrivalsAreReproducible(t *testing.T) {
 	data, err := os.ReadFile("../scenarios/nairobi.toml")
 	assert.NilError(t, err)
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -5,11 +5,10 @@
 package load
 
 import (
-	"bytes"
 	"os"
+	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
@@ -132,9 +131,8 @@
 // ParseScenario decodes and checks a scenario.
 func ParseScenario(data []byte) (*Scenario, error) {
 	s := Scenario{Seed: 1, Site: Site{Entries: 2, Slots: 8, DataCentres: 1}}
-	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return nil, ErrScenario.Wrap(err, "decode scenario")
+	if faults, _ := settings.DecodeStrict(data, &s); len(faults) > 0 {
+		return nil, ErrScenario.New("%s", strings.Join(faults, "\n"))
 	}
 	return &s, s.check()
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -240,24 +240,33 @@
 // Parse reads settings and returns every fault found, each starting with its key.
 func Parse(data []byte) (*Settings, []string) {
 	s := Default()
-	dec := toml.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	var faults []string
-	err := dec.Decode(&s)
+	faults, readable := DecodeStrict(data, &s)
+	if !readable {
+		return nil, faults
+	}
+	for i := range s.Targets {
+		s.Targets[i].setDefaults()
+	}
+	return &s, append(faults, s.check()...)
+}
+
+// DecodeStrict decodes TOML into v and returns every fault, each starting with its
+// key; readable is false where the text is no TOML or a value has another type.
+func DecodeStrict(data []byte, v any) (faults []string, readable bool) {
+	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	err := dec.Decode(v)
 	var unknown *toml.StrictMissingError
 	switch {
 	case err == nil:
+		return nil, true
 	case errors.As(err, &unknown):
 		for _, e := range unknown.Errors {
 			faults = append(faults, strings.Join(e.Key(), ".")+": unknown key")
 		}
+		return faults, true
 	default:
-		return nil, []string{syntaxFault(err)}
+		return []string{syntaxFault(err)}, false
 	}
-	for i := range s.Targets {
-		s.Targets[i].setDefaults()
-	}
-	return &s, append(faults, s.check()...)
 }
 
 func syntaxFault(err error) string {
