--- a/load/scenario.go
+++ b/load/scenario.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
 )
--- a/protocol/fleet/node.go
+++ b/protocol/fleet/node.go
@@ -20,20 +20,11 @@
 	StoreAddress string
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
-	// DrainTime is how long a target serves after it has said that it leaves.
-	DrainTime time.Duration
-	// SettleTime is how long a node may take to know an accepted job.
-	SettleTime time.Duration
-	// QuotaOverage is the part by which accepted tokens may exceed a route's
-	// quota.
-	QuotaOverage float64
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
 	// MaxRecordBytes and MaxCallBytes bound a record and the records of one append.
 	MaxRecordBytes int
 	MaxCallBytes   int
-	// Internal is the first port for calls between nodes.
-	InternalPort int
 	// Address is the instance's IP address.
 	Address string
 }
