Leave busy targets out for a moment only, and never cut a large answer

Cause: read in the diff. A stream that left a target before it began counted as a failure of the target, whose suspicion doubles up to 3 s; and an answer above 4 MiB was passed on without its end. Ruled out: that leaving needs no suspicion at all (a silent target would draw every new request, since none is counted there). Change: Table.Left leaves a target out for 300 ms; an answer that can't be held fails. TestHugeAnswerIsNotCut fails without it; TestBusyTarget replays the load.

--- a/coordination/placing/placing.go
+++ b/coordination/placing/placing.go
@@ -154,6 +154,18 @@
 	s.suspect = now.Add(s.suspicion)
 }
 
+// Left leaves a target out for the shortest time, because a request was taken
+// away from it that it had not begun: it is busy, or silent, and the requests that
+// have left no longer count there.
+func (t *Table) Left(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(target.ID)
+	if until := t.now().Add(firstSuspicion); until.After(s.suspect) {
+		s.suspect = until
+	}
+}
+
 // Succeeded ends a suspicion.
 func (t *Table) Succeeded(target *fleet.Target) {
 	t.mu.Lock()
--- a/coordination/placing/placing_test.go
+++ b/coordination/placing/placing_test.go
@@ -75,6 +75,22 @@
 	assert.Equal(t, begin(table, list, nil), "t0")
 }
 
+// TestBusyTarget replays requests that leave a target before it begins them: it
+// draws no new ones for a moment, though none is counted there, and comes back
+// after the same time however often that happens.
+func TestBusyTarget(t *testing.T) {
+	table, now := newTable()
+	list := targets(2)
+	for range 5 {
+		table.Left(list[0])
+		assert.Equal(t, begin(table, list, nil), "t1")
+		table.End(list[1])
+		*now = now.Add(310 * time.Millisecond)
+		assert.Equal(t, begin(table, list, nil), "t0")
+		table.End(list[0])
+	}
+}
+
 func TestNoTargetLeft(t *testing.T) {
 	table, _ := newTable()
 	_, found := table.Begin(nil, nil)
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -247,7 +247,7 @@
 		}
 		return o.giveUp(ctx, "the time is over or the caller has gone")
 	}
-	o.g.table.Failed(target)
+	o.suspect(ctx, target)
 	if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 		o.runs++
 	}
@@ -256,10 +256,13 @@
 
 // whole passes an answer on once it is whole.
 func (o *online) whole(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes+1))
 	if err != nil {
 		return o.broken(ctx, target, err)
 	}
+	if len(body) > maxWholeBytes {
+		return o.giveUp(ctx, "the answer is too large to be held")
+	}
 	if answer.Status >= http.StatusInternalServerError && o.mayGoOn() {
 		return errTargetFails.New("target answers %d", answer.Status)
 	}
@@ -297,10 +300,20 @@
 	if ctx.Err() != nil && !isStall(ctx) {
 		return o.giveUp(ctx, "the time is over or the caller has gone")
 	}
-	o.g.table.Failed(target)
+	o.suspect(ctx, target)
 	return errCut.Wrap(err, "answer broke off")
 }
 
+// suspect tells the table of a target that failed, or that was left because it
+// did not begin in time: it may only be busy.
+func (o *online) suspect(ctx context.Context, target *fleet.Target) {
+	if isStall(ctx) && !o.begun {
+		o.g.table.Left(target)
+		return
+	}
+	o.g.table.Failed(target)
+}
+
 // stream passes events on as they come, each whole.
 func (o *online) stream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stall) error {
 	buffer := make([]byte, streamBufferBytes)
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -207,3 +208,19 @@
 		assert.Equal(t, len(s.sender.sent), 2)
 	})
 }
+
+// TestHugeAnswerIsNotCut fails an answer that is too large to be held, rather than
+// passing a part of it on as the whole.
+func TestHugeAnswerIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		huge := step{}
+		for range 5 << 10 {
+			huge.events = append(huge.events, strings.Repeat("x", 1000))
+		}
+		s := startSite(t, newStore(t), huge)
+		defer s.stop()
+		body, err := s.serve(t.Context(), "unsafe")
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUncertain), "%v", err)
+		assert.Equal(t, len(body), 0)
+	})
+}
