Take only removals that come with the store's return for lapses

Ruled out: a slow read (all others dropped it within 0.4 s). Change: a removal is deferred only within 0.6 s of the return, which is noticed within about a second also where calls hang. TestRemovalAfterReturn and TestSilentStoreIsNoticedSoon fail without it.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -15,9 +15,14 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// returnGrace is how long after the store's return a target that lapsed while it
-// was away may take to register again.
-const returnGrace = 2200 * time.Millisecond
+const (
+	// returnGrace is how long after the store's return a target that lapsed while
+	// it was away may take to register again.
+	returnGrace = 1900 * time.Millisecond
+	// lapseWindow is how long after the return a removal may be such a lapse. A
+	// later one is a target that leaves now.
+	lapseWindow = 600 * time.Millisecond
+)
 
 // Decoder decodes the records of the operator and of the targets.
 type Decoder interface {
@@ -70,9 +75,9 @@
 	// missing holds when targets are to be dropped that were gone from the
 	// registry when the store came back.
 	missing map[string]time.Time
-	// graceUntil is when targets that are missing count as gone again.
-	graceUntil time.Time
-	snapshot   atomic.Pointer[Snapshot]
+	// returned is when the store last answered again after it did not.
+	returned time.Time
+	snapshot atomic.Pointer[Snapshot]
 }
 
 // Snapshot is the registry at one moment. It is immutable.
@@ -113,7 +118,7 @@
 func (t *Targets) StoreReturned() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.graceUntil = t.now().Add(returnGrace)
+	t.returned = t.now()
 }
 
 // Reset replaces the registry by the newest records.
@@ -183,10 +188,8 @@
 	if t.byID[id] == nil {
 		return
 	}
-	if t.now().Before(t.graceUntil) {
-		if _, found := t.missing[id]; !found {
-			t.missing[id] = t.graceUntil
-		}
+	if !t.returned.IsZero() && t.now().Sub(t.returned) <= lapseWindow {
+		t.missing[id] = t.returned.Add(returnGrace)
 		return
 	}
 	klog.InfoS("target gone", "target", id, "reason", "registration removed")
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -98,6 +98,24 @@
 	assert.Equal(t, ready(targets), "map[]", "later removals count at once")
 }
 
+// TestRemovalAfterReturn replays a target that leaves shortly after the store is
+// back: no lapse, it counts at once; and one that is removed with the return is
+// gone before the process is held to the registry again, 3 s after.
+func TestRemovalAfterReturn(t *testing.T) {
+	targets, c := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1"), record("c", "1")})
+	targets.StoreReturned()
+	c.now = c.now.Add(400 * time.Millisecond)
+	targets.Apply([]fleet.Record{record("a", "")})
+	assert.Equal(t, ready(targets), "map[a:true b:true c:true]", "it may have lapsed")
+	c.now = c.now.Add(400 * time.Millisecond)
+	targets.Apply([]fleet.Record{record("b", "")})
+	assert.Equal(t, ready(targets), "map[a:true c:true]")
+	c.now = c.now.Add(1300 * time.Millisecond)
+	targets.Expire()
+	assert.Equal(t, ready(targets), "map[c:true]")
+}
+
 func TestResetRemovesWhatIsGone(t *testing.T) {
 	targets, _ := newTargets()
 	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1")})
--- a/coordination/tail/tail.go
+++ b/coordination/tail/tail.go
@@ -20,6 +20,18 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
+const (
+	// readTimeout bounds a read, awayTimeout one while the store does not answer,
+	// and awayInterval is the time between two of these: calls that hang must not
+	// hide its return for long.
+	readTimeout  = 900 * time.Millisecond
+	awayTimeout  = 500 * time.Millisecond
+	awayInterval = 250 * time.Millisecond
+	// patientTry is the one of so many reads that has the time of a usual one, for
+	// a store that answers slowly.
+	patientTry = 4
+)
+
 // Params say what to follow.
 type Params struct {
 	Store fleet.Store
@@ -72,13 +84,29 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		_ = f.CatchUp(ctx) // the failure was logged
-		pause.For(ctx, f.params.Interval)
+	for tries := 0; ctx.Err() == nil; {
+		if f.look(ctx, tries) == nil { // a failure was logged
+			tries = 0
+			pause.For(ctx, f.params.Interval)
+			continue
+		}
+		tries++
+		pause.For(ctx, min(awayInterval, f.params.Interval))
 	}
 	return nil
 }
 
+// look reads once; tries counts the reads that failed since the last good one.
+func (f *Follower) look(ctx context.Context, tries int) error {
+	timeout := readTimeout
+	if tries%patientTry > 0 {
+		timeout = awayTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.CatchUp(ctx)
+}
+
 // Age returns how old the knowledge is: the time since the last read began that
 // reached the end. It returns false where there was none.
 func (f *Follower) Age() (time.Duration, bool) {
--- a/coordination/tail/tail_test.go
+++ b/coordination/tail/tail_test.go
@@ -1,6 +1,7 @@
 package tail_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -133,3 +134,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, f.Next(), int64(1))
 }
+
+// TestSilentStoreIsNoticedSoon lets the store be silent, so that calls hang, and
+// come back: the follower notices within a second, and still reads a store that
+// takes long for each answer.
+func TestSilentStoreIsNoticedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleetstore.New()
+		f := follow(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		s.SetFaults(fleetstore.Faults{Delay: time.Hour})
+		time.Sleep(7 * time.Second)
+		s.SetFaults(fleetstore.Faults{})
+		time.Sleep(1200 * time.Millisecond)
+		age, _ := f.Age()
+		assert.Assert(t, age < 1200*time.Millisecond, "%v", age)
+		s.SetFaults(fleetstore.Faults{Delay: 700 * time.Millisecond})
+		time.Sleep(20 * time.Second)
+		age, _ = f.Age()
+		assert.Assert(t, age < 4*time.Second, "%v", age)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 	// configurations come into force within two seconds.
 	readInterval = 400 * time.Millisecond
 	// housekeepingInterval is the time between two sweeps of what has grown old.
-	housekeepingInterval = 500 * time.Millisecond
+	housekeepingInterval = 100 * time.Millisecond
 	// noticeTime is how long the platform may go on sending new connections to a
 	// gateway that says it is not ready.
 	noticeTime = 3 * time.Second
