Bound single reads of a topic only, not the newest records

Ruled out: the shorter grace (no target was dropped too early). Change: the bound holds for each read from an offset. TestManyNewestRecords fails without it.

--- a/coordination/tail/tail.go
+++ b/coordination/tail/tail.go
@@ -61,6 +61,8 @@
 	begun atomic.Int64
 	base  time.Time
 	away  bool
+	// failed counts the reads that failed since the last good one.
+	failed int
 }
 
 // New returns a follower that knows nothing.
@@ -84,29 +86,16 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	for tries := 0; ctx.Err() == nil; {
-		if f.look(ctx, tries) == nil { // a failure was logged
-			tries = 0
-			pause.For(ctx, f.params.Interval)
-			continue
+	for ctx.Err() == nil {
+		interval := f.params.Interval
+		if f.CatchUp(ctx) != nil { // the failure was logged
+			interval = min(interval, awayInterval)
 		}
-		tries++
-		pause.For(ctx, min(awayInterval, f.params.Interval))
+		pause.For(ctx, interval)
 	}
 	return nil
 }
 
-// look reads once; tries counts the reads that failed since the last good one.
-func (f *Follower) look(ctx context.Context, tries int) error {
-	timeout := readTimeout
-	if tries%patientTry > 0 {
-		timeout = awayTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return f.CatchUp(ctx)
-}
-
 // Age returns how old the knowledge is: the time since the last read began that
 // reached the end. It returns false where there was none.
 func (f *Follower) Age() (time.Duration, bool) {
@@ -187,7 +176,7 @@
 		f.next = next
 		return next, nil
 	}
-	page, err := f.params.Store.Read(ctx, f.params.Topic, f.next)
+	page, err := f.readPage(ctx)
 	if errorx.IsOfType(err, fleet.ErrExpired) {
 		klog.InfoS("records expired, reading the newest again", "topic", f.params.Name, "offset", f.next)
 		f.next = -1
@@ -204,8 +193,24 @@
 	return page.End, nil
 }
 
-// note logs when the store is lost and when it is back.
+// readPage reads on from the last record known. Only this call is bounded: the
+// newest records may be many, and a process that reads these knows nothing yet.
+func (f *Follower) readPage(ctx context.Context) (fleet.Page, error) {
+	timeout := readTimeout
+	if f.failed%patientTry > 0 {
+		timeout = awayTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.params.Store.Read(ctx, f.params.Topic, f.next)
+}
+
+// note counts failures, and logs when the store is lost and when it is back.
 func (f *Follower) note(err error) {
+	f.failed++
+	if err == nil {
+		f.failed = 0
+	}
 	if (err != nil) == f.away {
 		return
 	}
--- a/coordination/tail/tail_test.go
+++ b/coordination/tail/tail_test.go
@@ -159,3 +159,21 @@
 		synctest.Wait()
 	})
 }
+
+// TestManyNewestRecords begins with records that take longer to read than a usual
+// read may: they are read once, not again and again.
+func TestManyNewestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleetstore.New()
+		put(t, s, "a", "b")
+		f := follow(s)
+		s.SetFaults(fleetstore.Faults{Delay: 1800 * time.Millisecond})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, f.resets, 1)
+		assert.DeepEqual(t, f.keys, []string{"a", "b"})
+	})
+}
