Find the cause of a failure from its id by the page's steps

Cause: OPERATIONS.md shows the way from an id to its cause, and nothing held the lines to it: a renamed outcome would have broken the page. Ruled out: a test of the text of the page; it would not notice lines that are no longer written. Conclusion: the lines that the page quotes are kept by tests.

--- a/cmd/sycamoretally/explain.go
+++ b/cmd/sycamoretally/explain.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"bufio"
-	"cmp"
 	"fmt"
-	"io"
 	"os"
-	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -14,9 +10,6 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-// maxLogLineBytes bounds a line of a log file.
-const maxLogLineBytes = 1 << 20
-
 func explainCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "explain ID [FILE...]",
@@ -33,7 +26,7 @@
 				lines = append(lines, found...)
 			}
 			if len(args) == 1 {
-				found, err := linesNaming(cmd.InOrStdin(), args[0])
+				found, err := logs.Naming(cmd.InOrStdin(), args[0])
 				if err != nil {
 					return err
 				}
@@ -42,7 +35,7 @@
 			if len(lines) == 0 {
 				return protocol.ErrNotFound.New("no line names %q", args[0])
 			}
-			slices.SortStableFunc(lines, func(a, b logs.Line) int { return cmp.Compare(a.Value("time"), b.Value("time")) })
+			logs.Sort(lines)
 			for _, line := range lines {
 				if _, err := fmt.Fprintln(cmd.OutOrStdout(), line.Text); err != nil {
 					return protocol.ErrInternal.Wrap(err, "print")
@@ -59,22 +52,5 @@
 		return nil, protocol.ErrNotFound.Wrap(err, "log file")
 	}
 	defer func() { _ = f.Close() }()
-	return linesNaming(f, id)
-}
-
-// linesNaming returns the lines of which a value is the ID.
-func linesNaming(in io.Reader, id string) ([]logs.Line, error) {
-	var found []logs.Line
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLogLineBytes)
-	for scanner.Scan() {
-		line, err := logs.Parse(scanner.Text())
-		if err == nil && line.Names(id) {
-			found = append(found, line)
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, protocol.ErrBadRequest.Wrap(err, "read log")
-	}
-	return found, nil
+	return logs.Naming(f, id)
 }
--- /dev/null
+++ b/gateway/explain_test.go
@@ -0,0 +1,111 @@
+package gateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/logs/logtest"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+)
+
+// staleAfter is the age of the known targets that says that the gateway was cut
+// from the store.
+const staleAfter = 5 * time.Second
+
+// cause finds why a request failed by the steps of docs/OPERATIONS.md: its end,
+// its last attempt, then what became of that attempt's target.
+func cause(t *testing.T, r *logtest.Recording, id string) string {
+	t.Helper()
+	lines := r.Explain(id)
+	end, last := logtest.Last(lines, "request ended"), logtest.Last(lines, "attempt")
+	if end.Value("attempts") == "0" {
+		return end.Value("reason")
+	}
+	outcome := last.Value("outcome")
+	if end.Value("answer_begun") == "true" {
+		return "stream: " + outcome + " after event " + end.Value("last_event") + ", " + end.Value("reason")
+	}
+	assert.Equal(t, end.Value("runs") == "0", end.Value("outcome") == "sycamoretally.refused", "a refusal says that nothing ran")
+	age, err := time.ParseDuration(last.Value("targets_age"))
+	assert.NilError(t, err)
+	if age > staleAfter && lineWith(r, "topic not readable", "topic", "targets") {
+		return "cut from the store: " + outcome
+	}
+	if gone := logtest.Last(r.Explain(last.Value("target")), "target gone"); gone.Text != "" {
+		return outcome + ", " + gone.Value("reason")
+	}
+	return outcome
+}
+
+func lineWith(r *logtest.Recording, event, key, value string) bool {
+	for _, line := range r.Explain(event) {
+		if line.Value(key) == value {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFailedRequestsAreExplained makes requests fail in known ways and finds each
+// cause from the request's ID and the log alone.
+func TestFailedRequestsAreExplained(t *testing.T) {
+	full := step{verdict: fleet.VerdictNotRun, status: 503}
+	other := step{verdict: fleet.VerdictOtherTarget, status: 421}
+	unreachable := step{err: fleet.ErrNotDelivered.New("refused")}
+	for name, test := range map[string]struct {
+		route  string
+		steps  []step
+		before func(*site)
+		want   string
+	}{
+		"targets started anew": {"safe", []step{other, other, other, other}, nil,
+			"sycamoretally.elsewhere.another_lifetime, another lifetime answers at its address"},
+		"targets are full":          {"unsafe", []step{full, full, full, full}, nil, "sycamoretally.elsewhere.target_full"},
+		"targets cannot be reached": {"safe", []step{unreachable}, nil, "sycamoretally.elsewhere.no_answer"},
+		"no target is registered":   {"safe", nil, func(s *site) { s.removeTargets() }, "the service has no target"},
+		"the store is away": {"safe", []step{unreachable}, func(s *site) {
+			s.store.SetFaults(fleetstore.Faults{Down: true})
+			time.Sleep(staleAfter + time.Second)
+		}, "cut from the store: sycamoretally.elsewhere.no_answer"},
+		"a stream is cut too often": {"resumable", []step{{events: events(1, 2), broken: true}, {events: events(3, 3), broken: true}}, nil,
+			"stream: sycamoretally.elsewhere.answer_cut after event 3, no attempt left"},
+		"a stream's time is over": {"stream", []step{{events: events(1, 1), silent: true}}, nil,
+			"stream: sycamoretally.uncertain.timed_out after event 1, the time is over or the caller has gone"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			recording := logtest.Start(t)
+			synctest.Test(t, func(t *testing.T) {
+				s := startSite(t, newStore(t), test.steps...)
+				defer s.stop()
+				if test.before != nil {
+					test.before(s)
+				}
+				_, err := s.serve(t.Context(), test.route)
+				assert.Assert(t, err != nil)
+			})
+			recording.End()
+			assert.Equal(t, cause(t, recording, "r1"), test.want)
+		})
+	}
+}
+
+// TestLinesAgree checks that every line of a request's trail parses and names it.
+func TestLinesAgree(t *testing.T) {
+	recording := logtest.Start(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t), step{err: fleet.ErrBroken.New("lost")}, step{events: events(1, 3)})
+		defer s.stop()
+		_, err := s.serve(t.Context(), "safe")
+		assert.NilError(t, err)
+	})
+	recording.End()
+	var kinds []string
+	for _, line := range recording.Explain("r1") {
+		kinds = append(kinds, line.Value("event")+" "+line.Value("outcome"))
+	}
+	assert.DeepEqual(t, kinds, []string{"attempt sycamoretally.elsewhere.no_answer", "attempt answered", "request ended answered"})
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -178,6 +178,17 @@
 	return out.body.String(), err
 }
 
+// removeTargets ends the registration of every target and waits until it is known.
+func (s *site) removeTargets() {
+	var ends []fleet.Record
+	for i := range 6 {
+		ends = append(ends, fleet.Record{Key: fmt.Sprint("t", i)})
+	}
+	_, err := s.store.Append(s.t.Context(), fleet.TopicTargets, fleet.AnyOffset, ends)
+	assert.NilError(s.t, err)
+	time.Sleep(time.Second)
+}
+
 func (s *site) stop() { assert.NilError(s.t, s.Stop()) }
 
 func text(list ...string) string { return strings.Join(list, "") }
--- /dev/null
+++ b/logs/logtest/logtest.go
@@ -0,0 +1,59 @@
+// Package logtest records what a test's own process logs, for tests that look for
+// the cause of a failure as an operator would.
+package logtest
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/logs"
+)
+
+// flushLimit bounds the writing of the last lines.
+const flushLimit = 5 * time.Second
+
+// Recording takes the lines of the process until End.
+type Recording struct {
+	t      *testing.T
+	text   bytes.Buffer
+	writer *logs.Writer
+}
+
+// Start begins to record. It must be called outside a bubble of virtual time, and
+// End after it.
+func Start(t *testing.T) *Recording {
+	r := &Recording{t: t}
+	r.writer = logs.NewWriter(&r.text)
+	r.writer.Install()
+	return r
+}
+
+// End stops the recording; nothing may log after it.
+func (r *Recording) End() {
+	klog.ClearLogger()
+	r.writer.Close(flushLimit)
+	assert.Equal(r.t, r.writer.Dropped(), int64(0))
+}
+
+// Explain returns the lines that name the ID, as the command explain prints them.
+func (r *Recording) Explain(id string) []logs.Line {
+	r.t.Helper()
+	lines, err := logs.Naming(bytes.NewReader(r.text.Bytes()), id)
+	assert.NilError(r.t, err)
+	logs.Sort(lines)
+	return lines
+}
+
+// Last returns the last of the lines with the event, an empty one without any.
+func Last(lines []logs.Line, event string) logs.Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		if lines[i].Value("event") == event {
+			return lines[i]
+		}
+	}
+	return logs.Line{}
+}
