Let no test of the promises wait for a site of another kind

Ruled out: more sites at a time (raises the load under which the bounds are checked); shorter retentions (a thinner check). Change: the limit of parallel tests lies above their number, so that the numbers of sites alone bound the load; tests that wait for retentions have sites of their own; two tests that were left serial run beside the others.

--- a/promises/main_test.go
+++ b/promises/main_test.go
@@ -1,7 +1,9 @@
 package promises
 
 import (
+	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -25,20 +27,30 @@
 	if binary, err = processtest.Build(dir); err != nil {
 		panic(err)
 	}
+	flag.Parse()
+	if err = flag.Set("test.parallel", strconv.Itoa(parallelTests)); err != nil {
+		panic(err)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
 // The numbers of sites that run at the same time: those of separate processes,
-// and those in this one.
+// those among them that mostly wait for a time to pass, and those in this process.
 const (
 	maxProcessSites = 4
+	maxQuietSites   = 3
 	maxOwnSites     = 3
 )
 
+// parallelTests is above the number of tests, so that none that waits for a site
+// of one kind keeps another from its own: only the sites bound the load.
+const parallelTests = 128
+
 var (
 	processSites = make(chan struct{}, maxProcessSites)
+	quietSites   = make(chan struct{}, maxQuietSites)
 	ownSites     = make(chan struct{}, maxOwnSites)
 )
 
@@ -51,7 +63,18 @@
 // startProcesses starts a site of separate processes and publishes its services.
 func startProcesses(t *testing.T, layout processtest.Layout) (*processtest.Site, *client.Client) {
 	t.Helper()
-	takeSite(t, processSites)
+	return startAmong(t, processSites, layout)
+}
+
+// startQuiet is startProcesses for a test that mostly waits.
+func startQuiet(t *testing.T, layout processtest.Layout) (*processtest.Site, *client.Client) {
+	t.Helper()
+	return startAmong(t, quietSites, layout)
+}
+
+func startAmong(t *testing.T, sites chan struct{}, layout processtest.Layout) (*processtest.Site, *client.Client) {
+	t.Helper()
+	takeSite(t, sites)
 	site, err := processtest.Start(binary, t.TempDir(), layout)
 	t.Cleanup(func() {
 		site.Close()
--- a/promises/retention_quarantine_test.go
+++ b/promises/retention_quarantine_test.go
@@ -48,10 +48,11 @@
 // loaded, lets the log's retention pass and replaces all processes, twice: the
 // request is still refused and the model is not loaded again.
 func TestQuarantineAndLoadsOutliveRetention(t *testing.T) {
+	t.Parallel()
 	layout := retentionLayout()
 	layout.Services = 0
 	layout.Store = settings.StandInStore{FetchesPerSecond: 100, Burst: 10, SizeBytes: 1 << 10}
-	site, c := startProcesses(t, layout)
+	site, c := startQuiet(t, layout)
 	prompt := engine.MarkerCrash + " before retention"
 	eventually(t, time.Minute, func() error { return quarantined(t, c, prompt) })
 	eventually(t, time.Minute, func() error { return restarted(site.Engines[0]) })
--- a/promises/retention_test.go
+++ b/promises/retention_test.go
@@ -76,7 +76,7 @@
 func TestResultsOutliveProcessesAndRetention(t *testing.T) {
 	t.Parallel()
 	const questions, items = 10, 40
-	site, c := startProcesses(t, retentionLayout())
+	site, c := startQuiet(t, retentionLayout())
 	ctx := t.Context()
 	answers := map[string]string{}
 	for i := range questions {
@@ -149,7 +149,7 @@
 // they have not read has expired, and lets them go on.
 func TestFrozenPastRetention(t *testing.T) {
 	t.Parallel()
-	site, _ := startProcesses(t, retentionLayout())
+	site, _ := startQuiet(t, retentionLayout())
 	ctx := t.Context()
 	peers := transport.NewPeers(site.Sidecars[0].Settings.Process.PeerSecret)
 	t.Cleanup(peers.Close)
--- a/promises/timeline_test.go
+++ b/promises/timeline_test.go
@@ -54,6 +54,7 @@
 // TestTimelineShowsJobsFirst lets the sidecars' wall clocks lag by ten seconds:
 // what reaches them through the log and by pulls still stands after its cause.
 func TestTimelineShowsJobsFirst(t *testing.T) {
+	t.Parallel()
 	layout := demo.DefaultLayout()
 	layout.Engine.TokenTime = 0
 	layout.Skew = func(s *settings.Settings) time.Duration {
