--- a/history/config.go
+++ b/history/config.go
@@ -39,7 +39,7 @@
 // the last, and a conflict shows the current version.
 func ConfigModel() porcupine.Model {
 	model := porcupine.NondeterministicModel{
-		Partition: partitionByObject,
+		Partition: partitionBy(func(input any) string { return input.(ConfigInput).Object }),
 		Init:      func() []any { return []any{configState{}} },
 		Step: func(state, input, output any) []any {
 			return stepConfig(state.(configState), input.(ConfigInput), output.(ConfigOutput))
@@ -48,19 +48,6 @@
 	return model.ToModel()
 }
 
-func partitionByObject(ops []porcupine.Operation) [][]porcupine.Operation {
-	byObject := map[string][]porcupine.Operation{}
-	for _, op := range ops {
-		name := op.Input.(ConfigInput).Object
-		byObject[name] = append(byObject[name], op)
-	}
-	var parts [][]porcupine.Operation
-	for _, part := range byObject {
-		parts = append(parts, part)
-	}
-	return parts
-}
-
 func stepConfig(s configState, in ConfigInput, out ConfigOutput) []any {
 	switch {
 	case out.NotRun:
--- a/history/history.go
+++ b/history/history.go
@@ -88,3 +88,23 @@
 		return ErrHistory.New("no legal order of %d operations", len(ops))
 	}
 }
+
+// partitionBy returns a function that groups operations by a key of their input,
+// in the order in which the keys appear.
+func partitionBy(keyOf func(input any) string) func([]porcupine.Operation) [][]porcupine.Operation {
+	return func(ops []porcupine.Operation) [][]porcupine.Operation {
+		index := map[string]int{}
+		var parts [][]porcupine.Operation
+		for _, op := range ops {
+			key := keyOf(op.Input)
+			at, known := index[key]
+			if !known {
+				at = len(parts)
+				index[key] = at
+				parts = append(parts, nil)
+			}
+			parts[at] = append(parts[at], op)
+		}
+		return parts
+	}
+}
--- a/history/jobs.go
+++ b/history/jobs.go
@@ -54,7 +54,7 @@
 // grow in a final job.
 func JobModel() porcupine.Model {
 	model := porcupine.NondeterministicModel{
-		Partition: partitionJobs,
+		Partition: partitionBy(func(input any) string { return input.(JobInput).Key }),
 		Init:      func() []any { return []any{jobState{}} },
 		Step:      stepJob,
 		Equal:     func(a, b any) bool { return a == b },
@@ -65,23 +65,6 @@
 	return model.ToModel()
 }
 
-func partitionJobs(ops []porcupine.Operation) [][]porcupine.Operation {
-	byKey := map[string][]porcupine.Operation{}
-	var keys []string
-	for _, op := range ops {
-		key := op.Input.(JobInput).Key
-		if byKey[key] == nil {
-			keys = append(keys, key)
-		}
-		byKey[key] = append(byKey[key], op)
-	}
-	parts := make([][]porcupine.Operation, 0, len(keys))
-	for _, key := range keys {
-		parts = append(parts, byKey[key])
-	}
-	return parts
-}
-
 func stepJob(state, input, output any) []any {
 	s, in, out := state.(jobState), input.(JobInput), output.(JobOutput)
 	if out == (JobOutput{}) {
--- a/history/requests.go
+++ b/history/requests.go
@@ -68,7 +68,7 @@
 // key without a result, and a call of unknown outcome may take effect at any
 // time after its invocation.
 var RequestModel = porcupine.Model{
-	Partition: partitionByKey,
+	Partition: partitionBy(func(input any) string { return input.(RequestInput).Key }),
 	Init:      func() any { return requestState{} },
 	Step: func(state, input, output any) (bool, any) {
 		return stepRequest(state.(requestState), input.(RequestInput), output.(RequestOutput))
@@ -76,19 +76,6 @@
 	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
 }
 
-func partitionByKey(ops []porcupine.Operation) [][]porcupine.Operation {
-	byKey := map[string][]porcupine.Operation{}
-	for _, op := range ops {
-		key := op.Input.(RequestInput).Key
-		byKey[key] = append(byKey[key], op)
-	}
-	var parts [][]porcupine.Operation
-	for _, part := range byKey {
-		parts = append(parts, part)
-	}
-	return parts
-}
-
 func stepRequest(s requestState, in RequestInput, out RequestOutput) (bool, requestState) {
 	if out.Answer == AnswerNotSent {
 		return true, s
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -19,6 +19,10 @@
 	LoseAnswers int
 	// LoseAppends is the number of appends yet to be neither done nor answered.
 	LoseAppends int
+	// LateAppends is the number of appends yet to be not answered and done only
+	// after LateBy, where their condition still holds then.
+	LateAppends int
+	LateBy      time.Duration
 	// Delay is the time that each call takes.
 	Delay time.Duration
 }
@@ -137,23 +141,40 @@
 		s.faults.LoseAppends--
 		return 0, fleet.ErrUnknown.New("nothing was done")
 	}
-	top := s.topic(t)
-	offset := top.end()
+	if s.faults.LateAppends > 0 {
+		s.faults.LateAppends--
+		time.AfterFunc(s.faults.LateBy, func() { s.appendLate(t, at, records) })
+		return 0, fleet.ErrUnknown.New("nothing was done yet")
+	}
+	offset, err := s.topic(t).append(at, records)
+	if err == nil && s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, fleet.ErrUnknown.New("the answer is lost")
+	}
+	return offset, err
+}
+
+// appendLate does an append that nobody waits for any more.
+func (s *Store) appendLate(t fleet.Topic, at int64, records []fleet.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.topic(t).append(at, records) // nobody is left to tell
+}
+
+// append adds the records where the topic ends at the offset.
+func (t *topic) append(at int64, records []fleet.Record) (int64, error) {
+	offset := t.end()
 	if at != fleet.AnyOffset && at != offset {
 		return 0, fleet.ErrMoved.New("the topic ends at %d", offset)
 	}
 	for i, r := range records {
 		r.Offset = offset + int64(i)
-		top.records = append(top.records, r)
+		t.records = append(t.records, r)
 		if len(r.Value) == 0 {
-			delete(top.newest, r.Key)
+			delete(t.newest, r.Key)
 			continue
 		}
-		top.newest[r.Key] = r
-	}
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-		return 0, fleet.ErrUnknown.New("the answer is lost")
+		t.newest[r.Key] = r
 	}
 	return offset, nil
 }
