--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -100,6 +100,17 @@
 
 func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
 
+// End returns the offset after the topic's last record. It takes the time of a
+// call, and fails as reads do.
+func (s *Store) End(ctx context.Context, t fleet.Topic) (int64, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(t).end(), nil
+}
+
 // Newest implements fleet.Store.
 func (s *Store) Newest(ctx context.Context, t fleet.Topic) ([]fleet.Record, int64, error) {
 	if _, err := s.begin(ctx); err != nil {
