Soak the programs of the users' platform under faults from outside

Ruled out: stand-ins in the processes under test; faults come from signals, relays and the stand-ins' own misbehaviour alone. Change: soak/, test code only: three gateways, three batchers and five targets on loopback; kills, freezes, stops, power loss, a store that loses, delays or forgets, paths that are silent, reset, delayed or held one way, answers that are lost, cut, foreign or doubled, drains, configurations. It checks at most once, refusals, whole answers, drains, configuration, jobs and their places, and that planned work cuts nothing. The relay learned resets, delays and holding one direction back.

--- a/processtest/process.go
+++ b/processtest/process.go
@@ -16,6 +16,7 @@
 	args     []string
 	path     string
 	binary   string
+	env      []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -23,11 +24,28 @@
 	done chan struct{}
 }
 
+// NewProcess returns a process that has not started, of the binary with the
+// arguments and the variables of the environment alone.
+func NewProcess(binary string, args, env []string) *Process {
+	return &Process{args: args, binary: binary, env: env}
+}
+
+// command returns the process's command line. A process without an environment of
+// its own gets its settings file as a flag.
+func (p *Process) command() *exec.Cmd {
+	if p.env != nil {
+		cmd := exec.Command(p.binary, p.args...)
+		cmd.Env = p.env
+		return cmd
+	}
+	return exec.Command(p.binary, append(p.args, "--config", p.path)...)
+}
+
 // Start starts the process, again after it has ended.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.binary, append(p.args, "--config", p.path)...)
+	cmd := p.command()
 	cmd.Stdout, cmd.Stderr = &lockedBuffer{p}, &lockedBuffer{p}
 	if err := cmd.Start(); err != nil {
 		return ErrProcess.Wrap(err, "start %s", p.path)
@@ -67,6 +85,18 @@
 	return nil
 }
 
+// Running reports whether the process has started and not ended.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return false
+	default:
+		return p.cmd != nil
+	}
+}
+
 // Wait waits until the process has ended and returns its exit code.
 func (p *Process) Wait(limit time.Duration) (int, error) {
 	p.mu.Lock()
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,326 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/platform/platformtest"
+	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+	"github.com/sycamoretally/sycamoretally/standin/relay"
+)
+
+const (
+	gatewayCount = 3
+	modelTargets = 3
+	callTargets  = 2
+	callerPort   = 8144
+	readyPort    = 8140
+	targetPort   = 8080
+	// grace is the time that a process has between SIGTERM and SIGKILL.
+	grace = 8 * time.Second
+	// host is the one host of all routes.
+	host = "soak.example"
+	// The services: model targets stream and run items, the others answer calls.
+	modelService = "model"
+	callService  = "calls"
+	// streamEvents and itemEvents are the sizes of answers.
+	streamEvents = 20
+	itemEvents   = 30
+)
+
+// daemon is a process of the system.
+type daemon struct {
+	name    string
+	address string
+	process *processtest.Process
+	store   *relay.Relay
+	// claimed is set while a fault or planned work has the process.
+	claimed atomic.Bool
+}
+
+// place is where one target after another runs.
+type place struct {
+	name    string
+	service string
+	address string
+	relay   *relay.Relay
+
+	mu         sync.Mutex
+	target     *platformtest.Target
+	generation int
+	faults     platformtest.Faults
+}
+
+// site is all that runs.
+type site struct {
+	t        *testing.T
+	store    *fleetstore.Store
+	gateways []*daemon
+	batchers []*daemon
+	places   []*place
+	journal  *platformtest.Journal
+	calm     *calm
+	registry *registry
+	moves    moves
+	// publishing serializes the operator's changes.
+	publishing sync.Mutex
+	version    int64
+}
+
+// subnets numbers the sites of this process, so that each has addresses of its own.
+var subnets atomic.Int32
+
+// newSite starts everything and waits until the gateways serve.
+func newSite(t *testing.T, binary string) *site {
+	t.Helper()
+	s := &site{t: t, store: fleetstore.New(), journal: &platformtest.Journal{}, calm: newCalm()}
+	s.registry = newRegistry(s.store)
+	t.Cleanup(s.registry.stop)
+	subnet := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, subnets.Add(1))
+	server := s.serveStore()
+	assert.NilError(t, s.publish(t.Context(), modelService))
+	for i := range modelTargets + callTargets {
+		s.addPlace(i, fmt.Sprint(subnet, 100+i))
+	}
+	dir := t.TempDir()
+	for i := range gatewayCount {
+		address := fmt.Sprint(subnet, 1+i)
+		node := platformtest.Node{
+			Name: fmt.Sprint("gateway-", i), Address: address, Callers: fmt.Sprint(address, ":", callerPort), Ready: fmt.Sprint(address, ":", readyPort),
+		}
+		s.gateways = append(s.gateways, s.startDaemon(binary, dir, server, "gateway", node))
+	}
+	for i := range modelTargets {
+		node := platformtest.Node{
+			Name: fmt.Sprint("batcher-", i), Address: fmt.Sprint(subnet, 50+i), App: s.places[i].address, Service: modelService,
+		}
+		s.batchers = append(s.batchers, s.startDaemon(binary, dir, server, "batcher", node))
+	}
+	for _, g := range s.gateways {
+		assert.NilError(t, awaitReady(g, 10*time.Second))
+	}
+	return s
+}
+
+func (s *site) serveStore() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	server := &http.Server{Handler: platformtest.StoreHandler(s.store)}
+	go func() { _ = server.Serve(l) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func (s *site) startDaemon(binary, dir, server, role string, node platformtest.Node) *daemon {
+	s.t.Helper()
+	r, err := relay.New(server)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(r.Close)
+	node.Store, node.DataCentre, node.Grace = r.Address(), "dc", grace
+	path := filepath.Join(dir, node.Name+".conf")
+	assert.NilError(s.t, os.WriteFile(path, []byte(node.Settings()), 0o600))
+	d := &daemon{name: node.Name, address: node.Address, store: r}
+	d.process = processtest.NewProcess(binary, []string{role}, []string{"SYCAMORETALLY_SETTINGS=" + path})
+	assert.NilError(s.t, d.process.Start())
+	s.t.Cleanup(func() {
+		_ = d.process.Signal(syscall.SIGCONT)
+		_ = d.process.Kill()
+	})
+	return d
+}
+
+// publish stores the next version of the configuration, in which the service runs
+// the route that moves, and returns once the store has taken it.
+func (s *site) publish(ctx context.Context, moving string) error {
+	route := func(name, prefix, kind, service string) platformtest.Route {
+		return platformtest.Route{
+			Name: name, Host: host, PathPrefix: prefix, Kind: kind, Service: service, TimeoutMS: 3000, LatencyMS: 300, Attempts: 3,
+		}
+	}
+	resumable := route("resumable", "/r.20/", "streaming", modelService)
+	resumable.Resume = true
+	jobs := route("jobs", "/j.30/", "batch", modelService)
+	jobs.TimeoutMS, jobs.DueMS, jobs.RetentionS = 0, 18_000, 60
+	routes := []platformtest.Route{
+		route("unsafe", "/u/", "unsafe", callService), route("safe", "/g/", "safe", callService),
+		route("moving", "/m/", "safe", moving), route("stream", "/s.20/", "streaming", modelService), resumable, jobs,
+	}
+	model := platformtest.Service{Name: modelService, HealthPath: platformtest.HealthPath, Limit: 200}
+	model.Engine.Slots = work(modelService).Slots
+	calls := platformtest.Service{Name: callService, HealthPath: platformtest.HealthPath, Limit: 200}
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	s.version += 3
+	return platformtest.Publish(ctx, s.store, s.version, routes, []platformtest.Service{model, calls})
+}
+
+// work says what the targets of a service can do.
+func work(service string) platformtest.Work {
+	if service == modelService {
+		return platformtest.Work{Slots: 6, Queue: 4, EventTime: 10 * time.Millisecond, CallTime: 5 * time.Millisecond}
+	}
+	return platformtest.Work{Slots: 6, Queue: 8, CallTime: 15 * time.Millisecond}
+}
+
+func (s *site) addPlace(i int, address string) {
+	s.t.Helper()
+	p := &place{name: fmt.Sprint("place-", i), service: callService, address: fmt.Sprint(address, ":", targetPort)}
+	if i < modelTargets {
+		p.service = modelService
+	}
+	var err error
+	p.relay, err = relay.New(p.address)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(p.relay.Close)
+	s.places = append(s.places, p)
+	assert.NilError(s.t, s.startTarget(p))
+	s.t.Cleanup(func() { p.current().Crash() })
+}
+
+func (p *place) current() *platformtest.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
+func (p *place) setFaults(f platformtest.Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.target.SetFaults(f)
+}
+
+// startTarget starts the place's next target and registers it.
+func (s *site) startTarget(p *place) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := fmt.Sprintf("%s-%d", p.name, p.generation)
+	target, err := platformtest.NewTarget(id, p.service, p.address, work(p.service), s.journal)
+	if err != nil {
+		return err
+	}
+	p.generation++
+	target.SetFaults(p.faults)
+	p.target = target
+	s.registry.put(target, p.relay.Address())
+	return nil
+}
+
+// registry writes the entries of targets to the store, again until it takes them.
+type registry struct {
+	store  *fleetstore.Store
+	queue  chan func(context.Context) error
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu sync.Mutex
+	// left is when the store took the word that a target leaves or is gone.
+	left map[string]time.Time
+}
+
+func newRegistry(store *fleetstore.Store) *registry {
+	r := &registry{store: store, queue: make(chan func(context.Context) error, 1000), done: make(chan struct{}), left: map[string]time.Time{}}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	go r.run()
+	return r
+}
+
+func (r *registry) stop() {
+	r.cancel()
+	<-r.done
+}
+
+func (r *registry) run() {
+	defer close(r.done)
+	for {
+		select {
+		case write := <-r.queue:
+			for r.ctx.Err() == nil && write(r.ctx) != nil {
+				time.Sleep(50 * time.Millisecond)
+			}
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *registry) put(t *platformtest.Target, address string) {
+	born := time.Now().UnixMilli()
+	r.queue <- func(ctx context.Context) error {
+		err := platformtest.Register(ctx, r.store, t, address, born)
+		if err == nil && t.Draining() {
+			r.note(t.ID)
+		}
+		return err
+	}
+}
+
+func (r *registry) remove(id string) {
+	r.queue <- func(ctx context.Context) error {
+		err := platformtest.Remove(ctx, r.store, id)
+		if err == nil {
+			r.note(id)
+		}
+		return err
+	}
+}
+
+func (r *registry) note(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left[id].IsZero() {
+		r.left[id] = time.Now()
+	}
+}
+
+// leftAt returns when the store took the word that the target leaves.
+func (r *registry) leftAt(id string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, found := r.left[id]
+	return at, found
+}
+
+// ready asks a gateway whether callers may connect.
+func ready(d *daemon) bool {
+	client := http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(fmt.Sprint("http://", d.address, ":", readyPort, "/"))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func awaitReady(d *daemon, limit time.Duration) error {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(30 * time.Millisecond) {
+		if ready(d) {
+			return nil
+		}
+	}
+	return fleet.ErrUnavailable.New("%s is not ready after %v: %s", d.name, limit, tailOf(d.process.Log()))
+}
+
+// tailOf returns the last lines of a log.
+func tailOf(log string) string {
+	const bytes = 3000
+	return log[max(0, len(log)-bytes):]
+}
+
+// pick returns one of the list.
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/processtest"
+)
+
+var (
+	firstSeed = flag.Uint64("first", 1, "the first seed")
+	seeds     = flag.Int("seeds", 2, "the number of seeds")
+	keepLogs  = flag.String("logs", "", "a directory for the processes' logs of seeds that fail")
+)
+
+// failedSeeds are those that ever failed, with the cause.
+var failedSeeds = []struct {
+	seed  uint64
+	cause string
+}{}
+
+const (
+	// troubleTime is how long failures begin, calmTime how long only planned work
+	// goes on after the last has ended and the things are stable again.
+	troubleTime = 9 * time.Second
+	calmTime    = 7 * time.Second
+	// longestTrouble is the longest time that a failure lasts.
+	longestTrouble = 3 * time.Second
+	// sitesAtOnce bounds the sites that run at the same time.
+	sitesAtOnce = 3
+)
+
+var siteSlots = make(chan struct{}, sitesAtOnce)
+
+// binary is the program under test, built once for all seeds.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "sycamoretally-soak")
+	if err != nil {
+		panic(err)
+	}
+	if binary, err = processtest.Build(dir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// TestSoak plays the seeds.
+func TestSoak(t *testing.T) {
+	list := map[uint64]string{}
+	for _, failed := range failedSeeds {
+		list[failed.seed] = failed.cause
+	}
+	for i := range uint64(*seeds) {
+		list[*firstSeed+i] = "fresh"
+	}
+	for seed, why := range list {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			siteSlots <- struct{}{}
+			defer func() { <-siteSlots }()
+			t.Logf("seed %d: %s", seed, why)
+			play(t, seed)
+		})
+	}
+}
+
+// play disturbs a site as the seed says while callers use it, then lets it calm
+// down under planned work alone, and checks what everybody saw.
+func play(t *testing.T, seed uint64) {
+	s := newSite(t, binary)
+	l := &ledger{}
+	ctx, stopCallers := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for i := range onlineCallers {
+		s.startCaller(ctx, &callers, l, fmt.Sprint("c", i), rand.New(rand.NewPCG(seed, uint64(i))), callPause, (*caller).callOnline)
+	}
+	for i := range jobCallers {
+		s.startCaller(ctx, &callers, l, fmt.Sprint("j", i), rand.New(rand.NewPCG(seed, uint64(100+i))), jobPause, (*caller).runJob)
+	}
+	rng := rand.New(rand.NewPCG(seed, 1000))
+	s.disturb(t.Context(), rng)
+	stopCallers()
+	callers.Wait()
+	s.recover(t.Context(), l)
+	s.check(l)
+	s.report(l, seed)
+	for _, d := range s.daemons() {
+		s.stopDaemon(t.Context(), d)
+	}
+}
+
+func (s *site) startCaller(ctx context.Context, group *sync.WaitGroup, l *ledger, name string, rng *rand.Rand, pause time.Duration, call func(*caller, context.Context)) {
+	c := newCaller(s, l, name, rng)
+	group.Go(func() {
+		for ctx.Err() == nil {
+			// A call that has begun goes on to its end.
+			call(c, context.WithoutCancel(ctx))
+			rest(ctx, time.Duration(rng.Int64N(int64(pause))))
+		}
+	})
+}
+
+// disturb plays troubles and plans, both in series that overlap.
+func (s *site) disturb(ctx context.Context, rng *rand.Rand) {
+	troubled, end := context.WithTimeout(ctx, troubleTime)
+	defer end()
+	var group sync.WaitGroup
+	for troubled.Err() == nil {
+		s.begin(ctx, &group, pick(rng, troubles), rng)
+		if rng.IntN(2) == 0 {
+			s.begin(ctx, &group, pick(rng, plans), rng)
+		}
+		rest(troubled, time.Duration(200+rng.IntN(1000))*time.Millisecond)
+	}
+	group.Wait()
+	rest(ctx, stableWindow)
+	calm, endCalm := context.WithTimeout(ctx, calmTime)
+	defer endCalm()
+	for calm.Err() == nil {
+		s.begin(ctx, &group, pick(rng, plans), rng)
+		rest(calm, time.Duration(300+rng.IntN(900))*time.Millisecond)
+	}
+	group.Wait()
+}
+
+func (s *site) begin(ctx context.Context, group *sync.WaitGroup, one trouble, rng *rand.Rand) {
+	lasting := time.Duration(300+rng.Int64N(longestTrouble.Milliseconds()-300)) * time.Millisecond
+	own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	group.Go(func() { one.make(s, ctx, own, lasting) })
+}
+
+// report fails the test where something was wrong, with all that is known.
+func (s *site) report(l *ledger, seed uint64) {
+	count := map[verdict]int{}
+	for _, one := range l.sent {
+		count[one.verdict]++
+	}
+	s.t.Logf("seed %d: %d answered, %d failed, %d refused, %d broken, %d jobs, %d runs", seed, count[answered], count[failed],
+		count[refused], count[broken], len(l.jobs), len(s.journal.Runs()))
+	assert.Check(s.t, count[answered] > 0)
+	if len(l.problems) == 0 {
+		return
+	}
+	for _, problem := range l.problems[:min(len(l.problems), 20)] {
+		s.t.Errorf("%s", problem)
+	}
+	s.t.Logf("troubles:\n%s", s.calm)
+	if *keepLogs == "" {
+		return
+	}
+	for _, d := range s.daemons() {
+		name := filepath.Join(*keepLogs, fmt.Sprintf("%d-%s.log", seed, d.name))
+		assert.Check(s.t, os.WriteFile(name, []byte(d.process.Log()), 0o600))
+	}
+}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -1,12 +1,15 @@
 // Package relay is a stand-in for the network between two processes: it passes
 // TCP connections on, and can let those that are open go silent for good, as
-// when something between the two ends has lost track of them.
+// when something between the two ends has lost track of them, reset them, hold
+// back one direction or both, and delay what passes.
 package relay
 
 import (
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
@@ -17,18 +20,34 @@
 	target   string
 	listener net.Listener
 	group    sync.WaitGroup
+	// delay is the time that each piece takes longer, as a time.Duration.
+	delay atomic.Int64
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// held has a channel for each direction in which nothing passes until the
+	// channel is closed, nil for one that is open.
+	held   [directions]chan struct{}
 	mute   bool
 	closed bool
 	links  map[*link]bool
 }
 
+// direction is that of the bytes of a connection.
+type direction int
+
+const (
+	toTarget direction = iota
+	toCaller
+	directions
+)
+
 // link is one connection with its way on.
 type link struct {
 	in, out net.Conn
-	// muted is closed once nothing is passed on any more.
+	// muted is closed once nothing is passed on any more, done once an end closes.
 	muted chan struct{}
+	done  chan struct{}
+	once  sync.Once
 }
 
 // New listens on an address of loopback and passes connections on to target.
@@ -62,6 +81,59 @@
 	r.mute = on
 }
 
+// Reset breaks every open connection off with a reset at both ends.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		for _, conn := range []net.Conn{l.in, l.out} {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}
+		l.close()
+	}
+}
+
+// SetDelay makes every piece that passes take so much longer.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Hold keeps back what goes towards the target, or comes back from it, in open
+// and new connections, until it is called again.
+func (r *Relay) Hold(towards, back bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d, hold := range [directions]bool{toTarget: towards, toCaller: back} {
+		if hold == (r.held[d] != nil) {
+			continue
+		}
+		if hold {
+			r.held[d] = make(chan struct{})
+			continue
+		}
+		close(r.held[d])
+		r.held[d] = nil
+	}
+}
+
+// await returns once a piece may pass, false where its connection has closed.
+func (r *Relay) await(l *link, d direction) bool {
+	r.mu.Lock()
+	held := r.held[d]
+	r.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-l.done:
+			return false
+		}
+	}
+	if delay := time.Duration(r.delay.Load()); delay > 0 {
+		time.Sleep(delay)
+	}
+	return true
+}
+
 // Open returns the number of connections that are passed on.
 func (r *Relay) Open() int {
 	r.mu.Lock()
@@ -103,6 +175,7 @@
 }
 
 func (l *link) close() {
+	l.once.Do(func() { close(l.done) })
 	_ = l.in.Close()
 	_ = l.out.Close()
 }
@@ -123,12 +196,12 @@
 		_ = in.Close()
 		return
 	}
-	l := &link{in: in, out: out, muted: make(chan struct{})}
+	l := &link{in: in, out: out, muted: make(chan struct{}), done: make(chan struct{})}
 	if !r.add(l) {
 		return
 	}
-	r.group.Go(func() { l.pass(out, in) })
-	l.pass(in, out)
+	r.group.Go(func() { r.pass(l, toTarget, out, in) })
+	r.pass(l, toCaller, in, out)
 	l.close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -154,7 +227,7 @@
 
 // pass copies until an end closes. Once muted it reads on and drops what comes,
 // and an end that closes is not told to the other.
-func (l *link) pass(to, from net.Conn) {
+func (r *Relay) pass(l *link, d direction, to, from net.Conn) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
@@ -162,6 +235,9 @@
 			_, _ = io.Copy(io.Discard, from)
 			return
 		}
+		if !r.await(l, d) {
+			return
+		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
