Keep outputs of items in a topic of their own, read where callers ask

After power was lost everywhere, 71 processes read the whole work topic back, outputs included; the store gives 80 MB/s to all readers, so reads of the registry timed out from 36.0 to 42.3 s ('topic not readable ... deadline exceeded' at every gateway), and targets that had left at 35.2 s got requests until 44 s. No output known, store away: the read is refused, with Retry-After; TestStoreOutage checks that what was read before is still given and that the rest is refused (it expected an output that nobody had read; no page promises that one).

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -78,6 +78,7 @@
 	configTail *tail.Follower
 	workTail   *tail.Follower
 	outbox     *outbox.Outbox
+	texts      *outbox.Outbox
 	metrics    *metrics
 
 	mu     sync.Mutex
@@ -116,9 +117,10 @@
 		held:    map[worklog.ItemRef]*held{},
 		meter:   spare.Meter{Settle: settleTime},
 	}
-	b.outbox = outbox.New(outbox.Params{
-		Store: p.Store, Topic: fleet.TopicWork, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey,
-	})
+	newOutbox := func(topic fleet.Topic) *outbox.Outbox {
+		return outbox.New(outbox.Params{Store: p.Store, Topic: topic, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey})
+	}
+	b.outbox, b.texts = newOutbox(fleet.TopicWork), newOutbox(fleet.TopicTexts)
 	b.metrics = newMetrics(b)
 	b.tomb, b.ctx = tomb.WithContext(context.Background())
 	b.configTail = tail.New(tail.Params{
@@ -138,6 +140,7 @@
 	b.tomb.Go(func() error { return b.configTail.Run(ctx) })
 	b.tomb.Go(func() error { return b.workTail.Run(ctx) })
 	b.tomb.Go(func() error { return b.outbox.Run(ctx) })
+	b.tomb.Go(func() error { return b.texts.Run(ctx) })
 	b.tomb.Go(b.look)
 	klog.InfoS("batcher started", "instance", b.params.Node.Name, "target", b.params.Node.TargetAddress, "writer", b.writer.Name())
 }
@@ -149,12 +152,12 @@
 	klog.InfoS("batcher stopping", "items", len(b.held))
 	b.releaseAll("the batcher stops")
 	b.mu.Unlock()
-	for begun := time.Now(); b.outbox.Len() > 0 && time.Since(begun) < stopFlush; {
+	for begun := time.Now(); b.unstored() > 0 && time.Since(begun) < stopFlush; {
 		pause.For(context.Background(), lookInterval)
 	}
 	b.tomb.Kill(nil)
 	err := b.tomb.Wait()
-	klog.InfoS("batcher stopped", "unstored_records", b.outbox.Len())
+	klog.InfoS("batcher stopped", "unstored_records", b.unstored())
 	return err
 }
 
@@ -283,16 +286,37 @@
 	b.put(worklog.Entry{Alive: true})
 }
 
-// put hands an entry to the outbox. The lock is held.
+// put hands an entry to the outbox.
 func (b *Batcher) put(e worklog.Entry) {
 	record, err := b.writer.Encode(e)
 	if err != nil {
 		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
 		return
 	}
-	b.outbox.Add(record)
+	b.outbox.Add(outbox.Entry{Record: record})
+}
+
+// putResult hands an item's end over: first its output, and once the store has
+// that, the record that names it.
+func (b *Batcher) putResult(job string, r fleet.Result) {
+	done := worklog.Done{Job: job, Item: r.Item, End: r.State}
+	if r.State == fleet.ResultDead {
+		b.put(worklog.Entry{Done: &done})
+		return
+	}
+	value := worklog.EncodeText(r.Text)
+	b.texts.Add(outbox.Entry{Record: fleet.Record{Value: value}, Prefix: worklog.TextPrefix(job), Stored: func(stored fleet.Record) {
+		done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: len(stored.Key) + len(value) + recordOverhead}
+		b.put(worklog.Entry{Done: &done})
+	}})
 }
 
+// recordOverhead is more than the store adds to a record's key and value.
+const recordOverhead = 32
+
+// unstored returns the number of records that the store does not have yet.
+func (b *Batcher) unstored() int { return b.texts.Len() + b.outbox.Len() }
+
 // claim asks the log for more items: up to want that can be done in time, and
 // others for idle slots. The lock is held.
 func (b *Batcher) claim(ctx context.Context, now time.Time, want, idle int) {
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -214,7 +214,13 @@
 	assert.Equal(s.t, len(job.Results), len(job.Items))
 	for _, r := range job.Results {
 		assert.Equal(s.t, r.State, fleet.ResultCompleted)
-		assert.Equal(s.t, r.Text, wholeText(r.Item))
+		record, err := s.store.ReadOne(s.t.Context(), fleet.TopicTexts, r.Text.Offset, r.Text.Bytes)
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, record.Key, r.Text.Key)
+		assert.Assert(s.t, len(record.Key)+len(record.Value) <= r.Text.Bytes)
+		text, ok := worklog.DecodeText(record.Value)
+		assert.Assert(s.t, ok)
+		assert.Equal(s.t, text, wholeText(r.Item))
 	}
 }
 
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -223,7 +223,7 @@
 			b.pace.Observe(h.item.Tokens, end.progress.Events, time.Since(h.since))
 		}
 		delete(b.held, h.ref)
-		b.put(worklog.Entry{Done: &worklog.Done{Job: h.ref.Job, Result: *end.result}})
+		b.putResult(h.ref.Job, *end.result)
 	}
 }
 
--- a/batcher/metrics.go
+++ b/batcher/metrics.go
@@ -40,7 +40,7 @@
 		}
 		return time.Since(b.answered).Seconds()
 	}))
-	gauge("sycamoretally_batcher_records_waiting", "Records that the store has not taken yet.", func() float64 { return float64(b.outbox.Len()) })
+	gauge("sycamoretally_batcher_records_waiting", "Records that the store has not taken yet.", func() float64 { return float64(b.unstored()) })
 	gauge("sycamoretally_batcher_work_age_seconds", "Time since the work log was last known to be current.", func() float64 {
 		age, _ := b.workTail.Age()
 		return age.Seconds()
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -27,6 +27,17 @@
 	retryPause = 250 * time.Millisecond
 )
 
+// Entry is one record to append.
+type Entry struct {
+	// Record gets a key at each try where it has none.
+	Record fleet.Record
+	// Prefix begins the keys that it gets.
+	Prefix string
+	// Stored, if set, is called once the store has the record, with its key and
+	// offset.
+	Stored func(stored fleet.Record)
+}
+
 // Params say where records go.
 type Params struct {
 	Store fleet.Store
@@ -42,17 +53,17 @@
 	params Params
 
 	mu      sync.Mutex
-	records []fleet.Record
+	entries []Entry
 	filled  chan struct{}
 }
 
 // New returns an empty outbox.
 func New(p Params) *Outbox { return &Outbox{params: p, filled: make(chan struct{}, 1)} }
 
-// Add takes records to append. Those without a key get one.
-func (o *Outbox) Add(records ...fleet.Record) {
+// Add takes records to append.
+func (o *Outbox) Add(entries ...Entry) {
 	o.mu.Lock()
-	o.records = append(o.records, records...)
+	o.entries = append(o.entries, entries...)
 	o.mu.Unlock()
 	select {
 	case o.filled <- struct{}{}:
@@ -64,7 +75,7 @@
 func (o *Outbox) Len() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.records)
+	return len(o.entries)
 }
 
 // Run appends until ctx ends.
@@ -85,27 +96,34 @@
 
 // append tries to store the first records.
 func (o *Outbox) append(ctx context.Context) {
-	batch := o.first()
-	_, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
+	entries, batch := o.first()
+	offset, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
 	if err != nil {
 		klog.V(1).InfoS("records not stored yet", "records", len(batch), "error", protocol.CauseOf(err))
 		pause.For(ctx, retryPause)
 		return
 	}
+	for i, e := range entries {
+		if e.Stored != nil {
+			batch[i].Offset = offset + int64(i)
+			e.Stored(batch[i])
+		}
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.records = o.records[len(batch):]
+	o.entries = o.entries[len(batch):]
 }
 
-// first returns copies of the first records that fit into one call, with keys.
-func (o *Outbox) first() []fleet.Record {
+// first returns the first entries that fit into one call, and copies of their
+// records with keys.
+func (o *Outbox) first() (entries []Entry, batch []fleet.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var batch []fleet.Record
 	size := 0
-	for _, r := range o.records {
+	for _, e := range o.entries {
+		r := e.Record
 		if r.Key == "" {
-			r.Key = o.params.NextKey()
+			r.Key = e.Prefix + o.params.NextKey()
 		}
 		size += len(r.Key) + len(r.Value)
 		if len(batch) > 0 && size > o.params.MaxBytes {
@@ -113,5 +131,5 @@
 		}
 		batch = append(batch, r)
 	}
-	return batch
+	return o.entries[:len(batch)], batch
 }
--- a/coordination/outbox/outbox_test.go
+++ b/coordination/outbox/outbox_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = o.Run(ctx) }()
 		for i := range 10 {
-			o.Add(fleet.Record{Value: fmt.Appendf(nil, "some text of a result %d", i)})
+			o.Add(outbox.Entry{Record: fleet.Record{Value: fmt.Appendf(nil, "some text of a result %d", i)}})
 		}
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, o.Len(), 10)
@@ -45,6 +46,40 @@
 	})
 }
 
+// TestStoredTellsWhere reports each record once, where the store has it for sure:
+// not the copy whose answer was lost.
+func TestStoredTellsWhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleetstore.New()
+		s.SetFaults(fleetstore.Faults{LoseAnswers: 1})
+		keys := 0
+		o := outbox.New(outbox.Params{Store: s, Topic: fleet.TopicTexts, MaxBytes: 1000, NextKey: func() string {
+			keys++
+			return fmt.Sprint("key ", keys)
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		stored := make(chan fleet.Record, 10)
+		for i := range 3 {
+			o.Add(outbox.Entry{
+				Record: fleet.Record{Value: fmt.Appendf(nil, "text %d", i)}, Prefix: "job/", Stored: func(r fleet.Record) { stored <- r },
+			})
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, len(stored), 3)
+		for i := range 3 {
+			told := <-stored
+			r, err := s.ReadOne(t.Context(), fleet.TopicTexts, told.Offset, 100)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, r, told)
+			assert.Equal(t, string(r.Value), fmt.Sprint("text ", i))
+			assert.Assert(t, strings.HasPrefix(r.Key, "job/key "), r.Key)
+		}
+	})
+}
+
 // checkKeys checks that no copy of a record has the key of another: the store
 // keeps the newest record of a key, and a process that reads only these would
 // know the first copy at a later place.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	// changed is closed and replaced whenever the fold changes.
 	changed chan struct{}
 	writer  *worklog.Writer
+	texts   *texts
 
 	active  atomic.Int64
 	closing atomic.Bool
@@ -85,6 +86,7 @@
 		table:   placing.New(time.Now, nil),
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
+		texts:   newTexts(p.Store),
 		changed: make(chan struct{}),
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 	}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -185,19 +185,19 @@
 	timer := time.NewTimer(min(wait, maxWait))
 	defer timer.Stop()
 	for {
-		page, open, changed := g.page(id, after)
-		if len(page.Results) == 0 && open && g.stale() {
-			return page, fleet.RetryAfter(fleet.ErrRefused.New("job %s may have results that are not known here", id), jobRetryAfter)
+		found := g.find(id, after)
+		if len(found.results) == 0 && found.open && g.stale() {
+			return fleet.ResultPage{}, fleet.RetryAfter(fleet.ErrRefused.New("job %s may have results that are not known here", id), jobRetryAfter)
 		}
-		if len(page.Results) > 0 || !open || wait == 0 || g.closing.Load() {
-			return page, nil
+		if len(found.results) > 0 || !found.open || wait == 0 || g.closing.Load() {
+			return g.page(ctx, id, after, found)
 		}
 		select {
-		case <-changed:
+		case <-found.changed:
 		case <-timer.C:
-			return page, nil
+			return g.page(ctx, id, after, found)
 		case <-ctx.Done():
-			return page, nil
+			return g.page(ctx, id, after, found)
 		}
 	}
 }
@@ -209,26 +209,45 @@
 	return !known || age > maxWorkAge
 }
 
-// page returns the results from a position on, whether more will come, and what
-// is closed when that changes.
-func (g *Gateway) page(id string, after int) (fleet.ResultPage, bool, <-chan struct{}) {
+// found is what is known of a job's results from a position on.
+type found struct {
+	total   int
+	results []worklog.Result
+	// open says that more will come, and changed is closed when that changes.
+	open    bool
+	changed <-chan struct{}
+}
+
+// find returns the results from a position on, as many as a page may hold.
+func (g *Gateway) find(id string, after int) found {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
 	job := g.fold.Job(id)
 	if job == nil {
-		return fleet.ResultPage{}, false, g.changed
+		return found{changed: g.changed}
 	}
-	page := fleet.ResultPage{Total: len(job.Items), Next: after}
+	f := found{total: len(job.Items), open: job.Open(), changed: g.changed}
 	size := 0
-	for _, result := range job.Results[min(after, len(job.Results)):] {
-		size += len(result.Text)
-		if size > maxPageBytes && len(page.Results) > 0 {
+	for _, r := range job.Results[min(after, len(job.Results)):] {
+		if r.Text != nil {
+			size += r.Text.Bytes
+		}
+		if size > maxPageBytes && len(f.results) > 0 {
 			break
 		}
-		page.Results = append(page.Results, result)
-		page.Next++
+		f.results = append(f.results, r)
+	}
+	return f
+}
+
+// page makes a page of what was found. It fails with ErrRefused where the store
+// gives no output of any of the results.
+func (g *Gateway) page(ctx context.Context, id string, after int, f found) (fleet.ResultPage, error) {
+	results, err := g.texts.resolve(ctx, id, f.results)
+	if err != nil && len(results) == 0 {
+		return fleet.ResultPage{}, fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "results of job %s cannot be read now", id), jobRetryAfter)
 	}
-	return page, job.Open(), g.changed
+	return fleet.ResultPage{Total: f.total, Next: after + len(results), Results: results}, nil
 }
 
 // ItemBody implements fleet.Callers.
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -32,7 +32,12 @@
 // finish appends a result as a batcher would.
 func finish(t *testing.T, store *fleetstore.Store, w *worklog.Writer, job, item, text string) {
 	t.Helper()
-	record, err := w.Record(worklog.Entry{Done: &worklog.Done{Job: job, Result: fleet.Result{Item: item, Text: text}}})
+	value := worklog.EncodeText(text)
+	key := worklog.TextPrefix(job) + w.NextKey()
+	at, err := store.Append(t.Context(), fleet.TopicTexts, fleet.AnyOffset, []fleet.Record{{Key: key, Value: value}})
+	assert.NilError(t, err)
+	ref := &worklog.TextRef{Key: key, Offset: at, Bytes: len(key) + len(value)}
+	record, err := w.Record(worklog.Entry{Done: &worklog.Done{Job: job, Item: item, Text: ref}})
 	assert.NilError(t, err)
 	_, err = store.Append(t.Context(), fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
 	assert.NilError(t, err)
@@ -115,22 +120,30 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := startSite(t, newStore(t))
 		defer s.stop()
-		assert.NilError(t, s.submit(job("one", 2)))
-		finish(t, s.store, worklog.NewWriter("b"), "one", "i1", "x")
+		w := worklog.NewWriter("b")
+		assert.NilError(t, s.submit(job("one", 3)))
+		finish(t, s.store, w, "one", "i1", "x")
+		time.Sleep(time.Second)
+		_, err := s.Results(t.Context(), "one", 0, 0)
+		assert.NilError(t, err)
+		finish(t, s.store, w, "one", "i0", "y")
 		time.Sleep(time.Second)
 		s.store.SetFaults(fleetstore.Faults{Down: true})
 		assert.Assert(t, errorx.IsOfType(s.submit(job("two", 1)), fleet.ErrRefused))
-		assert.NilError(t, s.submit(job("one", 2)), "a job that is known is accepted again")
+		assert.NilError(t, s.submit(job("one", 3)), "a job that is known is accepted again")
 		assert.Assert(t, errorx.IsOfType(s.End(t.Context(), "one"), fleet.ErrRefused))
 		page, err := s.Results(t.Context(), "one", 0, 0)
 		assert.NilError(t, err)
-		assert.Equal(t, len(page.Results), 1)
+		assert.DeepEqual(t, page, fleet.ResultPage{Total: 3, Next: 1, Results: []fleet.Result{{Item: "i1", Text: "x"}}})
+		_, err = s.Results(t.Context(), "one", 1, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "a result whose output nobody has read here: %v", err)
+		assert.Assert(t, fleet.RetryAfterOf(err) > 0)
 		time.Sleep(2 * time.Second)
-		_, err = s.Results(t.Context(), "one", 1, time.Second)
+		_, err = s.Results(t.Context(), "one", 2, time.Second)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "others may know more: %v", err)
 		_, err = s.Results(t.Context(), "two", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
-		_, err = s.Results(t.Context(), "one", 2, 0)
+		_, err = s.Results(t.Context(), "one", 3, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "a position read elsewhere: %v", err)
 		s.store.SetFaults(fleetstore.Faults{})
 		_, err = s.Results(t.Context(), "two", 0, 0)
@@ -213,6 +226,35 @@
 	})
 }
 
+// TestOldOutputsComeTogether reads a job whose outputs the store has no longer in
+// its history: one call brings those of the whole job.
+func TestOldOutputsComeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("one", 9)))
+		w := worklog.NewWriter("b")
+		for i := range 40 {
+			finish(t, s.store, w, "other", fmt.Sprint("i", i), "z")
+		}
+		for i := range 9 {
+			finish(t, s.store, w, "one", fmt.Sprint("i", i), fmt.Sprint("text ", i))
+		}
+		s.store.Forget(fleet.TopicTexts)
+		time.Sleep(time.Second)
+		before := s.store.Calls()
+		page, err := s.Results(t.Context(), "one", 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Results), 9)
+		for i, r := range page.Results {
+			assert.Equal(t, r.Text, fmt.Sprint("text ", i))
+		}
+		const polls = 3 // of the topics that the gateway follows
+		calls := s.store.Calls() - before - polls
+		assert.Assert(t, calls <= 2, "%d calls", calls)
+	})
+}
+
 // TestSubmitPatience ends with its caller's patience while the store is silent.
 func TestSubmitPatience(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -87,6 +87,9 @@
 			return age.Seconds()
 		})
 	}
+	gauge("sycamoretally_gateway_text_bytes", "Outputs of items that are kept to be read again.", func() float64 {
+		return float64(g.texts.cache.Bytes())
+	})
 	gauge("sycamoretally_gateway_jobs_open", "Jobs with items still to be done.", func() float64 {
 		g.jobsMu.RLock()
 		defer g.jobsMu.RUnlock()
--- a/instrument/store.go
+++ b/instrument/store.go
@@ -15,6 +15,7 @@
 
 var topicNames = map[fleet.Topic]string{
 	fleet.TopicConfiguration: "configuration", fleet.TopicTargets: "targets", fleet.TopicWork: "work",
+	fleet.TopicTexts: "texts",
 }
 
 // Store is a store whose calls are counted.
@@ -73,6 +74,22 @@
 	return page, err
 }
 
+// ReadOne implements fleet.Store.
+func (s *Store) ReadOne(ctx context.Context, topic fleet.Topic, at int64, bytes int) (fleet.Record, error) {
+	begun := time.Now()
+	record, err := s.store.ReadOne(ctx, topic, at, bytes)
+	s.observe(topic, "read_one", begun, 1, err)
+	return record, err
+}
+
+// NewestAfter implements fleet.Store.
+func (s *Store) NewestAfter(ctx context.Context, topic fleet.Topic, key string) ([]fleet.Record, error) {
+	begun := time.Now()
+	records, err := s.store.NewestAfter(ctx, topic, key)
+	s.observe(topic, "newest_after", begun, len(records), err)
+	return records, err
+}
+
 // Append implements fleet.Store.
 func (s *Store) Append(ctx context.Context, topic fleet.Topic, at int64, records []fleet.Record) (int64, error) {
 	begun := time.Now()
--- a/protocol/fleet/store.go
+++ b/protocol/fleet/store.go
@@ -13,6 +13,8 @@
 	TopicTargets
 	// TopicWork is the system's own log of batch work.
 	TopicWork
+	// TopicTexts holds the outputs of items, which the log of batch work names.
+	TopicTexts
 )
 
 // Record is one record of a topic. A record without a value deletes its key.
@@ -41,6 +43,12 @@
 	// Read returns records from the offset on, possibly none. It fails with
 	// ErrExpired where they are no longer there.
 	Read(ctx context.Context, topic Topic, from int64) (Page, error)
+	// ReadOne returns the record at the offset, which has at most so many bytes.
+	// It fails with ErrExpired where it is no longer there.
+	ReadOne(ctx context.Context, topic Topic, at int64, bytes int) (Record, error)
+	// NewestAfter returns newest records whose keys follow the key, in order of
+	// keys: as many as one answer of the store holds, none where there are none.
+	NewestAfter(ctx context.Context, topic Topic, key string) ([]Record, error)
 	// Append appends all records or none and returns the first one's offset. It
 	// fails with ErrMoved where the topic does not end at the offset at, with
 	// ErrUnavailable where nothing was done, and with ErrUnknown where the
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -3,6 +3,7 @@
 package fleetstore
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -141,6 +142,31 @@
 	return fleet.Page{Records: slices.Clone(top.records[from-top.first:]), Next: top.end(), End: top.end()}, nil
 }
 
+// ReadOne implements fleet.Store.
+func (s *Store) ReadOne(ctx context.Context, t fleet.Topic, at int64, _ int) (fleet.Record, error) {
+	page, err := s.Read(ctx, t, at)
+	if err != nil {
+		return fleet.Record{}, err
+	}
+	if len(page.Records) == 0 {
+		return fleet.Record{}, fleet.ErrUnavailable.New("no record at offset %d", at)
+	}
+	return page.Records[0], nil
+}
+
+// NewestAfter implements fleet.Store.
+func (s *Store) NewestAfter(ctx context.Context, t fleet.Topic, key string) ([]fleet.Record, error) {
+	records, _, err := s.Newest(ctx, t)
+	slices.SortFunc(records, func(a, b fleet.Record) int { return cmp.Compare(a.Key, b.Key) })
+	from, _ := slices.BinarySearchFunc(records, key, func(r fleet.Record, key string) int {
+		if r.Key <= key {
+			return -1
+		}
+		return 1
+	})
+	return records[from:], err
+}
+
 // Append implements fleet.Store.
 func (s *Store) Append(ctx context.Context, t fleet.Topic, at int64, records []fleet.Record) (int64, error) {
 	if _, err := s.begin(ctx); err != nil {
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -125,13 +125,13 @@
 	if job == nil || job.Ended {
 		return
 	}
-	item := f.Item(ItemRef{Job: d.Job, Item: d.Result.Item})
+	item := f.Item(ItemRef{Job: d.Job, Item: d.Item})
 	if item == nil || item.Done {
 		return
 	}
 	item.Done = true
 	item.Progress = Progress{}
-	job.Results = append(job.Results, d.Result)
+	job.Results = append(job.Results, Result{Item: d.Item, State: d.End, Text: d.Text})
 	f.waiting[job.Accept.Route] -= item.Tokens
 	if !job.Open() {
 		f.close(job)
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -57,7 +57,7 @@
 }
 
 func done(job, item, text string) Entry {
-	return Entry{Done: &Done{Job: job, Result: fleet.Result{Item: item, Text: text}}}
+	return Entry{Done: &Done{Job: job, Item: item, Text: &TextRef{Key: text}}}
 }
 
 func claim(job, item string, over int64) Entry {
@@ -73,7 +73,7 @@
 	l.put(b, done("j", "x", "other"))
 	l.put(b, done("j", "z", "of no item"))
 	f := l.fold()
-	assert.DeepEqual(t, f.Job("j").Results, []fleet.Result{{Item: "y", Text: "first"}, {Item: "x", Text: "other"}})
+	assert.DeepEqual(t, f.Job("j").Results, []Result{{Item: "y", Text: &TextRef{Key: "first"}}, {Item: "x", Text: &TextRef{Key: "other"}}})
 	assert.Equal(t, f.Waiting("review"), int64(0))
 	assert.Equal(t, len(f.OpenJobs()), 0)
 }
@@ -142,7 +142,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := &log{t: t}
 		writers := []*Writer{NewWriter("a"), NewWriter("b"), NewWriter("c")}
-		before := map[string][]fleet.Result{}
+		before := map[string][]Result{}
 		for range rapid.IntRange(1, 50).Draw(t, "records") {
 			w := rapid.SampledFrom(writers).Draw(t, "writer")
 			l.put(w, drawEntry(t, l.fold()))
@@ -152,7 +152,7 @@
 				if job == nil {
 					continue
 				}
-				assert.Assert(t, slices.Equal(job.Results[:len(before[id])], before[id]))
+				assert.DeepEqual(t, append([]Result(nil), job.Results[:len(before[id])]...), before[id])
 				before[id] = slices.Clone(job.Results)
 			}
 		}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -68,10 +68,13 @@
 	Crashes  int `msgpack:"c"`
 }
 
-// Done is the result of an item.
+// Done is the end of an item.
 type Done struct {
-	Job    string       `msgpack:"j"`
-	Result fleet.Result `msgpack:"r"`
+	Job  string            `msgpack:"j"`
+	Item string            `msgpack:"i"`
+	End  fleet.ResultState `msgpack:"s"`
+	// Text is where the item's output is, nil where it has none.
+	Text *TextRef `msgpack:"t,omitempty"`
 }
 
 // Entry is one record of the log; exactly one of its members but Writer is set.
@@ -155,13 +158,20 @@
 	Done bool
 }
 
+// Result is the end of an item at its position.
+type Result struct {
+	Item  string
+	State fleet.ResultState
+	Text  *TextRef
+}
+
 // Job is the state of one job.
 type Job struct {
 	Accept  *Accept
 	Offset  int64
 	Ended   bool
 	Items   []*Item
-	Results []fleet.Result
+	Results []Result
 	// Seen is when the job was accepted, as far as this process knows, by its
 	// monotonic clock.
 	Seen time.Time
