Split streams of events in one place, and name what an item's urgency takes

Cause: gateway and batcher each split a stream into events, with a constant and a parser of their own; Batcher.urgency took six arguments. Ruled out: putting the reader into platform/; events are no word of the platform's alone, and the product's own fakes send them too.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -326,7 +326,7 @@
 	chosen := claims.Choose(claims.Params{
 		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: b.params.Shuffle,
 		InTime: func(job *worklog.Job, item *worklog.Item) bool {
-			return b.urgency(now, job.Accept, job.Seen, job.Offset, item.Item, item.Progress).InTime()
+			return b.urgency(now, candidate{job.Accept, item.Item, job.Offset, job.Seen}, item.Progress).InTime()
 		},
 	}, b.fold, want, idle)
 	if len(chosen) == 0 {
@@ -375,7 +375,7 @@
 		return false
 	}
 	b.held[ref] = &held{
-		ref: ref, job: job.Accept, item: item.Item, offset: job.Offset, submitted: job.Seen,
+		candidate: candidate{job.Accept, item.Item, job.Offset, job.Seen}, ref: ref,
 		progress: item.Progress, since: time.Now(), begunAt: item.Progress.Events,
 	}
 	return true
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -17,6 +17,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
 	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/eventstream"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
@@ -40,16 +41,12 @@
 
 // held is an item that the log says is this batcher's.
 type held struct {
+	candidate
 	ref      worklog.ItemRef
-	job      *worklog.Accept
-	item     fleet.Item
-	offset   int64
 	progress worklog.Progress
-	// submitted is when the job was, since when the item is held, with begunAt
-	// events by then.
-	submitted time.Time
-	since     time.Time
-	begunAt   int
+	// since is when the item came to be held, with begunAt events by then.
+	since   time.Time
+	begunAt int
 	// cancel stops the run, nil while the item does not run; yielding is set once
 	// it was told to stop.
 	cancel   context.CancelCauseFunc
@@ -89,7 +86,7 @@
 func (b *Batcher) rank(now time.Time) []ranked {
 	list := make([]ranked, 0, len(b.held))
 	for _, h := range b.held {
-		list = append(list, ranked{h, b.urgency(now, h.job, h.submitted, h.offset, h.item, h.progress)})
+		list = append(list, ranked{h, b.urgency(now, h.candidate, h.progress)})
 	}
 	slices.SortFunc(list, func(x, y ranked) int {
 		if order := urgency.Compare(x.Item, y.Item); order != 0 {
@@ -100,10 +97,21 @@
 	return list
 }
 
+// candidate is an item that may run next.
+type candidate struct {
+	job  *worklog.Accept
+	item fleet.Item
+	// offset is that of the job's accept, submitted when the job was.
+	offset    int64
+	submitted time.Time
+}
+
 // urgency returns what the order of an item depends on. The lock is held.
-func (b *Batcher) urgency(now time.Time, job *worklog.Accept, submitted time.Time, offset int64, item fleet.Item, p worklog.Progress) urgency.Item {
-	u := urgency.Item{Age: now.Sub(submitted), Left: b.pace.Left(item.Tokens, p.Events), Started: p.Events > 0, Offset: offset}
-	if route := b.route(job); route != nil {
+func (b *Batcher) urgency(now time.Time, c candidate, p worklog.Progress) urgency.Item {
+	u := urgency.Item{
+		Age: now.Sub(c.submitted), Left: b.pace.Left(c.item.Tokens, p.Events), Started: p.Events > 0, Offset: c.offset,
+	}
+	if route := b.route(c.job); route != nil {
 		u.Due = route.ResultsDue
 	}
 	return u
@@ -266,9 +274,9 @@
 		_, _ = io.Copy(io.Discard, answer.Body)
 		return failed(h, route, progress, answer.Status)
 	}
-	err = readEvents(answer.Body, func(e event) {
+	err = readEvents(answer.Body, func(e eventstream.Event) {
 		watchdog.Reset(silence)
-		progress = progress.With(e.id, e.data)
+		progress = progress.With(e.ID, e.Data)
 		b.note(h, progress)
 	})
 	if err != nil {
@@ -298,31 +306,19 @@
 	return end
 }
 
-// event is one event of a stream.
-type event struct {
-	id   string
-	data string
-}
-
-// eventEnd ends each event of a stream.
-var eventEnd = []byte("\n\n")
-
 // readEvents passes whole events on. It returns nil only where the stream ended
 // by itself.
-func readEvents(body io.Reader, each func(event)) error {
+func readEvents(body io.Reader, each func(eventstream.Event)) error {
 	buffer := make([]byte, readBytes)
 	var pending []byte
 	for {
 		n, err := body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		for {
-			end := bytes.Index(pending, eventEnd)
-			if end < 0 {
-				break
-			}
-			each(parseEvent(string(pending[:end])))
-			pending = pending[end+len(eventEnd):]
+		whole := eventstream.Whole(pending)
+		for _, e := range eventstream.Parse(pending[:whole]) {
+			each(e)
 		}
+		pending = pending[whole:]
 		if errors.Is(err, io.EOF) {
 			if len(bytes.TrimSpace(pending)) > 0 {
 				return fleet.ErrBroken.New("the stream ends within an event")
@@ -334,20 +330,3 @@
 		}
 	}
 }
-
-func parseEvent(block string) event {
-	var e event
-	var data []string
-	for line := range strings.SplitSeq(block, "\n") {
-		name, value, _ := strings.Cut(line, ":")
-		value = strings.TrimPrefix(value, " ")
-		switch name {
-		case "id":
-			e.id = value
-		case "data":
-			data = append(data, value)
-		}
-	}
-	e.data = strings.Join(data, "\n")
-	return e
-}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -17,6 +15,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/placing"
 	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/eventstream"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
@@ -321,8 +320,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
-			end += len(eventEnd)
+		if end := eventstream.Whole(pending); end > 0 {
 			stall.event()
 			if failure := o.pass(answer, pending[:end]); failure != nil {
 				return failure
@@ -339,9 +337,6 @@
 	}
 }
 
-// eventEnd ends each event of a stream.
-var eventEnd = []byte("\n\n")
-
 // pass sends whole events to the caller.
 func (o *online) pass(answer *fleet.Answer, events []byte) error {
 	if !o.begun {
@@ -354,22 +349,8 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if id := lastEventID(events); id != "" {
+	if id := eventstream.LastID(events); id != "" {
 		o.after = id
 	}
 	return o.sink.Write(events)
 }
-
-// lastEventID returns the number of the last event, empty where none has one.
-func lastEventID(events []byte) string {
-	text := string(events)
-	at := strings.LastIndex(text, "\nid:")
-	if at < 0 {
-		if !strings.HasPrefix(text, "id:") {
-			return ""
-		}
-		at = -1
-	}
-	line, _, _ := strings.Cut(text[at+1:], "\n")
-	return strings.TrimSpace(strings.TrimPrefix(line, "id:"))
-}
