--- a/processtest/process.go
+++ b/processtest/process.go
@@ -80,20 +80,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.cmd.Process.Signal(sig); err != nil {
-		return ErrProcess.Wrap(err, "signal %v", sig)
+		return ErrProcess.Wrap(err, "signal %v to %s, which %s", sig, p.path, p.state())
 	}
 	return nil
 }
 
+// state says how the process has ended, with what signal or exit code. The lock is
+// held.
+func (p *Process) state() string {
+	select {
+	case <-p.done:
+		return "has ended: " + p.cmd.ProcessState.String()
+	default:
+		return "has not ended"
+	}
+}
+
 // Running reports whether the process has started and not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
 	select {
 	case <-p.done:
 		return false
 	default:
-		return p.cmd != nil
+		return true
 	}
 }
 
