--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -109,10 +109,11 @@
 	}
 }
 
-func gatewayCommand() *cobra.Command {
+// roleCommand returns the command that runs a role until it has stopped.
+func roleCommand(use, short string, run func(*process) error) *cobra.Command {
 	return &cobra.Command{
-		Use:   "gateway",
-		Short: "Run a gateway on the users' platform: callers' requests and batch jobs",
+		Use:   use,
+		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			p, err := newProcess()
@@ -120,44 +121,44 @@
 				return err
 			}
 			defer p.log.Close(logFlush)
-			g := gateway.New(gateway.Params{
-				Node: p.node, Store: p.store, Sender: platform.NewTargets(p.pool),
-				Decoder: platform.Decoder{}, Sweep: p.pool.Sweep, Registry: p.registry,
-			})
-			g.Start()
-			if err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
-				return err
-			}
-			if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
-				return err
-			}
-			awaitStop()
-			g.Drain()
-			return g.Stop()
+			return run(p)
 		},
 	}
 }
 
-func batcherCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "batcher",
-		Short: "Run a batcher on the users' platform: items of batch jobs beside a target",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			p, err := newProcess()
-			if err != nil {
-				return err
-			}
-			defer p.log.Close(logFlush)
-			targets := platform.NewTargets(p.pool)
-			b := batcher.New(batcher.Params{
-				Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
-			})
-			b.Start()
-			awaitStop()
-			return b.Stop()
-		},
+func gatewayCommand() *cobra.Command {
+	return roleCommand("gateway", "Run a gateway on the users' platform: callers' requests and batch jobs", runGateway)
+}
+
+func runGateway(p *process) error {
+	g := gateway.New(gateway.Params{
+		Node: p.node, Store: p.store, Sender: platform.NewTargets(p.pool),
+		Decoder: platform.Decoder{}, Sweep: p.pool.Sweep, Registry: p.registry,
+	})
+	g.Start()
+	if err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
+		return err
+	}
+	if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
+		return err
 	}
+	awaitStop()
+	g.Drain()
+	return g.Stop()
+}
+
+func batcherCommand() *cobra.Command {
+	return roleCommand("batcher", "Run a batcher on the users' platform: items of batch jobs beside a target", runBatcher)
+}
+
+func runBatcher(p *process) error {
+	targets := platform.NewTargets(p.pool)
+	b := batcher.New(batcher.Params{
+		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
+	})
+	b.Start()
+	awaitStop()
+	return b.Stop()
 }
 
 func nodeCommand() *cobra.Command {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -96,7 +96,7 @@
 	if !found || r.Arrived.Before(left.Add(drainBound)) {
 		return
 	}
-	by := strings.Replace(r.Target[:strings.LastIndex(r.Target, "-")], "place", "batcher", 1)
+	by := batcherOf(r.Target)
 	if one, online := senders[r.Request]; online {
 		by = one.gateway
 	}
@@ -105,6 +105,12 @@
 	}
 }
 
+// batcherOf returns the name of the batcher beside a target.
+func batcherOf(target string) string {
+	place := target[:strings.LastIndex(target, "-")]
+	return strings.Replace(place, "place", "batcher", 1)
+}
+
 // checkJob checks the runs and the results of a job.
 func (s *site) checkJob(l *ledger, j *job, byRequest map[string][]platformtest.Run) {
 	onlyRefused := j.accepted.IsZero() && j.others == 0 && j.refusals > 0
@@ -142,7 +148,7 @@
 		return
 	}
 	for _, r := range runs {
-		by := strings.Replace(r.Target[:strings.LastIndex(r.Target, "-")], "place", "batcher", 1)
+		by := batcherOf(r.Target)
 		if r.Arrived.After(j.ended.Add(cancelBound)) && s.calm.untouched(j.ended, r.Arrived, by) {
 			l.wrong("%s came to %s %v after the end of %s", r.Request, r.Target, r.Arrived.Sub(j.ended), j.id)
 		}
