Forget jobs some time after they are done

Cause: nothing deleted finished jobs, so that the store and every process kept each job for ever: 47 MB at 3,600 jobs in a gateway, and the whole to be read back at each start. Ruled out: trimming the log (open jobs are older than closed ones); one record that names several jobs (claims are now a record for each job, so that deleting one job's records changes no other's claims). Change: the fold keeps the keys of a job's records; five times status_s after a job was closed its acceptor deletes them in one append, outputs first; other gateways do after ten times. What silent writers said goes too.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -301,20 +301,38 @@
 	if len(chosen) == 0 {
 		return
 	}
-	record, err := b.writer.Record(worklog.Entry{Claim: &worklog.Claim{Items: chosen}})
+	records, err := b.claimRecords(chosen)
 	if err != nil {
 		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
 		return
 	}
 	b.claiming = true
 	b.tomb.Go(func() error {
-		b.appendClaim(ctx, record, chosen)
+		b.appendClaim(ctx, records, chosen)
 		return nil
 	})
 }
 
-func (b *Batcher) appendClaim(ctx context.Context, record fleet.Record, chosen []worklog.ClaimedItem) {
-	_, err := b.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+// claimRecords returns a record for each job, since a job is forgotten with all
+// records that name it.
+func (b *Batcher) claimRecords(chosen []worklog.ClaimedItem) ([]fleet.Record, error) {
+	byJob := map[string][]worklog.ClaimedItem{}
+	for _, c := range chosen {
+		byJob[c.Job] = append(byJob[c.Job], c)
+	}
+	var records []fleet.Record
+	for _, items := range byJob {
+		record, err := b.writer.Record(worklog.Entry{Claim: &worklog.Claim{Items: items}})
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+func (b *Batcher) appendClaim(ctx context.Context, records []fleet.Record, chosen []worklog.ClaimedItem) {
+	_, err := b.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
 	if err == nil {
 		err = b.workTail.CatchUp(ctx)
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -128,6 +128,9 @@
 	"jobs":      {Name: "jobs", Host: "h", Prefix: "/j/", Kind: fleet.KindBatch, Attempts: 3, TokenQuota: 100, Services: []fleet.Share{{Service: "llm", Weight: 1}}},
 }
 
+// keepResults is how long the results of a job must stay readable.
+const keepResults = 2 * time.Minute
+
 // site is a gateway with its store and its targets.
 type site struct {
 	t *testing.T
@@ -160,7 +163,7 @@
 	}
 	s := &site{t: t, store: store, sender: &sender{steps: steps}}
 	s.Gateway = gateway.New(gateway.Params{
-		Node:    &fleet.Node{Name: "gateway-1", Grace: 8 * time.Second, MaxRecordBytes: 1 << 18},
+		Node:    &fleet.Node{Name: "gateway-1", Grace: 8 * time.Second, MaxRecordBytes: 1 << 18, KeepResults: keepResults},
 		Store:   store,
 		Sender:  s.sender,
 		Decoder: decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})},
--- /dev/null
+++ b/gateway/forget.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+const (
+	// forgetInterval is the time between two looks for what may be forgotten;
+	// forgetAtOnce bounds the jobs and writers, maxDeletions about the records, that
+	// are forgotten then, so that they fit into one append.
+	forgetInterval = 10 * time.Second
+	forgetAtOnce   = 100
+	maxDeletions   = 10_000
+	// keepFactor is how many times the promised time a closed job is kept: callers
+	// that were away come later than they should.
+	keepFactor = 5
+	// othersFactor is how much longer than its acceptor other gateways wait with a
+	// job, for which the acceptor may no longer be there.
+	othersFactor = 2
+)
+
+// forgetOld deletes jobs from the store, some time after they were done or ended.
+// It answers a log in which every job would stay for ever, which each process that
+// starts reads back and keeps.
+func (g *Gateway) forgetOld() error {
+	keep := keepFactor * g.params.Node.KeepResults
+	for g.ctx.Err() == nil && keep > 0 {
+		pause.For(g.ctx, forgetInterval)
+		log, texts, jobs := g.forgettable(keep)
+		if len(log) == 0 {
+			continue
+		}
+		err := g.deleteRecords(fleet.TopicTexts, texts)
+		if err == nil {
+			err = g.deleteRecords(fleet.TopicWork, log)
+		}
+		klog.InfoS("jobs forgotten", "jobs", jobs, "records", len(log)+len(texts), "kept_for", keep, "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+	}
+	return nil
+}
+
+// forgettable returns the records that delete what is old, and the number of jobs.
+func (g *Gateway) forgettable(keep time.Duration) (log, texts []fleet.Record, jobs int) {
+	now := time.Now()
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	for _, job := range g.fold.Forgettable(now.Add(-keep), forgetAtOnce) {
+		if job.Acceptor != g.writer.Name() && now.Sub(job.Closed) < othersFactor*keep {
+			continue
+		}
+		if len(log) > maxDeletions {
+			break
+		}
+		l, t := job.Forget()
+		log, texts = append(log, l...), append(texts, t...)
+		jobs++
+	}
+	return append(log, g.fold.Silent(now.Add(-keep), forgetAtOnce)...), texts, jobs
+}
+
+// deleteRecords appends deletions. Where it fails they are made again at the next
+// look, since the jobs stay until the deletions are read back.
+func (g *Gateway) deleteRecords(topic fleet.Topic, records []fleet.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	_, err := g.params.Store.Append(g.ctx, topic, fleet.AnyOffset, records)
+	return err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 		g.tomb.Go(func() error { return f.Run(g.ctx) })
 	}
 	g.tomb.Go(g.keepHouse)
+	g.tomb.Go(g.forgetOld)
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
 }
 
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -255,6 +255,39 @@
 	})
 }
 
+// TestOldJobsAreForgotten keeps a job that is done for five times the promised
+// time, one that is open for ever, and a third whose acceptor has gone a while
+// longer: then neither the store nor a gateway has anything of them.
+func TestOldJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		a, b := startSite(t, store), startSite(t, store)
+		w := worklog.NewWriter("batcher")
+		assert.NilError(t, a.submit(job("done", 1)))
+		assert.NilError(t, b.submit(job("orphan", 1)))
+		assert.NilError(t, a.submit(job("open", 1)))
+		finish(t, store, w, "done", "i0", "x")
+		finish(t, store, w, "orphan", "i0", "x")
+		b.stop()
+		known := func(id string) bool {
+			_, err := a.Results(t.Context(), id, 0, 0)
+			return err == nil
+		}
+		time.Sleep(5*keepResults - time.Second)
+		assert.Assert(t, known("done") && known("orphan") && known("open"))
+		time.Sleep(12 * time.Second)
+		assert.Assert(t, !known("done") && known("orphan") && known("open"))
+		time.Sleep(5 * keepResults)
+		assert.Assert(t, !known("orphan") && known("open"))
+		a.stop()
+		for topic, want := range map[fleet.Topic]int{fleet.TopicWork: 1, fleet.TopicTexts: 0} {
+			records, _, err := store.Newest(t.Context(), topic)
+			assert.NilError(t, err)
+			assert.Equal(t, len(records), want)
+		}
+	})
+}
+
 // TestSubmitPatience ends with its caller's patience while the store is silent.
 func TestSubmitPatience(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/protocol/fleet/node.go
+++ b/protocol/fleet/node.go
@@ -20,6 +20,9 @@
 	StoreAddress string
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
+	// KeepResults is how long after its submission the results of a job must stay
+	// readable; 0 where that has no end.
+	KeepResults time.Duration
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
 	// MaxRecordBytes and MaxCallBytes bound a record and the records of one append.
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -1,6 +1,8 @@
 package worklog
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -9,6 +11,8 @@
 // Fold is the state that the records make. It is not safe for concurrent use.
 type Fold struct {
 	jobs map[string]*Job
+	// accepts are the jobs by the keys of their accepts.
+	accepts map[string]string
 	// order holds the jobs in the order of their accepts, open those that may
 	// have items to do.
 	order []*Job
@@ -23,25 +27,103 @@
 
 // NewFold returns a fold without jobs.
 func NewFold() *Fold {
-	return &Fold{jobs: map[string]*Job{}, waiting: map[string]int64{}, heard: map[string]time.Time{}}
+	return &Fold{jobs: map[string]*Job{}, accepts: map[string]string{}, waiting: map[string]int64{}, heard: map[string]time.Time{}}
 }
 
 // Apply folds records that follow those before. now is the process's monotonic
 // time.
 func (f *Fold) Apply(now time.Time, records []fleet.Record) {
 	for _, r := range records {
+		if len(r.Value) == 0 {
+			f.forget(r.Key)
+			continue
+		}
 		e, ok := decode(r)
 		if !ok {
-			if len(r.Value) > 0 {
-				f.malformed++
-			}
+			f.malformed++
 			continue
 		}
 		f.heard[e.Writer] = now
 		f.apply(now, r.Offset, &e)
+		f.noteKeys(r.Key, &e)
+	}
+}
+
+// noteKeys keeps the keys by which a job is forgotten.
+func (f *Fold) noteKeys(key string, e *Entry) {
+	job := f.jobs[e.job()]
+	if job == nil {
+		return
+	}
+	job.keys = append(job.keys, key)
+	if e.Accept != nil {
+		f.accepts[key] = job.Accept.Job.ID
+	}
+	if e.Done != nil && e.Done.Text != nil {
+		job.texts = append(job.texts, e.Done.Text.Key)
+	}
+}
+
+// forget drops the job whose accept had the key, or what was heard of a writer.
+// The deletion of another record changes nothing: its job is forgotten with it.
+func (f *Fold) forget(key string) {
+	if writer, found := strings.CutPrefix(key, alivePrefix); found {
+		delete(f.heard, writer)
+		return
+	}
+	id, found := f.accepts[key]
+	if !found {
+		return
+	}
+	job := f.jobs[id]
+	if job.Open() {
+		f.unwait(job)
+	}
+	delete(f.jobs, id)
+	for _, k := range job.keys {
+		delete(f.accepts, k)
+	}
+	isJob := func(other *Job) bool { return other == job }
+	f.order = slices.DeleteFunc(f.order, isJob)
+	f.open = slices.DeleteFunc(f.open, isJob)
+}
+
+// unwait takes the tokens of the job's open items off its route.
+func (f *Fold) unwait(job *Job) {
+	for _, item := range job.Items {
+		if !item.Done {
+			f.waiting[job.Accept.Route] -= item.Tokens
+		}
 	}
 }
 
+// Forgettable returns up to most jobs that were closed before the time, those
+// accepted first first.
+func (f *Fold) Forgettable(before time.Time, most int) []*Job {
+	var jobs []*Job
+	for _, job := range f.order {
+		if len(jobs) == most {
+			break
+		}
+		if !job.Open() && job.Closed.Before(before) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+// Silent returns up to most deletions of what writers said that were last heard
+// of before the time.
+func (f *Fold) Silent(before time.Time, most int) []fleet.Record {
+	var gone []fleet.Record
+	for writer, heard := range f.heard {
+		if len(gone) < most && heard.Before(before) {
+			gone = append(gone, fleet.Record{Key: alivePrefix + writer})
+		}
+	}
+	return gone
+}
+
 // maxHintedAge bounds the age that a record's time of day is believed to show.
 const maxHintedAge = 2 * time.Minute
 
@@ -58,23 +140,23 @@
 func (f *Fold) apply(now time.Time, offset int64, e *Entry) {
 	switch {
 	case e.Accept != nil:
-		f.accept(now, offset, e.Accept)
+		f.accept(now, offset, e.Writer, e.Accept)
 	case e.End != nil:
-		f.end(e.End)
+		f.end(now, e.End)
 	case e.Claim != nil:
 		f.claim(offset, e.Writer, e.Claim)
 	case e.Release != nil:
 		f.release(e.Writer, e.Release)
 	case e.Done != nil:
-		f.done(e.Done)
+		f.done(now, e.Done)
 	}
 }
 
-func (f *Fold) accept(now time.Time, offset int64, a *Accept) {
+func (f *Fold) accept(now time.Time, offset int64, writer string, a *Accept) {
 	if f.jobs[a.Job.ID] != nil {
 		return
 	}
-	job := &Job{Accept: a, Offset: offset, Seen: now}
+	job := &Job{Accept: a, Acceptor: writer, Offset: offset, Seen: now}
 	for _, item := range a.Job.Items {
 		ref := ItemRef{Job: a.Job.ID, Item: item.ID}
 		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim})
@@ -85,18 +167,16 @@
 	f.open = append(f.open, job)
 }
 
-func (f *Fold) end(e *End) {
+func (f *Fold) end(now time.Time, e *End) {
 	job := f.jobs[e.Job]
 	if job == nil || job.Ended {
 		return
 	}
-	job.Ended = true
-	for _, item := range job.Items {
-		if !item.Done {
-			f.waiting[job.Accept.Route] -= item.Tokens
-		}
+	if job.Open() {
+		f.unwait(job)
+		f.close(now, job)
 	}
-	f.close(job)
+	job.Ended = true
 }
 
 func (f *Fold) claim(offset int64, writer string, c *Claim) {
@@ -120,7 +200,7 @@
 	item.Progress = r.Progress
 }
 
-func (f *Fold) done(d *Done) {
+func (f *Fold) done(now time.Time, d *Done) {
 	job := f.jobs[d.Job]
 	if job == nil || job.Ended {
 		return
@@ -134,17 +214,13 @@
 	job.Results = append(job.Results, Result{Item: d.Item, State: d.End, Text: d.Text})
 	f.waiting[job.Accept.Route] -= item.Tokens
 	if !job.Open() {
-		f.close(job)
+		f.close(now, job)
 	}
 }
 
-func (f *Fold) close(job *Job) {
-	for i, open := range f.open {
-		if open == job {
-			f.open = append(f.open[:i], f.open[i+1:]...)
-			return
-		}
-	}
+func (f *Fold) close(now time.Time, job *Job) {
+	job.Closed = now
+	f.open = slices.DeleteFunc(f.open, func(other *Job) bool { return other == job })
 }
 
 // Job returns the job, nil if there is none.
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -28,15 +28,30 @@
 	l.records = append(l.records, r)
 }
 
+// putRaw appends records as they are.
+func (l *log) putRaw(records []fleet.Record) {
+	for _, r := range records {
+		r.Offset = int64(len(l.records))
+		l.records = append(l.records, r)
+	}
+}
+
 // newest returns the newest record of each key in order of their offsets.
 func (l *log) newest() []fleet.Record {
+	return l.newestAt(len(l.records), func(string) bool { return true })
+}
+
+// newestAt returns those among the first records whose keys are wanted.
+func (l *log) newestAt(end int, wanted func(key string) bool) []fleet.Record {
 	last := map[string]fleet.Record{}
-	for _, r := range l.records {
+	for _, r := range l.records[:end] {
 		last[r.Key] = r
 	}
 	var kept []fleet.Record
 	for _, r := range last {
-		kept = append(kept, r)
+		if len(r.Value) > 0 && wanted(r.Key) {
+			kept = append(kept, r)
+		}
 	}
 	slices.SortFunc(kept, func(a, b fleet.Record) int { return int(a.Offset - b.Offset) })
 	return kept
@@ -144,6 +159,9 @@
 		writers := []*Writer{NewWriter("a"), NewWriter("b"), NewWriter("c")}
 		before := map[string][]Result{}
 		for range rapid.IntRange(1, 50).Draw(t, "records") {
+			if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
+				l.forget(before)
+			}
 			w := rapid.SampledFrom(writers).Draw(t, "writer")
 			l.put(w, drawEntry(t, l.fold()))
 			f := l.fold()
@@ -184,9 +202,42 @@
 	}
 }
 
+// forget forgets the closed jobs, as a gateway does some time later.
+func (l *log) forget(before map[string][]Result) {
+	for _, job := range l.fold().Forgettable(now.Add(time.Second), 10) {
+		records, _ := job.Forget()
+		l.putRaw(records)
+		delete(before, job.Accept.Job.ID)
+	}
+}
+
+// restarted folds what a process reads that starts while the log grows: the newest
+// records in two pages, of which the second is newer, and what follows the first.
+func (l *log) restarted(t *rapid.T) *Fold {
+	first := rapid.IntRange(0, len(l.records)).Draw(t, "end of the first page")
+	second := rapid.IntRange(first, len(l.records)).Draw(t, "end of the second")
+	border := rapid.SampledFrom([]string{"a/3", "b", "b/5", "c/"}).Draw(t, "border")
+	records := l.newestAt(first, func(key string) bool { return key < border })
+	for _, r := range l.newestAt(second, func(key string) bool { return key >= border }) {
+		if r.Offset < int64(first) {
+			records = append(records, r)
+		}
+	}
+	slices.SortFunc(records, func(a, b fleet.Record) int { return int(a.Offset - b.Offset) })
+	f := NewFold()
+	f.Apply(now, records)
+	f.Apply(now, l.records[first:])
+	return f
+}
+
 func checkSame(t *rapid.T, l *log) {
-	all, newest := l.fold(), NewFold()
+	newest := NewFold()
 	newest.Apply(now, l.newest())
+	checkEqual(t, l.fold(), newest)
+	checkEqual(t, l.fold(), l.restarted(t))
+}
+
+func checkEqual(t *rapid.T, all, newest *Fold) {
 	for _, id := range []string{"j", "k"} {
 		a, b := all.Job(id), newest.Job(id)
 		assert.Equal(t, a == nil, b == nil)
@@ -203,6 +254,36 @@
 	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
 }
 
+// TestForgottenJobLeavesNothing deletes a job that is done, with claims, releases,
+// results that came too late and a second accept: neither log nor fold keep
+// anything of it, and the other job stays as it is.
+func TestForgottenJobLeavesNothing(t *testing.T) {
+	l := &log{t: t}
+	a, b := NewWriter("a"), NewWriter("b")
+	l.put(a, accept("j", "x"))
+	l.put(b, accept("j", "x"))
+	l.put(a, accept("k", "x"))
+	l.put(b, claim("j", "x", NoClaim))
+	l.put(b, Entry{Release: &Release{ItemRef: ItemRef{"j", "x"}}})
+	l.put(b, Entry{Alive: true})
+	l.put(a, done("j", "x", "first"))
+	l.put(b, done("j", "x", "second"))
+	f := l.fold()
+	jobs := f.Forgettable(now.Add(time.Second), 10)
+	assert.Equal(t, len(jobs), 1)
+	assert.Equal(t, jobs[0].Acceptor, "a")
+	records, texts := jobs[0].Forget()
+	assert.DeepEqual(t, texts, []fleet.Record{{Key: "first"}, {Key: "second"}})
+	l.putRaw(records)
+	f = l.fold()
+	assert.Assert(t, f.Job("j") == nil && f.Job("k") != nil)
+	assert.Equal(t, f.Waiting("review"), int64(10))
+	assert.Equal(t, len(l.newest()), 2, "an accept and a sign of life")
+	l.putRaw(f.Silent(now.Add(time.Second), 10))
+	assert.Equal(t, len(l.newest()), 1)
+	assert.Assert(t, l.fold().Heard("b").IsZero())
+}
+
 // TestRestoreHintsAtAges takes ages from times of day that differ and jump.
 func TestRestoreHintsAtAges(t *testing.T) {
 	wall := time.UnixMilli(1_000_000)
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -34,7 +34,7 @@
 	Item string `msgpack:"i"`
 }
 
-// Claim says that its writer runs items.
+// Claim says that its writer runs items of one job.
 type Claim struct {
 	Items []ClaimedItem `msgpack:"i"`
 }
@@ -90,6 +90,26 @@
 	Alive bool `msgpack:"v,omitempty"`
 }
 
+// alivePrefix begins the key of the record by which a writer says that it goes on.
+const alivePrefix = "alive/"
+
+// job returns the job that the entry names, empty where it names none.
+func (e *Entry) job() string {
+	switch {
+	case e.Accept != nil:
+		return e.Accept.Job.ID
+	case e.End != nil:
+		return e.End.Job
+	case e.Claim != nil && len(e.Claim.Items) > 0:
+		return e.Claim.Items[0].Job
+	case e.Release != nil:
+		return e.Release.Job
+	case e.Done != nil:
+		return e.Done.Job
+	}
+	return ""
+}
+
 // Writer makes records with keys that no other record has, so that the store
 // keeps each; only the newest Alive record of a writer stays.
 type Writer struct {
@@ -119,7 +139,7 @@
 	}
 	r := fleet.Record{Value: value}
 	if e.Alive {
-		r.Key = "alive/" + w.name
+		r.Key = alivePrefix + w.name
 	}
 	return r, nil
 }
@@ -167,14 +187,33 @@
 
 // Job is the state of one job.
 type Job struct {
-	Accept  *Accept
-	Offset  int64
-	Ended   bool
-	Items   []*Item
-	Results []Result
-	// Seen is when the job was accepted, as far as this process knows, by its
-	// monotonic clock.
-	Seen time.Time
+	Accept *Accept
+	// Acceptor is the writer of the accept.
+	Acceptor string
+	Offset   int64
+	Ended    bool
+	Items    []*Item
+	Results  []Result
+	// Seen is when the job was accepted, and Closed when it was done or ended, as
+	// far as this process knows, by its monotonic clock; Closed is zero while the
+	// job is open.
+	Seen   time.Time
+	Closed time.Time
+	// keys are those of all records that name the job, texts those of its outputs.
+	keys  []string
+	texts []string
+}
+
+// Forget returns the records that delete all of the job: its records of the log,
+// of which the store must take all or none, and its outputs.
+func (j *Job) Forget() (log, texts []fleet.Record) { return deletions(j.keys), deletions(j.texts) }
+
+func deletions(keys []string) []fleet.Record {
+	records := make([]fleet.Record, 0, len(keys))
+	for _, key := range keys {
+		records = append(records, fleet.Record{Key: key})
+	}
+	return records
 }
 
 // Open reports whether items of the job are still to be done.
