Choose what to forget by one rule, and claim jobs in the order chosen

Cause: read-through: jobs of other acceptors that are not yet due could fill the list of those looked at; records of a claim came in the order of a map. Ruled out: nothing. Change: Fold.Forgettable takes the rule; jobs are kept ten minutes at least.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -316,13 +316,18 @@
 // claimRecords returns a record for each job, since a job is forgotten with all
 // records that name it.
 func (b *Batcher) claimRecords(chosen []worklog.ClaimedItem) ([]fleet.Record, error) {
-	byJob := map[string][]worklog.ClaimedItem{}
+	var inOrder []*worklog.Claim
+	byJob := map[string]*worklog.Claim{}
 	for _, c := range chosen {
-		byJob[c.Job] = append(byJob[c.Job], c)
+		if byJob[c.Job] == nil {
+			byJob[c.Job] = &worklog.Claim{}
+			inOrder = append(inOrder, byJob[c.Job])
+		}
+		byJob[c.Job].Items = append(byJob[c.Job].Items, c)
 	}
 	var records []fleet.Record
-	for _, items := range byJob {
-		record, err := b.writer.Record(worklog.Entry{Claim: &worklog.Claim{Items: items}})
+	for _, claim := range inOrder {
+		record, err := b.writer.Record(worklog.Entry{Claim: claim})
 		if err != nil {
 			return nil, err
 		}
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -8,6 +8,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
 
 const (
@@ -17,9 +18,11 @@
 	forgetInterval = 10 * time.Second
 	forgetAtOnce   = 100
 	maxDeletions   = 10_000
-	// keepFactor is how many times the promised time a closed job is kept: callers
-	// that were away come later than they should.
-	keepFactor = 5
+	// keepFactor is how many times the promised time a closed job is kept, and
+	// keepAtLeast the shortest time: callers that were away come later than they
+	// should.
+	keepFactor  = 5
+	keepAtLeast = 10 * time.Minute
 	// othersFactor is how much longer than its acceptor other gateways wait with a
 	// job, for which the acceptor may no longer be there.
 	othersFactor = 2
@@ -29,8 +32,11 @@
 // It answers a log in which every job would stay for ever, which each process that
 // starts reads back and keeps.
 func (g *Gateway) forgetOld() error {
-	keep := keepFactor * g.params.Node.KeepResults
-	for g.ctx.Err() == nil && keep > 0 {
+	if g.params.Node.KeepResults == 0 {
+		return nil
+	}
+	keep := max(keepFactor*g.params.Node.KeepResults, keepAtLeast)
+	for g.ctx.Err() == nil {
 		pause.For(g.ctx, forgetInterval)
 		log, texts, jobs := g.forgettable(keep)
 		if len(log) == 0 {
@@ -50,10 +56,11 @@
 	now := time.Now()
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
-	for _, job := range g.fold.Forgettable(now.Add(-keep), forgetAtOnce) {
-		if job.Acceptor != g.writer.Name() && now.Sub(job.Closed) < othersFactor*keep {
-			continue
-		}
+	old := func(job *worklog.Job) bool {
+		age := now.Sub(job.Closed)
+		return age > othersFactor*keep || age > keep && job.Acceptor == g.writer.Name()
+	}
+	for _, job := range g.fold.Forgettable(old, forgetAtOnce) {
 		if len(log) > maxDeletions {
 			break
 		}
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -97,15 +97,15 @@
 	}
 }
 
-// Forgettable returns up to most jobs that were closed before the time, those
-// accepted first first.
-func (f *Fold) Forgettable(before time.Time, most int) []*Job {
+// Forgettable returns up to most closed jobs that may be forgotten, those accepted
+// first first.
+func (f *Fold) Forgettable(may func(*Job) bool, most int) []*Job {
 	var jobs []*Job
 	for _, job := range f.order {
 		if len(jobs) == most {
 			break
 		}
-		if !job.Open() && job.Closed.Before(before) {
+		if !job.Open() && may(job) {
 			jobs = append(jobs, job)
 		}
 	}
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -202,9 +202,11 @@
 	}
 }
 
+func anyJob(*Job) bool { return true }
+
 // forget forgets the closed jobs, as a gateway does some time later.
 func (l *log) forget(before map[string][]Result) {
-	for _, job := range l.fold().Forgettable(now.Add(time.Second), 10) {
+	for _, job := range l.fold().Forgettable(anyJob, 10) {
 		records, _ := job.Forget()
 		l.putRaw(records)
 		delete(before, job.Accept.Job.ID)
@@ -269,7 +271,7 @@
 	l.put(a, done("j", "x", "first"))
 	l.put(b, done("j", "x", "second"))
 	f := l.fold()
-	jobs := f.Forgettable(now.Add(time.Second), 10)
+	jobs := f.Forgettable(anyJob, 10)
 	assert.Equal(t, len(jobs), 1)
 	assert.Equal(t, jobs[0].Acceptor, "a")
 	records, texts := jobs[0].Forget()
