Read old outputs once for all who wait, and to the end

Cause: read-through. An output older than the store's history comes with up to a megabyte of its neighbours; over the slowest links of the grown deployments (30 Mbit/s) that takes 0.4 s and more, and the page's 0.8 s could end in the middle of it, each time again: a job that no gateway there can show. Ruled out: a longer time for the whole page (the usual outputs come in milliseconds, and a store that is away should be told soon). Change: old outputs have a time of their own, are read by one caller at a time, to the end though its page has run out of time, and the next finds them in the cache; offsets known to be expired are not asked for again. Figures: TestOldOutputsOverASlowPath (0.5 s a call): before, all four readers are refused at every try; after, all have the job within 1.5 s.

--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -255,6 +255,36 @@
 	})
 }
 
+// TestOldOutputsOverASlowPath reads a job at four callers at once while a call of
+// the store takes half a second and the job's outputs are older than its history:
+// all get them, by one read.
+func TestOldOutputsOverASlowPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("one", 3)))
+		w := worklog.NewWriter("b")
+		for i := range 3 {
+			finish(t, s.store, w, "one", fmt.Sprint("i", i), fmt.Sprint("text ", i))
+		}
+		s.store.Forget(fleet.TopicTexts)
+		time.Sleep(time.Second)
+		s.store.SetFaults(fleetstore.Faults{Delay: 500 * time.Millisecond})
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				_, _ = s.Results(t.Context(), "one", 0, 0) // may run out of time
+				page, err := s.Results(t.Context(), "one", 0, 0)
+				assert.Check(t, err)
+				assert.Check(t, len(page.Results) == 3)
+			})
+		}
+		begun := time.Now()
+		group.Wait()
+		assert.Assert(t, time.Since(begun) <= 1500*time.Millisecond, "%v", time.Since(begun))
+	})
+}
+
 // TestOldJobsAreForgotten keeps a job that is done for five times the promised
 // time, one that is open for ever, and a third whose acceptor has gone a while
 // longer: then neither the store nor a gateway has anything of them.
--- a/gateway/texts.go
+++ b/gateway/texts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,8 +19,11 @@
 	// thousand of them.
 	maxTextBytes = 16 << 20
 	// textTime bounds the reading of outputs for one page of results; what has come
-	// by then makes the page.
-	textTime = 800 * time.Millisecond
+	// by then makes the page. oldTextTime bounds a read of outputs that are older than
+	// the store's history, of which a megabyte comes at once: most of a second over
+	// the slowest links.
+	textTime    = 800 * time.Millisecond
+	oldTextTime = 2 * time.Second
 )
 
 // texts reads the outputs of items where callers ask for them. A gateway that
@@ -28,17 +32,31 @@
 type texts struct {
 	store fleet.Store
 	cache *textcache.Cache
+	// expired is the last offset that is known to be older than the store's history.
+	expired atomic.Int64
+	// turn holds a token while no old outputs are read, so that those who wait for
+	// them find in the cache what the first has read.
+	turn chan struct{}
 }
 
-func newTexts(s fleet.Store) *texts { return &texts{store: s, cache: textcache.New(maxTextBytes)} }
+func newTexts(s fleet.Store) *texts {
+	t := &texts{store: s, cache: textcache.New(maxTextBytes), turn: make(chan struct{}, 1)}
+	t.expired.Store(-1)
+	t.turn <- struct{}{}
+	return t
+}
 
 // get returns the output that the reference names.
 func (t *texts) get(ctx context.Context, ref *worklog.TextRef) (string, error) {
 	if text, found := t.cache.Get(ref.Key); found {
 		return text, nil
 	}
+	if ref.Offset <= t.expired.Load() {
+		return t.old(ctx, ref)
+	}
 	record, err := t.store.ReadOne(ctx, fleet.TopicTexts, ref.Offset, ref.Bytes)
 	if errorx.IsOfType(err, fleet.ErrExpired) {
+		t.expired.Store(max(ref.Offset, t.expired.Load()))
 		return t.old(ctx, ref)
 	}
 	if err != nil {
@@ -53,8 +71,20 @@
 }
 
 // old returns an output that is only among the newest records of their keys. What
-// comes with it is kept: it belongs to the same job and to others as old.
+// comes with it is kept: it belongs to the same job and to others as old. The read
+// goes on where its page has run out of time, for the next that asks.
 func (t *texts) old(ctx context.Context, ref *worklog.TextRef) (string, error) {
+	select {
+	case <-t.turn:
+	case <-ctx.Done():
+		return "", fleet.ErrUnavailable.Wrap(ctx.Err(), "other old texts are read")
+	}
+	defer func() { t.turn <- struct{}{} }()
+	if text, found := t.cache.Get(ref.Key); found {
+		return text, nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), oldTextTime)
+	defer cancel()
 	records, err := t.store.NewestAfter(ctx, fleet.TopicTexts, before(ref.Key))
 	if err != nil {
 		return "", err
