Count an engine's silence from the last piece that it took

The time line of a failed run shows four attempts, two with 'slot lost' after 2.0 s: the watchdog of the engine's client began before the client had put 1.8 MB of resumed tokens into the request, so that its own encoding and sending counted as the engine's silence. Ruled out: the engines' cuts alone (two, for which four attempts suffice); the number of attempts (in each failing run two were stalls of 2.0 s). Change: the request is encoded before the watchdog begins, and each piece that goes out sets it back until the answer begins. The test writes the time line when it fails.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -103,13 +103,19 @@
 // the request for good, ErrBusy where it did for now, ErrTargetFailed or
 // ErrTruncated otherwise.
 func (e *Engine) Generate(ctx context.Context, g Generation, sink func(token string) error) error {
+	body, err := withResume(g.Body, g.Resume)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.stall, func() {
-		cancel(errStalled.New("engine %s sent nothing for %v", e.base, e.stall))
+		cancel(errStalled.New("engine %s took and sent nothing for %v", e.base, e.stall))
 	})
 	defer watchdog.Stop()
-	resp, err := e.begin(ctx, g)
+	timed := newTimedBody(body, g.By)
+	timed.taken = func() { watchdog.Reset(e.stall) }
+	resp, err := e.begin(ctx, g.ID, timed)
 	if err != nil {
 		return e.suspect(ctx, err)
 	}
@@ -156,20 +162,16 @@
 	return r.body.Read(p)
 }
 
-func (e *Engine) begin(ctx context.Context, g Generation) (*http.Response, error) {
-	body, err := withResume(g.Body, g.Resume)
-	if err != nil {
-		return nil, err
-	}
-	timed := newTimedBody(body, g.By)
+func (e *Engine) begin(ctx context.Context, id string, timed *timedBody) (*http.Response, error) {
+	defer timed.answered.Store(true)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/chat/completions", timed)
 	if err != nil {
 		return nil, protocol.ErrBadRequest.Wrap(err, "generate")
 	}
-	req.ContentLength = int64(len(body))
+	req.ContentLength = int64(len(timed.content))
 	req.GetBody = timed.again
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderRequestID, g.ID)
+	req.Header.Set(HeaderRequestID, id)
 	resp, err := e.client.Do(req)
 	if timed.late.Load() {
 		drainResponse(resp)
@@ -290,15 +292,20 @@
 	data    *bytes.Reader
 	by      time.Time
 	late    *atomic.Bool
+	// taken, if set, is called for each piece that goes out until answered is set.
+	taken    func()
+	answered *atomic.Bool
 }
 
 func newTimedBody(content []byte, by time.Time) *timedBody {
-	return &timedBody{content: content, data: bytes.NewReader(content), by: by, late: new(atomic.Bool)}
+	return &timedBody{content: content, data: bytes.NewReader(content), by: by, late: new(atomic.Bool), answered: new(atomic.Bool)}
 }
 
 // again returns the body once more, for a connection that took nothing of it.
 func (b *timedBody) again() (io.ReadCloser, error) {
-	return io.NopCloser(&timedBody{content: b.content, data: bytes.NewReader(b.content), by: b.by, late: b.late}), nil
+	copied := *b
+	copied.data = bytes.NewReader(b.content)
+	return io.NopCloser(&copied), nil
 }
 
 // Read implements io.Reader.
@@ -307,6 +314,9 @@
 		b.late.Store(true)
 		return 0, protocol.ErrNotSent.New("it is too late to send")
 	}
+	if b.taken != nil && !b.answered.Load() {
+		b.taken()
+	}
 	return b.data.Read(p)
 }
 
--- a/backend/engine_test.go
+++ b/backend/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -147,3 +148,31 @@
 		}
 	}
 }
+
+// TestEngineThatReadsSlowly lets an engine take a long body, as a resumed answer
+// has, for longer than it may be silent: while it takes some, it is no stall. The
+// body is much longer than what waits in the buffers of the connection.
+func TestEngineThatReadsSlowly(t *testing.T) {
+	const silence, pace, pieces = 300 * time.Millisecond, 20 * time.Millisecond, 40
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for {
+			n, err := io.CopyN(io.Discard, r.Body, 1<<20)
+			if n == 0 || err != nil {
+				break
+			}
+			<-time.After(pace)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	defer server.Close()
+	client := backend.NewEngine(server.URL, silence)
+	defer client.Close()
+	var resume []string
+	for range pieces {
+		resume = append(resume, strings.Repeat("x", 1<<20))
+	}
+	begun := time.Now()
+	err := client.Generate(t.Context(), backend.Generation{ID: "g", Body: []byte("{}"), Resume: resume}, func(string) error { return nil })
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(begun) > 2*silence, "%v", time.Since(begun))
+}
--- a/promises/whole_answers_test.go
+++ b/promises/whole_answers_test.go
@@ -147,10 +147,23 @@
 	}
 	got := 0
 	_, err := c.Chat(t.Context(), question("long", tokens, true), client.CallOptions{}, func(token string) { got += len(token) })
+	if err != nil {
+		logTimeline(t, c)
+	}
 	assert.NilError(t, err)
 	assert.Equal(t, got, tokens*size)
 }
 
+// logTimeline writes what all processes did to the test's log.
+func logTimeline(t *testing.T, c *client.Client) {
+	t.Helper()
+	line, err := c.Timeline(t.Context(), protocol.EventsArgs{})
+	assert.Check(t, err)
+	for _, e := range line.Events {
+		t.Logf("%+v", e)
+	}
+}
+
 // TestSlowCaller lets one caller stop reading its stream for longer than the
 // heartbeat timeout. Another caller with the same key gets the whole answer
 // meanwhile, the target's slot is free again, and the slow one gets it whole later.
