Name the soak's faults by the field's terms, and share what tests had twice

Cause: read-through of the whole change. Change: fault, faultLog, faultKinds; processtest.Main; storeResult and finishLongAgo; fleetstore.After; foundResults. Behaviour and checks are unchanged.

--- a/cmd/sycamoretally/process_test.go
+++ b/cmd/sycamoretally/process_test.go
@@ -18,16 +18,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "sycamoretally")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = processtest.Build(dir); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(processtest.Main(&binary, m.Run))
 }
 
 func startSite(t *testing.T, layout processtest.Layout) *processtest.Site {
--- a/gateway/history_test.go
+++ b/gateway/history_test.go
@@ -125,7 +125,7 @@
 		text := fmt.Sprint("by", client, "-", rng.IntN(1000))
 		in.Result = item + "=" + text
 		op := c.recorder.Invoke(client, in)
-		c.stored(op, out, c.finishItem(ctx, w, id, item, text))
+		c.stored(op, out, storeResult(ctx, c.store, w, id, item, text))
 	case draw < 7:
 		in.Op = history.WorkEnd
 		op := c.recorder.Invoke(client, in)
@@ -174,25 +174,6 @@
 	}
 }
 
-// errNoText means that an item has not been finished, since its text is not there.
-var errNoText = fleet.ErrUnavailable.NewSubtype("no_text")
-
-// finishItem stores a text and then the end of the item that names it, as a
-// batcher does.
-func (c *crowd) finishItem(ctx context.Context, w *worklog.Writer, job, item, text string) error {
-	value := worklog.EncodeText(text)
-	key := worklog.TextPrefix(job) + w.NextKey()
-	at, err := c.store.Append(ctx, fleet.TopicTexts, fleet.AnyOffset, []fleet.Record{{Key: key, Value: value}})
-	if err != nil {
-		return errNoText.Wrap(err, "text")
-	}
-	ref := &worklog.TextRef{Key: key, Offset: at, Bytes: len(key) + len(value)}
-	record, err := w.Record(worklog.Entry{Done: &worklog.Done{Job: job, Item: item, Text: ref}})
-	assert.Check(c.t, err)
-	_, err = c.store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
-	return err
-}
-
 // stored records the end of an append.
 func (c *crowd) stored(op *history.Operation, out history.WorkOutput, err error) {
 	switch {
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -209,8 +209,8 @@
 	return !known || age > maxWorkAge
 }
 
-// found is what is known of a job's results from a position on.
-type found struct {
+// foundResults is what is known of a job's results from a position on.
+type foundResults struct {
 	total   int
 	results []worklog.Result
 	// open says that more will come, and changed is closed when that changes.
@@ -219,14 +219,14 @@
 }
 
 // find returns the results from a position on, as many as a page may hold.
-func (g *Gateway) find(id string, after int) found {
+func (g *Gateway) find(id string, after int) foundResults {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
 	job := g.fold.Job(id)
 	if job == nil {
-		return found{changed: g.changed}
+		return foundResults{changed: g.changed}
 	}
-	f := found{total: len(job.Items), open: job.Open(), changed: g.changed}
+	f := foundResults{total: len(job.Items), open: job.Open(), changed: g.changed}
 	size := 0
 	for _, r := range job.Results[min(after, len(job.Results)):] {
 		if r.Text != nil {
@@ -242,7 +242,7 @@
 
 // page makes a page of what was found. It fails with ErrRefused where the store
 // gives no output of any of the results.
-func (g *Gateway) page(ctx context.Context, id string, after int, f found) (fleet.ResultPage, error) {
+func (g *Gateway) page(ctx context.Context, id string, after int, f foundResults) (fleet.ResultPage, error) {
 	results, err := g.texts.resolve(ctx, id, f.results)
 	if err != nil && len(results) == 0 {
 		return fleet.ResultPage{}, fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "results of job %s cannot be read now", id), jobRetryAfter)
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -29,18 +29,44 @@
 	return s.Submit(s.t.Context(), routes["jobs"], "/j/1", j)
 }
 
-// finish appends a result as a batcher would.
-func finish(t *testing.T, store *fleetstore.Store, w *worklog.Writer, job, item, text string) {
-	t.Helper()
+// errNoText means that an item has not been finished, since its text is not there.
+var errNoText = fleet.ErrUnavailable.NewSubtype("no_text")
+
+// storeResult stores a text and then the end of the item that names it, as a
+// batcher does.
+func storeResult(ctx context.Context, store *fleetstore.Store, w *worklog.Writer, job, item, text string) error {
 	value := worklog.EncodeText(text)
 	key := worklog.TextPrefix(job) + w.NextKey()
-	at, err := store.Append(t.Context(), fleet.TopicTexts, fleet.AnyOffset, []fleet.Record{{Key: key, Value: value}})
-	assert.NilError(t, err)
+	at, err := store.Append(ctx, fleet.TopicTexts, fleet.AnyOffset, []fleet.Record{{Key: key, Value: value}})
+	if err != nil {
+		return errNoText.Wrap(err, "text")
+	}
 	ref := &worklog.TextRef{Key: key, Offset: at, Bytes: len(key) + len(value)}
 	record, err := w.Record(worklog.Entry{Done: &worklog.Done{Job: job, Item: item, Text: ref}})
-	assert.NilError(t, err)
-	_, err = store.Append(t.Context(), fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
-	assert.NilError(t, err)
+	if err != nil {
+		return err
+	}
+	_, err = store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+	return err
+}
+
+// finish stores a result in a store that takes it.
+func finish(t *testing.T, store *fleetstore.Store, w *worklog.Writer, job, item, text string) {
+	t.Helper()
+	assert.NilError(t, storeResult(t.Context(), store, w, job, item, text))
+}
+
+// finishLongAgo submits a job and finishes its items, of whose outputs the store
+// has no history any more.
+func (s *site) finishLongAgo(id string, items int) {
+	s.t.Helper()
+	assert.NilError(s.t, s.submit(job(id, items)))
+	w := worklog.NewWriter("b")
+	for i := range items {
+		finish(s.t, s.store, w, id, fmt.Sprint("i", i), fmt.Sprint("text ", i))
+	}
+	s.store.Forget(fleet.TopicTexts)
+	time.Sleep(time.Second)
 }
 
 // TestQuotaHoldsAcrossGateways submits jobs at two gateways at once, each job at
@@ -232,16 +258,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := startSite(t, newStore(t))
 		defer s.stop()
-		assert.NilError(t, s.submit(job("one", 9)))
-		w := worklog.NewWriter("b")
+		other := worklog.NewWriter("other")
 		for i := range 40 {
-			finish(t, s.store, w, "other", fmt.Sprint("i", i), "z")
-		}
-		for i := range 9 {
-			finish(t, s.store, w, "one", fmt.Sprint("i", i), fmt.Sprint("text ", i))
+			finish(t, s.store, other, "other", fmt.Sprint("i", i), "z")
 		}
-		s.store.Forget(fleet.TopicTexts)
-		time.Sleep(time.Second)
+		s.finishLongAgo("one", 9)
 		before := s.store.Calls()
 		page, err := s.Results(t.Context(), "one", 0, 0)
 		assert.NilError(t, err)
@@ -262,13 +283,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := startSite(t, newStore(t))
 		defer s.stop()
-		assert.NilError(t, s.submit(job("one", 3)))
-		w := worklog.NewWriter("b")
-		for i := range 3 {
-			finish(t, s.store, w, "one", fmt.Sprint("i", i), fmt.Sprint("text ", i))
-		}
-		s.store.Forget(fleet.TopicTexts)
-		time.Sleep(time.Second)
+		s.finishLongAgo("one", 3)
 		s.store.SetFaults(fleetstore.Faults{Delay: 500 * time.Millisecond})
 		var group sync.WaitGroup
 		for range 4 {
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -35,6 +35,20 @@
 	return path, nil
 }
 
+// Main builds the binary, sets its path and runs tests that start it. It returns
+// the code to exit with.
+func Main(binary *string, run func() int) int {
+	dir, err := os.MkdirTemp("", "sycamoretally")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if *binary, err = Build(dir); err != nil {
+		panic(err)
+	}
+	return run()
+}
+
 // Site is a running site of separate processes.
 type Site struct {
 	Log      *Process
--- a/promises/main_test.go
+++ b/promises/main_test.go
@@ -20,20 +20,11 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "sycamoretally")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = processtest.Build(dir); err != nil {
-		panic(err)
-	}
 	flag.Parse()
-	if err = flag.Set("test.parallel", strconv.Itoa(parallelTests)); err != nil {
+	if err := flag.Set("test.parallel", strconv.Itoa(parallelTests)); err != nil {
 		panic(err)
 	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(processtest.Main(&binary, m.Run))
 }
 
 // The numbers of sites that run at the same time: those of separate processes,
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -67,7 +67,7 @@
 // checkCut checks that what no failure touched was answered: planned work cuts
 // nothing.
 func (s *site) checkCut(l *ledger, one sent, runs []platformtest.Run) {
-	if one.verdict == answered || one.verdict == refused || !s.calm.during(one.begun, one.end, one.gateway) {
+	if one.verdict == answered || one.verdict == refused || !s.faultLog.during(one.begun, one.end, one.gateway) {
 		return
 	}
 	if one.status == 0 && len(runs) == 0 && one.end.Sub(one.begun) < lossSlack {
@@ -85,7 +85,7 @@
 	}
 	for _, r := range runs {
 		allowed := s.moves.allowed(one.begun, r.Begun, propagationBound)
-		if !slices.Contains(allowed, r.Service) && s.calm.untouched(one.begun.Add(-propagationBound), r.Begun, one.gateway) {
+		if !slices.Contains(allowed, r.Service) && s.faultLog.untouched(one.begun.Add(-propagationBound), r.Begun, one.gateway) {
 			l.wrong("%s, sent at %s, ran at %s, allowed were %v", one.id, clock(one.begun), r.Service, allowed)
 		}
 	}
@@ -101,7 +101,7 @@
 	if one, online := senders[r.Request]; online {
 		by = one.gateway
 	}
-	if s.calm.untouched(left, r.Arrived, by) {
+	if s.faultLog.untouched(left, r.Arrived, by) {
 		l.wrong("%s came to %s from %s %v after it had said that it leaves", r.Request, r.Target, by, r.Arrived.Sub(left))
 	}
 }
@@ -150,7 +150,7 @@
 	}
 	for _, r := range runs {
 		by := batcherOf(r.Target)
-		if r.Arrived.After(j.ended.Add(cancelBound)) && s.calm.untouched(j.ended, r.Arrived, by) {
+		if r.Arrived.After(j.ended.Add(cancelBound)) && s.faultLog.untouched(j.ended, r.Arrived, by) {
 			l.wrong("%s came to %s %v after the end of %s", r.Request, r.Target, r.Arrived.Sub(j.ended), j.id)
 		}
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,11 +19,11 @@
 // hold for it, as the users' pages say.
 const stableWindow = 3 * time.Second
 
-// everything names all processes and the store in an interval of trouble.
+// everything names all processes and the store in an interval of faults.
 const everything = "everything"
 
-// calm keeps when what was disturbed.
-type calm struct {
+// faultLog keeps when what was disturbed.
+type faultLog struct {
 	mu        sync.Mutex
 	intervals []*interval
 }
@@ -35,15 +35,15 @@
 	begun, end time.Time
 }
 
-func newCalm() *calm { return &calm{} }
+func newFaultLog() *faultLog { return &faultLog{} }
 
 // disturb notes that the thing is disturbed until the function returned is called.
-func (c *calm) disturb(what, name string) func() { return c.begin(what, name, false) }
+func (c *faultLog) disturb(what, name string) func() { return c.begin(what, name, false) }
 
 // plan notes planned work at the thing.
-func (c *calm) plan(what, name string) func() { return c.begin(what, name, true) }
+func (c *faultLog) plan(what, name string) func() { return c.begin(what, name, true) }
 
-func (c *calm) begin(what, name string, planned bool) func() {
+func (c *faultLog) begin(what, name string, planned bool) func() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := &interval{what: what, name: name, planned: planned, begun: time.Now()}
@@ -57,16 +57,16 @@
 
 // during reports whether neither everything nor any of the names was disturbed
 // between the times, or shortly before.
-func (c *calm) during(from, to time.Time, names ...string) bool {
+func (c *faultLog) during(from, to time.Time, names ...string) bool {
 	return len(c.overlapping(from, to, false, names)) == 0
 }
 
 // untouched is during, and without planned work at the names.
-func (c *calm) untouched(from, to time.Time, names ...string) bool {
+func (c *faultLog) untouched(from, to time.Time, names ...string) bool {
 	return c.during(from, to, names...) && len(c.overlapping(from, to, true, names)) == 0
 }
 
-func (c *calm) overlapping(from, to time.Time, planned bool, names []string) []*interval {
+func (c *faultLog) overlapping(from, to time.Time, planned bool, names []string) []*interval {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var found []*interval
@@ -79,8 +79,8 @@
 	return found
 }
 
-// String lists the troubles in order of time.
-func (c *calm) String() string {
+// String lists the faults in order of time.
+func (c *faultLog) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	text := ""
@@ -92,14 +92,14 @@
 
 func clock(t time.Time) string { return t.Format("05.000") }
 
-// trouble makes one failure, waits and ends it.
-type trouble struct {
+// fault makes one failure, waits and ends it.
+type fault struct {
 	name string
 	make func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration)
 }
 
-// troubles are the failures, planned work not among them.
-var troubles = []trouble{
+// faultKinds are the failures, planned work not among them.
+var faultKinds = []fault{
 	{"kill", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
 		s.kill(ctx, pick(rng, s.daemons()), lasting)
 	}},
@@ -110,17 +110,17 @@
 		s.crash(ctx, pick(rng, s.places), lasting)
 	}},
 	{"store", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
-		s.harmStore(ctx, rng, lasting)
+		s.failStore(ctx, rng, lasting)
 	}},
 	{"store path", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
 		d := pick(rng, s.daemons())
-		s.harmPath(ctx, rng, d.store, d.name, lasting)
+		s.failPath(ctx, rng, d.store, d.name, lasting)
 	}},
 	{"target path", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
-		s.harmPath(ctx, rng, pick(rng, s.places).relay, everything, lasting)
+		s.failPath(ctx, rng, pick(rng, s.places).relay, everything, lasting)
 	}},
 	{"answers", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
-		s.harmAnswers(ctx, rng, pick(rng, s.places), lasting)
+		s.failAnswers(ctx, rng, pick(rng, s.places), lasting)
 	}},
 	{"power", func(s *site, ctx context.Context, rng *rand.Rand, lasting time.Duration) {
 		if rng.IntN(3) == 0 {
@@ -130,7 +130,7 @@
 }
 
 // plans are planned work: no promise may be broken by it.
-var plans = []trouble{
+var plans = []fault{
 	{"stop", func(s *site, ctx context.Context, rng *rand.Rand, _ time.Duration) {
 		s.stopDaemon(ctx, pick(rng, s.daemons()))
 	}},
@@ -176,7 +176,7 @@
 	if !d.claim() {
 		return
 	}
-	defer s.calm.disturb("killed", d.name)()
+	defer s.faultLog.disturb("killed", d.name)()
 	if err := d.process.Kill(); err != nil {
 		s.t.Errorf("kill %s: %v", d.name, err)
 	}
@@ -188,7 +188,7 @@
 	if !d.claim() {
 		return
 	}
-	defer s.calm.disturb("frozen", d.name)()
+	defer s.faultLog.disturb("frozen", d.name)()
 	_ = d.process.Signal(syscall.SIGSTOP)
 	rest(ctx, lasting)
 	_ = d.process.Signal(syscall.SIGCONT)
@@ -200,7 +200,7 @@
 	if !d.claim() {
 		return
 	}
-	defer s.calm.plan("stopped", d.name)()
+	defer s.faultLog.plan("stopped", d.name)()
 	_ = d.process.Signal(syscall.SIGTERM)
 	if code, err := d.process.Wait(grace); err != nil || code != 0 {
 		s.t.Errorf("%s did not end by itself after SIGTERM: code %d, %v", d.name, code, err)
@@ -212,7 +212,7 @@
 
 // losePower kills every process of the system and every target at once.
 func (s *site) losePower(ctx context.Context, lasting time.Duration) {
-	defer s.calm.disturb("power lost", everything)()
+	defer s.faultLog.disturb("power lost", everything)()
 	var group sync.WaitGroup
 	for _, d := range s.daemons() {
 		group.Go(func() { s.kill(ctx, d, lasting) })
@@ -226,7 +226,7 @@
 // crash ends a target at once; another starts at its address, and the old one's
 // entry goes some heartbeats later.
 func (s *site) crash(ctx context.Context, p *place, lasting time.Duration) {
-	defer s.calm.disturb("crashed", everything)()
+	defer s.faultLog.disturb("crashed", everything)()
 	old := p.current()
 	old.Crash()
 	rest(ctx, lasting/2)
@@ -255,13 +255,13 @@
 	_ = s.startTarget(p) // another may have been started meanwhile
 }
 
-// harmStore lets the whole store misbehave.
-func (s *site) harmStore(ctx context.Context, rng *rand.Rand, lasting time.Duration) {
+// failStore lets the whole store misbehave.
+func (s *site) failStore(ctx context.Context, rng *rand.Rand, lasting time.Duration) {
 	faults := pick(rng, []fleetstore.Faults{
 		{Down: true}, {Delay: 300 * time.Millisecond}, {Delay: 3 * time.Second},
 		{LoseAnswers: 4}, {LoseAppends: 4}, {LateAppends: 4, LateBy: 2 * time.Second},
 	})
-	defer s.calm.disturb(fmt.Sprintf("store %+v", faults), everything)()
+	defer s.faultLog.disturb(fmt.Sprintf("store %+v", faults), everything)()
 	s.store.SetFaults(faults)
 	rest(ctx, lasting)
 	s.store.SetFaults(fleetstore.Faults{})
@@ -272,13 +272,13 @@
 	}
 }
 
-// harmPath lets the connections through a relay misbehave, for the name that they
+// failPath lets the connections through a relay misbehave, for the name that they
 // belong to.
-func (s *site) harmPath(ctx context.Context, rng *rand.Rand, r *relay.Relay, name string, lasting time.Duration) {
-	harms := []string{"silent", "reset", "delayed", "held towards", "held back", "held"}
-	harm := pick(rng, harms)
-	defer s.calm.disturb(harm, name)()
-	switch harm {
+func (s *site) failPath(ctx context.Context, rng *rand.Rand, r *relay.Relay, name string, lasting time.Duration) {
+	ways := []string{"silent", "reset", "delayed", "held towards", "held back", "held"}
+	way := pick(rng, ways)
+	defer s.faultLog.disturb(way, name)()
+	switch way {
 	case "silent":
 		r.Silence()
 	case "reset":
@@ -286,15 +286,15 @@
 	case "delayed":
 		r.SetDelay(time.Duration(20+rng.IntN(150)) * time.Millisecond)
 	default:
-		r.Hold(harm != "held back", harm != "held towards")
+		r.Hold(way != "held back", way != "held towards")
 	}
 	rest(ctx, lasting)
 	r.SetDelay(0)
 	r.Hold(false, false)
 }
 
-func (s *site) harmAnswers(ctx context.Context, rng *rand.Rand, p *place, lasting time.Duration) {
-	defer s.calm.disturb("answers harmed", everything)()
+func (s *site) failAnswers(ctx context.Context, rng *rand.Rand, p *place, lasting time.Duration) {
+	defer s.faultLog.disturb("answers broken", everything)()
 	p.setFaults(pick(rng, []platformtest.Faults{{Lose: 3}, {Cut: 3}, {Foreign: 3}, {Surplus: 2}, {Lose: 6, Cut: 5, Foreign: 7, Surplus: 4}}))
 	rest(ctx, lasting)
 	p.setFaults(platformtest.Faults{})
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -73,7 +73,7 @@
 	batchers []*daemon
 	places   []*place
 	journal  *platformtest.Journal
-	calm     *calm
+	faultLog *faultLog
 	registry *registry
 	moves    moves
 	// publishing serializes the operator's changes.
@@ -87,7 +87,7 @@
 // newSite starts everything and waits until the gateways serve.
 func newSite(t *testing.T, binary string) *site {
 	t.Helper()
-	s := &site{t: t, store: fleetstore.New(), journal: &platformtest.Journal{}, calm: newCalm()}
+	s := &site{t: t, store: fleetstore.New(), journal: &platformtest.Journal{}, faultLog: newFaultLog()}
 	s.registry = newRegistry(s.store)
 	t.Cleanup(s.registry.stop)
 	subnet := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, subnets.Add(1))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,12 +32,12 @@
 }
 
 const (
-	// troubleTime is how long failures begin, calmTime how long only planned work
+	// faultTime is how long failures begin, planTime how long only planned work
 	// goes on after the last has ended and the things are stable again.
-	troubleTime = 9 * time.Second
-	calmTime    = 7 * time.Second
-	// longestTrouble is the longest time that a failure lasts.
-	longestTrouble = 3 * time.Second
+	faultTime = 9 * time.Second
+	planTime  = 7 * time.Second
+	// longestFault is the longest time that a failure lasts.
+	longestFault = 3 * time.Second
 	// sitesAtOnce bounds the sites that run at the same time.
 	sitesAtOnce = 3
 )
@@ -49,16 +49,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "sycamoretally-soak")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = processtest.Build(dir); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(processtest.Main(&binary, m.Run))
 }
 
 // TestSoak plays the seeds.
@@ -81,8 +72,8 @@
 	}
 }
 
-// play disturbs a site as the seed says while callers use it, then lets it calm
-// down under planned work alone, and checks what everybody saw.
+// play disturbs a site as the seed says while callers use it, goes on for a while
+// under planned work alone, and checks what everybody saw.
 func play(t *testing.T, seed uint64) {
 	s := newSite(t, binary)
 	l := &ledger{}
@@ -117,31 +108,31 @@
 	})
 }
 
-// disturb plays troubles and plans, both in series that overlap.
+// disturb plays faults and planned work, both in series that overlap.
 func (s *site) disturb(ctx context.Context, rng *rand.Rand) {
-	troubled, end := context.WithTimeout(ctx, troubleTime)
+	faulty, end := context.WithTimeout(ctx, faultTime)
 	defer end()
 	var group sync.WaitGroup
-	for troubled.Err() == nil {
-		s.begin(ctx, &group, pick(rng, troubles), rng)
+	for faulty.Err() == nil {
+		s.begin(ctx, &group, pick(rng, faultKinds), rng)
 		if rng.IntN(2) == 0 {
 			s.begin(ctx, &group, pick(rng, plans), rng)
 		}
-		rest(troubled, time.Duration(200+rng.IntN(1000))*time.Millisecond)
+		rest(faulty, time.Duration(200+rng.IntN(1000))*time.Millisecond)
 	}
 	group.Wait()
 	rest(ctx, stableWindow)
-	calm, endCalm := context.WithTimeout(ctx, calmTime)
-	defer endCalm()
-	for calm.Err() == nil {
+	planned, endPlanned := context.WithTimeout(ctx, planTime)
+	defer endPlanned()
+	for planned.Err() == nil {
 		s.begin(ctx, &group, pick(rng, plans), rng)
-		rest(calm, time.Duration(300+rng.IntN(900))*time.Millisecond)
+		rest(planned, time.Duration(300+rng.IntN(900))*time.Millisecond)
 	}
 	group.Wait()
 }
 
-func (s *site) begin(ctx context.Context, group *sync.WaitGroup, one trouble, rng *rand.Rand) {
-	lasting := time.Duration(300+rng.Int64N(longestTrouble.Milliseconds()-300)) * time.Millisecond
+func (s *site) begin(ctx context.Context, group *sync.WaitGroup, one fault, rng *rand.Rand) {
+	lasting := time.Duration(300+rng.Int64N(longestFault.Milliseconds()-300)) * time.Millisecond
 	own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 	group.Go(func() { one.make(s, ctx, own, lasting) })
 }
@@ -161,7 +152,7 @@
 	for _, problem := range l.problems[:min(len(l.problems), 20)] {
 		s.t.Errorf("%s", problem)
 	}
-	s.t.Logf("troubles:\n%s", s.calm)
+	s.t.Logf("faults:\n%s", s.faultLog)
 	if *keepLogs == "" {
 		return
 	}
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -158,13 +158,19 @@
 func (s *Store) NewestAfter(ctx context.Context, t fleet.Topic, key string) ([]fleet.Record, error) {
 	records, _, err := s.Newest(ctx, t)
 	slices.SortFunc(records, func(a, b fleet.Record) int { return cmp.Compare(a.Key, b.Key) })
-	from, _ := slices.BinarySearchFunc(records, key, func(r fleet.Record, key string) int {
+	return After(records, key), err
+}
+
+// After returns those of the records, in order of their keys, whose keys follow
+// the key.
+func After(sorted []fleet.Record, key string) []fleet.Record {
+	from, _ := slices.BinarySearchFunc(sorted, key, func(r fleet.Record, key string) int {
 		if r.Key <= key {
 			return -1
 		}
 		return 1
 	})
-	return records[from:], err
+	return sorted[from:]
 }
 
 // Append implements fleet.Store.
