Do not convict a long call by losses of its targets that it outlives

A long item is in flight at most kills, goes on at the next engine, and was convicted at the third crash though it had produced output each time. Change: a crash record names the calls that had produced output. The bound of the poison tests stays at three: such a call produces nothing. A call that crashes its targets after some output now takes up to five of them.

--- a/promises/exactly_once_jobs_test.go
+++ b/promises/exactly_once_jobs_test.go
@@ -120,6 +120,57 @@
 	runJobUnder(t, seed, faults[engines], faults[engines])
 }
 
+// TestLongItemOutlivesItsEngines kills the engine under one long item whenever the
+// item has produced output there, as often as all the engines are killed in
+// TestJobOutlivesRepeatedEngineLoss: the item goes on each time, so that the
+// crashes tell nothing against it.
+func TestLongItemOutlivesItsEngines(t *testing.T) {
+	t.Parallel()
+	const seed, kills, longItem = 1, 4, 3
+	site, _ := startProcesses(t, processtest.Layout{
+		Entries: 2, Engines: 2, Slots: 4,
+		Engine: settings.StandInEngine{Width: 4, TokenTime: settings.Duration(10 * time.Millisecond), RestartTime: settings.Duration(time.Second)},
+	})
+	job := &jobItems{name: "long", items: 6, tokens: 5, long: map[int]bool{longItem: true}}
+	callers := newJobCallers(t, site.Client, "long", job.file(t))
+	a := callers.submit(t, rand.New(rand.NewPCG(seed, 0)))
+	var last string
+	for kill := range kills {
+		run, where := awaitProducing(t, site, job.prompt(longItem), last)
+		t.Logf("kill %d: run %s at %s", kill+1, run.ID, where.Settings.StandIn.Listen)
+		restart(t, where)
+		last = run.ID
+	}
+	final := callers.awaitFinal(t, a.ID)
+	assert.Equal(t, final.Counts, entry.JobCounts{Total: job.items, Completed: job.items})
+	callers.checkAtAll(t, a.ID, job, true)
+	callers.check(t)
+}
+
+// awaitProducing waits until an engine has worked on the prompt for a while, in another
+// run than last, and returns the run and the engine.
+func awaitProducing(t *testing.T, site *processtest.Site, prompt, last string) (run engine.Run, where *processtest.Process) {
+	t.Helper()
+	const producing = 300 * time.Millisecond
+	eventually(t, recoveryLimit, func() error {
+		for _, p := range site.Engines {
+			var runs []engine.Run
+			if err := processtest.Read("http://"+p.Settings.StandIn.Listen+"/runs", &runs); err != nil {
+				return err
+			}
+			for _, r := range runs {
+				began := time.UnixMicro(r.StartUnixMicros)
+				if r.Prompt == prompt && r.ID != last && r.Ended == "" && time.Since(began) > producing {
+					run, where = r, p
+					return nil
+				}
+			}
+		}
+		return history.ErrHistory.New("no engine works on %q", prompt)
+	})
+	return run, where
+}
+
 func runJobUnder(t *testing.T, seed uint64, faults ...jobFault) {
 	site, _ := startProcesses(t, processtest.Layout{
 		Entries: 2, Engines: 2, Slots: 4,
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -6,6 +6,8 @@
 	Target string `msgpack:"t"`
 	// Fingerprints are those of the calls in flight, each once.
 	Fingerprints []string `msgpack:"f"`
+	// Productive are those of them whose run had produced output.
+	Productive []string `msgpack:"p,omitempty"`
 	// HoldMillis is how long suspicion and quarantine last, in milliseconds.
 	HoldMillis int64 `msgpack:"h"`
 }
--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -21,7 +21,9 @@
 // flight is a call that was sent to the target and has not ended.
 type flight struct {
 	fingerprint string
-	incident    *incident
+	// productive is set once the target has produced output of the call.
+	productive bool
+	incident   *incident
 }
 
 // incident is one crash of the target.
@@ -61,6 +63,15 @@
 	c.flights[attempt] = &flight{fingerprint: fingerprint}
 }
 
+// produced notes that the target has produced output of the attempt.
+func (c *crashes) produced(attempt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f := c.flights[attempt]; f != nil {
+		f.productive = true
+	}
+}
+
 // inFlight reports whether the target has the attempt.
 func (c *crashes) inFlight(attempt string) bool {
 	c.mu.Lock()
@@ -191,24 +202,29 @@
 // open makes every call in flight a suspect. The caller holds the lock.
 func (c *crashes) open() *incident {
 	in := &incident{id: protocol.NewID(), stored: make(chan struct{})}
-	var fingerprints []string
+	var fingerprints, productive []string
 	for _, f := range c.flights {
 		if f.incident != nil {
 			continue
 		}
 		f.incident = in
 		fingerprints = append(fingerprints, f.fingerprint)
+		if f.productive {
+			productive = append(productive, f.fingerprint)
+		}
 	}
 	if len(fingerprints) == 0 {
 		return nil
 	}
 	slices.Sort(fingerprints)
+	slices.Sort(productive)
 	rec := protocol.Record{ID: in.id, Crash: &protocol.TargetCrash{
 		Target:       c.target,
 		Fingerprints: slices.Compact(fingerprints),
+		Productive:   slices.Compact(productive),
 		HoldMillis:   c.hold.Milliseconds(),
 	}}
-	klog.InfoS("target crashed", "target", c.target, "suspects", len(rec.Crash.Fingerprints), "incident", in.id)
+	klog.InfoS("target crashed", "target", c.target, "suspects", len(rec.Crash.Fingerprints), "productive", len(rec.Crash.Productive), "incident", in.id)
 	c.spawn(func() { c.persist(in, rec) })
 	c.spawn(c.down)
 	return in
--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -56,6 +56,7 @@
 			assert.NilError(t, c.learn(t.Context()))
 			c.sent("a", "fa")
 			c.sent("b", "fb")
+			c.produced("b")
 			test.after(f)
 			err := c.ended(t.Context(), "a", errBroken)
 			assert.Equal(t, errorx.IsOfType(err, protocol.ErrTargetCrashed), test.crashed)
@@ -67,6 +68,7 @@
 			}
 			assert.Equal(t, len(f.records), 1, "one record for one crash")
 			assert.DeepEqual(t, f.records[0].Crash.Fingerprints, []string{"fa", "fb"})
+			assert.DeepEqual(t, f.records[0].Crash.Productive, []string{"fb"})
 			assert.Assert(t, c.incidentOf("a") != nil)
 		})
 	}
--- a/sidecar/target.go
+++ b/sidecar/target.go
@@ -58,6 +58,9 @@
 	r.sent(a)
 	tokens := len(a.Resume)
 	err := r.generateOnce(ctx, a, by, func(token string) error {
+		if tokens == len(a.Resume) {
+			r.crashes.produced(a.Attempt)
+		}
 		tokens++
 		return sink(token)
 	})
--- a/state/quarantine.go
+++ b/state/quarantine.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// convictingCrashes is the number of crashes that convicts a suspect. Two are not
-	// enough: an innocent long call may be in flight at one lost target and alone on
-	// the next.
+	// convictingCrashes is the number of crashes without output of the call that
+	// convicts a suspect. Two are not enough: an innocent call may be in flight at one
+	// lost target and alone on the next.
 	convictingCrashes = 3
+	// maxCrashes is the number of crashes that convicts a suspect which produced
+	// output each time: a long call that goes on at the next target may meet several
+	// losses, but a call that crashes targets later than at once must end too.
+	maxCrashes = 5
 	// maxSuspects bounds the suspects kept; the oldest go first.
 	maxSuspects = 4096
 )
@@ -28,7 +32,9 @@
 
 type suspect struct {
 	crashes []string
-	trial   string
+	// productive counts the crashes before which the call had produced output.
+	productive int
+	trial      string
 	// until is when the entry expires, in milliseconds of the fold's time.
 	until int64
 	hold  int64
@@ -104,14 +110,19 @@
 	}
 }
 
-func (s *suspect) convicted() bool { return len(s.crashes) >= convictingCrashes }
+func (s *suspect) convicted() bool {
+	return len(s.crashes)-s.productive >= convictingCrashes || len(s.crashes) >= maxCrashes
+}
 
 // accuse counts a crash once and restarts the time of the entry.
-func (q *Quarantine) accuse(s *suspect, id string) {
+func (q *Quarantine) accuse(s *suspect, id string, productive bool) {
 	if s.convicted() || slices.Contains(s.crashes, id) {
 		return
 	}
 	s.crashes = append(s.crashes, id)
+	if productive {
+		s.productive++
+	}
 	s.trial = ""
 	s.until = q.now + s.hold
 	if s.convicted() {
@@ -130,7 +141,7 @@
 			q.suspects[fingerprint] = s
 			q.order = append(q.order, fingerprint)
 		}
-		q.accuse(s, id)
+		q.accuse(s, id, slices.Contains(c.Productive, fingerprint))
 	}
 	for len(q.order) > maxSuspects {
 		q.remove(q.order[0])
--- a/state/quarantine_test.go
+++ b/state/quarantine_test.go
@@ -15,6 +15,17 @@
 	return &protocol.Record{ID: id, Crash: &protocol.TargetCrash{Target: "t", Fingerprints: fingerprints, HoldMillis: 1000}}
 }
 
+// productive returns the records of n crashes of a call that had produced output.
+func productive(n int) []*protocol.Record {
+	var records []*protocol.Record
+	for i := range n {
+		rec := crashRecord(fmt.Sprint("productive", i), "f")
+		rec.Crash.Productive = rec.Crash.Fingerprints
+		records = append(records, rec)
+	}
+	return records
+}
+
 func trialRecord(attempt string) *protocol.Record {
 	return &protocol.Record{ID: "trial-" + attempt, Trial: &protocol.SuspectTrial{Fingerprint: "f", Attempt: attempt}}
 }
@@ -37,6 +48,10 @@
 		{"the same record twice counts once", []*protocol.Record{crashRecord("1", "f"), crashRecord("1", "f")}, Suspicion{Crashes: 1}},
 		{"two crashes leave a suspect", []*protocol.Record{crashRecord("1", "f"), crashRecord("2", "f")}, Suspicion{Crashes: 2}},
 		{"three crashes convict", []*protocol.Record{crashRecord("1", "f"), crashRecord("2", "f"), crashRecord("3", "f")}, Suspicion{Crashes: 3, Convicted: true}},
+		{"crashes of a call that goes on convict later", productive(4), Suspicion{Crashes: 4}},
+		{"five crashes convict whatever was produced", productive(5), Suspicion{Crashes: 5, Convicted: true}},
+		{"three crashes without output convict among others", append(productive(1), crashRecord("a", "f"), crashRecord("b", "f"), crashRecord("c", "f")),
+			Suspicion{Crashes: 4, Convicted: true}},
 		{"the first trial holds", []*protocol.Record{crashRecord("1", "f"), trialRecord("a"), trialRecord("b")}, Suspicion{Crashes: 1, Trial: "a"}},
 		{"a complete trial clears", []*protocol.Record{crashRecord("1", "f"), trialRecord("a"), endRecord("a", true)}, Suspicion{}},
 		{"another's end changes nothing", []*protocol.Record{crashRecord("1", "f"), trialRecord("a"), endRecord("b", true)}, Suspicion{Crashes: 1, Trial: "a"}},
--- a/state/snapshot_quarantine.go
+++ b/state/snapshot_quarantine.go
@@ -12,6 +12,7 @@
 type suspectSnapshot struct {
 	Fingerprint string   `msgpack:"f"`
 	Crashes     []string `msgpack:"c"`
+	Productive  int      `msgpack:"p,omitempty"`
 	Trial       string   `msgpack:"t,omitempty"`
 	Until       int64    `msgpack:"u"`
 	Hold        int64    `msgpack:"h"`
@@ -28,7 +29,7 @@
 	for _, fingerprint := range q.order {
 		s := q.suspects[fingerprint]
 		snapshot.Suspects = append(snapshot.Suspects, suspectSnapshot{
-			Fingerprint: fingerprint, Crashes: s.crashes, Trial: s.trial, Until: s.until, Hold: s.hold,
+			Fingerprint: fingerprint, Crashes: s.crashes, Productive: s.productive, Trial: s.trial, Until: s.until, Hold: s.hold,
 		})
 	}
 	return encodeState(&snapshot)
@@ -44,7 +45,7 @@
 	suspects := make(map[string]*suspect, len(snapshot.Suspects))
 	for _, s := range snapshot.Suspects {
 		order = append(order, s.Fingerprint)
-		suspects[s.Fingerprint] = &suspect{crashes: s.Crashes, trial: s.Trial, until: s.Until, hold: s.Hold}
+		suspects[s.Fingerprint] = &suspect{crashes: s.Crashes, productive: s.Productive, trial: s.Trial, until: s.Until, hold: s.Hold}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
