Let an engine refuse a request that was told to stop before it arrived

The engine confirmed the end of a request that it did not know, the sidecar gave its slot to online work, and the request ran. Ruled out: slots counted twice (four requests ran, none of them stopped); a place that is free late (that was mended before, TestCancelWaitsForThePlace). Change: the order to stop holds for a request that is still on its way; the stand-in remembers the last 4,096.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -259,7 +259,9 @@
 	return protocol.ErrTruncated.New("stream ended without its end marker")
 }
 
-// Cancel stops the request with the given ID. An unknown ID is no error.
+// Cancel stops the request with the given ID, and returns once the engine has freed
+// its place. An unknown ID is no error: its request may be on its way over another
+// connection, and the engine refuses it when it arrives.
 func (e *Engine) Cancel(ctx context.Context, id string) error {
 	return e.post(ctx, "/engine/cancel", map[string]string{"id": id})
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/backend"
+	"github.com/sycamoretally/sycamoretally/coordination/quarantine"
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
@@ -76,8 +77,11 @@
 	downUntil time.Time
 	boot      int
 	down      chan struct{}
-	active    map[string]*activeRun
-	waiting   int
+	// active holds the requests that run or wait for a place.
+	active map[string]*activeRun
+	// stopped holds the requests that were told to stop before they arrived.
+	stopped *quarantine.Recent
+	waiting int
 	// queued counts the requests that found no place in the running batch.
 	queued  int
 	runs    []Run
@@ -87,10 +91,13 @@
 	reports []report
 }
 
-// activeRun is a request that has a place in the running batch.
+// maxStopped bounds the requests remembered as told to stop.
+const maxStopped = 4096
+
+// activeRun is a request that has a place in the running batch, or waits for one.
 type activeRun struct {
 	cancel context.CancelFunc
-	// released is closed once its place is free again.
+	// released is closed once it has ended and its place is free again.
 	released chan struct{}
 }
 
@@ -105,12 +112,13 @@
 		p.Width = 1
 	}
 	return &Engine{
-		params: p,
-		slots:  make(chan struct{}, p.Width),
-		slow:   1,
-		down:   make(chan struct{}),
-		active: map[string]*activeRun{},
-		cache:  newPrefixCache(p.CacheTokens),
+		params:  p,
+		slots:   make(chan struct{}, p.Width),
+		slow:    1,
+		down:    make(chan struct{}),
+		active:  map[string]*activeRun{},
+		stopped: quarantine.NewRecent(maxStopped),
+		cache:   newPrefixCache(p.CacheTokens),
 	}
 }
 
@@ -187,23 +195,40 @@
 	return e.down
 }
 
-func (e *Engine) begin(id, prompt string, run *activeRun) int {
+// arrive notes a request that is to run. It reports false for one that was told to
+// stop before.
+func (e *Engine) arrive(id string, run *activeRun) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.stopped.Has(id) {
+		return false
+	}
 	e.active[id] = run
+	return true
+}
+
+// leave notes that a request which arrived has ended and holds no place.
+func (e *Engine) leave(id string, run *activeRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(run.released)
+	if e.active[id] == run {
+		delete(e.active, id)
+	}
+}
+
+func (e *Engine) begin(id, prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.runs = append(e.runs, Run{ID: id, Prompt: prompt, StartUnixMicros: time.Now().UnixMicro()})
 	return len(e.runs) - 1
 }
 
-func (e *Engine) end(index int, run *activeRun, how string) {
+func (e *Engine) end(index int, how string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[index].Ended = how
 	<-e.slots
-	close(run.released)
-	if id := e.runs[index].ID; e.active[id] == run {
-		delete(e.active, id)
-	}
 }
 
 func (e *Engine) isActive(id string) bool {
@@ -212,11 +237,14 @@
 	return e.active[id] != nil
 }
 
-// cancel stops the request and returns once its place is free, or false where
-// ctx ends before.
+// cancel stops the request, also one that is still on its way, and returns once its
+// place is free, or false where ctx ends before.
 func (e *Engine) cancel(ctx context.Context, id string) bool {
 	e.mu.Lock()
 	run := e.active[id]
+	if run == nil {
+		e.stopped.Add(id)
+	}
 	e.mu.Unlock()
 	if run == nil {
 		return true
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/backend"
 )
 
 // TestCancelWaitsForThePlace confirms the end of a request that has yet to
@@ -17,16 +20,36 @@
 		const releaseTime = 50 * time.Millisecond
 		e := New(Params{Width: 1})
 		ctx, cancel := context.WithCancel(t.Context())
-		assert.Assert(t, e.acquire(ctx))
 		run := &activeRun{cancel: cancel, released: make(chan struct{})}
-		index := e.begin("a", "prompt", run)
+		assert.Assert(t, e.arrive("a", run))
+		assert.Assert(t, e.acquire(ctx))
+		index := e.begin("a", "prompt")
 		go func() {
 			<-ctx.Done()
 			time.Sleep(releaseTime)
-			e.end(index, run, "cancelled")
+			e.end(index, "cancelled")
+			e.leave("a", run)
 		}()
 		assert.Assert(t, e.cancel(t.Context(), "a"))
 		assert.Equal(t, len(e.slots), 0)
 		assert.Assert(t, e.cancel(t.Context(), "a"), "an unknown request has ended")
 	})
 }
+
+// TestStopOvertakesItsRequest confirms the end of a request that arrives only after
+// the order to stop it, over another connection: it must not run, since its place
+// has been given to other work.
+func TestStopOvertakesItsRequest(t *testing.T) {
+	e := New(Params{Width: 1})
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	client := backend.NewEngine(server.URL, time.Second)
+	assert.NilError(t, client.Cancel(t.Context(), "a"))
+	body := []byte(`{"model":"drafting","messages":[{"role":"user","content":"late"}],"max_tokens":2}`)
+	generate := func(id string) error {
+		return client.Generate(t.Context(), backend.Generation{ID: id, Body: body}, func(string) error { return nil })
+	}
+	assert.Assert(t, generate("a") != nil, "the request ran after it was told to stop")
+	assert.Equal(t, len(e.Runs()), 0)
+	assert.NilError(t, generate("b"))
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -76,13 +76,18 @@
 		case <-ctx.Done():
 		}
 	}()
+	id, active := r.Header.Get(backend.HeaderRequestID), &activeRun{cancel: cancel, released: make(chan struct{})}
+	if !e.arrive(id, active) {
+		http.Error(w, "the request was told to stop", http.StatusConflict)
+		return
+	}
+	defer e.leave(id, active)
 	if !e.acquire(ctx) {
 		panic(http.ErrAbortHandler)
 	}
-	active := &activeRun{cancel: cancel, released: make(chan struct{})}
-	run := e.begin(r.Header.Get(backend.HeaderRequestID), prompt, active)
+	run := e.begin(id, prompt)
 	how := "crashed"
-	defer func() { e.end(run, active, how) }()
+	defer func() { e.end(run, how) }()
 	switch {
 	case strings.Contains(prompt, MarkerImpossible):
 		how = "refused"
