Take signals before anything else, and say so in the first line

Roles on the platform took signals only after they had read their settings, begun to follow the store and opened their listeners; a SIGTERM or hangup before that ended them. Change: every role takes signals first, then logs "process starting", then reads its settings.

--- a/cmd/sycamoretally/daemon.go
+++ b/cmd/sycamoretally/daemon.go
@@ -40,15 +40,34 @@
 	Shutdown() error
 }
 
-// serve runs d until SIGTERM or an interrupt, and then shuts it down.
-func serve(d daemon) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+// maxSignals bounds the signals that wait to be handled.
+const maxSignals = 4
+
+// takeSignals returns the signals to stop or to read the settings again. A role
+// calls it before anything else, so that none ends the process from then on.
+func takeSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, maxSignals)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	return signals
+}
+
+// awaitStop returns when the process is told to stop. A hangup says that the
+// settings file has changed, of which nothing is read again.
+func awaitStop(signals <-chan os.Signal) {
+	for sig := range signals {
+		klog.InfoS("signal received", "signal", sig)
+		if sig != syscall.SIGHUP {
+			return
+		}
+	}
+}
+
+// serve runs d until it is told to stop, and then shuts it down.
+func serve(signals <-chan os.Signal, d daemon) error {
 	if err := d.Start(); err != nil {
 		return err
 	}
-	sig := <-signals
-	klog.InfoS("signal received", "signal", sig)
+	awaitStop(signals)
 	return d.Shutdown()
 }
 
@@ -58,6 +77,7 @@
 		Short: "Run an entry: the callers' and operators' interface",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			signals := takeSignals()
 			s, err := loadFor(cmd, settings.RoleEntry)
 			if err != nil {
 				return err
@@ -69,7 +89,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(e)
+			return serve(signals, e)
 		},
 	}
 }
@@ -80,6 +100,7 @@
 		Short: "Run a sidecar: the only door to its targets",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			signals := takeSignals()
 			s, err := loadFor(cmd, settings.RoleSidecar)
 			if err != nil {
 				return err
@@ -91,7 +112,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(sc)
+			return serve(signals, sc)
 		},
 	}
 }
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -5,9 +5,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,6 +56,7 @@
 
 // process is what every role on the platform has.
 type process struct {
+	signals  <-chan os.Signal
 	node     *fleet.Node
 	log      *logs.Writer
 	registry *prometheus.Registry
@@ -65,15 +64,20 @@
 	pool     *transport.ConnPool
 }
 
-// newProcess reads the settings, begins to log to standard output and serves the
-// role's metrics.
-func newProcess() (*process, error) {
+// newProcess takes signals, begins to log to standard output, reads the settings and
+// serves the role's metrics.
+func newProcess(role string) (*process, error) {
+	p := &process{
+		signals: takeSignals(), log: logs.NewWriter(os.Stdout), registry: prometheus.NewRegistry(), pool: transport.NewConnPool(),
+	}
+	p.log.Install()
+	klog.InfoS("process starting", "role", role, "settings", platform.SettingsPath())
 	node, err := loadNode()
 	if err != nil {
+		p.log.Close(logFlush)
 		return nil, err
 	}
-	p := &process{node: node, log: logs.NewWriter(os.Stdout), registry: prometheus.NewRegistry(), pool: transport.NewConnPool()}
-	p.log.Install()
+	p.node = node
 	p.store = instrument.NewStore(platform.NewStore(node.StoreAddress), p.registry)
 	instrument.Log(p.log, p.registry)
 	router := bunrouter.New()
@@ -96,19 +100,6 @@
 	return nil
 }
 
-// awaitStop returns when the process is told to stop. A hangup says that the
-// settings file has changed, of which nothing is read again.
-func awaitStop() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for sig := range signals {
-		klog.InfoS("signal received", "signal", sig)
-		if sig != syscall.SIGHUP {
-			return
-		}
-	}
-}
-
 // roleCommand returns the command that runs a role until it has stopped.
 func roleCommand(use, short string, run func(*process) error) *cobra.Command {
 	return &cobra.Command{
@@ -116,7 +107,7 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			p, err := newProcess()
+			p, err := newProcess(use)
 			if err != nil {
 				return err
 			}
@@ -142,7 +133,7 @@
 	if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
 		return err
 	}
-	awaitStop()
+	awaitStop(p.signals)
 	g.Drain()
 	return g.Stop()
 }
@@ -157,7 +148,7 @@
 		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
 	})
 	b.Start()
-	awaitStop()
+	awaitStop(p.signals)
 	return b.Stop()
 }
 
--- a/cmd/sycamoretally/standin.go
+++ b/cmd/sycamoretally/standin.go
@@ -48,7 +48,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(&standIn{address: s.StandIn.Listen, handler: handler(s.StandIn)})
+			return serve(takeSignals(), &standIn{address: s.StandIn.Listen, handler: handler(s.StandIn)})
 		},
 	}
 }
--- a/processtest/process.go
+++ b/processtest/process.go
@@ -18,10 +18,12 @@
 	binary   string
 	env      []string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	log  bytes.Buffer
-	done chan struct{}
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	log bytes.Buffer
+	// begun is the length of the log when the process last started.
+	begun int
+	done  chan struct{}
 }
 
 // NewProcess returns a process that has not started, of the binary with the
@@ -50,7 +52,7 @@
 	if err := cmd.Start(); err != nil {
 		return ErrProcess.Wrap(err, "start %s", p.path)
 	}
-	p.cmd, p.done = cmd, make(chan struct{})
+	p.cmd, p.done, p.begun = cmd, make(chan struct{}), p.log.Len()
 	go func(done chan struct{}) {
 		_ = cmd.Wait()
 		close(done)
@@ -75,6 +77,13 @@
 	return p.log.String()
 }
 
+// Silent reports whether the process has written nothing since it last started.
+func (p *Process) Silent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Len() == p.begun
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) error {
 	p.mu.Lock()
