--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -333,6 +333,39 @@
 	})
 }
 
+// TestCutOffGateway is silent to one of two gateways: calls about jobs are refused
+// there without a wait, and callers are sent to the other until the store answers.
+func TestCutOffGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("known", 1)))
+		assert.Assert(t, s.Ready())
+		s.store.SetFaults(fleetstore.Faults{Delay: time.Minute})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !s.Ready(), "callers still connect")
+		for call, attempt := range map[string]func() error{
+			"submit": func() error { return s.submit(job("one", 1)) },
+			"read": func() error {
+				_, err := s.Results(t.Context(), "unknown", 0, 0)
+				return err
+			},
+			"end": func() error { return s.End(t.Context(), "known") },
+		} {
+			begun := time.Now()
+			err := attempt()
+			assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%s: %v", call, err)
+			assert.Assert(t, time.Since(begun) <= 100*time.Millisecond, "%s took %v", call, time.Since(begun))
+			after := fleet.RetryAfterOf(err)
+			assert.Assert(t, after > 0 && after <= 100*time.Millisecond, "%s: %v", call, after)
+		}
+		s.store.SetFaults(fleetstore.Faults{})
+		time.Sleep(time.Second)
+		assert.NilError(t, s.submit(job("one", 1)))
+		assert.Assert(t, s.Ready())
+	})
+}
+
 // TestSubmitPatience ends with its caller's patience while the store is silent.
 func TestSubmitPatience(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
