Let a stream wait on where there is no other target

Two of three targets had been replaced in turn, so that one was known for 0.4 s; it was full, the streams left it after their patience to begin elsewhere, and found "no target left". Ruled out: a failure of the target (its answer was on its way; the gateway itself had closed the connection); attempts (1 of 3 used). Change: an attempt is broken off for silence only where there is another target that was not tried; else it looks again every 100 ms.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -37,6 +37,8 @@
 	err     error
 	verdict fleet.Verdict
 	status  int
+	// delay is the time before the first of the events.
+	delay time.Duration
 	// events are sent as a stream; then the stream ends, breaks off where broken
 	// is set, or stays silent until the attempt is given up.
 	events   []string
@@ -78,6 +80,11 @@
 
 // Read implements io.Reader.
 func (s *script) Read(p []byte) (int, error) {
+	time.Sleep(s.step.delay)
+	s.step.delay = 0
+	if err := s.ctx.Err(); err != nil {
+		return 0, err
+	}
 	if len(s.step.events) > 0 {
 		n := copy(p, s.step.events[0])
 		s.step.events = s.step.events[1:]
@@ -181,6 +188,12 @@
 	return out.body.String(), err
 }
 
+// addTarget registers a target.
+func (s *site) addTarget(id string) {
+	_, err := s.store.Append(s.t.Context(), fleet.TopicTargets, fleet.AnyOffset, []fleet.Record{{Key: id, Value: []byte("llm")}})
+	assert.Check(s.t, err)
+}
+
 // removeTargets ends the registration of every target and waits until it is known.
 func (s *site) removeTargets() {
 	var ends []fleet.Record
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -201,7 +201,7 @@
 func (o *online) attempt(ctx context.Context, target *fleet.Target) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := newStall(o, cancel)
+	stall := newStall(o, target, cancel)
 	defer stall.stop()
 	a := fleet.Attempt{Request: o.request, Target: target, After: o.after}
 	if o.bounded {
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -209,6 +209,39 @@
 	})
 }
 
+// TestStreamStaysAtTheOnlyTarget replays a moment in which all other targets have
+// left, and the last one is full: a stream waits there for its turn, and moves on
+// once another target has registered.
+func TestStreamStaysAtTheOnlyTarget(t *testing.T) {
+	start := func(t *testing.T, steps ...step) *site {
+		s := startSite(t, newStore(t), steps...)
+		s.removeTargets()
+		s.addTarget("t0")
+		time.Sleep(time.Second)
+		return s
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, step{delay: time.Second, events: events(1, 3)}, step{err: fleet.ErrNotDelivered.New("another target")})
+		defer s.stop()
+		body, err := s.serve(t.Context(), "quick")
+		assert.NilError(t, err)
+		assert.Equal(t, body, whole)
+		assert.Equal(t, len(s.sender.sent), 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, step{silent: true}, step{events: events(1, 3)})
+		defer s.stop()
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			s.addTarget("t7")
+		}()
+		body, err := s.serve(t.Context(), "quick")
+		assert.NilError(t, err)
+		assert.Equal(t, body, whole)
+		assert.Equal(t, s.sender.sent[1].Target.ID, "t7")
+	})
+}
+
 // TestHugeAnswerIsNotCut fails an answer that is too large to be held, rather than
 // passing a part of it on as the whole.
 func TestHugeAnswerIsNotCut(t *testing.T) {
