Trace the silent gateway of the soak: a hangup ended it at birth

It had ended: the soak's hangup met it before it took signals, and the soak did not start it again, as the platform does. That it had ended stood beyond the first 20 problems, which are all that is printed. Ruled out: a start that hangs (no stacks); the store's path (that comes later). Change: the soak starts a process again that a signal ended before its first line, and notes it as a fault; ended processes are looked for before the recovery.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -140,11 +140,8 @@
 	{"configuration", func(s *site, ctx context.Context, rng *rand.Rand, _ time.Duration) {
 		s.move(ctx, pick(rng, []string{modelService, callService}))
 	}},
-	{"hangup", func(s *site, _ context.Context, rng *rand.Rand, _ time.Duration) {
-		if d := pick(rng, s.daemons()); d.claim() {
-			_ = d.process.Signal(syscall.SIGHUP)
-			d.release()
-		}
+	{"hangup", func(s *site, ctx context.Context, rng *rand.Rand, _ time.Duration) {
+		s.hangup(ctx, pick(rng, s.daemons()))
 	}},
 }
 
@@ -198,9 +195,33 @@
 // killedBySignal is the exit code of a process that a signal ended.
 const killedBySignal = -1
 
-// stopDaemon stops a process as the platform does, and starts it again. A process
-// takes signals before it writes its first line; one that was ended before that
-// had not begun to serve.
+// endedUnborn reports whether a signal has ended the process within the limit and
+// before its first line: it takes signals before that, and serves nobody yet.
+func (d *daemon) endedUnborn(limit time.Duration) bool {
+	code, err := d.process.Wait(limit)
+	return err == nil && code == killedBySignal && d.process.Silent()
+}
+
+// hangupWait is how long the end of a process by a hangup would take to show.
+const hangupWait = 50 * time.Millisecond
+
+// hangup says that the settings have changed. Only a process that has just begun to
+// start may end by that; the platform starts it again.
+func (s *site) hangup(ctx context.Context, d *daemon) {
+	if !d.claim() {
+		return
+	}
+	_ = d.process.Signal(syscall.SIGHUP)
+	if !d.endedUnborn(hangupWait) {
+		d.release()
+		return
+	}
+	defer s.faultLog.disturb("ended by a hangup", d.name)()
+	rest(ctx, 100*time.Millisecond)
+	s.restart(d)
+}
+
+// stopDaemon stops a process as the platform does, and starts it again.
 func (s *site) stopDaemon(ctx context.Context, d *daemon) {
 	if !d.claim() {
 		return
@@ -208,8 +229,7 @@
 	defer s.faultLog.plan("stopped", d.name)()
 	_ = d.process.Signal(syscall.SIGTERM)
 	code, err := d.process.Wait(grace)
-	unborn := err == nil && code == killedBySignal && d.process.Silent()
-	if !unborn && (err != nil || code != 0) {
+	if !d.endedUnborn(hangupWait) && (err != nil || code != 0) {
 		s.t.Errorf("%s did not end by itself after SIGTERM: code %d, %v", d.name, code, err)
 		_ = d.process.Kill()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,8 +27,9 @@
 	seed  uint64
 	cause string
 }{
-	{528, "open: SIGTERM ended a batcher at once, as before a program takes signals"},
-	{535, "open: a gateway that was killed and started again logged nothing for 32 s"},
+	{528, "SIGTERM ended a batcher that did not take signals yet"},
+	{535, "a hangup ended a gateway that did not take signals yet, and the soak did not start it again"},
+	{7033, "streams left the only target that was known, and were given up"},
 }
 
 const (
@@ -90,6 +91,7 @@
 	s.disturb(t.Context(), rng)
 	stopCallers()
 	callers.Wait()
+	s.checkProcesses(l)
 	s.recover(t.Context(), l)
 	s.check(l)
 	s.report(l, seed)
