Do not ask targets that just failed while there are others

A target that fails its requests is idle, so that it tells the least load; with few targets it would be among the three that are asked, and chosen. Figures: TestCandidates fails without it (3 candidates for 2) and passes.

--- a/coordination/placing/asked.go
+++ b/coordination/placing/asked.go
@@ -7,10 +7,10 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// Candidates returns the n targets that Begin would prefer, those first that it
-// prefers most. It answers steps of traffic that come to many gateways at once:
-// none sees what the others send, so that each asks a few targets before it
-// chooses.
+// Candidates returns at most n targets that Begin would prefer, those first that it
+// prefers most, and no suspects where there are others: a target that fails its
+// requests is idle. It answers steps of traffic that come to many gateways at once:
+// none sees what the others send, so that each asks a few targets before it chooses.
 func (t *Table) Candidates(targets []*fleet.Target, tried map[string]bool, n int) []*fleet.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -28,6 +28,9 @@
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.load, b.load) })
 	var candidates []*fleet.Target
 	for _, r := range list[:min(n, len(list))] {
+		if r.load >= suspectLoad && list[0].load < suspectLoad {
+			break
+		}
 		candidates = append(candidates, r.target)
 	}
 	return candidates
--- a/coordination/placing/asked_test.go
+++ b/coordination/placing/asked_test.go
@@ -65,6 +65,8 @@
 	assert.Assert(t, found)
 	assert.Equal(t, choice.Target.ID, "t1")
 	assert.Equal(t, choice.Online, 1)
+	assert.Equal(t, len(table.Candidates(list[:3], nil, 3)), 2, "a suspect among others")
+	assert.Equal(t, len(table.Candidates(list[:1], nil, 3)), 1, "a suspect alone")
 	_, found = table.BeginAnswered(candidates, nil)
 	assert.Assert(t, !found)
 	_, found = table.BeginAnswered(candidates, []fleet.PeerLoad{{Target: "another lifetime"}})
