Name the soak's ended processes by when they end

Cause: read-through; a metaphor in a name. Ruled out: nothing. Change: endedAtStart in soak/. Conclusion: behaviour and checks unchanged.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -195,9 +195,9 @@
 // killedBySignal is the exit code of a process that a signal ended.
 const killedBySignal = -1
 
-// endedUnborn reports whether a signal has ended the process within the limit and
+// endedAtStart reports whether a signal has ended the process within the limit and
 // before its first line: it takes signals before that, and serves nobody yet.
-func (d *daemon) endedUnborn(limit time.Duration) bool {
+func (d *daemon) endedAtStart(limit time.Duration) bool {
 	code, err := d.process.Wait(limit)
 	return err == nil && code == killedBySignal && d.process.Silent()
 }
@@ -212,7 +212,7 @@
 		return
 	}
 	_ = d.process.Signal(syscall.SIGHUP)
-	if !d.endedUnborn(hangupWait) {
+	if !d.endedAtStart(hangupWait) {
 		d.release()
 		return
 	}
@@ -229,7 +229,7 @@
 	defer s.faultLog.plan("stopped", d.name)()
 	_ = d.process.Signal(syscall.SIGTERM)
 	code, err := d.process.Wait(grace)
-	if !d.endedUnborn(hangupWait) && (err != nil || code != 0) {
+	if !d.endedAtStart(hangupWait) && (err != nil || code != 0) {
 		s.t.Errorf("%s did not end by itself after SIGTERM: code %d, %v", d.name, code, err)
 		_ = d.process.Kill()
 	}
