Look at the clock before each write of a request that must be sent in time

The body of the request looked at the clock when it was read; a process suspended between that and the write sends it when it wakes. Change: the connection looks again before each write, and a sender that finds its time over after a write stops the request at once, where it ran until its lease was renewed.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -6,10 +6,8 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -67,9 +65,8 @@
 }
 
 func newTargetClient() *http.Client {
-	dialer := net.Dialer{Timeout: targetDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialTarget,
 		MaxIdleConnsPerHost: maxIdlePerTarget,
 		IdleConnTimeout:     idleTargetTimeout,
 		DisableCompression:  true,
@@ -99,9 +96,10 @@
 
 // Generate runs a chat completion and passes each token to sink in order. It
 // returns nil only where the engine ended the stream itself. It fails with
-// ErrNotSent where the engine was not reached in time, ErrBadRequest where it refused
-// the request for good, ErrBusy where it did for now, ErrTargetFailed or
-// ErrTruncated otherwise.
+// ErrNotSent where the engine was not reached in time, ErrCancelled where the request
+// went out too late because the process was suspended meanwhile, ErrBadRequest where
+// the engine refused the request for good, ErrBusy where it did for now,
+// ErrTargetFailed or ErrTruncated otherwise.
 func (e *Engine) Generate(ctx context.Context, g Generation, sink func(token string) error) error {
 	body, err := withResume(g.Body, g.Resume)
 	if err != nil {
@@ -115,6 +113,7 @@
 	defer watchdog.Stop()
 	timed := newTimedBody(body, g.By)
 	timed.taken = func() { watchdog.Reset(e.stall) }
+	timed.overran = func() { cancel(protocol.ErrCancelled.New("the request was sent too late")) }
 	resp, err := e.begin(ctx, g.ID, timed)
 	if err != nil {
 		return e.suspect(ctx, err)
@@ -139,10 +138,13 @@
 	return typed != nil && errorx.IsOfType(typed.Cause(), errStalled)
 }
 
-// suspect drops the idle connections after a stall: what silenced one may have
-// silenced all.
+// suspect returns why the request was given up, where that was done here. After a
+// stall it drops the idle connections: what silenced one may have silenced all.
 func (e *Engine) suspect(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
+	if err != nil && errorx.IsOfType(cause, protocol.ErrCancelled) {
+		return cause
+	}
 	if err == nil || !errorx.IsOfType(cause, errStalled) {
 		return err
 	}
@@ -164,7 +166,7 @@
 
 func (e *Engine) begin(ctx context.Context, id string, timed *timedBody) (*http.Response, error) {
 	defer timed.answered.Store(true)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/chat/completions", timed)
+	req, err := http.NewRequestWithContext(timed.guard(ctx), http.MethodPost, e.base+"/v1/chat/completions", timed)
 	if err != nil {
 		return nil, protocol.ErrBadRequest.Wrap(err, "generate")
 	}
@@ -281,47 +283,13 @@
 		return protocol.ErrInternal.Wrap(err, "encode")
 	}
 	body := newTimedBody(data, by)
-	err = e.postBody(ctx, "/engine/orders", body, int64(len(data)))
+	err = e.postBody(body.guard(ctx), "/engine/orders", body, int64(len(data)))
 	if body.late.Load() {
 		return protocol.ErrNotSent.New("the order was not sent in time")
 	}
 	return err
 }
 
-// timedBody gives nothing to send after its time; a zero time is never over.
-type timedBody struct {
-	content []byte
-	data    *bytes.Reader
-	by      time.Time
-	late    *atomic.Bool
-	// taken, if set, is called for each piece that goes out until answered is set.
-	taken    func()
-	answered *atomic.Bool
-}
-
-func newTimedBody(content []byte, by time.Time) *timedBody {
-	return &timedBody{content: content, data: bytes.NewReader(content), by: by, late: new(atomic.Bool), answered: new(atomic.Bool)}
-}
-
-// again returns the body once more, for a connection that took nothing of it.
-func (b *timedBody) again() (io.ReadCloser, error) {
-	copied := *b
-	copied.data = bytes.NewReader(b.content)
-	return io.NopCloser(&copied), nil
-}
-
-// Read implements io.Reader.
-func (b *timedBody) Read(p []byte) (int, error) {
-	if !b.by.IsZero() && time.Now().After(b.by) {
-		b.late.Store(true)
-		return 0, protocol.ErrNotSent.New("it is too late to send")
-	}
-	if b.taken != nil && !b.answered.Load() {
-		b.taken()
-	}
-	return b.data.Read(p)
-}
-
 func drainResponse(resp *http.Response) {
 	if resp != nil {
 		drainBody(resp.Body)
