--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -92,10 +92,7 @@
 	answered time.Time
 	claiming bool
 	meter    spare.Meter
-	// coming is when requests were announced that the target's report may not show
-	// yet; online is what the last report showed.
-	coming []time.Time
-	online int
+	inflow   spare.Inflow
 	// draining is set while the target says that it leaves.
 	draining bool
 	pace     urgency.Pace
@@ -122,6 +119,7 @@
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 		held:    map[worklog.ItemRef]*held{},
 		meter:   spare.Meter{Settle: settleTime},
+		inflow:  spare.Inflow{Window: announceWindow},
 	}
 	newOutbox := func(topic fleet.Topic) *outbox.Outbox {
 		return outbox.New(outbox.Params{Store: p.Store, Topic: topic, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey})
@@ -275,7 +273,7 @@
 	}
 	b.signAlive(now)
 	load := spare.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.running())}
-	b.online = load.Online()
+	b.inflow.Report(load.Online())
 	room := b.meter.Room(now, load)
 	ranked := b.rank(now)
 	b.runFirst(ctx, now, ranked, room)
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -1,32 +1,33 @@
 package batcher
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// comingTime is how long an announced request counts: until the target's report
+// announceWindow is how long an announced request counts: until the target's report
 // shows it, at the latest with the second look.
-const comingTime = 2 * lookInterval
+const announceWindow = 2 * lookInterval
 
 // maxLoadAge is how old what is known of the target may be for an answer.
 const maxLoadAge = 200 * time.Millisecond
 
-// TellLoad answers a gateway that asks how busy the target is, or notes that one
-// sends a request there. It returns nil where the target is not known or drains.
-func (b *Batcher) TellLoad(m fleet.PeerMessage) *fleet.PeerLoad {
+// TellLoad answers a gateway that asks how busy the target is. It returns nil where
+// the target is not known or drains.
+func (b *Batcher) TellLoad() *fleet.PeerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	b.coming = slices.DeleteFunc(b.coming, func(at time.Time) bool { return now.Sub(at) > comingTime })
-	if m.Coming {
-		b.coming = append(b.coming, now)
-		return nil
-	}
 	if b.stopping || b.draining || b.target == "" || now.Sub(b.answered) > maxLoadAge {
 		return nil
 	}
-	return &fleet.PeerLoad{Target: b.target, Online: b.online + len(b.coming)}
+	return &fleet.PeerLoad{Target: b.target, Online: b.inflow.Online(now)}
+}
+
+// NoteComing notes that a gateway is about to send a request to the target.
+func (b *Batcher) NoteComing() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inflow.Announce(time.Now())
 }
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -103,11 +103,11 @@
 
 // listenPeers opens the socket for messages between gateways and batchers. Without
 // it, nil, streams are placed by what their gateway knows itself.
-func (p *process) listenPeers(answer func(fleet.PeerMessage) *fleet.PeerLoad) *transport.Datagrams {
+func (p *process) listenPeers(teller transport.LoadTeller) *transport.Datagrams {
 	if p.node.PeerPort == "" {
 		return nil
 	}
-	datagrams, err := transport.ListenDatagrams(net.JoinHostPort(p.node.Address, p.node.PeerPort), answer)
+	datagrams, err := transport.ListenDatagrams(net.JoinHostPort(p.node.Address, p.node.PeerPort), teller)
 	if err != nil {
 		klog.ErrorS(nil, "no messages between gateways and batchers", "error", protocol.CauseOf(err))
 		return nil
@@ -166,7 +166,7 @@
 	b := batcher.New(batcher.Params{
 		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
 	})
-	p.listenPeers(b.TellLoad)
+	p.listenPeers(b)
 	b.Start()
 	awaitStop(p.signals)
 	return b.Stop()
--- a/coordination/placing/asked.go
+++ b/coordination/placing/asked.go
@@ -1,7 +1,6 @@
 package placing
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -14,24 +13,14 @@
 func (t *Table) Candidates(targets []*fleet.Target, tried map[string]bool, n int) []*fleet.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	type ranked struct {
-		target *fleet.Target
-		load   float64
-	}
-	var list []ranked
-	for _, target := range targets {
-		if !tried[target.ID] {
-			list = append(list, ranked{target, t.load(target, now) + t.random()*0.5})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.load, b.load) })
+	list := t.weigh(t.now(), targets, tried)
+	slices.SortFunc(list, byLoad)
 	var candidates []*fleet.Target
-	for _, r := range list[:min(n, len(list))] {
-		if r.load >= suspectLoad && list[0].load < suspectLoad {
+	for _, w := range list[:min(n, len(list))] {
+		if w.load >= suspectLoad && list[0].load < suspectLoad {
 			break
 		}
-		candidates = append(candidates, r.target)
+		candidates = append(candidates, w.target)
 	}
 	return candidates
 }
--- a/coordination/placing/placing.go
+++ b/coordination/placing/placing.go
@@ -8,8 +8,10 @@
 package placing
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,19 +81,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	var best *fleet.Target
-	bestLoad := math.Inf(1)
-	for _, target := range targets {
-		if tried[target.ID] {
-			continue
-		}
-		if load := t.load(target, now) + t.random()*0.5; load < bestLoad {
-			best, bestLoad = target, load
-		}
-	}
-	if best == nil {
+	list := t.weigh(now, targets, tried)
+	if len(list) == 0 {
 		return Choice{}, false
 	}
+	best := slices.MinFunc(list, byLoad).target
 	s := t.state(best.ID)
 	choice := Choice{Target: best, InFlight: s.inFlight, Suspect: now.Before(s.suspect)}
 	if !s.reportedAt.IsZero() {
@@ -102,8 +96,32 @@
 	return choice, true
 }
 
-// suspectLoad is added to the load of a suspect, above any real load.
-const suspectLoad = 1000
+const (
+	// suspectLoad is added to the load of a suspect, above any real load.
+	suspectLoad = 1000
+	// chanceLoad bounds what chance adds to a load, so that gateways which know the
+	// same do not all choose the same target.
+	chanceLoad = 0.5
+)
+
+// weighed is a target with its load and some chance.
+type weighed struct {
+	target *fleet.Target
+	load   float64
+}
+
+func byLoad(a, b weighed) int { return cmp.Compare(a.load, b.load) }
+
+// weigh returns the targets that are not in tried. The lock is held.
+func (t *Table) weigh(now time.Time, targets []*fleet.Target, tried map[string]bool) []weighed {
+	list := make([]weighed, 0, len(targets))
+	for _, target := range targets {
+		if !tried[target.ID] {
+			list = append(list, weighed{target, t.load(target, now) + t.random()*chanceLoad})
+		}
+	}
+	return list
+}
 
 func (t *Table) load(target *fleet.Target, now time.Time) float64 {
 	s := t.targets[target.ID]
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/coordination/placing"
@@ -28,25 +29,30 @@
 	Note(address string)
 }
 
-// silentServices are the services whose targets have not answered lately.
+// silentServices are the services whose targets have not answered lately. Each stream
+// looks there, and few are ever added.
 type silentServices struct {
-	mu    sync.Mutex
-	until map[string]time.Time
+	// until holds when a service may be asked again. The map is replaced, never changed.
+	until atomic.Pointer[map[string]time.Time]
 }
 
 func (s *silentServices) has(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Now().Before(s.until[service])
+	until := s.until.Load()
+	return until != nil && time.Now().Before((*until)[service])
 }
 
 func (s *silentServices) add(service string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.until == nil {
-		s.until = map[string]time.Time{}
+	for {
+		old := s.until.Load()
+		until := map[string]time.Time{}
+		if old != nil {
+			maps.Copy(until, *old)
+		}
+		until[service] = time.Now().Add(askAgain)
+		if s.until.CompareAndSwap(old, &until) {
+			return
+		}
 	}
-	s.until[service] = time.Now().Add(askAgain)
 }
 
 // choose chooses the target of the next attempt. A stream's is the least loaded of
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,17 +137,7 @@
 // sends them to others: it takes no jobs, and learns of no target or configuration.
 // Where no gateway reaches the store, the platform goes on using all.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && !g.cutOff() && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
-}
-
-// maxCutOff is how long the store may not answer until callers should go elsewhere:
-// a read that is lost and one that replaces it.
-const maxCutOff = 2 * time.Second
-
-// cutOff reports whether the store has not answered for a while.
-func (g *Gateway) cutOff() bool {
-	age, known := g.workTail.Age()
-	return known && age > maxCutOff
+	return !g.closing.Load() && !g.unread(maxCutOff) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // Closing implements fleet.Callers.
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -21,19 +21,10 @@
 	submitPause = 10 * time.Millisecond
 	// maxPageBytes bounds the text of one page of results.
 	maxPageBytes = 800 << 10
-	// maxWorkAge is how old the knowledge of the work log may be for an answer
-	// that there are no more results, and for waiting for the store: a few reads of it.
-	maxWorkAge = 1500 * time.Millisecond
 	// maxWait bounds how long a reader of results may wait.
 	maxWait = 2 * time.Second
 	// jobRetryAfter is when the caller of a refused job should come back.
 	jobRetryAfter = 500 * time.Millisecond
-	// reachPatience bounds the wait for a store that has not answered for a while:
-	// a small part of the time in which callers want a job accepted.
-	reachPatience = 50 * time.Millisecond
-	// elsewhereRetryAfter is the same where this gateway is cut from the store, and
-	// another one may not be.
-	elsewhereRetryAfter = 100 * time.Millisecond
 )
 
 func (g *Gateway) resetJobs(records []fleet.Record) {
@@ -129,22 +120,6 @@
 	}
 }
 
-// checkReach fails with ErrRefused where the store has not answered for a while and
-// does not at once, so that a caller does not wait for it here: another gateway may
-// reach it.
-func (g *Gateway) checkReach(ctx context.Context) error {
-	age, known := g.workTail.Age()
-	if !known || age <= maxWorkAge {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, reachPatience)
-	defer cancel()
-	if err := g.workTail.CatchUp(ctx); err != nil {
-		return fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "the work log was last read %v ago", age), elsewhereRetryAfter)
-	}
-	return nil
-}
-
 func (g *Gateway) known(job string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
@@ -180,12 +155,9 @@
 	if g.view(id, see) {
 		return nil
 	}
-	if err := g.checkReach(ctx); err != nil {
+	if err := g.catchUp(ctx); err != nil {
 		return err
 	}
-	if err := g.workTail.CatchUp(ctx); err != nil {
-		return fleet.RetryAfter(fleet.ErrRefused.Wrap(err, "job %s is not known here yet", id), jobRetryAfter)
-	}
 	if g.view(id, see) {
 		return nil
 	}
@@ -214,7 +186,7 @@
 	defer timer.Stop()
 	for {
 		found := g.find(id, after)
-		if len(found.results) == 0 && found.open && g.stale() {
+		if len(found.results) == 0 && found.open && g.unread(maxWorkAge) {
 			return fleet.ResultPage{}, fleet.RetryAfter(fleet.ErrRefused.New("job %s may have results that are not known here", id), elsewhereRetryAfter)
 		}
 		if len(found.results) > 0 || !found.open || wait == 0 || g.closing.Load() {
@@ -230,13 +202,6 @@
 	}
 }
 
-// stale reports whether others may know of results since longer than a reader has
-// to put up with: this gateway is cut from the store.
-func (g *Gateway) stale() bool {
-	age, known := g.workTail.Age()
-	return !known || age > maxWorkAge
-}
-
 // foundResults is what is known of a job's results from a position on.
 type foundResults struct {
 	total   int
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,10 +32,10 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_attempts_total", Help: "Attempts at targets by their outcome.",
 		}, []string{"outcome"}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
+		}, []string{"result"}),
 	}
-	m.asked = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
-	}, []string{"result"})
 	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.asked)
 	return m
 }
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -73,9 +73,7 @@
 // log tells every decision about the request.
 func (o *online) log(err error, took time.Duration) {
 	for i, a := range o.trail {
-		klog.InfoS("attempt", "request", o.request.ID, "number", i+1, "target", a.choice.Target.ID, "in_flight", a.choice.InFlight,
-			"others", a.choice.Others, "report_age", a.choice.ReportAge, "answers", a.choice.Answers, "online", a.choice.Online, "suspect", a.choice.Suspect, "targets_age", a.targetsAge,
-			"after_event", a.after, "time_left", a.timeLeft, "took", a.took, "outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
+		a.log(o.request.ID, i+1)
 	}
 	klog.InfoS("request ended", "request", o.request.ID, "route", o.route.Name, "kind", kindNames[o.route.Kind], "service", o.service,
 		"version", o.version, "targets", o.known, "attempts", len(o.trail), "runs", o.runs, "answer_begun", o.begun, "last_event", o.after,
@@ -92,6 +90,16 @@
 	err        error
 }
 
+// log tells what the attempt was decided by, and what came of it.
+func (a *attempted) log(request string, number int) {
+	c := a.choice
+	klog.InfoS("attempt", "request", request, "number", number, "target", c.Target.ID,
+		"in_flight", c.InFlight, "others", c.Others, "report_age", c.ReportAge,
+		"answers", c.Answers, "online", c.Online, "suspect", c.Suspect, "targets_age", a.targetsAge,
+		"after_event", a.after, "time_left", a.timeLeft, "took", a.took,
+		"outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
+}
+
 // online is one caller's request on its way.
 type online struct {
 	g        *Gateway
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -18,21 +18,28 @@
 // maxDatagramBytes bounds a message between gateways and batchers.
 const maxDatagramBytes = 512
 
+// LoadTeller is a process beside a target. Both methods may be called at the same time.
+type LoadTeller interface {
+	// TellLoad returns the target's load, nil for no answer.
+	TellLoad() *fleet.PeerLoad
+	// NoteComing notes that a request is about to be sent to the target.
+	NoteComing()
+}
+
 // Datagrams sends and receives peer messages over UDP. Messages may get lost; who
 // asks waits for a short time only. It is safe for concurrent use.
 type Datagrams struct {
-	conn *net.UDPConn
-	// answer returns the answer to a question, nil for none.
-	answer func(fleet.PeerMessage) *fleet.PeerLoad
+	conn   *net.UDPConn
+	teller LoadTeller
 
 	mu     sync.Mutex
 	number uint64
 	asked  map[uint64]chan fleet.PeerLoad
 }
 
-// ListenDatagrams opens the socket at the address and serves it until Close. answer
-// takes what others ask and note; nil stands for a process that answers nothing.
-func ListenDatagrams(address string, answer func(fleet.PeerMessage) *fleet.PeerLoad) (*Datagrams, error) {
+// ListenDatagrams opens the socket at the address and serves it until Close. teller
+// takes what others ask and note; it is nil for a process that only asks.
+func ListenDatagrams(address string, teller LoadTeller) (*Datagrams, error) {
 	local, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "address %s", address)
@@ -41,10 +48,7 @@
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "listen at %s", address)
 	}
-	if answer == nil {
-		answer = func(fleet.PeerMessage) *fleet.PeerLoad { return nil }
-	}
-	d := &Datagrams{conn: conn, answer: answer, asked: map[uint64]chan fleet.PeerLoad{}}
+	d := &Datagrams{conn: conn, teller: teller, asked: map[uint64]chan fleet.PeerLoad{}}
 	go d.serve()
 	return d, nil
 }
@@ -67,21 +71,30 @@
 		if msgpack.Unmarshal(buffer[:n], &m) != nil {
 			continue // from another program
 		}
-		if m.Load != nil {
+		switch {
+		case m.Load != nil:
 			d.deliver(m)
-			continue
-		}
-		load := d.answer(m)
-		if load == nil || m.Coming {
-			continue
-		}
-		data, err := msgpack.Marshal(&fleet.PeerMessage{Number: m.Number, Load: load})
-		if err == nil {
-			_, _ = d.conn.WriteToUDPAddrPort(data, from) // an answer may get lost anyway
+		case d.teller == nil:
+		case m.Coming:
+			d.teller.NoteComing()
+		default:
+			d.answer(m.Number, from)
 		}
 	}
 }
 
+// answer answers the question of that number, if the teller has an answer.
+func (d *Datagrams) answer(number uint64, to netip.AddrPort) {
+	load := d.teller.TellLoad()
+	if load == nil {
+		return
+	}
+	data, err := msgpack.Marshal(&fleet.PeerMessage{Number: number, Load: load})
+	if err == nil {
+		_, _ = d.conn.WriteToUDPAddrPort(data, to) // an answer may get lost anyway
+	}
+}
+
 func (d *Datagrams) deliver(m fleet.PeerMessage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/transport/loads_test.go
+++ b/transport/loads_test.go
@@ -11,9 +11,9 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-func listenDatagrams(t *testing.T, answer func(fleet.PeerMessage) *fleet.PeerLoad) *Datagrams {
+func listenDatagrams(t *testing.T, teller LoadTeller) *Datagrams {
 	t.Helper()
-	d, err := ListenDatagrams("127.0.0.1:0", answer)
+	d, err := ListenDatagrams("127.0.0.1:0", teller)
 	assert.NilError(t, err)
 	t.Cleanup(d.Close)
 	return d
@@ -21,19 +21,27 @@
 
 func (d *Datagrams) address() string { return d.conn.LocalAddr().String() }
 
+// busyTarget is a teller with a load that counts what is announced.
+type busyTarget struct {
+	coming atomic.Int32
+}
+
+func (b *busyTarget) TellLoad() *fleet.PeerLoad { return &fleet.PeerLoad{Target: "t1", Online: 3} }
+
+func (b *busyTarget) NoteComing() { b.coming.Add(1) }
+
+// lostTarget is a teller without an answer.
+type lostTarget struct{ busyTarget }
+
+func (*lostTarget) TellLoad() *fleet.PeerLoad { return nil }
+
 // TestAsk asks one who answers, one who does not, an address without a socket and
 // one that is none: the answer that comes is returned, within the time.
 func TestAsk(t *testing.T) {
 	const wait = 300 * time.Millisecond
-	var coming atomic.Int32
-	batcher := listenDatagrams(t, func(m fleet.PeerMessage) *fleet.PeerLoad {
-		if m.Coming {
-			coming.Add(1)
-			return nil
-		}
-		return &fleet.PeerLoad{Target: "t1", Online: 3}
-	})
-	silent := listenDatagrams(t, nil)
+	target := &busyTarget{}
+	batcher := listenDatagrams(t, target)
+	silent := listenDatagrams(t, &lostTarget{})
 	gateway := listenDatagrams(t, nil)
 	junk, err := net.Dial("udp4", batcher.address())
 	assert.NilError(t, err)
@@ -50,8 +58,8 @@
 	assert.Equal(t, len(gateway.asked), 0, "questions are forgotten")
 
 	gateway.Note(batcher.address())
-	for deadline := time.Now().Add(5 * time.Second); coming.Load() == 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(5 * time.Second); target.coming.Load() == 0 && time.Now().Before(deadline); {
 		<-time.After(time.Millisecond)
 	}
-	assert.Equal(t, coming.Load(), int32(1))
+	assert.Equal(t, target.coming.Load(), int32(1))
 }
