Read the platform's settings again while a role runs

Cause: a hangup was logged and nothing was read again, and a settings file that changes without a signal went unnoticed, though the platform says that both come. Weighed: to read in the loop of signals (TestStopWhileStarting, whose settings are a pipe, showed that a read that hangs holds up the stop) and in a goroutine of its own, which is taken. Before: TestReadsSettingsAgain finds no line.

--- a/cmd/sycamoretally/daemon.go
+++ b/cmd/sycamoretally/daemon.go
@@ -51,23 +51,28 @@
 	return signals
 }
 
-// awaitStop returns when the process is told to stop. A hangup says that the
-// settings file has changed, of which nothing is read again.
-func awaitStop(signals <-chan os.Signal) {
+// awaitStop returns when the process is told to stop. It calls hangup, which must not
+// block, for each signal that says that the settings file has changed.
+func awaitStop(signals <-chan os.Signal, hangup func()) {
 	for sig := range signals {
 		klog.InfoS("signal received", "signal", sig)
 		if sig != syscall.SIGHUP {
 			return
 		}
+		hangup()
 	}
 }
 
+// keepSettings tells that a role of the product's own deployment reads its settings
+// once.
+func keepSettings() { klog.InfoS("settings are read again at the next start") }
+
 // serve runs d until it is told to stop, and then shuts it down.
 func serve(signals <-chan os.Signal, d daemon) error {
 	if err := d.Start(); err != nil {
 		return err
 	}
-	awaitStop(signals)
+	awaitStop(signals, keepSettings)
 	return d.Shutdown()
 }
 
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/sycamoretally/sycamoretally/platform"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/reload"
 	"github.com/sycamoretally/sycamoretally/transport"
 )
 
@@ -49,10 +50,14 @@
 		return nil, err
 	}
 	debug.SetGCPercent(collectPercent)
+	limitMemory(node)
+	return node, nil
+}
+
+func limitMemory(node *fleet.Node) {
 	if node.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(node.MemoryMB<<20) * memoryShare))
 	}
-	return node, nil
 }
 
 // process is what every role on the platform has.
@@ -115,6 +120,22 @@
 	return datagrams
 }
 
+// awaitStop returns when the process is told to stop. Until then it reads the settings
+// again whenever they change, and hands them to apply.
+func (p *process) awaitStop(apply func(*fleet.Node)) {
+	settings := reload.New(reload.Params{
+		Path: platform.SettingsPath(), Load: platform.LoadNode,
+		Apply: func(node *fleet.Node) {
+			limitMemory(node)
+			apply(node)
+		},
+	}, p.node)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go settings.Run(ctx) // not waited for: a read that hangs must not hold up the stop
+	awaitStop(p.signals, settings.Tell)
+}
+
 // roleCommand returns the command that runs a role until it has stopped.
 func roleCommand(use, short string, run func(*process) error) *cobra.Command {
 	return &cobra.Command{
@@ -152,7 +173,7 @@
 	if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
 		return err
 	}
-	awaitStop(p.signals)
+	p.awaitStop(g.Reload)
 	g.Drain()
 	return g.Stop()
 }
@@ -168,7 +189,7 @@
 	})
 	p.listenPeers(b)
 	b.Start()
-	awaitStop(p.signals)
+	p.awaitStop(func(*fleet.Node) {})
 	return b.Stop()
 }
 
--- a/cmd/sycamoretally/fleet_test.go
+++ b/cmd/sycamoretally/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +15,63 @@
 	"github.com/sycamoretally/sycamoretally/processtest"
 )
 
+// startRole starts a role of the platform with the settings at path.
+func startRole(t *testing.T, role, path string) *processtest.Process {
+	t.Helper()
+	p := processtest.NewProcess(binary, []string{role}, []string{"SYCAMORETALLY_SETTINGS=" + path})
+	assert.NilError(t, p.Start())
+	t.Cleanup(func() {
+		if p.Running() {
+			_ = p.Kill()
+		}
+	})
+	return p
+}
+
+// TestReadsSettingsAgain changes a gateway's settings while it runs: at a hangup it
+// says what has changed, and a file with faults changes nothing.
+func TestReadsSettingsAgain(t *testing.T) {
+	t.Parallel()
+	const limit, host = 10 * time.Second, "127.45.1.3"
+	node := platformtest.Node{
+		Name: "gateway", DataCentre: "dc", Address: host, Callers: host + ":8144", Ready: host + ":8140",
+		Store: host + ":8142", Grace: 20 * time.Second,
+	}
+	path := filepath.Join(t.TempDir(), "settings")
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(node.Settings())
+	p := startRole(t, "gateway", path)
+	logged := func(parts ...string) {
+		t.Helper()
+		for deadline := time.Now().Add(limit); !hasLine(p.Log(), parts); <-time.After(10 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(deadline), "no line with %v:\n%s", parts, p.Log())
+		}
+	}
+	logged("gateway started")
+	write("no settings")
+	assert.NilError(t, p.Signal(syscall.SIGHUP))
+	logged("settings not read again", "malformed")
+	node.Grace = time.Second
+	write(node.Settings())
+	assert.NilError(t, p.Signal(syscall.SIGHUP))
+	logged("setting changed", "setting=grace", "before=20s", "after=1s", "needs_restart=false")
+	logged("settings read again", "changes=1")
+	assert.NilError(t, p.Signal(syscall.SIGTERM))
+	code, err := p.Wait(limit)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0, "%s", p.Log())
+}
+
+// hasLine reports whether a line of the log holds all parts.
+func hasLine(log string, parts []string) bool {
+	for line := range strings.Lines(log) {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // TestStopWhileStarting tells a role to read its settings again and to stop while
 // it still waits for its settings: it goes on, and then stops in order.
 func TestStopWhileStarting(t *testing.T) {
@@ -29,13 +87,7 @@
 			}
 			path := filepath.Join(t.TempDir(), "settings")
 			assert.NilError(t, syscall.Mkfifo(path, 0o600))
-			p := processtest.NewProcess(binary, []string{role}, []string{"SYCAMORETALLY_SETTINGS=" + path})
-			assert.NilError(t, p.Start())
-			t.Cleanup(func() {
-				if p.Running() {
-					_ = p.Kill()
-				}
-			})
+			p := startRole(t, role, path)
 			settings, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the role opens it
 			assert.NilError(t, err)
 			assert.NilError(t, p.Signal(syscall.SIGHUP))
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -32,12 +32,13 @@
 // It answers a log in which every job would stay for ever, which each process that
 // starts reads back and keeps.
 func (g *Gateway) forgetOld() error {
-	if g.params.Node.KeepResults == 0 {
-		return nil
-	}
-	keep := max(keepFactor*g.params.Node.KeepResults, keepAtLeast)
 	for g.ctx.Err() == nil {
 		pause.For(g.ctx, forgetInterval)
+		promised := g.node.Load().KeepResults
+		if promised == 0 {
+			continue // without an end
+		}
+		keep := max(keepFactor*promised, keepAtLeast)
 		log, texts, jobs := g.forgettable(keep)
 		if len(log) == 0 {
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,9 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	params  Params
+	params Params
+	// node holds the settings in force.
+	node    atomic.Pointer[fleet.Node]
 	configs *registry.Configurations
 	targets *registry.Targets
 	table   *placing.Table
@@ -93,6 +95,7 @@
 		changed: make(chan struct{}),
 		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
 	}
+	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.configTail = tail.New(tail.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
@@ -110,6 +113,10 @@
 	return g
 }
 
+// Reload puts settings into force that may change while the gateway runs: the grace
+// time, how long results are kept and the size of a record.
+func (g *Gateway) Reload(node *fleet.Node) { g.node.Store(node) }
+
 // Start begins to follow the store.
 func (g *Gateway) Start() {
 	for _, f := range []*tail.Follower{g.configTail, g.targetTail, g.workTail} {
@@ -151,7 +158,7 @@
 	klog.InfoS("gateway draining", "requests", g.active.Load())
 	g.closing.Store(true)
 	begun := time.Now()
-	last := begun.Add(g.params.Node.Grace - stopMargin)
+	last := begun.Add(g.node.Load().Grace - stopMargin)
 	for time.Now().Before(last) {
 		pause.For(context.Background(), stopPoll)
 		g.late.Store(time.Since(begun) > noticeTime)
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	if g.params.Node.MaxRecordBytes > 0 && len(record.Value)+len(record.Key) >= g.params.Node.MaxRecordBytes {
+	if limit := g.node.Load().MaxRecordBytes; limit > 0 && len(record.Value)+len(record.Key) >= limit {
 		return fleet.ErrTooLarge.New("job of %d bytes", len(record.Value))
 	}
 	appended := false
--- a/protocol/fleet/node.go
+++ b/protocol/fleet/node.go
@@ -1,8 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
-// Node is what a process learns of its instance when it starts.
+// Node is what a process learns of its instance from the platform's settings.
 type Node struct {
 	// Name is unique among the instances.
 	Name string
@@ -33,3 +36,36 @@
 	Address  string
 	PeerPort string
 }
+
+// NodeChange is a setting that differs between two readings of the file.
+type NodeChange struct {
+	Setting  string
+	Old, New string
+	// Restart is set where the process keeps the old value until it starts again.
+	Restart bool
+}
+
+// Changes returns the settings that next changes.
+func (n *Node) Changes(next *Node) []NodeChange {
+	var changes []NodeChange
+	note := func(setting string, before, after any, restart bool) {
+		if before != after {
+			changes = append(changes, NodeChange{setting, fmt.Sprint(before), fmt.Sprint(after), restart})
+		}
+	}
+	note("grace", n.Grace, next.Grace, false)
+	note("keep_results", n.KeepResults, next.KeepResults, false)
+	note("memory_mb", n.MemoryMB, next.MemoryMB, false)
+	note("max_record_bytes", n.MaxRecordBytes, next.MaxRecordBytes, false)
+	note("max_call_bytes", n.MaxCallBytes, next.MaxCallBytes, true)
+	note("name", n.Name, next.Name, true)
+	note("data_centre", n.DataCentre, next.DataCentre, true)
+	note("address", n.Address, next.Address, true)
+	note("caller_address", n.CallerAddress, next.CallerAddress, true)
+	note("ready_address", n.ReadyAddress, next.ReadyAddress, true)
+	note("target_address", n.TargetAddress, next.TargetAddress, true)
+	note("service", n.Service, next.Service, true)
+	note("store_address", n.StoreAddress, next.StoreAddress, true)
+	note("peer_port", n.PeerPort, next.PeerPort, true)
+	return changes
+}
--- /dev/null
+++ b/protocol/fleet/node_test.go
@@ -0,0 +1,36 @@
+package fleet_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+func TestNodeChanges(t *testing.T) {
+	before := &fleet.Node{Name: "a", Grace: time.Second, MemoryMB: 300}
+	after := &fleet.Node{Name: "b", Grace: 2 * time.Second, MemoryMB: 300}
+	assert.DeepEqual(t, before.Changes(after), []fleet.NodeChange{
+		{Setting: "grace", Old: "1s", New: "2s"},
+		{Setting: "name", Old: "a", New: "b", Restart: true},
+	})
+	assert.Equal(t, len(after.Changes(after)), 0)
+}
+
+// TestNodeChangesNameEveryField changes all fields, so that none is forgotten.
+func TestNodeChangesNameEveryField(t *testing.T) {
+	var after fleet.Node
+	fields := reflect.ValueOf(&after).Elem()
+	for i := range fields.NumField() {
+		switch f := fields.Field(i); f.Kind() {
+		case reflect.String:
+			f.SetString("x")
+		default:
+			f.SetInt(1)
+		}
+	}
+	assert.Equal(t, len((&fleet.Node{}).Changes(&after)), fields.NumField())
+}
