Take an earlier process's items at once where its instance starts again

Weighed: a shorter lapse (a batcher that is merely cut off for a moment loses items to others, which run twice), a record of a start (the name says it already). An instance never runs two processes of a role, and a claim only saves double effort, so that a holder's name with the same instance is enough. Change: writers are named by instance and process in one place; such items are free. Items are late still where progress is lost with the power.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -116,7 +116,7 @@
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
 		fold:    worklog.NewFold(),
-		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
+		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*held{},
 		meter:   spare.Meter{Settle: settleTime},
 		inflow:  spare.Inflow{Window: announceWindow},
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/batcher"
+	"github.com/sycamoretally/sycamoretally/coordination/claims"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
@@ -309,6 +310,26 @@
 	}
 }
 
+// TestStartsAgainWithItsItems kills a batcher that holds every item: the process that
+// the platform starts in its place does not wait until the claims lapse.
+func TestStartsAgainWithItsItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newSite(t), newTarget()
+		s.accept("j", slots)
+		s.writer = worklog.NewProcessWriter("b")
+		claim := &worklog.Claim{}
+		for i := range slots {
+			ref := worklog.ItemRef{Job: "j", Item: fmt.Sprint("j", i)}
+			claim.Items = append(claim.Items, worklog.ClaimedItem{ItemRef: ref, Over: worklog.NoClaim})
+		}
+		s.put(worklog.Entry{Claim: claim})
+		b := s.start("b", e)
+		defer func() { assert.NilError(t, b.Stop()) }()
+		time.Sleep(claims.Lapse / 2)
+		assert.Equal(t, e.busy(), slots)
+	})
+}
+
 // TestStoreOutage finishes held items while the store is away, and stores their
 // results once after its return.
 func TestStoreOutage(t *testing.T) {
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -5,7 +5,8 @@
 // batchers draw at random from the first few, so that few claims collide. Items
 // that can't be done by the time they are due are left to batchers that have
 // nothing else to run. Items whose holder has been silent while the log was
-// readable are free again.
+// readable are free again, and those of an earlier process of the same instance at
+// once: after a loss of power every batcher starts again beside items that nobody runs.
 package claims
 
 import (
@@ -83,6 +84,9 @@
 	if item.Holder == p.Self {
 		return false
 	}
+	if worklog.SameInstance(item.Holder, p.Self) {
+		return true // the process before this one has ended
+	}
 	heard := fold.Heard(item.Holder)
 	if heard.Before(p.Since) {
 		heard = p.Since
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -83,6 +83,21 @@
 	assert.Equal(t, len(claims.Choose(p, l.fold, 20, 20)), 0, "own items are not claimed again")
 }
 
+// TestEarlierProcess replays a loss of power: each process that starts again takes the
+// items of the one before it at once, and leaves those of other instances.
+func TestEarlierProcess(t *testing.T) {
+	l := newLog(t)
+	earlier, other := worklog.NewProcessWriter("side-1"), worklog.NewProcessWriter("side-11")
+	items := claims.Choose(params(start), l.fold, 20, 20)
+	l.put(start, earlier, worklog.Entry{Claim: &worklog.Claim{Items: items[:5]}})
+	l.put(start, other, worklog.Entry{Claim: &worklog.Claim{Items: items[5:]}})
+	p := params(start)
+	p.Self = worklog.NewProcessWriter("side-1").Name()
+	assert.DeepEqual(t, len(claims.Choose(p, l.fold, 20, 20)), 5)
+	p.Self = earlier.Name()
+	assert.Equal(t, len(claims.Choose(p, l.fold, 20, 20)), 0, "own items are not claimed again")
+}
+
 // TestLateItemsWaitForIdleSlots leaves items that can't be done in time to slots
 // that nothing else needs.
 func TestLateItemsWaitForIdleSlots(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/sycamoretally/sycamoretally/coordination/placing"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/coordination/tail"
-	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
@@ -93,7 +92,7 @@
 		fold:    worklog.NewFold(),
 		texts:   newTexts(p.Store),
 		changed: make(chan struct{}),
-		writer:  worklog.NewWriter(p.Node.Name + "-" + protocol.NewID()),
+		writer:  worklog.NewProcessWriter(p.Node.Name),
 	}
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -2,11 +2,13 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
@@ -121,6 +123,21 @@
 // lifetime. It is safe for concurrent use.
 func NewWriter(name string) *Writer { return &Writer{name: name} }
 
+// NewProcessWriter returns the writer of a process of the instance.
+func NewProcessWriter(instance string) *Writer {
+	return NewWriter(instance + processSeparator + protocol.NewID())
+}
+
+// processSeparator stands between an instance's name and the ID of its process.
+const processSeparator = "-"
+
+// SameInstance reports whether both are names of processes of one instance, of which
+// no two ever run at the same time.
+func SameInstance(a, b string) bool {
+	i, j := strings.LastIndex(a, processSeparator), strings.LastIndex(b, processSeparator)
+	return i > 0 && j > 0 && a[:i] == b[:j]
+}
+
 // Name returns the writer's name.
 func (w *Writer) Name() string { return w.name }
 
