Save the progress of batch items, so that a loss of power does not take it

Change: a batcher stores the text of its items every two seconds, under one key an item in the topic of texts, and names it in the log; a new holder reads it and goes on behind it. Nothing is saved while other records wait for the store. Failures are saved along.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -96,7 +96,10 @@
 	// draining is set while the target says that it leaves.
 	draining bool
 	pace     urgency.Pace
+	// alive and saved are when the batcher last said that it goes on, and last saved
+	// progress.
 	alive    time.Time
+	saved    time.Time
 	stopping bool
 
 	// ctx ends when the tomb is dying.
@@ -272,6 +275,7 @@
 		return
 	}
 	b.signAlive(now)
+	b.saveProgress(now)
 	load := spare.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.running())}
 	b.inflow.Report(load.Online())
 	room := b.meter.Room(now, load)
@@ -300,7 +304,7 @@
 	chosen := claims.Choose(claims.Params{
 		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: b.params.Shuffle,
 		InTime: func(job *worklog.Job, item *worklog.Item) bool {
-			return b.urgency(now, candidate{job.Accept, item.Item, job.Offset, job.Seen}, item.Progress).InTime()
+			return b.urgency(now, candidate{job.Accept, item.Item, job.Offset, job.Seen}, item.Begun()).InTime()
 		},
 	}, b.fold, want, idle)
 	if len(chosen) == 0 {
@@ -350,11 +354,12 @@
 		klog.InfoS("items not claimed", "items", len(chosen), "error", protocol.CauseOf(err))
 		pause.For(ctx, claimPause)
 	}
+	saved := b.readSaved(ctx, chosen)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.claiming = false
 	for _, c := range chosen {
-		won := b.take(c.ItemRef)
+		won := b.take(c.ItemRef, saved[c.ItemRef])
 		b.metrics.claims.WithLabelValues(strconv.FormatBool(won)).Inc()
 		if won || logs.Sampled(c.Item) {
 			klog.InfoS("item claimed", "job", c.Job, "item", c.Item, "over", c.Over, "won", won)
@@ -365,15 +370,20 @@
 // claimPause is the time after a claim that the store did not take.
 const claimPause = 200 * time.Millisecond
 
-// take holds the item if the log says that it is this batcher's. The lock is held.
-func (b *Batcher) take(ref worklog.ItemRef) bool {
+// take holds the item if the log says that it is this batcher's, with what an earlier
+// holder has saved of it. The lock is held.
+func (b *Batcher) take(ref worklog.ItemRef, saved worklog.Progress) bool {
 	job, item := b.fold.Job(ref.Job), b.fold.Item(ref)
 	if item == nil || item.Done || job.Ended || item.Holder != b.writer.Name() || b.held[ref] != nil {
 		return false
 	}
+	progress := item.Progress
+	if saved.Events > progress.Events {
+		progress = saved
+	}
 	b.held[ref] = &held{
 		candidate: candidate{job.Accept, item.Item, job.Offset, job.Seen}, ref: ref,
-		progress: item.Progress, since: time.Now(), begunAt: item.Progress.Events,
+		progress: progress, since: time.Now(), begunAt: progress.Events, savedEvents: progress.Events,
 	}
 	return true
 }
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -42,10 +42,12 @@
 	sends    map[string]int
 	// statuses are answered to an item before it runs.
 	statuses map[string][]int
+	// resumed holds the event after which each item last went on.
+	resumed map[string]int
 }
 
 func newTarget() *target {
-	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}}
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, resumed: map[string]int{}}
 }
 
 func (e *target) set(change func(*target)) {
@@ -61,6 +63,13 @@
 	return e.running
 }
 
+// resumedAfter returns the event after which the item last went on.
+func (e *target) resumedAfter(item string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resumed[item]
+}
+
 // sent returns how often an item was sent, that of all items for an empty name.
 func (e *target) sent(item string) int {
 	e.mu.Lock()
@@ -110,6 +119,7 @@
 	e.most = max(e.most, e.running+e.online)
 	after := 0
 	_, _ = fmt.Sscan(a.After, &after)
+	e.resumed[id] = after
 	answer.Body = &stream{e: e, ctx: ctx, item: id, next: after + 1}
 	answer.Close = func() { e.set(func(e *target) { e.running-- }) }
 	return answer, nil
@@ -310,6 +320,34 @@
 	}
 }
 
+// TestPowerLossKeepsProgress ends a batcher without a word after its items have run for
+// a while: whoever takes them goes on behind what was saved, and the whole outputs are
+// stored, each once.
+func TestPowerLossKeepsProgress(t *testing.T) {
+	for name, next := range map[string]string{"same instance": "b", "another instance": "c"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e := newSite(t), newTarget()
+				first := s.start("b", e)
+				s.accept("j", slots)
+				time.Sleep(1500 * time.Millisecond)
+				assert.Equal(t, e.busy(), slots)
+				s.store.SetFaults(fleetstore.Faults{Down: true})
+				assert.NilError(t, first.Stop())
+				s.store.SetFaults(fleetstore.Faults{})
+				second := s.start(next, e)
+				defer func() { assert.NilError(t, second.Stop()) }()
+				time.Sleep(20 * time.Second)
+				s.checkWhole("j")
+				for i := range slots {
+					id := fmt.Sprint("j", i)
+					assert.Assert(t, e.resumedAfter(id) >= 8, "%s went on after event %d", id, e.resumedAfter(id))
+				}
+			})
+		})
+	}
+}
+
 // TestStartsAgainWithItsItems kills a batcher that holds every item: the process that
 // the platform starts in its place does not wait until the claims lapse.
 func TestStartsAgainWithItsItems(t *testing.T) {
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -47,6 +47,8 @@
 	// since is when the item came to be held, with begunAt events by then.
 	since   time.Time
 	begunAt int
+	// savedEvents is how many events the store has, or soon will.
+	savedEvents int
 	// cancel stops the run, nil while the item does not run; yielding is set once
 	// it was told to stop.
 	cancel   context.CancelCauseFunc
@@ -86,7 +88,7 @@
 func (b *Batcher) rank(now time.Time) []ranked {
 	list := make([]ranked, 0, len(b.held))
 	for _, h := range b.held {
-		list = append(list, ranked{h, b.urgency(now, h.candidate, h.progress)})
+		list = append(list, ranked{h, b.urgency(now, h.candidate, h.progress.Events)})
 	}
 	slices.SortFunc(list, func(x, y ranked) int {
 		if order := urgency.Compare(x.Item, y.Item); order != 0 {
@@ -106,10 +108,11 @@
 	submitted time.Time
 }
 
-// urgency returns what the order of an item depends on. The lock is held.
-func (b *Batcher) urgency(now time.Time, c candidate, p worklog.Progress) urgency.Item {
+// urgency returns what the order of an item depends on that has brought so many events.
+// The lock is held.
+func (b *Batcher) urgency(now time.Time, c candidate, events int) urgency.Item {
 	u := urgency.Item{
-		Age: now.Sub(c.submitted), Left: b.pace.Left(c.item.Tokens, p.Events), Started: p.Events > 0, Offset: c.offset,
+		Age: now.Sub(c.submitted), Left: b.pace.Left(c.item.Tokens, events), Started: events > 0, Offset: c.offset,
 	}
 	if route := b.route(c.job); route != nil {
 		u.Due = route.ResultsDue
@@ -232,6 +235,9 @@
 		}
 		delete(b.held, h.ref)
 		b.putResult(h.ref.Job, *end.result)
+		if h.savedEvents > 0 {
+			b.dropSave(h.ref)
+		}
 	}
 }
 
--- a/batcher/results.go
+++ b/batcher/results.go
@@ -32,7 +32,8 @@
 	}
 	value := worklog.EncodeText(r.Text)
 	b.texts.Add(outbox.Entry{Record: fleet.Record{Value: value}, Prefix: worklog.TextPrefix(job), Stored: func(stored fleet.Record) {
-		done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: len(stored.Key) + len(value) + recordOverhead}
+		ref := textRef(stored)
+		done.Text = &ref
 		b.put(worklog.Entry{Done: &done})
 	}})
 }
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -62,6 +62,9 @@
 	if e.Done != nil && e.Done.Text != nil {
 		job.texts = append(job.texts, e.Done.Text.Key)
 	}
+	if e.Save != nil && !slices.Contains(job.texts, e.Save.Text.Key) {
+		job.texts = append(job.texts, e.Save.Text.Key)
+	}
 }
 
 // forget drops the job whose accept had the key, or what was heard of a writer.
@@ -147,6 +150,8 @@
 		f.claim(offset, e.Writer, e.Claim)
 	case e.Release != nil:
 		f.release(e.Writer, e.Release)
+	case e.Save != nil:
+		f.save(e.Writer, e.Save)
 	case e.Done != nil:
 		f.done(now, e.Done)
 	}
@@ -198,6 +203,14 @@
 	item.Claim = NoClaim
 	item.Holder = ""
 	item.Progress = r.Progress
+	item.Saved = nil
+}
+
+func (f *Fold) save(writer string, s *Save) {
+	item := f.Item(s.ItemRef)
+	if item != nil && !item.Done && item.Holder == writer {
+		item.Saved = s
+	}
 }
 
 func (f *Fold) done(now time.Time, d *Done) {
@@ -211,6 +224,7 @@
 	}
 	item.Done = true
 	item.Progress = Progress{}
+	item.Saved = nil
 	job.Results = append(job.Results, Result{Item: d.Item, State: d.End, Text: d.Text})
 	f.waiting[job.Accept.Route] -= item.Tokens
 	if !job.Open() {
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -75,6 +75,10 @@
 	return Entry{Done: &Done{Job: job, Item: item, Text: &TextRef{Key: text}}}
 }
 
+func save(ref ItemRef, events int) Entry {
+	return Entry{Save: &Save{ItemRef: ref, After: fmt.Sprint(events), Events: events, Text: TextRef{Key: SavedKey(ref)}}}
+}
+
 func claim(job, item string, over int64) Entry {
 	return Entry{Claim: &Claim{Items: []ClaimedItem{{ItemRef: ItemRef{job, item}, Over: over}}}}
 }
@@ -182,7 +186,7 @@
 	job := rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job")
 	item := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "item")
 	ref := ItemRef{job, item}
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		return accept(job, "x", "y")
 	case 1:
@@ -197,6 +201,8 @@
 		return Entry{Release: &Release{ItemRef: ref, Progress: Progress{Text: "t", After: "1"}}}
 	case 4:
 		return Entry{Alive: true}
+	case 5:
+		return save(ref, rapid.IntRange(1, 9).Draw(t, "events"))
 	default:
 		return done(job, item, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
 	}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -70,6 +70,17 @@
 	Crashes  int `msgpack:"c"`
 }
 
+// Save says how far an item has come that its holder goes on with, for whoever takes
+// it over should the holder end without a word.
+type Save struct {
+	ItemRef
+	// After, Events and Failures are those of the Progress, Text is where its text is.
+	After    string  `msgpack:"a"`
+	Events   int     `msgpack:"n"`
+	Failures int     `msgpack:"f"`
+	Text     TextRef `msgpack:"t"`
+}
+
 // Done is the end of an item.
 type Done struct {
 	Job  string            `msgpack:"j"`
@@ -87,6 +98,7 @@
 	End     *End     `msgpack:"e,omitempty"`
 	Claim   *Claim   `msgpack:"c,omitempty"`
 	Release *Release `msgpack:"l,omitempty"`
+	Save    *Save    `msgpack:"s,omitempty"`
 	Done    *Done    `msgpack:"d,omitempty"`
 	// Alive says only that the writer goes on with what it has claimed.
 	Alive bool `msgpack:"v,omitempty"`
@@ -106,6 +118,8 @@
 		return e.Claim.Items[0].Job
 	case e.Release != nil:
 		return e.Release.Job
+	case e.Save != nil:
+		return e.Save.Job
 	case e.Done != nil:
 		return e.Done.Job
 	}
@@ -188,13 +202,24 @@
 	Ref ItemRef
 	// Claim is the offset of the claim in force, NoClaim without one, and Holder
 	// its writer.
-	Claim    int64
-	Holder   string
+	Claim  int64
+	Holder string
+	// Progress is what was given back with the item, Saved what a holder has saved
+	// since, nil if nothing.
 	Progress Progress
+	Saved    *Save
 	// Done is set once the item has a result.
 	Done bool
 }
 
+// Begun returns the number of events with which a run of the item can begin.
+func (i *Item) Begun() int {
+	if i.Saved != nil {
+		return max(i.Saved.Events, i.Progress.Events)
+	}
+	return i.Progress.Events
+}
+
 // Result is the end of an item at its position.
 type Result struct {
 	Item  string
--- a/state/worklog/text.go
+++ b/state/worklog/text.go
@@ -31,6 +31,10 @@
 	return string(value[1:]), true
 }
 
+// SavedKey returns the key of the text that an item has so far. It stands behind the
+// outputs of the job's items.
+func SavedKey(ref ItemRef) string { return TextPrefix(ref.Job) + "~" + ref.Item }
+
 // TextPrefix begins the keys of the texts of a job, so that they stand side by
 // side in the store.
 func TextPrefix(job string) string { return fmt.Sprintf("%016x/", xxhash.Sum64String(job)) }
