Put requests that crash targets in quarantine on the users' platform

The users' rule allows three retries after the third crash. Weighed: counting breaks of any kind (cut connections would convict the innocent), probing the target's health (eight probes for each crash while it is down), the permits of the product's own deployment (two messages a request). Change: a gateway that sees an answer break off watches the registry for the end of the target's lifetime and tells the others by a record in the work log, which they read anyway; three crashes before output or five in all convict, a run to the end clears, ten minutes forget. The verdict is the product's own, in one place for both deployments. Cost: a look at an empty map for each request where nothing has crashed. Left: items that crash targets go on until their retention.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -206,6 +206,12 @@
 	assert.Check(s.t, err)
 }
 
+// removeTarget ends the registration of a target.
+func (s *site) removeTarget(id string) {
+	_, err := s.store.Append(s.t.Context(), fleet.TopicTargets, fleet.AnyOffset, []fleet.Record{{Key: id}})
+	assert.NilError(s.t, err)
+}
+
 // removeTargets ends the registration of every target and waits until it is known.
 func (s *site) removeTargets() {
 	var ends []fleet.Record
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -34,6 +34,7 @@
 func (g *Gateway) forgetOld() error {
 	for g.ctx.Err() == nil {
 		pause.For(g.ctx, forgetInterval)
+		g.forgetSuspects()
 		promised := g.node.Load().KeepResults
 		if promised == 0 {
 			continue // without an end
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	changed chan struct{}
 	writer  *worklog.Writer
 	texts   *texts
+	crashes *crashes
 
 	active  atomic.Int64
 	closing atomic.Bool
@@ -91,6 +92,7 @@
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		texts:   newTexts(p.Store),
+		crashes: newCrashes(),
 		changed: make(chan struct{}),
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 	}
@@ -132,6 +134,7 @@
 		pause.For(ctx, housekeepingInterval)
 		g.targets.Expire()
 		g.table.Forget()
+		g.judgeBreaks()
 		if g.params.Sweep != nil {
 			g.params.Sweep()
 		}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -32,6 +32,7 @@
 	fold.Apply(time.Now(), records)
 	g.jobsMu.Lock()
 	g.fold = fold
+	g.crashes.publish(fold)
 	g.signalJobs()
 	g.jobsMu.Unlock()
 	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
@@ -41,6 +42,7 @@
 	g.jobsMu.Lock()
 	defer g.jobsMu.Unlock()
 	g.fold.Apply(time.Now(), records)
+	g.crashes.publish(g.fold)
 	g.signalJobs()
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -54,6 +54,10 @@
 	if r.Patience > 0 && (limit == 0 || r.Patience < limit) {
 		limit = r.Patience
 	}
+	if err := g.checkQuarantine(r); err != nil {
+		g.metrics.observe(route, err, 0)
+		return err
+	}
 	begun := time.Now()
 	if limit > 0 {
 		var cancel context.CancelFunc
@@ -63,6 +67,9 @@
 	o := &online{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), bounded: limit > 0, after: r.After, tried: map[string]bool{}}
 	err = o.run(ctx)
 	took := time.Since(begun)
+	if err == nil {
+		g.noteRun(r)
+	}
 	g.metrics.observe(route, err, took)
 	if err != nil || len(o.trail) > 1 || logs.Sampled(r.ID) {
 		o.log(err, took)
@@ -109,8 +116,10 @@
 	deadline time.Time
 	bounded  bool
 
-	// after is the number of the last event that the caller has.
-	after string
+	// after is the number of the last event that the caller has, begunAfter the one
+	// that it had when the attempt began.
+	after      string
+	begunAfter string
 	// begun is set once the caller has the head of an answer.
 	begun bool
 	// tried holds the targets that shall not get the request again.
@@ -211,6 +220,7 @@
 	defer cancel(nil)
 	stall := newStall(o, target, cancel)
 	defer stall.stop()
+	o.begunAfter = o.after
 	a := fleet.Attempt{Request: o.request, Target: target, After: o.after}
 	if o.bounded {
 		a.TimeLeft = time.Until(o.deadline)
@@ -257,6 +267,7 @@
 	o.suspect(ctx, target)
 	if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 		o.runs++
+		o.noteBreak(ctx, target)
 	}
 	return errNoAnswer.Wrap(err, "no answer")
 }
@@ -308,6 +319,7 @@
 		return o.giveUp(ctx, "the time is over or the caller has gone")
 	}
 	o.suspect(ctx, target)
+	o.noteBreak(ctx, target)
 	return errCut.Wrap(err, "answer broke off")
 }
 
--- a/protocol/fleet/errors.go
+++ b/protocol/fleet/errors.go
@@ -33,6 +33,9 @@
 	ErrUncertain = protocol.Errors.NewType("uncertain")
 	// ErrTimedOut is an ErrUncertain at the end of the request's time.
 	ErrTimedOut = ErrUncertain.NewSubtype("timed_out")
+	// ErrQuarantined is an ErrUncertain of a request that has crashed targets before,
+	// and is sent to none any more.
+	ErrQuarantined = ErrUncertain.NewSubtype("quarantined")
 	// ErrUnknownJob means that there is no such job or item.
 	ErrUnknownJob = protocol.Errors.NewType("unknown_job")
 	// ErrMalformed means that input cannot be read.
--- a/state/quarantine.go
+++ b/state/quarantine.go
@@ -5,17 +5,10 @@
 	"sync"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/state/conviction"
 )
 
 const (
-	// convictingCrashes is the number of crashes without output of the call that
-	// convicts a suspect. Two are not enough: an innocent call may be in flight at one
-	// lost target and alone on the next.
-	convictingCrashes = 3
-	// maxCrashes is the number of crashes that convicts a suspect which produced
-	// output each time: a long call that goes on at the next target may meet several
-	// losses, but a call that crashes targets later than at once must end too.
-	maxCrashes = 5
 	// maxSuspects bounds the suspects kept; the oldest go first.
 	maxSuspects = 4096
 )
@@ -111,7 +104,7 @@
 }
 
 func (s *suspect) convicted() bool {
-	return len(s.crashes)-s.productive >= convictingCrashes || len(s.crashes) >= maxCrashes
+	return conviction.Convicted(len(s.crashes), s.productive)
 }
 
 // accuse counts a crash once and restarts the time of the entry.
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -20,14 +20,15 @@
 	// waiting sums the tokens of each route's items that are still to be done.
 	waiting map[string]int64
 	// heard is when each writer was last heard of.
-	heard map[string]time.Time
+	heard    map[string]time.Time
+	suspects suspects
 	// malformed counts records of another form.
 	malformed int
 }
 
 // NewFold returns a fold without jobs.
 func NewFold() *Fold {
-	return &Fold{jobs: map[string]*Job{}, accepts: map[string]string{}, waiting: map[string]int64{}, heard: map[string]time.Time{}}
+	return &Fold{jobs: map[string]*Job{}, accepts: map[string]string{}, waiting: map[string]int64{}, heard: map[string]time.Time{}, suspects: suspects{known: map[string]*suspect{}}}
 }
 
 // Apply folds records that follow those before. now is the process's monotonic
@@ -44,7 +45,7 @@
 			continue
 		}
 		f.heard[e.Writer] = now
-		f.apply(now, r.Offset, &e)
+		f.apply(now, r, &e)
 		f.noteKeys(r.Key, &e)
 	}
 }
@@ -74,6 +75,9 @@
 		delete(f.heard, writer)
 		return
 	}
+	if f.suspects.forgetCrash(key) {
+		return
+	}
 	id, found := f.accepts[key]
 	if !found {
 		return
@@ -140,7 +144,8 @@
 	}
 }
 
-func (f *Fold) apply(now time.Time, offset int64, e *Entry) {
+func (f *Fold) apply(now time.Time, r fleet.Record, e *Entry) {
+	offset := r.Offset
 	switch {
 	case e.Accept != nil:
 		f.accept(now, offset, e.Writer, e.Accept)
@@ -154,6 +159,10 @@
 		f.save(e.Writer, e.Save)
 	case e.Done != nil:
 		f.done(now, e.Done)
+	case e.Crash != nil:
+		f.suspects.crash(r.Key, e.Crash)
+	case e.Cleared != nil:
+		f.suspects.clear(e.Cleared.Fingerprint)
 	}
 }
 
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -186,7 +186,7 @@
 	job := rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job")
 	item := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "item")
 	ref := ItemRef{job, item}
-	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
 	case 0:
 		return accept(job, "x", "y")
 	case 1:
@@ -202,6 +202,11 @@
 	case 4:
 		return Entry{Alive: true}
 	case 5:
+		target := rapid.SampledFrom([]string{"t1", "t2", "t3", "t4"}).Draw(t, "target")
+		return Entry{Crash: &Crash{Fingerprint: job, Target: target}}
+	case 6:
+		return Entry{Cleared: &Cleared{Fingerprint: job}}
+	case 7:
 		return save(ref, rapid.IntRange(1, 9).Draw(t, "events"))
 	default:
 		return done(job, item, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
@@ -258,6 +263,9 @@
 			assert.DeepEqual(t, a.Items[i], b.Items[i])
 		}
 	}
+	suspected := all.Suspects()
+	again := newest.Suspects()
+	assert.DeepEqual(t, suspected, again)
 	assert.Equal(t, all.Waiting("review"), newest.Waiting("review"))
 	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
 }
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -100,6 +100,8 @@
 	Release *Release `msgpack:"l,omitempty"`
 	Save    *Save    `msgpack:"s,omitempty"`
 	Done    *Done    `msgpack:"d,omitempty"`
+	Crash   *Crash   `msgpack:"x,omitempty"`
+	Cleared *Cleared `msgpack:"y,omitempty"`
 	// Alive says only that the writer goes on with what it has claimed.
 	Alive bool `msgpack:"v,omitempty"`
 }
@@ -160,8 +162,9 @@
 	return w.name + "/" + strconv.FormatUint(w.seq.Add(1), 36)
 }
 
-// Encode encodes an entry into a record without a key, unless it only says that
-// the writer goes on. It fails with ErrMalformed.
+// Encode encodes an entry into a record without a key, unless a later record shall
+// replace it: one that only says that the writer goes on, or that tells of a crash. It
+// fails with ErrMalformed.
 func (w *Writer) Encode(e Entry) (fleet.Record, error) {
 	e.Writer = w.name
 	value, err := msgpack.Marshal(&e)
@@ -169,8 +172,13 @@
 		return fleet.Record{}, fleet.ErrMalformed.Wrap(err, "encode record")
 	}
 	r := fleet.Record{Value: value}
-	if e.Alive {
+	switch {
+	case e.Alive:
 		r.Key = alivePrefix + w.name
+	case e.Crash != nil:
+		r.Key = crashKey(e.Crash.Fingerprint, e.Crash.Target)
+	case e.Cleared != nil:
+		r.Key = crashKey(e.Cleared.Fingerprint, clearedUnder)
 	}
 	return r, nil
 }
--- /dev/null
+++ b/state/worklog/suspects.go
@@ -0,0 +1,125 @@
+package worklog
+
+import (
+	"strings"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/conviction"
+)
+
+// maxSuspects bounds the suspects that are kept; further ones are not.
+const maxSuspects = 4096
+
+// Crash says that a target ended while it ran a request.
+type Crash struct {
+	// Fingerprint identifies the request by its content, whoever sends it.
+	Fingerprint string `msgpack:"f"`
+	// Target is the lifetime that ended, Produced whether the request had brought
+	// output there.
+	Target   string `msgpack:"t"`
+	Produced bool   `msgpack:"p"`
+}
+
+// Cleared says that a request has run to its end, so that crashes before were not its
+// doing.
+type Cleared struct {
+	Fingerprint string `msgpack:"f"`
+}
+
+// Suspicion is what is known of a request that was in flight at crashes.
+type Suspicion struct {
+	Crashes int
+	// Convicted requests reach no target any more.
+	Convicted bool
+}
+
+// suspect is a request that was in flight at crashes.
+type suspect struct {
+	// targets holds whether the request had brought output there.
+	targets map[string]bool
+	keys    []string
+}
+
+func (s *suspect) suspicion() Suspicion {
+	productive := 0
+	for _, produced := range s.targets {
+		if produced {
+			productive++
+		}
+	}
+	return Suspicion{Crashes: len(s.targets), Convicted: conviction.Convicted(len(s.targets), productive)}
+}
+
+// suspects are the requests that were in flight at crashes, by their fingerprints.
+type suspects struct {
+	known map[string]*suspect
+	// version grows with each change.
+	version int
+}
+
+// crashPrefix begins the keys of records about crashes: a key for each request and
+// target, so that copies by several writers are one record, and one for each request
+// that was cleared.
+const (
+	crashPrefix  = "crash/"
+	clearedUnder = "cleared"
+)
+
+func crashKey(fingerprint, target string) string { return crashPrefix + fingerprint + "/" + target }
+
+func (s *suspects) crash(key string, c *Crash) {
+	known := s.known[c.Fingerprint]
+	if known == nil {
+		if len(s.known) >= maxSuspects {
+			return
+		}
+		known = &suspect{targets: map[string]bool{}}
+		s.known[c.Fingerprint] = known
+	}
+	known.targets[c.Target] = c.Produced
+	known.keys = append(known.keys, key)
+	s.version++
+}
+
+func (s *suspects) clear(fingerprint string) {
+	if s.known[fingerprint] != nil {
+		delete(s.known, fingerprint)
+		s.version++
+	}
+}
+
+// SuspectsVersion returns a number that changes with Suspects.
+func (f *Fold) SuspectsVersion() int { return f.suspects.version }
+
+// Suspects returns the requests that were in flight at crashes, by their fingerprints.
+func (f *Fold) Suspects() map[string]Suspicion {
+	found := make(map[string]Suspicion, len(f.suspects.known))
+	for fingerprint, s := range f.suspects.known {
+		found[fingerprint] = s.suspicion()
+	}
+	return found
+}
+
+// ForgetSuspect returns the records that delete what is known of a request.
+func (f *Fold) ForgetSuspect(fingerprint string) []fleet.Record {
+	s := f.suspects.known[fingerprint]
+	if s == nil {
+		return nil
+	}
+	gone := []fleet.Record{{Key: crashKey(fingerprint, clearedUnder)}}
+	for _, key := range s.keys {
+		gone = append(gone, fleet.Record{Key: key})
+	}
+	return gone
+}
+
+// forgetCrash drops the request that the key of a deleted record names. It reports
+// false for another kind of key.
+func (s *suspects) forgetCrash(key string) bool {
+	rest, found := strings.CutPrefix(key, crashPrefix)
+	if found {
+		fingerprint, _, _ := strings.Cut(rest, "/")
+		s.clear(fingerprint)
+	}
+	return found
+}
