Save progress every three seconds, in shorter records

Change: a save names no key, which its item tells already, and comes every three seconds. Progress.Crashes, which nothing used, is gone.

--- a/batcher/results.go
+++ b/batcher/results.go
@@ -12,6 +12,9 @@
 // recordOverhead is more than the store adds to a record's key and value.
 const recordOverhead = 32
 
+// recordBytes bounds the size of a record in the store.
+func recordBytes(r fleet.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
+
 // put hands an entry to the outbox.
 func (b *Batcher) put(e worklog.Entry) {
 	record, err := b.writer.Encode(e)
@@ -32,8 +35,7 @@
 	}
 	value := worklog.EncodeText(r.Text)
 	b.texts.Add(outbox.Entry{Record: fleet.Record{Value: value}, Prefix: worklog.TextPrefix(job), Stored: func(stored fleet.Record) {
-		ref := textRef(stored)
-		done.Text = &ref
+		done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: recordBytes(stored)}
 		b.put(worklog.Entry{Done: &done})
 	}})
 }
--- a/batcher/saves.go
+++ b/batcher/saves.go
@@ -15,7 +15,7 @@
 const (
 	// saveInterval is the least time between two saves: what a loss of power takes with
 	// it at most, of runs of several seconds.
-	saveInterval = 2 * time.Second
+	saveInterval = 3 * time.Second
 	// saveEvents is how many events of an item are worth a save: fewer come again in
 	// less than half a second. Other items are saved with it that have half as many.
 	saveEvents = 16
@@ -57,7 +57,7 @@
 	text := fleet.Record{Key: worklog.SavedKey(ref), Value: worklog.EncodeText(p.Text)}
 	b.texts.Add(outbox.Entry{Record: text, Stored: func(stored fleet.Record) {
 		b.put(worklog.Entry{Save: &worklog.Save{
-			ItemRef: ref, After: p.After, Events: p.Events, Failures: p.Failures, Text: textRef(stored),
+			ItemRef: ref, After: p.After, Events: p.Events, Failures: p.Failures, Offset: stored.Offset, Bytes: recordBytes(stored),
 		}})
 	}})
 }
@@ -67,11 +67,6 @@
 	b.texts.Add(outbox.Entry{Record: fleet.Record{Key: worklog.SavedKey(ref)}})
 }
 
-// textRef names a text that has been stored.
-func textRef(stored fleet.Record) worklog.TextRef {
-	return worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: len(stored.Key) + len(stored.Value) + recordOverhead}
-}
-
 // readSaved returns what earlier holders have saved of items that are this batcher's
 // now. An item whose text can't be read begins with what was given back.
 func (b *Batcher) readSaved(ctx context.Context, chosen []worklog.ClaimedItem) map[worklog.ItemRef]worklog.Progress {
@@ -79,10 +74,10 @@
 	defer cancel()
 	read := map[worklog.ItemRef]worklog.Progress{}
 	for _, s := range b.savedOf(chosen) {
-		record, err := b.params.Store.ReadOne(ctx, fleet.TopicTexts, s.Text.Offset, s.Text.Bytes)
+		record, err := b.params.Store.ReadOne(ctx, fleet.TopicTexts, s.Offset, s.Bytes)
 		text, ok := worklog.DecodeText(record.Value)
-		if err != nil || !ok || record.Key != s.Text.Key {
-			klog.InfoS("saved progress not read", "job", s.Job, "item", s.Item, "offset", s.Text.Offset, "error", protocol.CauseOf(err))
+		if err != nil || !ok || record.Key != worklog.SavedKey(s.ItemRef) {
+			klog.InfoS("saved progress not read", "job", s.Job, "item", s.Item, "offset", s.Offset, "error", protocol.CauseOf(err))
 			continue
 		}
 		read[s.ItemRef] = worklog.Progress{Text: text, After: s.After, Events: s.Events, Failures: s.Failures}
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -63,8 +63,8 @@
 	if e.Done != nil && e.Done.Text != nil {
 		job.texts = append(job.texts, e.Done.Text.Key)
 	}
-	if e.Save != nil && !slices.Contains(job.texts, e.Save.Text.Key) {
-		job.texts = append(job.texts, e.Save.Text.Key)
+	if e.Save != nil && !slices.Contains(job.texts, SavedKey(e.Save.ItemRef)) {
+		job.texts = append(job.texts, SavedKey(e.Save.ItemRef))
 	}
 }
 
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -76,7 +76,7 @@
 }
 
 func save(ref ItemRef, events int) Entry {
-	return Entry{Save: &Save{ItemRef: ref, After: fmt.Sprint(events), Events: events, Text: TextRef{Key: SavedKey(ref)}}}
+	return Entry{Save: &Save{ItemRef: ref, After: fmt.Sprint(events), Events: events, Offset: int64(events)}}
 }
 
 func claim(job, item string, over int64) Entry {
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -64,21 +64,22 @@
 	Text   string `msgpack:"t"`
 	After  string `msgpack:"a"`
 	Events int    `msgpack:"n"`
-	// Failures counts the runs that the target itself failed, Crashes those
-	// under which targets crashed.
+	// Failures counts the runs that the target itself failed.
 	Failures int `msgpack:"f"`
-	Crashes  int `msgpack:"c"`
 }
 
 // Save says how far an item has come that its holder goes on with, for whoever takes
 // it over should the holder end without a word.
 type Save struct {
 	ItemRef
-	// After, Events and Failures are those of the Progress, Text is where its text is.
-	After    string  `msgpack:"a"`
-	Events   int     `msgpack:"n"`
-	Failures int     `msgpack:"f"`
-	Text     TextRef `msgpack:"t"`
+	// After, Events and Failures are those of the Progress.
+	After    string `msgpack:"a"`
+	Events   int    `msgpack:"n"`
+	Failures int    `msgpack:"f,omitempty"`
+	// Offset is where the text is in the topic of texts, under SavedKey, and Bytes
+	// bounds the size of the whole record.
+	Offset int64 `msgpack:"o"`
+	Bytes  int   `msgpack:"b"`
 }
 
 // Done is the end of an item.
