Let the test of an unread peer fail where nobody connects, in place of hanging

By its stacks the listener had got no connection, and the test waits for one only; why the call ended without is not known. Change: the test fails with the call's error then; what it checks is unchanged. Excluded: a leak of the code under test (no goroutine of it was left). Conclusion: the cause stays open.

--- a/transport/peers_test.go
+++ b/transport/peers_test.go
@@ -86,7 +86,13 @@
 	peers := NewPeers("secret")
 	ended := make(chan error, 1)
 	go func() { ended <- call(t, peers, l.Addr().String(), 64<<20) }()
-	conn := <-accepted
+	var conn net.Conn
+	select {
+	case conn = <-accepted:
+	case err := <-ended:
+		_ = l.Close()
+		t.Fatalf("the call ended before the peer got a byte: %v", err)
+	}
 	select {
 	case err := <-ended:
 		assert.Assert(t, err != nil)
