Keep the age of suspicions in the fold, and name crashes by the field's terms

How long a suspect is known stood in the gateway beside the fold, which keeps that of silent writers already; now the fold keeps both, and forget.go deletes both. A candidate was made in two places. Saved progress was compared with what was given back where it is always more. Names: status and incarnation for fate and lifetime, pending and recorded for untold and told. Tests of gateway, batcher, state and coordination pass.

--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -24,7 +24,7 @@
 	chosen := claims.Choose(claims.Params{
 		Self: b.writer.Name(), Now: now, Since: b.since, Runs: b.runs, Shuffle: b.params.Shuffle,
 		InTime: func(job *worklog.Job, item *worklog.Item) bool {
-			return b.urgency(now, candidate{job.Accept, item.Item, job.Offset, job.Seen}, item.Begun()).InTime()
+			return b.urgency(now, candidateOf(job, item), item.Begun()).InTime()
 		},
 	}, b.fold, want, idle)
 	if len(chosen) == 0 {
@@ -102,7 +102,7 @@
 		progress = saved
 	}
 	b.held[ref] = &held{
-		candidate: candidate{job.Accept, item.Item, job.Offset, job.Seen}, ref: ref,
+		candidate: candidateOf(job, item), ref: ref,
 		progress: progress, since: time.Now(), begunAt: progress.Events, savedEvents: progress.Events,
 	}
 	return true
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -108,6 +108,10 @@
 	submitted time.Time
 }
 
+func candidateOf(job *worklog.Job, item *worklog.Item) candidate {
+	return candidate{job: job.Accept, item: item.Item, offset: job.Offset, submitted: job.Seen}
+}
+
 // urgency returns what the order of an item depends on that has brought so many events.
 // The lock is held.
 func (b *Batcher) urgency(now time.Time, c candidate, events int) urgency.Item {
--- a/batcher/saves.go
+++ b/batcher/saves.go
@@ -85,15 +85,14 @@
 	return read
 }
 
-// savedOf returns what is saved of those items that the log says are this batcher's,
-// as far as it is more than what was given back.
+// savedOf returns what is saved of those items that the log says are this batcher's.
 func (b *Batcher) savedOf(chosen []worklog.ClaimedItem) []*worklog.Save {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var saves []*worklog.Save
 	for _, c := range chosen {
 		item := b.fold.Item(c.ItemRef)
-		if item != nil && item.Holder == b.writer.Name() && item.Saved != nil && item.Begun() > item.Progress.Events {
+		if item != nil && item.Holder == b.writer.Name() && item.Saved != nil {
 			saves = append(saves, item.Saved)
 		}
 	}
--- a/coordination/quarantine/breaks.go
+++ b/coordination/quarantine/breaks.go
@@ -7,7 +7,7 @@
 
 // Break is a run that broke off with its target's connection.
 type Break struct {
-	// Fingerprint identifies the request by its content, Target the lifetime.
+	// Fingerprint identifies the request by its content, Target the incarnation.
 	Fingerprint string
 	Target      string
 	// Produced is set where the request had brought output there.
@@ -21,26 +21,26 @@
 // Breaks tells the runs that broke off because their target ended from those whose
 // connection alone was lost. It answers a request that crashes each target that runs
 // it, among faults of the network and targets that answer wrongly: a target counts as
-// crashed once its lifetime is over, and not if it had said before that it leaves. It
+// crashed once its incarnation has ended, and not if it had said before that it leaves. It
 // is not safe for concurrent use.
 type Breaks struct {
-	// Patience is how long after a break the end of a lifetime still counts.
+	// Patience is how long after a break the end of an incarnation still counts.
 	Patience time.Duration
 
 	open []Break
 }
 
-// Fate is what has become of a target.
-type Fate int
+// Status is what has become of a target.
+type Status int
 
-// The fates.
+// The statuses.
 const (
-	// FateRuns is that of a target that goes on.
-	FateRuns Fate = iota
-	// FateLeaves is that of a target that has said that it leaves.
-	FateLeaves
-	// FateEnded is that of a target whose lifetime is over.
-	FateEnded
+	// StatusRunning is that of a target that goes on.
+	StatusRunning Status = iota
+	// StatusDraining is that of a target that has said that it leaves.
+	StatusDraining
+	// StatusEnded is that of a target that has ended.
+	StatusEnded
 )
 
 // Add notes a run that broke off.
@@ -56,14 +56,14 @@
 
 // Crashed returns the breaks whose targets have ended, and forgets these and those
 // that say nothing any more.
-func (b *Breaks) Crashed(now time.Time, fate func(target string) Fate) []Break {
+func (b *Breaks) Crashed(now time.Time, status func(target string) Status) []Break {
 	var crashed []Break
 	b.open = slices.DeleteFunc(b.open, func(x Break) bool {
-		switch fate(x.Target) {
-		case FateEnded:
+		switch status(x.Target) {
+		case StatusEnded:
 			crashed = append(crashed, x)
 			return true
-		case FateLeaves:
+		case StatusDraining:
 			return true
 		}
 		return now.Sub(x.At) > b.Patience
--- a/coordination/spare/inflow.go
+++ b/coordination/spare/inflow.go
@@ -7,8 +7,8 @@
 
 // Inflow counts the online requests of a target, also those that its last report
 // can't show yet. It answers a step of traffic at many gateways: all of them ask
-// within a few milliseconds, while the target is looked at every twenty-fifth. It is
-// not safe for concurrent use.
+// within a few milliseconds, while the target is looked at every 25 ms. It is not safe
+// for concurrent use.
 type Inflow struct {
 	// Window is how long an announced request is counted: until a report shows it.
 	Window time.Duration
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,12 +21,12 @@
 	// crashPatience is how long after a broken answer the end of its target still
 	// counts: three missed heartbeats of a target, and a read of the registry.
 	crashPatience = 8 * time.Second
-	// tellTimeout bounds the append of what is to be told of crashes, tellPause is the
-	// time until it is tried again.
-	tellTimeout = 2 * time.Second
-	tellPause   = 500 * time.Millisecond
-	// maxTold bounds what waits to be told while the store is away.
-	maxTold = 256
+	// appendTimeout bounds the append of records about crashes, appendPause is the time
+	// until it is tried again.
+	appendTimeout = 2 * time.Second
+	appendPause   = 500 * time.Millisecond
+	// maxPending bounds the records that wait while the store is away.
+	maxPending = 256
 )
 
 // suspicions is what the log says of requests that were in flight at crashes. It is
@@ -46,21 +45,13 @@
 
 	mu     sync.Mutex
 	breaks quarantine.Breaks
-	// seen is when each suspect's last crash became known here.
-	seen map[string]seenCrash
-	// untold waits to be appended; telling is set while an append runs.
-	untold  []worklog.Entry
-	telling bool
-}
-
-// seenCrash is how many crashes of a suspect are known since when.
-type seenCrash struct {
-	crashes int
-	at      time.Time
+	// pending waits to be appended; appending is set while an append runs.
+	pending   []worklog.Entry
+	appending bool
 }
 
 func newCrashes() *crashes {
-	c := &crashes{breaks: quarantine.Breaks{Patience: crashPatience}, seen: map[string]seenCrash{}}
+	c := &crashes{breaks: quarantine.Breaks{Patience: crashPatience}}
 	c.suspicions.Store(&suspicions{})
 	return c
 }
@@ -70,29 +61,20 @@
 	if old := c.suspicions.Load(); old.fold == fold && old.version == fold.SuspectsVersion() {
 		return
 	}
-	known := fold.Suspects()
-	c.suspicions.Store(&suspicions{known, fold, fold.SuspectsVersion()})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	maps.DeleteFunc(c.seen, func(digest string, _ seenCrash) bool { return known[digest].Crashes == 0 })
-	for digest, s := range known {
-		if c.seen[digest].crashes != s.Crashes {
-			c.seen[digest] = seenCrash{s.Crashes, time.Now()}
-		}
-	}
+	c.suspicions.Store(&suspicions{fold.Suspects(), fold, fold.SuspectsVersion()})
 }
 
-// tell keeps an entry until it is appended. The lock is held.
-func (c *crashes) tell(e worklog.Entry) {
-	if len(c.untold) >= maxTold {
-		klog.InfoS("crash not told", "reason", "too many wait for the store", "waiting", len(c.untold))
+// queue keeps an entry until it is appended. The lock is held.
+func (c *crashes) queue(e worklog.Entry) {
+	if len(c.pending) >= maxPending {
+		klog.InfoS("crash not recorded", "reason", "too many wait for the store", "waiting", len(c.pending))
 		return
 	}
-	c.untold = append(c.untold, e)
+	c.pending = append(c.pending, e)
 }
 
-// fingerprint identifies a request by its content, whoever sends it.
-func fingerprint(r *fleet.Request) string {
+// fingerprintOf identifies a request by its content, whoever sends it.
+func fingerprintOf(r *fleet.Request) string {
 	return protocol.Fingerprint([]byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body)
 }
 
@@ -103,9 +85,9 @@
 	if len(known) == 0 {
 		return nil
 	}
-	digest := fingerprint(r)
-	if s := known[digest]; s.Convicted {
-		klog.InfoS("request in quarantine", "request", r.ID, "fingerprint", digest, "crashes", s.Crashes)
+	fingerprint := fingerprintOf(r)
+	if s := known[fingerprint]; s.Convicted {
+		klog.InfoS("request in quarantine", "request", r.ID, "fingerprint", fingerprint, "crashes", s.Crashes)
 		return fleet.ErrQuarantined.New("it was in flight at %d crashes", s.Crashes)
 	}
 	return nil
@@ -121,7 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.breaks.Add(quarantine.Break{
-		Fingerprint: fingerprint(o.request), Target: lifetime(target), Produced: o.after != o.begunAfter, At: time.Now(),
+		Fingerprint: fingerprintOf(o.request), Target: incarnation(target), Produced: o.after != o.begunAfter, At: time.Now(),
 	})
 }
 
@@ -132,70 +114,70 @@
 	if len(known) == 0 {
 		return
 	}
-	digest := fingerprint(r)
-	if _, suspected := known[digest]; !suspected {
+	fingerprint := fingerprintOf(r)
+	if _, suspected := known[fingerprint]; !suspected {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tell(worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: digest}})
+	c.queue(worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}})
 }
 
-// lifetime names a target's lifetime, also where the next one has the same ID.
-func lifetime(t *fleet.Target) string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
+// incarnation names one run of a target's process, also where the next has the same ID.
+func incarnation(t *fleet.Target) string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
 
-// fatesOf returns what the registry says of a lifetime by its name.
-func fatesOf(s *registry.Snapshot) func(target string) quarantine.Fate {
+// statuses returns what the registry says of an incarnation by its name.
+func statuses(s *registry.Snapshot) func(target string) quarantine.Status {
 	registered := make(map[string]*fleet.Target, len(s.Addresses))
 	for _, t := range s.Addresses {
-		registered[lifetime(t)] = t
+		registered[incarnation(t)] = t
 	}
-	return func(target string) quarantine.Fate {
+	return func(target string) quarantine.Status {
 		switch t := registered[target]; {
 		case t == nil:
-			return quarantine.FateEnded
+			return quarantine.StatusEnded
 		case t.Draining:
-			return quarantine.FateLeaves
+			return quarantine.StatusDraining
 		default:
-			return quarantine.FateRuns
+			return quarantine.StatusRunning
 		}
 	}
 }
 
-// judgeBreaks looks which targets have ended under requests, and tells the others.
+// judgeBreaks looks which targets have ended under requests, and records that for all gateways.
 func (g *Gateway) judgeBreaks() {
 	c := g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.breaks.Len() > 0 {
-		c.judge(fatesOf(g.targets.Current()))
+		c.judge(statuses(g.targets.Current()))
 	}
-	if len(c.untold) == 0 || c.telling {
+	if len(c.pending) == 0 || c.appending {
 		return
 	}
-	c.telling = true
-	entries := c.untold
-	c.untold = nil
+	c.appending = true
+	entries := c.pending
+	c.pending = nil
 	g.tomb.Go(func() error {
-		left := g.tellCrashes(entries)
+		left := g.appendCrashes(entries)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.telling = false
-		c.untold = append(left, c.untold...)
+		c.appending = false
+		c.pending = append(left, c.pending...)
 		return nil
 	})
 }
 
-// judge notes what is to be told of runs whose targets have ended. The lock is held.
-func (c *crashes) judge(fate func(target string) quarantine.Fate) {
-	for _, b := range c.breaks.Crashed(time.Now(), fate) {
+// judge queues a record for each run whose target has ended. The lock is held.
+func (c *crashes) judge(status func(target string) quarantine.Status) {
+	for _, b := range c.breaks.Crashed(time.Now(), status) {
 		klog.InfoS("target ended under a request", "target", b.Target, "fingerprint", b.Fingerprint, "produced", b.Produced)
-		c.tell(worklog.Entry{Crash: &worklog.Crash{Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced}})
+		c.queue(worklog.Entry{Crash: &worklog.Crash{Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced}})
 	}
 }
 
-// tellCrashes appends the entries, and returns those that are to be appended again.
-func (g *Gateway) tellCrashes(entries []worklog.Entry) []worklog.Entry {
+// appendCrashes appends the entries, and returns those that are to be appended again.
+func (g *Gateway) appendCrashes(entries []worklog.Entry) []worklog.Entry {
 	var records []fleet.Record
 	for _, e := range entries {
 		record, err := g.writer.Record(e)
@@ -205,44 +187,13 @@
 		}
 		records = append(records, record)
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, tellTimeout)
+	ctx, cancel := context.WithTimeout(g.ctx, appendTimeout)
 	defer cancel()
 	_, err := g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
 	if err == nil {
 		return nil
 	}
-	klog.InfoS("crashes not told yet", "records", len(records), "error", protocol.CauseOf(err))
-	pause.For(g.ctx, tellPause)
+	klog.InfoS("crashes not recorded yet", "records", len(records), "error", protocol.CauseOf(err))
+	pause.For(g.ctx, appendPause)
 	return entries
 }
-
-// quarantineTime is how long after its last crash a request is suspected.
-const quarantineTime = 10 * time.Minute
-
-// forgetSuspects deletes what is known of requests whose last crash is long ago.
-func (g *Gateway) forgetSuspects() {
-	g.jobsMu.RLock()
-	var gone []fleet.Record
-	for _, digest := range g.crashes.old(time.Now()) {
-		gone = append(gone, g.fold.ForgetSuspect(digest)...)
-	}
-	g.jobsMu.RUnlock()
-	if len(gone) == 0 {
-		return
-	}
-	err := g.deleteRecords(fleet.TopicWork, gone)
-	klog.InfoS("suspects forgotten", "records", len(gone), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
-}
-
-// old returns the requests whose last crash this process has known of for long.
-func (c *crashes) old(now time.Time) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var old []string
-	for digest, seen := range c.seen {
-		if now.Sub(seen.at) > quarantineTime {
-			old = append(old, digest)
-		}
-	}
-	return old
-}
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -26,6 +26,8 @@
 	// othersFactor is how much longer than its acceptor other gateways wait with a
 	// job, for which the acceptor may no longer be there.
 	othersFactor = 2
+	// quarantineTime is how long after its last crash a request is suspected.
+	quarantineTime = 10 * time.Minute
 )
 
 // forgetOld deletes jobs from the store, some time after they were done or ended.
@@ -53,6 +55,18 @@
 	return nil
 }
 
+// forgetSuspects deletes what is known of requests whose last crash is long ago.
+func (g *Gateway) forgetSuspects() {
+	g.jobsMu.RLock()
+	gone := g.fold.ForgetSuspects(time.Now().Add(-quarantineTime))
+	g.jobsMu.RUnlock()
+	if len(gone) == 0 {
+		return
+	}
+	err := g.deleteRecords(fleet.TopicWork, gone)
+	klog.InfoS("suspects forgotten", "records", len(gone), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+}
+
 // forgettable returns the records that delete what is old, and the number of jobs.
 func (g *Gateway) forgettable(keep time.Duration) (log, texts []fleet.Record, jobs int) {
 	now := time.Now()
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -160,7 +160,7 @@
 	case e.Done != nil:
 		f.done(now, e.Done)
 	case e.Crash != nil:
-		f.suspects.crash(r.Key, e.Crash)
+		f.suspects.crash(now, r.Key, e.Crash)
 	case e.Cleared != nil:
 		f.suspects.clear(e.Cleared.Fingerprint)
 	}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -214,7 +214,7 @@
 	Claim  int64
 	Holder string
 	// Progress is what was given back with the item, Saved what a holder has saved
-	// since, nil if nothing.
+	// since, nil if nothing; it is always more than Progress.
 	Progress Progress
 	Saved    *Save
 	// Done is set once the item has a result.
@@ -224,7 +224,7 @@
 // Begun returns the number of events with which a run of the item can begin.
 func (i *Item) Begun() int {
 	if i.Saved != nil {
-		return max(i.Saved.Events, i.Progress.Events)
+		return i.Saved.Events
 	}
 	return i.Progress.Events
 }
--- a/state/worklog/suspects.go
+++ b/state/worklog/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/conviction"
@@ -14,7 +15,7 @@
 type Crash struct {
 	// Fingerprint identifies the request by its content, whoever sends it.
 	Fingerprint string `msgpack:"f"`
-	// Target is the lifetime that ended, Produced whether the request had brought
+	// Target is the incarnation that ended, Produced whether the request had brought
 	// output there.
 	Target   string `msgpack:"t"`
 	Produced bool   `msgpack:"p"`
@@ -38,6 +39,8 @@
 	// targets holds whether the request had brought output there.
 	targets map[string]bool
 	keys    []string
+	// last is when the last of the crashes became known to this process.
+	last time.Time
 }
 
 func (s *suspect) suspicion() Suspicion {
@@ -67,7 +70,7 @@
 
 func crashKey(fingerprint, target string) string { return crashPrefix + fingerprint + "/" + target }
 
-func (s *suspects) crash(key string, c *Crash) {
+func (s *suspects) crash(now time.Time, key string, c *Crash) {
 	known := s.known[c.Fingerprint]
 	if known == nil {
 		if len(s.known) >= maxSuspects {
@@ -76,6 +79,9 @@
 		known = &suspect{targets: map[string]bool{}}
 		s.known[c.Fingerprint] = known
 	}
+	if _, told := known.targets[c.Target]; !told {
+		known.last = now
+	}
 	known.targets[c.Target] = c.Produced
 	known.keys = append(known.keys, key)
 	s.version++
@@ -100,15 +106,18 @@
 	return found
 }
 
-// ForgetSuspect returns the records that delete what is known of a request.
-func (f *Fold) ForgetSuspect(fingerprint string) []fleet.Record {
-	s := f.suspects.known[fingerprint]
-	if s == nil {
-		return nil
-	}
-	gone := []fleet.Record{{Key: crashKey(fingerprint, clearedUnder)}}
-	for _, key := range s.keys {
-		gone = append(gone, fleet.Record{Key: key})
+// ForgetSuspects returns the records that delete what is known of requests whose last
+// crash became known before the time.
+func (f *Fold) ForgetSuspects(before time.Time) []fleet.Record {
+	var gone []fleet.Record
+	for fingerprint, s := range f.suspects.known {
+		if !s.last.Before(before) {
+			continue
+		}
+		gone = append(gone, fleet.Record{Key: crashKey(fingerprint, clearedUnder)})
+		for _, key := range s.keys {
+			gone = append(gone, fleet.Record{Key: key})
+		}
 	}
 	return gone
 }
