Delete what the log says of cleared suspects, all at once

Cause: a cleared suspect was dropped from the fold with the keys of its records, so that none of these was ever deleted; after a later crash of the same request only that one and the clearing would have been, and the crashes before it would have counted again at a process that starts. Excluded: a wrong verdict while nothing is forgotten (the random histories compare those). Change: a cleared suspect keeps its keys until all are deleted together. Test: state/worklog TestSuspects fails before (6 records stay), passes after; three times under the race detector, with those of the gateway.

--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -162,7 +162,7 @@
 	case e.Crash != nil:
 		f.suspects.crash(now, r.Key, e.Crash)
 	case e.Cleared != nil:
-		f.suspects.clear(e.Cleared.Fingerprint)
+		f.suspects.clear(now, r.Key, e.Cleared.Fingerprint)
 	}
 }
 
--- a/state/worklog/suspects.go
+++ b/state/worklog/suspects.go
@@ -36,10 +36,14 @@
 
 // suspect is a request that was in flight at crashes.
 type suspect struct {
-	// targets holds whether the request had brought output there.
+	// targets holds whether the request had brought output there; it is empty once the
+	// request was cleared.
 	targets map[string]bool
-	keys    []string
-	// last is when the last of the crashes became known to this process.
+	// keys are those of all records about the request, also of crashes before it was
+	// cleared: without the one that clears, these would count again.
+	keys map[string]bool
+	// last is when the last of the crashes, or that it was cleared, became known to
+	// this process.
 	last time.Time
 }
 
@@ -76,22 +80,27 @@
 		if len(s.known) >= maxSuspects {
 			return
 		}
-		known = &suspect{targets: map[string]bool{}}
+		known = &suspect{targets: map[string]bool{}, keys: map[string]bool{}}
 		s.known[c.Fingerprint] = known
 	}
 	if _, told := known.targets[c.Target]; !told {
 		known.last = now
 	}
 	known.targets[c.Target] = c.Produced
-	known.keys = append(known.keys, key)
+	known.keys[key] = true
 	s.version++
 }
 
-func (s *suspects) clear(fingerprint string) {
-	if s.known[fingerprint] != nil {
-		delete(s.known, fingerprint)
-		s.version++
+func (s *suspects) clear(now time.Time, key, fingerprint string) {
+	known := s.known[fingerprint]
+	if known == nil {
+		known = &suspect{keys: map[string]bool{}}
+		s.known[fingerprint] = known
 	}
+	known.targets = map[string]bool{}
+	known.keys[key] = true
+	known.last = now
+	s.version++
 }
 
 // SuspectsVersion returns a number that changes with Suspects.
@@ -101,7 +110,9 @@
 func (f *Fold) Suspects() map[string]Suspicion {
 	found := make(map[string]Suspicion, len(f.suspects.known))
 	for fingerprint, s := range f.suspects.known {
-		found[fingerprint] = s.suspicion()
+		if len(s.targets) > 0 {
+			found[fingerprint] = s.suspicion()
+		}
 	}
 	return found
 }
@@ -110,12 +121,11 @@
 // crash became known before the time.
 func (f *Fold) ForgetSuspects(before time.Time) []fleet.Record {
 	var gone []fleet.Record
-	for fingerprint, s := range f.suspects.known {
+	for _, s := range f.suspects.known {
 		if !s.last.Before(before) {
 			continue
 		}
-		gone = append(gone, fleet.Record{Key: crashKey(fingerprint, clearedUnder)})
-		for _, key := range s.keys {
+		for key := range s.keys {
 			gone = append(gone, fleet.Record{Key: key})
 		}
 	}
@@ -128,7 +138,8 @@
 	rest, found := strings.CutPrefix(key, crashPrefix)
 	if found {
 		fingerprint, _, _ := strings.Cut(rest, "/")
-		s.clear(fingerprint)
+		delete(s.known, fingerprint)
+		s.version++
 	}
 	return found
 }
--- a/state/worklog/suspects_test.go
+++ b/state/worklog/suspects_test.go
@@ -41,6 +41,9 @@
 	assert.Assert(t, of("long").Convicted)
 	l.put(b, Entry{Cleared: &Cleared{Fingerprint: "long"}})
 	assert.Equal(t, of("long"), Suspicion{})
+	l.putRaw(l.fold().ForgetSuspects(now.Add(time.Second)))
+	assert.Equal(t, of("long"), Suspicion{}, "what was cleared does not come back")
+	assert.Equal(t, len(l.newest()), 0, "nothing stays in the log")
 	l.put(b, crash("long", "t6", false))
 	assert.Equal(t, of("long"), Suspicion{Crashes: 1}, "crashes before the run to the end don't count")
 }
