Limit what a target may send in answer to one attempt

Cause: nothing limited the head of an answer, the number of interim answers, the size of an event or the rest of a refused answer that is read for the reuse of its connection. A target that never ends one of these made a gateway collect it until its caller left, and scan all of it again at each read of a stream. Seen before the change: 1.1 to 1.3 GB after 2 s for an endless header line, 220 to 280 MB for endless short headers; the smallest gateway has 184 MB.

Change: one set of limits in protocol/fleet, a typed error for each, the connection closed at once, the attempt failed and the request sent on as its kind allows, and a counter by limit. Gateway and batcher share one splitter of event streams, which looks at each byte once. Comments no longer keep a stalled stream or run alive. The item's output is limited by the size of a record.

Open: an item whose output can never be stored runs again until its retention.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -232,6 +232,9 @@
 	}
 }
 
+// maxLoadBytes is the size limit of an engine's load report.
+const maxLoadBytes = 64 << 10
+
 // maxEventBytes is the maximum size of an event of an engine's stream.
 const maxEventBytes = 16 << 20
 
@@ -342,7 +345,7 @@
 		return load, classifyTargetError(err, "load")
 	}
 	defer drainBody(resp.Body)
-	if err := json.NewDecoder(resp.Body).Decode(&load); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load); err != nil {
 		return load, protocol.ErrTargetFailed.Wrap(err, "load")
 	}
 	return load, nil
--- a/backend/instance_list.go
+++ b/backend/instance_list.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
+// maxListBytes is the size limit of the instance list.
+const maxListBytes = 16 << 20
+
 // Role is the role of a process of the system.
 type Role string
 
@@ -59,7 +63,7 @@
 		return nil, protocol.ErrTargetFailed.New("instance list: status %d", resp.StatusCode)
 	}
 	var instances []Instance
-	if err := json.NewDecoder(resp.Body).Decode(&instances); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&instances); err != nil {
 		return nil, protocol.ErrTargetFailed.Wrap(err, "instance list")
 	}
 	return instances, nil
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -43,12 +43,15 @@
 	// statuses holds, for each item, the statuses answered to its first attempts before
 	// one runs.
 	statuses map[string][]int
+	// endless holds, for each item, what its first attempt is answered again and again
+	// after one event, until the attempt is cancelled. It is deleted with that attempt.
+	endless map[string]string
 	// resumed holds the event after which each item was last resumed.
 	resumed map[string]int
 }
 
 func newTarget() *target {
-	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, resumed: map[string]int{}}
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}}
 }
 
 func (e *target) set(change func(*target)) {
@@ -107,7 +110,7 @@
 	}
 	id := a.Request.ID
 	e.sends[id]++
-	answer := &fleet.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, Body: strings.NewReader(""), Close: func() {}}
+	answer := &fleet.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, Body: strings.NewReader(""), Close: func() {}, Discard: func() {}}
 	if a.Target.ID != e.id {
 		answer.Verdict = fleet.VerdictWrongTarget
 		return answer, nil
@@ -121,7 +124,8 @@
 	after := 0
 	_, _ = fmt.Sscan(a.LastEventID, &after)
 	e.resumed[id] = after
-	answer.Body = &stream{e: e, ctx: ctx, item: id, next: after + 1}
+	answer.Body = &stream{e: e, ctx: ctx, item: id, next: after + 1, endless: e.endless[id]}
+	delete(e.endless, id)
 	answer.Close = func() { e.set(func(e *target) { e.running-- }) }
 	return answer, nil
 }
@@ -131,10 +135,20 @@
 	ctx  context.Context
 	item string
 	next int
+	// endless is sent again and again after the first event.
+	endless string
 }
 
 // Read implements io.Reader.
 func (s *stream) Read(p []byte) (int, error) {
+	if s.endless != "" && s.next > 1 {
+		select {
+		case <-time.After(time.Millisecond):
+			return copy(p, s.endless), nil
+		case <-s.ctx.Done():
+			return 0, errors.New("closed")
+		}
+	}
 	if s.next > tokens {
 		return 0, io.EOF
 	}
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -232,6 +232,9 @@
 		outcome = "yielded"
 	}
 	b.metrics.runs.WithLabelValues(outcome).Inc()
+	if limit := fleet.ExceededLimit(end.err); limit != "" {
+		b.metrics.oversized.WithLabelValues(limit).Inc()
+	}
 	if outcome != "yielded" || logs.Sampled(h.ref.Item) {
 		klog.InfoS("item run ended", "job", h.ref.Job, "item", h.ref.Item, "target", b.targetID, "ran", time.Since(h.startedAt),
 			"held", time.Since(h.heldSince), "age", time.Since(h.submitted), "last_event", end.progress.LastEventID, "failures", end.progress.Failures,
@@ -279,19 +282,25 @@
 	if err != nil {
 		return runOutcome{progress: progress, err: err}
 	}
-	defer answer.Close()
 	if answer.Verdict != fleet.VerdictAnswer {
-		_, _ = io.Copy(io.Discard, answer.Body)
+		answer.Discard()
 		return runOutcome{progress: progress, otherTarget: answer.Verdict == fleet.VerdictWrongTarget, err: fleet.ErrAnswerBroken.New("attempt not answered by the target: verdict %d", answer.Verdict)}
 	}
 	if answer.Status != http.StatusOK {
-		_, _ = io.Copy(io.Discard, answer.Body)
+		answer.Discard()
 		return failureOutcome(h, route, progress, answer.Status)
 	}
-	err = readEvents(answer.Body, func(e eventstream.Event) {
+	defer answer.Close()
+	begin := progress
+	err = readEvents(answer.Body, func(e eventstream.Event) error {
 		watchdog.Reset(eventTimeout)
+		if len(progress.Text)+len(e.Data) > fleet.MaxOutputBytes {
+			progress = begin // an output that cannot be stored is not resumed
+			return fleet.ErrOversizedOutput.New("output exceeds %d bytes", fleet.MaxOutputBytes)
+		}
 		progress = progress.WithEvent(e.ID, e.Data)
 		b.recordProgress(h, progress)
+		return nil
 	})
 	if err != nil {
 		return runOutcome{progress: progress, err: err}
@@ -323,21 +332,28 @@
 	return end
 }
 
-// readEvents calls each with every complete event of the body. It returns nil only if the
-// stream ended regularly.
-func readEvents(body io.Reader, each func(eventstream.Event)) error {
+// readEvents calls each with every event of the body that has an ID or data. It returns
+// nil only if the stream ended regularly, and otherwise ErrAnswerBroken or the error of
+// each.
+func readEvents(body io.Reader, each func(eventstream.Event) error) error {
 	buffer := make([]byte, readBufferBytes)
-	var pending []byte
+	var splitter eventstream.Splitter
 	for {
 		n, err := body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		whole := eventstream.CompleteLen(pending)
-		for _, e := range eventstream.Parse(pending[:whole]) {
-			each(e)
+		events, oversized := splitter.Add(buffer[:n])
+		if oversized != nil {
+			return oversized
+		}
+		for _, e := range eventstream.Parse(events) {
+			if e.Empty() {
+				continue
+			}
+			if failure := each(e); failure != nil {
+				return failure
+			}
 		}
-		pending = pending[whole:]
 		if errors.Is(err, io.EOF) {
-			if len(bytes.TrimSpace(pending)) > 0 {
+			if len(bytes.TrimSpace(splitter.Rest())) > 0 {
 				return fleet.ErrAnswerBroken.New("stream ended within an event")
 			}
 			return nil
--- a/batcher/metrics.go
+++ b/batcher/metrics.go
@@ -8,8 +8,9 @@
 
 // metrics holds the batcher's counters.
 type metrics struct {
-	runs   *prometheus.CounterVec
-	claims *prometheus.CounterVec
+	runs      *prometheus.CounterVec
+	oversized *prometheus.CounterVec
+	claims    *prometheus.CounterVec
 }
 
 func newMetrics(b *Batcher) *metrics {
@@ -17,11 +18,14 @@
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_batcher_item_runs_total", Help: "Runs of batch items by their outcome.",
 		}, []string{"outcome"}),
+		oversized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_batcher_oversized_answers_total", Help: "Answers of the target that were broken off because they exceeded a limit, by limit.",
+		}, []string{"limit"}),
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_batcher_claims_total", Help: "Claims of batch items by whether they were won.",
 		}, []string{"won"}),
 	}
-	b.params.Registry.MustRegister(m.runs, m.claims)
+	b.params.Registry.MustRegister(m.runs, m.oversized, m.claims)
 	gauge := func(name, help string, value func() float64) {
 		b.params.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -41,9 +41,12 @@
 	delay time.Duration
 	// events are sent as a stream. Then the stream breaks off if broken is set, sends
 	// nothing until the attempt is cancelled if silent is set, and ends otherwise.
-	events   []string
-	broken   bool
-	silent   bool
+	events []string
+	broken bool
+	silent bool
+	// endless is sent again and again after the events, until the attempt is cancelled.
+	endless  string
+	pause    time.Duration
 	unsigned bool
 }
 
@@ -69,7 +72,7 @@
 	status := max(next.status, http.StatusOK)
 	return &fleet.Answer{
 		Verdict: next.verdict, Status: status, Header: http.Header{}, Signed: !next.unsigned, Length: -1,
-		Body: &script{ctx: ctx, step: next}, Close: func() {},
+		Body: &script{ctx: ctx, step: next}, Close: func() {}, Discard: func() {},
 	}, nil
 }
 
@@ -91,6 +94,10 @@
 		s.step.events = s.step.events[1:]
 		return n, nil
 	}
+	if s.step.endless != "" {
+		time.Sleep(s.step.pause)
+		return copy(p, s.step.endless), nil
+	}
 	if s.step.silent {
 		<-s.ctx.Done()
 		return 0, errors.New("closed")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,7 @@
 	requests    *prometheus.CounterVec
 	seconds     *prometheus.HistogramVec
 	attempts    *prometheus.CounterVec
+	oversized   *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
 }
 
@@ -32,11 +33,14 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_attempts_total", Help: "Attempts at targets by their outcome.",
 		}, []string{"outcome"}),
+		oversized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_oversized_answers_total", Help: "Answers of targets that were broken off because they exceeded a limit, by limit.",
+		}, []string{"limit"}),
 		loadQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
 		}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.loadQueries)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries)
 	return m
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -22,8 +22,6 @@
 const (
 	// maxRefusals bounds the number of targets that may refuse one request.
 	maxRefusals = 4
-	// maxBufferedBytes bounds an answer that is buffered until it is complete.
-	maxBufferedBytes = 4 << 20
 	// firstEventShare is the share of a stream's latency objective after which the stream
 	// leaves a target that has sent no event. Gateways that send at the same moment fill
 	// some targets while others have free slots, and the rest of the objective suffices
@@ -196,6 +194,9 @@
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
+	if limit := fleet.ExceededLimit(record.err); limit != "" {
+		o.g.metrics.oversized.WithLabelValues(limit).Inc()
+	}
 	return record.err
 }
 
@@ -237,24 +238,23 @@
 	if err != nil {
 		return o.handleNoAnswer(ctx, target, err)
 	}
-	defer answer.Close()
 	if answer.Load != nil {
 		o.g.table.RecordLoad(target, *answer.Load)
 	}
-	switch answer.Verdict {
-	case fleet.VerdictNotRun, fleet.VerdictWrongTarget:
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedBytes)) // so that the connection can be reused
+	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
+		answer.Discard()
 		o.refusals++
 		if answer.Verdict == fleet.VerdictWrongTarget {
 			o.g.targets.RemoveIncarnation(target)
 			return errOtherIncarnation.New("another incarnation answered at the target's address")
 		}
 		return errNotRun.New("target refused the request without running it")
-	case fleet.VerdictForeign:
-		o.possibleRuns++
-		return errForeignAnswer.New("answer belongs to another request")
 	}
+	defer answer.Close()
 	o.possibleRuns++
+	if answer.Verdict == fleet.VerdictForeign {
+		return errForeignAnswer.New("answer belongs to another request")
+	}
 	if !answer.Signed {
 		return errUnsignedAnswer.New("unsigned answer with status %d", answer.Status)
 	}
@@ -283,13 +283,10 @@
 
 // relayBuffered reads the whole answer before it relays it to the caller.
 func (o *onlineRequest) relayBuffered(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	body, err := readBuffered(answer)
 	if err != nil {
 		return o.handleBrokenAnswer(ctx, target, err)
 	}
-	if len(body) > maxBufferedBytes {
-		return o.giveUp(ctx, "the answer is too large to be buffered")
-	}
 	if answer.Status >= http.StatusInternalServerError && o.mayRetry() {
 		return errTargetFailed.New("target answered with status %d", answer.Status)
 	}
@@ -314,6 +311,15 @@
 	return o.sink.Write(body)
 }
 
+// readBuffered returns the whole body of the answer. It fails with ErrOversizedBody.
+func readBuffered(answer *fleet.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, fleet.MaxBufferedBytes+1))
+	if err == nil && len(body) > fleet.MaxBufferedBytes {
+		return nil, fleet.ErrOversizedBody.New("answer exceeds %d bytes", fleet.MaxBufferedBytes)
+	}
+	return body, err
+}
+
 // impliesNotRun reports whether the status would tell the caller that the request was not
 // run. A target's answer must not do so, since the target may have run it.
 func impliesNotRun(status int) bool {
@@ -347,20 +353,24 @@
 // relayStream relays events to the caller as they arrive, and only complete ones.
 func (o *onlineRequest) relayStream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stallTimer) error {
 	buffer := make([]byte, streamBufferBytes)
-	var pending []byte
+	var splitter eventstream.Splitter
 	for {
 		n, err := answer.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if end := eventstream.CompleteLen(pending); end > 0 {
-			stall.eventReceived()
-			if failure := o.relayEvents(answer, pending[:end]); failure != nil {
+		events, oversized := splitter.Add(buffer[:n])
+		if oversized != nil {
+			return o.handleBrokenAnswer(ctx, target, oversized)
+		}
+		if len(events) > 0 {
+			if eventstream.HasContent(events) {
+				stall.eventReceived()
+			}
+			if failure := o.relayEvents(answer, events); failure != nil {
 				return failure
 			}
-			pending = append(pending[:0], pending[end:]...)
 		}
 		if errors.Is(err, io.EOF) {
 			o.g.table.RecordSuccess(target)
-			return o.relayEvents(answer, pending)
+			return o.relayEvents(answer, splitter.Rest())
 		}
 		if err != nil {
 			return o.handleBrokenAnswer(ctx, target, err)
--- a/protocol/eventstream/eventstream.go
+++ b/protocol/eventstream/eventstream.go
@@ -17,6 +17,9 @@
 	Data string
 }
 
+// Empty reports whether the event has neither ID nor data, like a comment.
+func (e Event) Empty() bool { return e.ID == "" && e.Data == "" }
+
 // CompleteLen returns the length of the complete events at the start of the stream.
 func CompleteLen(stream []byte) int {
 	last := bytes.LastIndex(stream, terminator)
@@ -39,6 +42,16 @@
 	}
 }
 
+// HasContent reports whether any of the complete events has an ID or data.
+func HasContent(events []byte) bool {
+	for _, field := range [][]byte{[]byte("id:"), []byte("data:")} {
+		if bytes.HasPrefix(events, field) || bytes.Contains(events, append([]byte("\n"), field...)) {
+			return true
+		}
+	}
+	return false
+}
+
 // LastID returns the last event ID in the events, empty if none has an ID.
 func LastID(events []byte) string {
 	text := string(events)
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -51,8 +51,7 @@
 	VerdictForeign
 )
 
-// Answer is a target's answer to an attempt. Close must be called once. It returns
-// the connection to the pool if the body was read to its end, and closes it otherwise.
+// Answer is a target's answer to an attempt. Either Close or Discard must be called once.
 type Answer struct {
 	Verdict Verdict
 	Status  int
@@ -66,7 +65,12 @@
 	Body io.Reader
 	// Length is the length of the body, -1 if unknown.
 	Length int64
-	Close  func()
+	// Close returns the connection to the pool if the body was read to its end, and closes
+	// it otherwise.
+	Close func()
+	// Discard reads the rest of a body that is not needed, within MaxDiscardedBytes and
+	// DiscardTimeout, and calls Close.
+	Discard func()
 }
 
 // Sender sends attempts to targets. Send fails with ErrNotDelivered if the target
--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -50,6 +50,7 @@
 type Conn struct {
 	net.Conn
 	Reader        *bufio.Reader
+	limits        *limitedConn
 	pool          *ConnPool
 	addr          string
 	reusableUntil time.Time
@@ -85,7 +86,8 @@
 	if err != nil {
 		return nil, ErrDial.Wrap(err, "dial")
 	}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, connBufferBytes), pool: p, addr: addr}, nil
+	limits := &limitedConn{Conn: raw}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limits, connBufferBytes), limits: limits, pool: p, addr: addr}, nil
 }
 
 func (p *ConnPool) takeIdle(addr string) *Conn {
--- a/transport/problem.go
+++ b/transport/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -26,11 +27,14 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
+// maxProblemBytes is the size limit of a problem document.
+const maxProblemBytes = 64 << 10
+
 // ReadProblem returns the error that the response's problem document describes. It
 // returns ErrTargetFailed if there is none.
 func ReadProblem(resp *http.Response) error {
 	var p protocol.Problem
-	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Type == "" {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxProblemBytes)).Decode(&p); err != nil || p.Type == "" {
 		return protocol.ErrTargetFailed.New("response with status %d has no valid problem document", resp.StatusCode)
 	}
 	return p.Err()
