Accept jobs without a condition while the quota has ample room

Cause: an accept was appended on the condition that the work log ends where its gateway has read it. With 277 processes the end moves every two to three milliseconds, faster than a call to the store, so that accepts failed until their time was up.

Excluded: the quota, of which a few in a hundred were in use.

Change: coordination/jobquota decides. While this job and a hundred of its size fit, the append is unconditional; the first accept of a job in the log counts. Nearer to the quota it stays conditional. Each append has a key of its own.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -141,6 +141,7 @@
 	"safe":      {Name: "safe", Host: "h", Prefix: "/safe/", Kind: fleet.KindSafe, MaxAttempts: 3, Timeout: 3 * time.Second, Services: []fleet.ServiceWeight{{Service: "llm", Weight: 1}}},
 	"unsafe":    {Name: "unsafe", Host: "h", Prefix: "/u/", Kind: fleet.KindUnsafe, MaxAttempts: 3, Timeout: 3 * time.Second, Services: []fleet.ServiceWeight{{Service: "llm", Weight: 1}}},
 	"jobs":      {Name: "jobs", Host: "h", Prefix: "/j/", Kind: fleet.KindBatch, MaxAttempts: 3, TokenQuota: 100, Services: []fleet.ServiceWeight{{Service: "llm", Weight: 1}}},
+	"bulk":      {Name: "bulk", Host: "h", Prefix: "/b/", Kind: fleet.KindBatch, MaxAttempts: 3, TokenQuota: 1e6, Services: []fleet.ServiceWeight{{Service: "llm", Weight: 1}}},
 }
 
 // keepResults is the promised time for which the results of a job stay readable.
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/jobquota"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -54,10 +55,10 @@
 	g.changed = make(chan struct{})
 }
 
-// Submit implements fleet.CallerAPI. The append is conditional: it succeeds only if the
-// log ends at the offset up to which this gateway has folded it. A successful append
-// therefore means that the job fits the quota and that no other gateway accepted the
-// job first.
+// Submit implements fleet.CallerAPI. A job that several gateways accept counts once, by
+// its first record in the log. Near the quota the append is conditional: it succeeds only
+// if the log ends at the offset up to which this gateway has folded it, and therefore
+// means that the job fits.
 func (g *Gateway) Submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
 	leave, err := g.trackRequest()
 	if err != nil {
@@ -83,8 +84,6 @@
 	if err := g.checkStoreReachable(ctx); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
 	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{
 		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(),
 	}})
@@ -94,21 +93,16 @@
 	if limit := g.node.Load().MaxRecordBytes; limit > 0 && len(record.Value)+len(record.Key) >= limit {
 		return fleet.ErrTooLarge.New("job of %d bytes", len(record.Value))
 	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
 	mayBeAppended := false
 	err = fleet.ErrStoreUnavailable.New("context ended before the first append")
 	for ctx.Err() == nil {
-		err = g.workTail.WhileCaughtUp(ctx, func() error {
-			if g.hasJob(job.ID) {
-				return nil
-			}
-			if err := g.checkQuota(route, job); err != nil {
-				return err
-			}
-			_, err := g.params.Store.Append(ctx, fleet.TopicWork, g.workTail.Next(), []fleet.Record{record})
-			mayBeAppended = mayBeAppended || errorx.IsOfType(err, fleet.ErrStoreOutcomeUnknown)
-			return err
-		})
-		if !errorx.IsOfType(err, fleet.ErrTopicEndMoved) && !errorx.IsOfType(err, fleet.ErrStoreOutcomeUnknown) {
+		err = g.accept(ctx, route, job, record)
+		if errorx.IsOfType(err, fleet.ErrStoreOutcomeUnknown) {
+			mayBeAppended = true
+			_ = g.workTail.CatchUp(ctx) // shows whether it was; the next attempt fails if the store is down
+		} else if !errorx.IsOfType(err, fleet.ErrTopicEndMoved) {
 			break
 		}
 		pause.For(ctx, submitRetryDelay)
@@ -125,24 +119,44 @@
 	}
 }
 
+// accept tries once to append the job's accept record, unless the job is known. It returns
+// nil if the job is accepted. Each append has a key of its own: a copy of an accept whose
+// answer was lost has no effect, but must not replace the first one.
+func (g *Gateway) accept(ctx context.Context, route *fleet.Route, job *fleet.Job, record fleet.Record) error {
+	if g.hasJob(job.ID) {
+		return nil
+	}
+	record.Key = g.writer.NextKey()
+	appendAt := func(offset int64) error {
+		_, err := g.params.Store.Append(ctx, fleet.TopicWork, offset, []fleet.Record{record})
+		return err
+	}
+	if g.judgeQuota(route, job) == jobquota.Append {
+		return appendAt(fleet.AnyOffset)
+	}
+	return g.workTail.WhileCaughtUp(ctx, func() error {
+		switch {
+		case g.hasJob(job.ID):
+			return nil
+		case g.judgeQuota(route, job) == jobquota.Refuse:
+			return fleet.WithRetryAfter(fleet.ErrQuotaExceeded.New("%d more tokens exceed the quota of %d", tokensOf(job), route.TokenQuota), jobRetryAfter)
+		}
+		return appendAt(g.workTail.Next())
+	})
+}
+
 func (g *Gateway) hasJob(job string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
 	return g.fold.Job(job) != nil
 }
 
-// checkQuota returns ErrQuotaExceeded if the job's tokens would exceed the route's quota.
-func (g *Gateway) checkQuota(route *fleet.Route, job *fleet.Job) error {
-	if route.TokenQuota == 0 {
-		return nil
-	}
+// judgeQuota returns how the job may be accepted according to the route's quota and the
+// tokens that wait as far as this gateway knows.
+func (g *Gateway) judgeQuota(route *fleet.Route, job *fleet.Job) jobquota.Verdict {
 	g.jobsMu.RLock()
-	waiting := g.fold.WaitingTokens(route.Name)
-	g.jobsMu.RUnlock()
-	if tokens := tokensOf(job); waiting+tokens > route.TokenQuota {
-		return fleet.WithRetryAfter(fleet.ErrQuotaExceeded.New("%d tokens waiting, %d more exceed the quota of %d", waiting, tokens, route.TokenQuota), jobRetryAfter)
-	}
-	return nil
+	defer g.jobsMu.RUnlock()
+	return jobquota.Decide(g.fold.WaitingTokens(route.Name), tokensOf(job), route.TokenQuota)
 }
 
 func tokensOf(job *fleet.Job) int64 {
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -109,6 +109,49 @@
 	})
 }
 
+// TestJobsAreAcceptedWhileTheLogGrows submits jobs while hundreds of processes append to
+// the work log, so that its end moves during every append. An accept that requires the
+// log to end where its gateway has read it fails again and again then. Far from the quota
+// each job must be accepted by the first append, a copy of it included, and count once.
+func TestJobsAreAcceptedWhileTheLogGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		a, b := startGateway(t, store), startGateway(t, store)
+		defer a.stop()
+		defer b.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		others := worklog.NewWriter("others")
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(2 * time.Millisecond)
+				record, err := others.Encode(worklog.Entry{Heartbeat: true})
+				assert.Check(t, err)
+				_, _ = store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record}) // fails once ctx has ended
+			}
+		}()
+		defer cancel()
+		store.SetFaults(fleetstore.Faults{Delay: 6 * time.Millisecond})
+		begun := time.Now()
+		var group sync.WaitGroup
+		for i := range 20 {
+			for _, s := range []*fixture{a, b} {
+				group.Go(func() {
+					assert.Check(t, s.Submit(t.Context(), routes["bulk"], "/b/1", job(fmt.Sprint("job", i), 3)))
+				})
+			}
+		}
+		group.Wait()
+		assert.Assert(t, time.Since(begun) < 20*time.Millisecond, "%v", time.Since(begun))
+		time.Sleep(time.Second)
+		records, _, err := store.Newest(t.Context(), fleet.TopicWork)
+		assert.NilError(t, err)
+		fold := worklog.NewFold()
+		fold.Apply(time.Now(), records)
+		assert.Equal(t, len(fold.OpenJobs()), 20)
+		assert.Equal(t, fold.WaitingTokens("bulk"), int64(20*30))
+	})
+}
+
 // TestQuotaIsFreed checks that a job is accepted once results, or the end of a job, have
 // freed enough of the quota.
 func TestQuotaIsFreed(t *testing.T) {
