Let batchers claim a free item one after the other

Cause: every batcher picked at random among the first items of the log, four for each free slot, whatever the size of the fleet. All see a new item at their next read, so that with many batchers nearly all claims of an item are lost, and their appends keep the log from taking accepts and results.

Excluded: the read after a claim; a claim that is read back sooner is lost as well.

Items that all may claim are picked at random among more of the oldest ones the more claimants there are.

--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -1,8 +1,11 @@
 // Package claims chooses the batch items that a process claims.
 //
 // Many batchers look for work in the same log, each with a few free slots and
-// without coordination. Items of the oldest jobs go first, and each batcher picks
-// at random among the first few, so that few claims conflict. Items that can't be
+// without coordination. They see new items at the same time, and each other's claims
+// only at the next read of the log. So that few claims conflict, only one batcher may claim
+// an item at first, then two, four and so on, until all may. Under load, when
+// many items wait for the few batchers with free slots, each picks at random among the
+// oldest items, from more of them the more batchers there are. Items that can't be
 // finished by their due time are left to batchers with idle slots.
 //
 // An item is free again once its holder has been unresponsive for HolderTimeout
@@ -12,6 +15,7 @@
 package claims
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,7 +26,7 @@
 const HolderTimeout = 4 * time.Second
 
 // candidatesPerItem is the number of items from which a claim picks each item
-// that it wants.
+// that it wants, beside one for each claimant.
 const candidatesPerItem = 4
 
 // Params are the inputs of a choice.
@@ -48,13 +52,19 @@
 	if want <= 0 {
 		return nil
 	}
+	order := newRanking(p.Self, fold.Claimants(p.Now.Add(-claimantWindow)))
+	candidates := want*candidatesPerItem + len(order.others)
 	var free, late []worklog.ClaimedItem
 	for _, job := range fold.OpenJobs() {
 		if !p.CanRun(job) {
 			continue
 		}
 		for _, item := range job.Items {
-			if item.Done || !isFree(p, fold, item) {
+			if item.Done {
+				continue
+			}
+			freeFor, isFree := freeTime(p, fold, item)
+			if !isFree || !order.mayClaim(item.Ref, freeFor) {
 				continue
 			}
 			claimed := worklog.ClaimedItem{ItemRef: item.Ref, Replaces: item.Claim}
@@ -64,37 +74,39 @@
 				late = append(late, claimed)
 			}
 		}
-		if len(free) >= want*candidatesPerItem {
+		if len(free) >= candidates {
 			break
 		}
 	}
-	chosen := sample(p, free, want)
-	return append(chosen, sample(p, late, idle-len(chosen))...)
+	chosen := sample(p, free, want, candidates)
+	return append(chosen, sample(p, late, idle-len(chosen), candidates)...)
 }
 
-// sample picks up to n items at random from the first n*candidatesPerItem.
-func sample(p Params, list []worklog.ClaimedItem, n int) []worklog.ClaimedItem {
+// sample picks up to n items at random from the first candidates.
+func sample(p Params, list []worklog.ClaimedItem, n, candidates int) []worklog.ClaimedItem {
 	if n <= 0 {
 		return nil
 	}
-	list = list[:min(len(list), n*candidatesPerItem)]
+	list = list[:min(len(list), candidates)]
 	p.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return slices.Clip(list[:min(n, len(list))])
 }
 
-func isFree(p Params, fold *worklog.Fold, item *worklog.Item) bool {
+// freeTime returns for how long the item has been free, or false if it is not.
+func freeTime(p Params, fold *worklog.Fold, item *worklog.Item) (time.Duration, bool) {
 	if item.Claim == worklog.NoClaim {
-		return true
+		return p.Now.Sub(item.FreeSince), true
 	}
 	if item.Holder == p.Self {
-		return false
+		return 0, false
 	}
 	if worklog.SameInstance(item.Holder, p.Self) {
-		return true // the instance's earlier process has ended
+		return math.MaxInt64, true // the instance's earlier process has ended
 	}
 	heard := fold.LastHeard(item.Holder)
 	if heard.Before(p.ReadableSince) {
 		heard = p.ReadableSince
 	}
-	return p.Now.Sub(heard) > HolderTimeout
+	expiredFor := p.Now.Sub(heard) - HolderTimeout
+	return expiredFor, expiredFor > 0
 }
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -21,14 +21,16 @@
 	waitingTokens map[string]int64
 	// lastHeard is when this process last applied a record of each writer.
 	lastHeard map[string]time.Time
-	suspects  suspects
+	// lastClaimed is when this process last applied a claim of each writer.
+	lastClaimed map[string]time.Time
+	suspects    suspects
 	// malformed counts records that could not be decoded.
 	malformed int
 }
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, waitingTokens: map[string]int64{}, lastHeard: map[string]time.Time{}, suspects: suspects{byFingerprint: map[string]*suspect{}}}
+	return &Fold{jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, waitingTokens: map[string]int64{}, lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: suspects{byFingerprint: map[string]*suspect{}}}
 }
 
 // Apply folds records that follow those applied before. now is the process's monotonic
@@ -158,9 +160,10 @@
 	case e.End != nil:
 		f.end(now, e.End)
 	case e.Claim != nil:
+		f.lastClaimed[e.Writer] = now
 		f.claim(offset, e.Writer, e.Claim)
 	case e.Release != nil:
-		f.release(e.Writer, e.Release)
+		f.release(now, e.Writer, e.Release)
 	case e.Save != nil:
 		f.save(e.Writer, e.Save)
 	case e.Done != nil:
@@ -179,7 +182,7 @@
 	job := &Job{Accept: a, Acceptor: writer, Offset: offset, AcceptedAt: now}
 	for _, item := range a.Job.Items {
 		ref := ItemRef{Job: a.Job.ID, Item: item.ID}
-		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim})
+		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim, FreeSince: now})
 		f.waitingTokens[a.Route] += item.Tokens
 	}
 	f.jobs[a.Job.ID] = job
@@ -210,13 +213,14 @@
 	}
 }
 
-func (f *Fold) release(writer string, r *Release) {
+func (f *Fold) release(now time.Time, writer string, r *Release) {
 	item := f.Item(r.ItemRef)
 	if item == nil || item.Done || item.Holder != writer {
 		return
 	}
 	item.Claim = NoClaim
 	item.Holder = ""
+	item.FreeSince = now
 	item.Progress = r.Progress
 	item.Saved = nil
 }
@@ -279,5 +283,19 @@
 // zero time if there was none.
 func (f *Fold) LastHeard(writer string) time.Time { return f.lastHeard[writer] }
 
+// Claimants returns the names of the writers that have claimed items since the given
+// time, as far as this process knows. It forgets the others.
+func (f *Fold) Claimants(since time.Time) []string {
+	names := make([]string, 0, len(f.lastClaimed))
+	for name, claimed := range f.lastClaimed {
+		if claimed.Before(since) {
+			delete(f.lastClaimed, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // Malformed returns the number of records that could not be decoded.
 func (f *Fold) Malformed() int { return f.malformed }
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -220,6 +220,8 @@
 	// writer.
 	Claim  int64
 	Holder string
+	// FreeSince is when this process read that the item had no holder.
+	FreeSince time.Time
 	// Progress is what was released with the item. Saved is what a holder has saved
 	// since, or nil; it is always ahead of Progress.
 	Progress Progress
