Send heartbeats only where a batcher has written nothing else

Cause: each batcher that held items appended a heartbeat every second, beside claims, saves and results of its own that show as well that it is alive. At 144 batchers that is up to 144 of the 500 appends a second that the log takes.

Change: a heartbeat is due a second after the last stored record of any kind.

Measured: 20 items in 10 s at one batcher: no heartbeats (one each second before).

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -30,8 +30,8 @@
 	// workReadInterval and configReadInterval are the times between two reads of a topic.
 	workReadInterval   = 300 * time.Millisecond
 	configReadInterval = 700 * time.Millisecond
-	// heartbeatInterval is the time between two heartbeats in the work log while items
-	// are held.
+	// heartbeatInterval is the time without a record in the work log after which a batcher
+	// that holds items appends a heartbeat.
 	heartbeatInterval = time.Second
 	// targetLostTimeout is how long the target may be unresponsive before its items are
 	// released.
@@ -98,9 +98,10 @@
 	// draining is set while the target reports that it is draining.
 	draining bool
 	pace     urgency.DurationEstimator
-	// lastHeartbeat is when the batcher last enqueued a heartbeat. lastSave is when it
-	// last saved progress.
+	// lastHeartbeat is when the batcher last enqueued a heartbeat, lastClaim when it began
+	// the last claim that was stored, and lastSave when it last saved progress.
 	lastHeartbeat time.Time
+	lastClaim     time.Time
 	lastSave      time.Time
 	stopping      bool
 
@@ -290,12 +291,18 @@
 	b.releaseLate(ranked, room.MaxRunning)
 }
 
-// sendHeartbeat enqueues a heartbeat for the work log if items are held, a heartbeat is due
-// and no other records wait in the outbox. mu must be held.
+// sendHeartbeat enqueues a heartbeat for the work log if items are held and no record of
+// this batcher was stored recently or waits in the outbox: any record shows that it is
+// alive. mu must be held.
 func (b *Batcher) sendHeartbeat(now time.Time) {
-	if len(b.held) == 0 || now.Sub(b.lastHeartbeat) < heartbeatInterval || b.outbox.Len() > 0 {
+	if len(b.held) == 0 || b.outbox.Len() > 0 {
 		return
 	}
+	for _, written := range []time.Time{b.lastHeartbeat, b.lastClaim, b.outbox.LastStored()} {
+		if now.Sub(written) < heartbeatInterval {
+			return
+		}
+	}
 	b.lastHeartbeat = now
 	b.enqueue(worklog.Entry{Heartbeat: true})
 }
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -420,3 +420,39 @@
 		assert.NilError(t, b.Stop())
 	})
 }
+
+// TestHeartbeatsOnlyWhenSilent checks that a batcher whose claims and results are stored
+// adds no heartbeats to them, and that one that runs a long item does: with hundreds of
+// batchers a heartbeat each per second is a third of what the log can take.
+func TestHeartbeatsOnlyWhenSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		b := s.start("b", e)
+		defer func() { assert.NilError(t, b.Stop()) }()
+		for i := range 20 {
+			s.accept(fmt.Sprint("j", i), 1)
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.Equal(t, s.heartbeats(), 0)
+		time.Sleep(5 * time.Second)
+		e.set(func(e *target) { e.online = slots })
+		s.accept("long", 1)
+		e.set(func(e *target) { e.online = slots - 1 })
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, s.heartbeats(), 1)
+	})
+}
+
+// heartbeats returns the number of heartbeats in the work log.
+func (s *fixture) heartbeats() int {
+	s.t.Helper()
+	page, err := s.store.Read(s.t.Context(), fleet.TopicWork, 0)
+	assert.NilError(s.t, err)
+	count := 0
+	for _, r := range page.Records {
+		if strings.HasPrefix(r.Key, "alive/") {
+			count++
+		}
+	}
+	return count
+}
--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -66,8 +66,10 @@
 }
 
 func (b *Batcher) appendClaim(ctx context.Context, records []fleet.Record, chosen []worklog.ClaimedItem) {
+	begun := time.Now()
 	_, err := b.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
-	if err == nil {
+	stored := err == nil
+	if stored {
 		err = b.workTail.CatchUp(ctx)
 	}
 	if err != nil {
@@ -78,6 +80,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.claiming = false
+	if stored {
+		b.lastClaim = begun
+	}
 	for _, c := range chosen {
 		won := b.acquire(c.ItemRef, saved[c.ItemRef])
 		b.metrics.claims.WithLabelValues(strconv.FormatBool(won)).Inc()
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -55,7 +55,9 @@
 
 	mu      sync.Mutex
 	pending []PendingRecord
-	added   chan struct{}
+	// lastStored is the start of the last successful append.
+	lastStored time.Time
+	added      chan struct{}
 }
 
 // New returns an empty outbox.
@@ -79,6 +81,14 @@
 	return len(o.pending)
 }
 
+// LastStored returns when the last successful append began, the zero time if there was
+// none.
+func (o *Outbox) LastStored() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastStored
+}
+
 // Run appends queued records until ctx ends.
 func (o *Outbox) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -99,6 +109,7 @@
 // retryDelay.
 func (o *Outbox) appendBatch(ctx context.Context) {
 	pending, batch := o.nextBatch()
+	begun := time.Now()
 	offset, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
 	if err != nil {
 		klog.V(1).InfoS("failed to append records, will retry", "records", len(batch), "error", protocol.CauseOf(err))
@@ -114,6 +125,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pending = o.pending[len(batch):]
+	o.lastStored = begun
 }
 
 // nextBatch returns the oldest pending records that fit into one append, and copies
