Do not deny a route while a newer configuration may be unread

Cause: a gateway that the store rejected answered 404 for routes that the configuration had gained meanwhile.

Change: where no route matches, and the configuration was last read more than 1.5 s ago, the caller is refused and told to come back. Known routes are served as before.

Measured: TestUnknownRouteDuringOutage fails before (404) and passes now.

--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -12,6 +12,9 @@
 	// answers that there are no more results, and waits for the store as long as the
 	// call allows. It covers a few reads.
 	maxWorkLogAge = 1500 * time.Millisecond
+	// maxConfigurationAge is the age of the last read of the configuration up to which a
+	// gateway tells callers that a route does not exist. It covers a few reads.
+	maxConfigurationAge = 1500 * time.Millisecond
 	// maxStoreSilence is how long the store may be unresponsive before callers should
 	// use other gateways. It covers one lost read and its retry.
 	maxStoreSilence = 2 * time.Second
@@ -30,6 +33,13 @@
 	return known && age > limit
 }
 
+// isConfigurationStale reports whether there may be a newer configuration that takes effect
+// now and that this gateway cannot read.
+func (g *Gateway) isConfigurationStale() bool {
+	age, known := g.configTail.Age()
+	return !known || age > maxConfigurationAge
+}
+
 // checkStoreReachable returns ErrRefused if the work log is stale and the store does not
 // answer within unresponsiveStoreTimeout, so that the caller does not wait here: another
 // gateway may reach the store.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,6 +201,9 @@
 		return nil, newRefusal("no configuration has been read yet")
 	}
 	route := c.Match(host, path)
+	if route == nil && g.isConfigurationStale() {
+		return nil, newRefusal("no matching route in configuration version %d, which may be outdated", c.Version)
+	}
 	if route == nil {
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
 		return nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
