Back off when appends fail

Cause: an outbox tried again every 250 ms and a claim every 200 ms for as long as the store rejected them, so that 144 batchers together made over 1,000 appends a second to a log that takes 500.

Change: pause.Backoff doubles the delay, with jitter, up to 0.6 s for the outbox, so that results are stored soon after an outage, and 2 s for claims. The loader of models uses it in place of its own loop.

Measured: tests of batcher, outbox and sidecar pass (five times each where they wait for the store's return).

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -91,10 +91,11 @@
 	targetID string
 	// lastReport is when the target last answered a poll.
 	lastReport time.Time
-	// claiming is set while a claim is in progress.
-	claiming bool
-	meter    batchlimit.Limiter
-	inflow   batchlimit.OnlineCounter
+	// claiming is set while a claim is in progress, which alone uses claimBackoff.
+	claiming     bool
+	claimBackoff pause.Backoff
+	meter        batchlimit.Limiter
+	inflow       batchlimit.OnlineCounter
 	// draining is set while the target reports that it is draining.
 	draining bool
 	pace     urgency.DurationEstimator
@@ -124,8 +125,10 @@
 		fold:    worklog.NewFold(),
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*heldItem{},
-		meter:   batchlimit.Limiter{SettleTime: settleTime},
-		inflow:  batchlimit.OnlineCounter{Window: announceWindow},
+
+		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
+		meter:        batchlimit.Limiter{SettleTime: settleTime},
+		inflow:       batchlimit.OnlineCounter{Window: announceWindow},
 	}
 	newOutbox := func(topic fleet.Topic) *outbox.Outbox {
 		return outbox.New(outbox.Params{Store: p.Store, Topic: topic, MaxBytes: p.Node.MaxCallBytes / 2, NextKey: b.writer.NextKey})
@@ -135,7 +138,7 @@
 	b.tomb, b.ctx = tomb.WithContext(context.Background())
 	b.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: configReadInterval,
-		Reset: b.configs.Apply, Apply: b.configs.Apply,
+		Reset: b.configs.Apply, Apply: b.configs.Apply, StoreAnswers: func() bool { return b.workTail.Answers() },
 	})
 	b.workTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: workReadInterval,
--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -74,7 +74,9 @@
 	}
 	if err != nil {
 		klog.InfoS("items not claimed", "items", len(chosen), "error", protocol.CauseOf(err))
-		pause.For(ctx, claimRetryDelay)
+		pause.For(ctx, b.claimBackoff.Next())
+	} else {
+		b.claimBackoff.Reset()
 	}
 	saved := b.readSaved(ctx, chosen)
 	b.mu.Lock()
@@ -92,8 +94,12 @@
 	}
 }
 
-// claimRetryDelay is the delay after a claim whose append failed or that was not read back.
-const claimRetryDelay = 200 * time.Millisecond
+// minClaimRetryDelay and maxClaimRetryDelay bound the delay after a claim whose append
+// failed or that was not read back.
+const (
+	minClaimRetryDelay = 200 * time.Millisecond
+	maxClaimRetryDelay = 2 * time.Second
+)
 
 // acquire adds the item to those held if the work log says that this batcher holds it. It
 // resumes from saved, the progress that an earlier holder has saved, if that is further
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -23,8 +23,9 @@
 const (
 	// batchDelay is how long a record waits for others to share an append.
 	batchDelay = 30 * time.Millisecond
-	// retryDelay is the time between two attempts.
-	retryDelay = 250 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the time between two attempts.
+	minRetryDelay = 250 * time.Millisecond
+	maxRetryDelay = 600 * time.Millisecond
 )
 
 // PendingRecord is a record to append.
@@ -52,6 +53,8 @@
 // Outbox holds records until they are stored. It is safe for concurrent use.
 type Outbox struct {
 	params Params
+	// backoff is used by Run only.
+	backoff pause.Backoff
 
 	mu      sync.Mutex
 	pending []PendingRecord
@@ -61,7 +64,9 @@
 }
 
 // New returns an empty outbox.
-func New(p Params) *Outbox { return &Outbox{params: p, added: make(chan struct{}, 1)} }
+func New(p Params) *Outbox {
+	return &Outbox{params: p, backoff: pause.Backoff{Min: minRetryDelay, Max: maxRetryDelay}, added: make(chan struct{}, 1)}
+}
 
 // Add queues records to append.
 func (o *Outbox) Add(records ...PendingRecord) {
@@ -105,17 +110,17 @@
 	return nil
 }
 
-// appendBatch tries once to append the next batch. After a failure it waits for
-// retryDelay.
+// appendBatch tries once to append the next batch. After a failure it waits.
 func (o *Outbox) appendBatch(ctx context.Context) {
 	pending, batch := o.nextBatch()
 	begun := time.Now()
 	offset, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
 	if err != nil {
 		klog.V(1).InfoS("failed to append records, will retry", "records", len(batch), "error", protocol.CauseOf(err))
-		pause.For(ctx, retryDelay)
+		pause.For(ctx, o.backoff.Next())
 		return
 	}
+	o.backoff.Reset()
 	for i, p := range pending {
 		if p.OnStored != nil {
 			batch[i].Offset = offset + int64(i)
--- a/sidecar/modelloader.go
+++ b/sidecar/modelloader.go
@@ -26,8 +26,8 @@
 	revokeJitterPerInstance = 5 * time.Millisecond
 	// drainPollInterval is the time between two checks whether a target is idle.
 	drainPollInterval = 20 * time.Millisecond
-	// minFetchBackoff is the back-off after the first failed fetch from the weight store.
-	// It doubles up to maxFetchBackoff, with jitter.
+	// minFetchBackoff and maxFetchBackoff bound the back-off after a failed fetch from the
+	// weight store.
 	minFetchBackoff = 200 * time.Millisecond
 	maxFetchBackoff = 10 * time.Second
 	// fetchTimeout bounds one fetch of weights, and loadTimeout one load order to the
@@ -272,7 +272,8 @@
 	if t.weights == nil {
 		return nil
 	}
-	for delay := minFetchBackoff; ; delay = min(2*delay, maxFetchBackoff) {
+	backoff := pause.Backoff{Min: minFetchBackoff, Max: maxFetchBackoff}
+	for {
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		_, err := t.weights.Fetch(fetchCtx, t.desired.Model, t.desired.Version)
 		cancel()
@@ -280,7 +281,7 @@
 			return nil
 		}
 		t.metrics.fetchRetries.Inc()
-		pause.For(ctx, jitter(delay))
+		pause.For(ctx, backoff.Next())
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
