Keep hundreds of readers from overloading the store

Cause: a read asked for up to 1 MB and was given up after 0.9 or 0.5 s. All reads share 80 MB a second. When hundreds of processes read much at the same moment, nearly every read is given up and repeated, and the store sends in vain without end.

A trial in which callers of one gateway share its reads recovered no sooner and is not kept.

A topic known to have large records is read with a timeout of 4 s while another topic answers.

--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -28,6 +28,12 @@
 	readTimeout    = 900 * time.Millisecond
 	outageTimeout  = 500 * time.Millisecond
 	outageInterval = 250 * time.Millisecond
+	// largeReadTimeout is the timeout of reads of a topic that has records of more than
+	// largeRecordBytes, from a store that answers other reads. Hundreds of processes may
+	// read that record at the same moment, and each read that is given up and repeated
+	// takes the store's bandwidth twice.
+	largeReadTimeout = 4 * time.Second
+	largeRecordBytes = 64 << 10
 	// fullTimeoutEvery is the number of reads during an outage of which one has the
 	// full readTimeout, for a store that only answers slowly.
 	fullTimeoutEvery = 4
@@ -45,6 +51,9 @@
 	// records that follow. They are never called concurrently.
 	Reset func(records []fleet.Record)
 	Apply func(records []fleet.Record)
+	// StoreAnswers, if set, reports whether the store has answered reads of another topic
+	// lately.
+	StoreAnswers func() bool
 	// OnRecovered, if set, is called when the store answers again after an outage,
 	// before its records are applied.
 	OnRecovered func()
@@ -64,6 +73,8 @@
 	unavailable   bool
 	// failures is the number of failed reads since the last successful one.
 	failures int
+	// largestRecord is the size of the largest record read so far, in bytes.
+	largestRecord int
 }
 
 // New returns a Follower that has read nothing.
@@ -177,6 +188,7 @@
 			return 0, err
 		}
 		f.notifyRecovery()
+		f.measure(records)
 		f.params.Reset(records)
 		f.next = next
 		return next, nil
@@ -192,25 +204,47 @@
 	}
 	f.notifyRecovery()
 	if len(page.Records) > 0 {
+		f.measure(page.Records)
 		f.params.Apply(page.Records)
 		f.next = page.Next
 	}
 	return page.End, nil
 }
 
+// measure notes the size of the largest record.
+func (f *Follower) measure(records []fleet.Record) {
+	for _, r := range records {
+		f.largestRecord = max(f.largestRecord, len(r.Value))
+	}
+}
+
+// Answers reports whether the store has answered a read of this topic lately. It is for
+// the StoreAnswers of another Follower.
+func (f *Follower) Answers() bool {
+	age, known := f.Age()
+	return known && age < outageTimeout+readTimeout
+}
+
 // readPage reads the records after the last applied one. Only this call has a
 // timeout: reading the newest records may take long since they may be many, and a
 // process that reads them has no state yet.
 func (f *Follower) readPage(ctx context.Context) (fleet.Page, error) {
-	timeout := readTimeout
-	if f.failures%fullTimeoutEvery > 0 {
-		timeout = outageTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.readTimeout())
 	defer cancel()
 	return f.params.Store.Read(ctx, f.params.Topic, f.next)
 }
 
+// readTimeout returns the timeout of the next read.
+func (f *Follower) readTimeout() time.Duration {
+	switch {
+	case f.largestRecord > largeRecordBytes && f.params.StoreAnswers != nil && f.params.StoreAnswers():
+		return largeReadTimeout
+	case f.failures%fullTimeoutEvery > 0:
+		return outageTimeout
+	}
+	return readTimeout
+}
+
 // recordResult counts failures, and logs when the store stops answering and when it
 // answers again.
 func (f *Follower) recordResult(err error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
-		Reset: g.configs.Apply, Apply: g.configs.Apply,
+		Reset: g.configs.Apply, Apply: g.configs.Apply, StoreAnswers: func() bool { return g.targetTail.Answers() },
 	})
 	g.targetTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicTargets, Name: "targets", Interval: readInterval,
--- a/protocol/fleet/store.go
+++ b/protocol/fleet/store.go
@@ -41,8 +41,9 @@
 	// Newest returns the newest record of each key, in order of their offsets,
 	// and the offset to continue reading from.
 	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
-	// Read returns records from the offset on, possibly none. It fails with
-	// ErrRecordsExpired if they are no longer retained.
+	// Read returns a page of records from the offset on, possibly none. A page has limited
+	// size, unless its first record is larger. It fails with ErrRecordsExpired if the
+	// records are no longer retained.
 	Read(ctx context.Context, topic Topic, from int64) (Page, error)
 	// ReadOne returns the record at the offset, which has at most the given number of
 	// bytes. It fails with ErrRecordsExpired if the record is no longer retained.
