Read the newest records page by page, where the last read stopped

Cause: a process that starts reads the newest record of each key in pages. A page that the store rejected threw away all pages before it, and hundreds of processes that start together ask for thousands of pages at once.

Change: the follower keeps the pages that it has and goes on after the last key. The work log is read after configuration and targets, which online requests need; retries back off. A gateway that has not read the work log yet refuses calls about jobs at once, instead of after as long as the caller waits.

Measured: TestNewestPages fails with the pages thrown away (a third read from the start) and passes now.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -152,7 +152,7 @@
 func (b *Batcher) Start() {
 	ctx := b.ctx
 	b.tomb.Go(func() error { return b.configTail.Run(ctx) })
-	b.tomb.Go(func() error { return b.workTail.Run(ctx) })
+	b.tomb.Go(func() error { return b.workTail.RunAfter(ctx, b.configTail) })
 	b.tomb.Go(func() error { return b.outbox.Run(ctx) })
 	b.tomb.Go(func() error { return b.texts.Run(ctx) })
 	b.tomb.Go(b.pollTarget)
--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -34,6 +34,11 @@
 	// takes the store's bandwidth twice.
 	largeReadTimeout = 4 * time.Second
 	largeRecordBytes = 64 << 10
+	// maxStartInterval is the longest time between two reads of a follower that has not read
+	// its topic yet.
+	maxStartInterval = time.Second
+	// startPollInterval is the time between two looks of RunAfter at another follower.
+	startPollInterval = 20 * time.Millisecond
 	// fullTimeoutEvery is the number of reads during an outage of which one has the
 	// full readTimeout, for a store that only answers slowly.
 	fullTimeoutEvery = 4
@@ -66,6 +71,8 @@
 	// a mutex so that waiting for it ends with the caller's context.
 	readToken chan struct{}
 	next      int64
+	// newest is the reading of the newest records while it is not complete.
+	newest *newestRead
 	// lastReadStart is the start of the last read that reached the end of the topic,
 	// in nanoseconds after base, or 0 before the first.
 	lastReadStart atomic.Int64
@@ -99,9 +106,15 @@
 
 // Run reads the topic periodically until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	backoff := pause.Backoff{Min: outageInterval, Max: maxStartInterval}
 	for ctx.Err() == nil {
 		interval := f.params.Interval
-		if f.CatchUp(ctx) != nil { // the failure was logged
+		err := f.CatchUp(ctx) // a failure is logged
+		_, known := f.Age()
+		switch {
+		case err != nil && !known:
+			interval = backoff.Next()
+		case err != nil:
 			interval = min(interval, outageInterval)
 		}
 		pause.For(ctx, interval)
@@ -109,6 +122,20 @@
 	return nil
 }
 
+// RunAfter is Run once all the other followers have read their topics, which hold what a
+// process needs first. Callers of CatchUp do not wait for that.
+func (f *Follower) RunAfter(ctx context.Context, others ...*Follower) error {
+	for _, other := range others {
+		for ctx.Err() == nil {
+			if _, known := other.Age(); known {
+				break
+			}
+			pause.For(ctx, startPollInterval)
+		}
+	}
+	return f.Run(ctx)
+}
+
 // Age returns the age of the state: the time since the start of the last read that
 // reached the end of the topic. It returns false if there was none.
 func (f *Follower) Age() (time.Duration, bool) {
@@ -183,15 +210,7 @@
 // returns the end offset of the topic.
 func (f *Follower) readOnce(ctx context.Context) (int64, error) {
 	if f.next < 0 {
-		records, next, err := f.params.Store.Newest(ctx, f.params.Topic)
-		if err != nil {
-			return 0, err
-		}
-		f.notifyRecovery()
-		f.measure(records)
-		f.params.Reset(records)
-		f.next = next
-		return next, nil
+		return f.readNewest(ctx)
 	}
 	page, err := f.readPage(ctx)
 	if errorx.IsOfType(err, fleet.ErrRecordsExpired) {
@@ -211,6 +230,24 @@
 	return page.End, nil
 }
 
+// readNewest reads the newest records, or those that remain after a failed read, and
+// returns the end offset of the topic at their first page.
+func (f *Follower) readNewest(ctx context.Context) (int64, error) {
+	if f.newest == nil {
+		f.newest = &newestRead{next: -1}
+	}
+	if err := f.newest.read(ctx, f.params.Store, f.params.Topic); err != nil {
+		return 0, err
+	}
+	f.notifyRecovery()
+	records := f.newest.inOrder()
+	f.next = f.newest.next
+	f.newest = nil
+	f.measure(records)
+	f.params.Reset(records)
+	return f.next, nil
+}
+
 // measure notes the size of the largest record.
 func (f *Follower) measure(records []fleet.Record) {
 	for _, r := range records {
--- /dev/null
+++ b/coordination/topic/newest_test.go
@@ -0,0 +1,71 @@
+package topic_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+)
+
+// pagedStore returns the pages in turn as the newest records. A nil page is a failed read.
+type pagedStore struct {
+	fleet.Store
+	pages  []*fleet.NewestPage
+	afters []string
+}
+
+// NewestAfter implements fleet.Store.
+func (s *pagedStore) NewestAfter(_ context.Context, _ fleet.Topic, after string) (fleet.NewestPage, error) {
+	s.afters = append(s.afters, after)
+	page := s.pages[0]
+	s.pages = s.pages[1:]
+	if page == nil {
+		return fleet.NewestPage{}, fleet.ErrStoreUnavailable.New("overloaded")
+	}
+	return *page, nil
+}
+
+// TestNewestPages reads two pages while the store rejects a read between them and a key is
+// written. The read must go on after the first page, or a topic of many pages is never
+// read while the store is overloaded. The record that was written lies past the first
+// page's end and is left to the reads that follow, so that it is not applied twice.
+func TestNewestPages(t *testing.T) {
+	inner := fleetstore.New()
+	put(t, inner, "0", "1", "b", "3", "c", "5", "6", "7", "8", "a", "10", "d")
+	s := &pagedStore{Store: inner, pages: []*fleet.NewestPage{
+		{Records: []fleet.Record{{Key: "a", Offset: 9}, {Key: "b", Offset: 2}}, More: true, End: 10},
+		nil,
+		{Records: []fleet.Record{{Key: "c", Offset: 4}, {Key: "d", Offset: 11}}, End: 12},
+	}}
+	f := follow(s)
+	assert.Assert(t, f.CatchUp(t.Context()) != nil)
+	assert.NilError(t, f.CatchUp(t.Context()))
+	assert.DeepEqual(t, s.afters, []string{"", "b", "b"})
+	assert.DeepEqual(t, f.keys, []string{"b", "c", "a"})
+	assert.NilError(t, f.CatchUp(t.Context()))
+	assert.DeepEqual(t, f.keys, []string{"b", "c", "a", "10", "d"})
+}
+
+// TestRunAfter checks that a topic that others must precede is read after them.
+func TestRunAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := fleetstore.New()
+		put(t, s, "a")
+		first, second := follow(s), follow(s)
+		go func() { _ = second.RunAfter(ctx, first.Follower) }()
+		time.Sleep(time.Second)
+		assert.Equal(t, second.resets, 0)
+		assert.NilError(t, first.CatchUp(ctx))
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, slices.Equal(second.keys, []string{"a"}))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -40,29 +40,34 @@
 	return !known || age > maxConfigurationAge
 }
 
-// checkStoreReachable returns ErrRefused if the work log is stale and the store does not
-// answer within unresponsiveStoreTimeout, so that the caller does not wait here: another
-// gateway may reach the store.
+// checkStoreReachable returns ErrRefused if this gateway cannot judge calls about jobs: it
+// has not read the work log yet, which may take seconds when many processes start
+// together, or the log is stale and the store does not answer within
+// unresponsiveStoreTimeout. The caller does not wait here: another gateway may reach the
+// store.
 func (g *Gateway) checkStoreReachable(ctx context.Context) error {
-	if !g.isWorkLogStale(maxWorkLogAge) {
+	age, known := g.workTail.Age()
+	if !known {
+		return fleet.WithRetryAfter(fleet.ErrRefused.New("the work log has not been read yet"), jobRetryAfter)
+	}
+	if age <= maxWorkLogAge {
 		return nil
 	}
-	return g.catchUp(ctx)
+	ctx, cancel := context.WithTimeout(ctx, unresponsiveStoreTimeout)
+	defer cancel()
+	if err := g.workTail.CatchUp(ctx); err != nil {
+		return fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "the work log was last read %v ago", age), otherGatewayRetryAfter)
+	}
+	return nil
 }
 
-// catchUp reads the work log to its end. If the work log is stale it waits no longer than
-// unresponsiveStoreTimeout. A failure is returned as ErrRefused.
+// catchUp reads the work log to its end. A failure is returned as ErrRefused.
 func (g *Gateway) catchUp(ctx context.Context) error {
-	retryAfter := jobRetryAfter
-	if g.isWorkLogStale(maxWorkLogAge) {
-		retryAfter = otherGatewayRetryAfter
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, unresponsiveStoreTimeout)
-		defer cancel()
+	if err := g.checkStoreReachable(ctx); err != nil {
+		return err
 	}
 	if err := g.workTail.CatchUp(ctx); err != nil {
-		age, _ := g.workTail.Age()
-		return fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "the work log was last read %v ago", age), retryAfter)
+		return fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "the work log cannot be read"), jobRetryAfter)
 	}
 	return nil
 }
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -36,3 +36,21 @@
 		check(fleet.ErrNoRoute)
 	})
 }
+
+// TestJobsBeforeTheFirstRead submits a job and asks for another one at a gateway that has
+// not read the work log. It knows neither the tokens that wait nor the jobs that were
+// accepted, so it must refuse both at once and tell nobody that a job does not exist.
+func TestJobsBeforeTheFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		store.SetFaults(fleetstore.Faults{Down: true})
+		s := startGateway(t, store)
+		defer s.stop()
+		assert.Assert(t, errorx.IsOfType(s.submit(job("one", 1)), fleet.ErrRefused))
+		_, err := s.Results(t.Context(), "unknown", 0, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
+		s.store.SetFaults(fleetstore.Faults{})
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, s.submit(job("one", 1)))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,9 +123,9 @@
 
 // Start begins to follow the topics of the store and starts the background tasks.
 func (g *Gateway) Start() {
-	for _, f := range []*topic.Follower{g.configTail, g.targetTail, g.workTail} {
-		g.tomb.Go(func() error { return f.Run(g.ctx) })
-	}
+	g.tomb.Go(func() error { return g.configTail.Run(g.ctx) })
+	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
+	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.deleteExpired)
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
--- a/gateway/texts.go
+++ b/gateway/texts.go
@@ -88,10 +88,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), oldTextReadTimeout)
 	defer cancel()
-	records, err := t.store.NewestAfter(ctx, fleet.TopicTexts, keyBefore(ref.Key))
+	page, err := t.store.NewestAfter(ctx, fleet.TopicTexts, keyBefore(ref.Key))
 	if err != nil {
 		return "", err
 	}
+	records := page.Records
 	for i := len(records) - 1; i >= 0; i-- {
 		if text, ok := worklog.DecodeText(records[i].Value); ok {
 			t.cache.Put(records[i].Key, text)
--- a/instrument/store.go
+++ b/instrument/store.go
@@ -58,14 +58,6 @@
 	}
 }
 
-// Newest implements fleet.Store.
-func (s *Store) Newest(ctx context.Context, topic fleet.Topic) ([]fleet.Record, int64, error) {
-	start := time.Now()
-	records, next, err := s.store.Newest(ctx, topic)
-	s.observe(topic, "newest", start, len(records), err)
-	return records, next, err
-}
-
 // Read implements fleet.Store.
 func (s *Store) Read(ctx context.Context, topic fleet.Topic, from int64) (fleet.Page, error) {
 	start := time.Now()
@@ -83,11 +75,11 @@
 }
 
 // NewestAfter implements fleet.Store.
-func (s *Store) NewestAfter(ctx context.Context, topic fleet.Topic, key string) ([]fleet.Record, error) {
+func (s *Store) NewestAfter(ctx context.Context, topic fleet.Topic, key string) (fleet.NewestPage, error) {
 	start := time.Now()
-	records, err := s.store.NewestAfter(ctx, topic, key)
-	s.observe(topic, "newest_after", start, len(records), err)
-	return records, err
+	page, err := s.store.NewestAfter(ctx, topic, key)
+	s.observe(topic, "newest", start, len(page.Records), err)
+	return page, err
 }
 
 // Append implements fleet.Store.
--- a/instrument/store_test.go
+++ b/instrument/store_test.go
@@ -21,7 +21,7 @@
 	assert.Assert(t, err != nil)
 	_, err = s.Append(t.Context(), fleet.TopicWork, 0, []fleet.Record{{Key: "a", Value: []byte("v")}})
 	assert.NilError(t, err)
-	_, _, err = s.Newest(t.Context(), fleet.TopicWork)
+	_, err = s.NewestAfter(t.Context(), fleet.TopicWork, "")
 	assert.NilError(t, err)
 	_, err = s.Read(t.Context(), fleet.TopicWork, 0)
 	assert.NilError(t, err)
--- a/protocol/fleet/store.go
+++ b/protocol/fleet/store.go
@@ -33,14 +33,25 @@
 	End  int64
 }
 
+// NewestPage is a page of the newest records of a topic's keys.
+type NewestPage struct {
+	// Records are in the order of their keys.
+	Records []Record
+	// More reports whether records of later keys follow.
+	More bool
+	// End is the offset after the last record of the topic when the page was read.
+	End int64
+}
+
 // AnyOffset makes an append unconditional on the end of the topic.
 const AnyOffset = -1
 
 // Store is the platform's store.
 type Store interface {
-	// Newest returns the newest record of each key, in order of their offsets,
-	// and the offset to continue reading from.
-	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
+	// NewestAfter returns the newest records of the keys after the key, as many as fit in
+	// one answer of the store. The pages of a topic are no snapshot of it: records may be
+	// appended between two reads.
+	NewestAfter(ctx context.Context, topic Topic, key string) (NewestPage, error)
 	// Read returns a page of records from the offset on, possibly none. A page has limited
 	// size, unless its first record is larger. It fails with ErrRecordsExpired if the
 	// records are no longer retained.
@@ -48,9 +59,6 @@
 	// ReadOne returns the record at the offset, which has at most the given number of
 	// bytes. It fails with ErrRecordsExpired if the record is no longer retained.
 	ReadOne(ctx context.Context, topic Topic, at int64, bytes int) (Record, error)
-	// NewestAfter returns the newest records of the keys after the key, in order of
-	// keys: as many as fit in one answer of the store, none at the end.
-	NewestAfter(ctx context.Context, topic Topic, key string) ([]Record, error)
 	// Append appends all records or none and returns the first one's offset. It
 	// fails with ErrTopicEndMoved if the topic does not end at the offset at, with
 	// ErrStoreUnavailable if nothing was appended, and with ErrStoreOutcomeUnknown if
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -118,7 +118,8 @@
 	return s.topic(t).end(), nil
 }
 
-// Newest implements fleet.Store.
+// Newest returns the newest record of each key, in the order of their offsets, and the
+// offset after the topic's last record.
 func (s *Store) Newest(ctx context.Context, t fleet.Topic) ([]fleet.Record, int64, error) {
 	if _, err := s.beginCall(ctx); err != nil {
 		return nil, 0, err
@@ -161,10 +162,10 @@
 }
 
 // NewestAfter implements fleet.Store.
-func (s *Store) NewestAfter(ctx context.Context, t fleet.Topic, key string) ([]fleet.Record, error) {
-	records, _, err := s.Newest(ctx, t)
+func (s *Store) NewestAfter(ctx context.Context, t fleet.Topic, key string) (fleet.NewestPage, error) {
+	records, end, err := s.Newest(ctx, t)
 	slices.SortFunc(records, func(a, b fleet.Record) int { return cmp.Compare(a.Key, b.Key) })
-	return RecordsAfter(records, key), err
+	return fleet.NewestPage{Records: RecordsAfter(records, key), End: end}, err
 }
 
 // RecordsAfter returns the records whose keys are greater than key. The records
