Probe targets with an open connection first

Change: of the targets probed all but one are those with an idle connection, the least loaded first; the last is any other.

--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -162,7 +162,7 @@
 func runGateway(p *process) error {
 	params := gateway.Params{
 		Node: p.node, Store: p.store, Sender: platform.NewTargetClient(p.pool),
-		Decoder: platform.Decoder{}, Sweep: p.pool.CloseExpired, Registry: p.registry,
+		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry,
 	}
 	if datagrams := p.listenDatagrams(nil); datagrams != nil {
 		params.LoadQuerier = datagrams
--- a/coordination/balancing/probe.go
+++ b/coordination/balancing/probe.go
@@ -6,23 +6,33 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// Candidates returns at most n targets to probe, in order of preference. Ejected
-// targets are left out if there are others: a target that fails its requests has a
-// low load. When load rises in a step at many gateways, none sees what the others
-// send, so each probes a few targets before it chooses.
-func (b *Balancer) Candidates(targets []*fleet.Target, tried map[string]bool, n int) []*fleet.Target {
+// Candidates returns at most n targets to probe. Ejected targets are left out if there
+// are others: a target that fails its requests has a low load. When load rises in a step
+// at many gateways, none sees what the others send, so each probes a few targets before
+// it chooses.
+//
+// All candidates but one are targets to which a connection is open, according to
+// connected, if there are as many: with hundreds of targets a request would otherwise
+// nearly always need a new connection, which costs a round trip and takes a slot of the
+// target for a moment. The last one lets requests reach the other targets.
+func (b *Balancer) Candidates(targets []*fleet.Target, tried map[string]bool, n int, connected func(*fleet.Target) bool) []*fleet.Target {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	scored := b.scoreTargets(b.now(), targets, tried)
+	b.mu.Unlock()
 	slices.SortFunc(scored, compareLoad)
-	var candidates []*fleet.Target
-	for _, s := range scored[:min(n, len(scored))] {
-		if s.load >= ejectedLoad && scored[0].load < ejectedLoad {
-			break
+	if ejected := slices.IndexFunc(scored, func(s scoredTarget) bool { return s.load >= ejectedLoad }); ejected > 0 {
+		scored = scored[:ejected]
+	}
+	var candidates, others []*fleet.Target
+	for _, s := range scored {
+		switch {
+		case len(candidates) < n-1 && connected(s.target):
+			candidates = append(candidates, s.target)
+		case len(others) < n:
+			others = append(others, s.target)
 		}
-		candidates = append(candidates, s.target)
 	}
-	return candidates
+	return append(candidates, others[:min(n-len(candidates), len(others))]...)
 }
 
 // BeginProbed chooses the candidate with the fewest online requests according to the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// LoadQuerier queries batchers for the loads of targets. It is nil if there are no
 	// batchers to query.
 	LoadQuerier LoadQuerier
+	// IsConnected reports whether an idle connection to the address can be used. It is nil
+	// if connections are not kept.
+	IsConnected func(address string) bool
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
 	// Registry is where the metrics are registered. If nil, a new registry is used.
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -76,7 +76,7 @@
 	if o.g.params.LoadQuerier == nil || o.route.Kind != fleet.KindStream || o.g.unresponsive.has(o.service) {
 		return balancing.Choice{}, false
 	}
-	candidates := o.g.table.Candidates(targets, o.tried, loadQueryTargets)
+	candidates := o.g.table.Candidates(targets, o.tried, loadQueryTargets, o.g.isConnected)
 	if len(candidates) < 2 {
 		return balancing.Choice{}, false
 	}
@@ -93,6 +93,11 @@
 	return o.g.table.BeginProbed(candidates, answers)
 }
 
+// isConnected reports whether a connection to the target is idle.
+func (g *Gateway) isConnected(target *fleet.Target) bool {
+	return g.params.IsConnected != nil && g.params.IsConnected(target.Address)
+}
+
 // batcherAddress returns the peer address of the batcher beside the target.
 func (g *Gateway) batcherAddress(target *fleet.Target) string {
 	host, _, err := net.SplitHostPort(target.Address)
--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -103,6 +103,15 @@
 	return c
 }
 
+// HasIdle reports whether there is an idle connection to the address that has not expired.
+// It may have been closed by the other end.
+func (p *ConnPool) HasIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[addr]
+	return len(idle) > 0 && time.Now().Before(idle[len(idle)-1].reusableUntil)
+}
+
 // CloseIdle closes the idle connections to the address.
 func (p *ConnPool) CloseIdle(addr string) {
 	p.mu.Lock()
