Read less of the work log when all processes start together

Cause: after a loss of power everywhere all processes read the whole work log.

Change: the gateway that accepted a job deletes the claims, releases, saves and late results of the job from the log soon after it was closed. The name of a process, which stands twice or three times in each record, is 22 characters shorter.

Measured: the model of the fold (rapid, 3,000 cases) with compaction in random places; TestClosedJobsAreCompacted.

--- a/gateway/cleanup.go
+++ b/gateway/cleanup.go
@@ -18,6 +18,11 @@
 	cleanupInterval  = 10 * time.Second
 	cleanupBatchSize = 100
 	maxDeletions     = 10_000
+	// compactInterval is the time between two compactions of closed jobs. compactDelay is the
+	// time from the end of a job to its compaction, within which the last records that
+	// refer to it arrive.
+	compactInterval = 2 * time.Second
+	compactDelay    = time.Second
 	// retentionFactor is the retention of a closed job as a multiple of the promised
 	// time, and minRetention is the shortest retention: callers that were disconnected
 	// may come back later than promised.
@@ -30,6 +35,42 @@
 	suspicionTTL = 10 * time.Minute
 )
 
+// compactClosed deletes from the work log what no longer matters of the jobs that this
+// instance has accepted and that are closed. When all processes start at the same moment,
+// each reads the whole log, and the store's bandwidth decides how long that takes.
+func (g *Gateway) compactClosed() error {
+	for g.ctx.Err() == nil {
+		pause.For(g.ctx, compactInterval)
+		jobs, deletions := g.compactions()
+		if err := g.deleteRecords(fleet.TopicWork, deletions); err != nil {
+			klog.InfoS("closed jobs not compacted", "jobs", len(jobs), "records", len(deletions), "error", protocol.CauseOf(err))
+			continue
+		}
+		g.jobsMu.Lock()
+		for _, job := range jobs {
+			job.Compacted()
+		}
+		g.jobsMu.Unlock()
+	}
+	return nil
+}
+
+// compactions returns closed jobs of this instance and the records that compact them, as
+// many as fit into one append.
+func (g *Gateway) compactions() (jobs []*worklog.Job, deletions []fleet.Record) {
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	isOwn := func(job *worklog.Job) bool { return worklog.SameInstance(job.Acceptor, g.writer.Name()) }
+	for _, job := range g.fold.Compactable(time.Now().Add(-compactDelay), isOwn) {
+		if len(deletions) > maxDeletions {
+			break
+		}
+		jobs = append(jobs, job)
+		deletions = append(deletions, job.Compaction()...)
+	}
+	return jobs, deletions
+}
+
 // deleteExpired deletes jobs from the store some time after they were done or ended.
 // Otherwise every job would stay in the log for ever, and each process that starts
 // would read it back and keep it in memory.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
 	g.tomb.Go(g.runHousekeeping)
+	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
 }
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -350,6 +350,43 @@
 	})
 }
 
+// TestClosedJobsAreCompacted runs a job with many claims and saves to its end. Soon after,
+// the store must hold only its accept and its results, and a gateway that starts then must
+// know the same results. Claims of an open job must stay.
+func TestClosedJobsAreCompacted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		s := startGateway(t, store)
+		defer s.stop()
+		assert.NilError(t, s.submit(job("done", 2)))
+		assert.NilError(t, s.submit(job("open", 1)))
+		w := worklog.NewWriter("batcher")
+		appendEntry := func(e worklog.Entry) {
+			record, err := w.Record(e)
+			assert.NilError(t, err)
+			_, err = store.Append(t.Context(), fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+			assert.NilError(t, err)
+		}
+		for _, ref := range []worklog.ItemRef{{Job: "done", Item: "i0"}, {Job: "done", Item: "i1"}, {Job: "open", Item: "i0"}} {
+			appendEntry(worklog.Entry{Claim: &worklog.Claim{Items: []worklog.ClaimedItem{{ItemRef: ref, Replaces: worklog.NoClaim}}}})
+			appendEntry(worklog.Entry{Save: &worklog.Save{ItemRef: ref, Events: 3}})
+		}
+		finish(t, store, w, "done", "i0", "x")
+		finish(t, store, w, "done", "i1", "y")
+		want, err := s.Results(t.Context(), "done", 0, 0)
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Second)
+		records, _, err := store.Newest(t.Context(), fleet.TopicWork)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 3+3, "accept and results of one job; accept, claim and save of the other")
+		fresh := startGateway(t, store)
+		defer fresh.stop()
+		got, err := fresh.Results(t.Context(), "done", 0, 0)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	})
+}
+
 // TestExpiredJobsAreDeleted checks that a completed job is deleted after five times the
 // promised time, and one whose acceptor no longer exists after twice that, and that then
 // neither the store nor a gateway holds anything of them. An open job is kept.
--- a/protocol/ids.go
+++ b/protocol/ids.go
@@ -7,6 +7,10 @@
 	"strings"
 )
 
+// NewShortID returns a random identifier of 40 bits in hexadecimal, for names that stand in
+// every record of a log and must be unique only among the processes of one instance.
+func NewShortID() string { return NewID()[:10] }
+
 // NewID returns a random identifier of 128 bits in hexadecimal.
 func NewID() string {
 	var b [16]byte
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -63,6 +63,9 @@
 	if e.Accept != nil {
 		f.jobByAcceptKey[key] = job.Accept.Job.ID
 	}
+	if f.isPassing(key, e) {
+		job.passingKeys = append(job.passingKeys, key)
+	}
 	if e.Done != nil && e.Done.Text != nil {
 		job.textKeys = append(job.textKeys, e.Done.Text.Key)
 	}
@@ -71,6 +74,14 @@
 	}
 }
 
+// isPassing reports whether the record matters only while its job is open.
+func (f *Fold) isPassing(key string, e *Entry) bool {
+	if e.Done != nil {
+		return f.jobs[e.Done.Job].resultKeys[e.Done.Item] != key
+	}
+	return e.Claim != nil || e.Release != nil || e.Save != nil
+}
+
 // applyDeletion applies the deletion of a key: it drops the job whose accept record had
 // the key, the writer whose heartbeat it was, or the suspect whose crash it reported.
 // Deletions of a job's other records have no effect, since all records of a job are
@@ -125,6 +136,18 @@
 	return jobs
 }
 
+// Compactable returns the jobs for which allowed returns true, that were closed before the
+// given time and of which records can be deleted by Compaction.
+func (f *Fold) Compactable(closedBefore time.Time, allowed func(*Job) bool) []*Job {
+	var jobs []*Job
+	for _, job := range f.acceptedJobs {
+		if !job.Open() && len(job.passingKeys) > 0 && job.ClosedAt.Before(closedBefore) && allowed(job) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
 // WriterDeletions returns up to limit records that delete the heartbeats of writers that
 // were last heard of before the given time.
 func (f *Fold) WriterDeletions(before time.Time, limit int) []fleet.Record {
@@ -167,7 +190,7 @@
 	case e.Save != nil:
 		f.save(e.Writer, e.Save)
 	case e.Done != nil:
-		f.done(now, e.Done)
+		f.done(now, r.Key, e.Done)
 	case e.Crash != nil:
 		f.suspects.addCrash(now, r.Key, e.Crash)
 	case e.Cleared != nil:
@@ -179,7 +202,7 @@
 	if f.jobs[a.Job.ID] != nil {
 		return
 	}
-	job := &Job{Accept: a, Acceptor: writer, Offset: offset, AcceptedAt: now}
+	job := &Job{Accept: a, Acceptor: writer, Offset: offset, AcceptedAt: now, resultKeys: map[string]string{}}
 	for _, item := range a.Job.Items {
 		ref := ItemRef{Job: a.Job.ID, Item: item.ID}
 		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim, FreeSince: now})
@@ -200,12 +223,21 @@
 		f.close(now, job)
 	}
 	job.Ended = true
+	for _, item := range job.Items {
+		item.free()
+	}
+}
+
+// free drops the holder and the progress of an item that nobody runs any more.
+func (i *Item) free() {
+	i.Claim, i.Holder, i.FreeSince = NoClaim, "", time.Time{}
+	i.Progress, i.Saved = Progress{}, nil
 }
 
 func (f *Fold) claim(offset int64, writer string, c *Claim) {
 	for _, claimed := range c.Items {
 		item := f.Item(claimed.ItemRef)
-		if item == nil || item.Done || item.Claim != claimed.Replaces {
+		if item == nil || f.isClosed(claimed.ItemRef, item) || item.Claim != claimed.Replaces {
 			continue
 		}
 		item.Claim = offset
@@ -215,7 +247,7 @@
 
 func (f *Fold) release(now time.Time, writer string, r *Release) {
 	item := f.Item(r.ItemRef)
-	if item == nil || item.Done || item.Holder != writer {
+	if item == nil || f.isClosed(r.ItemRef, item) || item.Holder != writer {
 		return
 	}
 	item.Claim = NoClaim
@@ -227,12 +259,15 @@
 
 func (f *Fold) save(writer string, s *Save) {
 	item := f.Item(s.ItemRef)
-	if item != nil && !item.Done && item.Holder == writer {
+	if item != nil && !f.isClosed(s.ItemRef, item) && item.Holder == writer {
 		item.Saved = s
 	}
 }
 
-func (f *Fold) done(now time.Time, d *Done) {
+// isClosed reports whether the item has a result or its job has ended.
+func (f *Fold) isClosed(ref ItemRef, item *Item) bool { return item.Done || f.jobs[ref.Job].Ended }
+
+func (f *Fold) done(now time.Time, key string, d *Done) {
 	job := f.jobs[d.Job]
 	if job == nil || job.Ended {
 		return
@@ -242,8 +277,8 @@
 		return
 	}
 	item.Done = true
-	item.Progress = Progress{}
-	item.Saved = nil
+	job.resultKeys[d.Item] = key
+	item.free()
 	job.Results = append(job.Results, Result{Item: d.Item, State: d.State, Text: d.Text})
 	f.waitingTokens[job.Accept.Route] -= item.Tokens
 	if !job.Open() {
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -163,8 +163,11 @@
 		writers := []*Writer{NewWriter("a"), NewWriter("b"), NewWriter("c")}
 		before := map[string][]Result{}
 		for range rapid.IntRange(1, 50).Draw(t, "records") {
-			if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
+			switch rapid.IntRange(0, 9).Draw(t, "housekeeping") {
+			case 0:
 				l.forgetClosed(before)
+			case 1, 2:
+				l.compactClosed()
 			}
 			w := rapid.SampledFrom(writers).Draw(t, "writer")
 			l.put(w, drawEntry(t, l.fold()))
@@ -224,6 +227,14 @@
 	}
 }
 
+// compactClosed deletes what no longer matters of the closed jobs, as a gateway does soon
+// after they were closed.
+func (l *log) compactClosed() {
+	for _, job := range l.fold().Compactable(now.Add(time.Second), anyJob) {
+		l.append(job.Compaction())
+	}
+}
+
 // foldFromPages returns the fold of a process that starts while the log grows. It reads
 // the newest records in two pages, the second page at a later time, and then the records
 // after the end of the log at the time of the first page.
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -1,6 +1,7 @@
 package worklog
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -148,7 +149,7 @@
 // NewProcessWriter returns a writer with a name that is unique to this process of the
 // instance.
 func NewProcessWriter(instance string) *Writer {
-	return NewWriter(instance + processSeparator + protocol.NewID())
+	return NewWriter(instance + processSeparator + protocol.NewShortID())
 }
 
 // processSeparator separates an instance's name and the ID of its process in the name
@@ -263,6 +264,25 @@
 	// its outputs.
 	recordKeys []string
 	textKeys   []string
+	// resultKeys holds, for each item with a result, the key of the record that brought it.
+	resultKeys map[string]string
+	// passingKeys are those of recordKeys whose records no longer matter once the job is
+	// closed: claims, releases, saves, and results that came too late.
+	passingKeys []string
+}
+
+// Compaction returns the records that delete from the log what no longer matters of a
+// closed job, so that processes that start later do not read it.
+func (j *Job) Compaction() []fleet.Record { return deletionsOf(j.passingKeys) }
+
+// Compacted notes that the records of Compaction have been appended.
+func (j *Job) Compacted() {
+	passing := map[string]bool{}
+	for _, key := range j.passingKeys {
+		passing[key] = true
+	}
+	j.recordKeys = slices.DeleteFunc(j.recordKeys, func(key string) bool { return passing[key] })
+	j.passingKeys = nil
 }
 
 // Deletions returns the records that delete the job: log deletes its records in the log
