Read the results in the test of compaction once they are known

The test compared a new gateway's results with those that the first gateway had read before its next read of the log, and so with none. It passes now, and with compaction left out it fails on the number of records.

--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -373,9 +373,10 @@
 		}
 		finish(t, store, w, "done", "i0", "x")
 		finish(t, store, w, "done", "i1", "y")
+		time.Sleep(5 * time.Second)
 		want, err := s.Results(t.Context(), "done", 0, 0)
 		assert.NilError(t, err)
-		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(want.Results), 2)
 		records, _, err := store.Newest(t.Context(), fleet.TopicWork)
 		assert.NilError(t, err)
 		assert.Equal(t, len(records), 3+3, "accept and results of one job; accept, claim and save of the other")
