Bound the pause between pages of newest records

Cause: with pauses of up to 4 s a process that starts with 5,000 to 9,000 records, ten to eighteen pages, knows the work log only after 12 to 35 s.

Excluded: bandwidth alone, which ten pages each of 277 processes take for about 6 s.

Change: the pause is twice the page's time again, and half a second at most.

A trial that gave the saves of a writer one key for each item is not kept: a save that arrives after its writer lost the item would lose the progress before it, which TestSavedProgress rules out.

--- a/coordination/topic/newest.go
+++ b/coordination/topic/newest.go
@@ -14,10 +14,9 @@
 	// pagePauseFactor is the pause after a page of newest records as a multiple of the time
 	// that the page took. When hundreds of processes start at the same moment and ask for
 	// pages without a pause, all of them queue at the store at any time, and the short reads
-	// that tell of targets and configurations time out behind them. With the pause a tenth
-	// of them do.
-	pagePauseFactor = 10
-	maxPagePause    = 4 * time.Second
+	// that tell of targets and configurations time out behind them.
+	pagePauseFactor = 2
+	maxPagePause    = 500 * time.Millisecond
 )
 
 // newestRead is the reading of a topic's newest records. It goes on after a failed page
