--- a/coordination/topic/newest.go
+++ b/coordination/topic/newest.go
@@ -15,8 +15,8 @@
 	// that the page took. When hundreds of processes start at the same moment and ask for
 	// pages without a pause, all of them queue at the store at any time, and the short reads
 	// that tell of targets and configurations time out behind them.
-	pagePauseFactor = 2
-	maxPagePause    = 500 * time.Millisecond
+	pagePauseFactor = 10
+	maxPagePause    = 4 * time.Second
 )
 
 // newestRead is the reading of a topic's newest records. It goes on after a failed page
