--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -2,10 +2,10 @@
 //
 // Many batchers look for work in the same log, each with a few free slots and
 // without coordination. They see new items at the same time, and each other's claims
-// only at the next read of the log. So that few claims conflict, only one batcher may claim
-// an item at first, then two, four and so on, until all may. Under load, when
-// many items wait for the few batchers with free slots, each picks at random among the
-// oldest items, from more of them the more batchers there are. Items that can't be
+// only at the next read of the log. So that few claims conflict, only one batcher may
+// claim an item at first, then two, four and so on, until all may. Under load, when many
+// items wait for the few batchers with free slots, each picks at random among the oldest
+// items, from more of them the more batchers there are. Items that can't be
 // finished by their due time are left to batchers with idle slots.
 //
 // An item is free again once its holder has been unresponsive for HolderTimeout
