--- a/coordination/pause/backoff.go
+++ b/coordination/pause/backoff.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Backoff yields the delays between retries of one kind of call. Each is twice as long as
-// the one before, up to Max, and random within its half, so that many processes that fail
-// at the same moment neither retry at the same moment nor together exceed what the
-// overloaded service can take. It is not safe for concurrent use.
+// Backoff yields the delays between retries of one kind of call. They double up to Max, and
+// each is random between half of that and all of it, so that many processes that fail at
+// the same moment neither retry at the same moment nor together exceed what the overloaded
+// service can take. It is not safe for concurrent use.
 type Backoff struct {
 	Min time.Duration
 	Max time.Duration
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -63,8 +63,8 @@
 	if e.Accept != nil {
 		f.jobByAcceptKey[key] = job.Accept.Job.ID
 	}
-	if f.isPassing(key, e) {
-		job.passingKeys = append(job.passingKeys, key)
+	if f.isTransient(key, e) {
+		job.transientKeys = append(job.transientKeys, key)
 	}
 	if e.Done != nil && e.Done.Text != nil {
 		job.textKeys = append(job.textKeys, e.Done.Text.Key)
@@ -74,8 +74,8 @@
 	}
 }
 
-// isPassing reports whether the record matters only while its job is open.
-func (f *Fold) isPassing(key string, e *Entry) bool {
+// isTransient reports whether the record matters only while its job is open.
+func (f *Fold) isTransient(key string, e *Entry) bool {
 	if e.Done != nil {
 		return f.jobs[e.Done.Job].resultKeys[e.Done.Item] != key
 	}
@@ -141,7 +141,7 @@
 func (f *Fold) Compactable(closedBefore time.Time, allowed func(*Job) bool) []*Job {
 	var jobs []*Job
 	for _, job := range f.acceptedJobs {
-		if !job.Open() && len(job.passingKeys) > 0 && job.ClosedAt.Before(closedBefore) && allowed(job) {
+		if !job.Open() && len(job.transientKeys) > 0 && job.ClosedAt.Before(closedBefore) && allowed(job) {
 			jobs = append(jobs, job)
 		}
 	}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -266,23 +266,23 @@
 	textKeys   []string
 	// resultKeys holds, for each item with a result, the key of the record that brought it.
 	resultKeys map[string]string
-	// passingKeys are those of recordKeys whose records no longer matter once the job is
+	// transientKeys are those of recordKeys whose records no longer matter once the job is
 	// closed: claims, releases, saves, and results that came too late.
-	passingKeys []string
+	transientKeys []string
 }
 
 // Compaction returns the records that delete from the log what no longer matters of a
 // closed job, so that processes that start later do not read it.
-func (j *Job) Compaction() []fleet.Record { return deletionsOf(j.passingKeys) }
+func (j *Job) Compaction() []fleet.Record { return deletionsOf(j.transientKeys) }
 
 // Compacted notes that the records of Compaction have been appended.
 func (j *Job) Compacted() {
-	passing := map[string]bool{}
-	for _, key := range j.passingKeys {
-		passing[key] = true
+	transient := map[string]bool{}
+	for _, key := range j.transientKeys {
+		transient[key] = true
 	}
-	j.recordKeys = slices.DeleteFunc(j.recordKeys, func(key string) bool { return passing[key] })
-	j.passingKeys = nil
+	j.recordKeys = slices.DeleteFunc(j.recordKeys, func(key string) bool { return transient[key] })
+	j.transientKeys = nil
 }
 
 // Deletions returns the records that delete the job: log deletes its records in the log
