--- a/coordination/topic/newest.go
+++ b/coordination/topic/newest.go
@@ -16,7 +16,9 @@
 	// pages without a pause, all of them queue at the store at any time, and the short reads
 	// that tell of targets and configurations time out behind them.
 	pagePauseFactor = 10
-	maxPagePause    = 4 * time.Second
+	// maxPauses bounds the sum of the pauses of one read: on a slow instance a page takes
+	// long for other reasons than a busy store.
+	maxPauses = 4 * time.Second
 )
 
 // newestRead is the reading of a topic's newest records. It goes on after a failed page
@@ -27,6 +29,8 @@
 	// before it: later pages may hold newer records, which are read from there.
 	after string
 	next  int64
+	// paused is the sum of the pauses so far.
+	paused time.Duration
 }
 
 // read reads the rest of the pages.
@@ -41,7 +45,9 @@
 		if !page.More || len(page.Records) == 0 {
 			return nil
 		}
-		pause.For(ctx, min(pagePauseFactor*time.Since(begun), maxPagePause))
+		wait := min(pagePauseFactor*time.Since(begun), maxPauses-n.paused)
+		n.paused += wait
+		pause.For(ctx, wait)
 	}
 }
 
--- a/coordination/topic/newest_test.go
+++ b/coordination/topic/newest_test.go
@@ -18,10 +18,13 @@
 	fleet.Store
 	pages  []*fleet.NewestPage
 	afters []string
+	// delay is the time that each page takes.
+	delay time.Duration
 }
 
 // NewestAfter implements fleet.Store.
 func (s *pagedStore) NewestAfter(_ context.Context, _ fleet.Topic, after string) (fleet.NewestPage, error) {
+	time.Sleep(s.delay)
 	s.afters = append(s.afters, after)
 	page := s.pages[0]
 	s.pages = s.pages[1:]
@@ -52,6 +55,23 @@
 	assert.DeepEqual(t, f.keys, []string{"b", "c", "a", "10", "d"})
 }
 
+// TestPausesAreBounded reads many pages on an instance on which each takes long. The pauses
+// that leave the store's bandwidth to others must not add up without a bound, or a slow
+// instance knows its jobs only long after the others.
+func TestPausesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pagedStore{Store: fleetstore.New(), delay: 200 * time.Millisecond}
+		for i := range 20 {
+			s.pages = append(s.pages, &fleet.NewestPage{Records: []fleet.Record{{Key: string(rune('a' + i)), Offset: int64(i)}}, More: i < 19, End: 20})
+		}
+		begun := time.Now()
+		err := follow(s).CatchUp(t.Context())
+		assert.NilError(t, err)
+		took := time.Since(begun)
+		assert.Assert(t, took > 20*s.delay+time.Second && took < 20*s.delay+5*time.Second, "%v", took)
+	})
+}
+
 // TestRunAfter checks that a topic that others must precede is read after them.
 func TestRunAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -61,11 +81,12 @@
 		first, second := follow(s), follow(s)
 		go func() { _ = second.RunAfter(ctx, first.Follower) }()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.Equal(t, second.resets, 0)
 		assert.NilError(t, first.CatchUp(ctx))
 		time.Sleep(100 * time.Millisecond)
-		assert.Assert(t, slices.Equal(second.keys, []string{"a"}))
 		cancel()
 		synctest.Wait()
+		assert.Assert(t, slices.Equal(second.keys, []string{"a"}))
 	})
 }
