Forget the claims of deleted writers

In a gateway the map grew with every process that ever claimed. It is dropped with the writer's heartbeat now; TestForgottenJobLeavesNothing fails without that (1 claimant) and passes with it.

--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -89,6 +89,7 @@
 func (f *Fold) applyDeletion(key string) {
 	if writer, found := strings.CutPrefix(key, heartbeatPrefix); found {
 		delete(f.lastHeard, writer)
+		delete(f.lastClaimed, writer)
 		return
 	}
 	if f.suspects.applyDeletion(key) {
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -310,6 +310,7 @@
 	l.append(f.WriterDeletions(now.Add(time.Second), 10))
 	assert.Equal(t, len(l.newest()), 1)
 	assert.Assert(t, l.fold().LastHeard("b").IsZero())
+	assert.Equal(t, len(l.fold().Claimants(now)), 0, "a deleted writer is no claimant")
 }
 
 // TestRestoreEstimatesAges restores jobs whose acceptor's time of day is plausible, in the
--- a/transport/readlimit.go
+++ b/transport/readlimit.go
@@ -23,7 +23,7 @@
 		return c.Conn.Read(p)
 	}
 	if c.remaining == 0 {
-		return 0, ErrReadLimit.New("the peer exceeded the limit of the answer's head")
+		return 0, ErrReadLimit.New("the peer has sent more bytes than the reader accepts")
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
