Find out at once whether a target ended under a request

Cause: a crash was believed only once the registry showed that the target had ended, after three missed heartbeats and a read of the registry: 3.0 to 3.8 s. The users allow 3 s after the third crash. Class: a verdict waits for a slow failure detector although quicker evidence is at hand.

TestCrashesAreKnownBeforeHeartbeatsAreMissed fails without the change: three targets crash, their registrations stay, and the request is still sent on 1.5 s later.

Why it works: after a broken answer the gateway opens a connection to the target, or takes an idle one that still holds. A host on which nothing listens refuses it, which a cut network does not do. The end then counts at once, unless the target had announced that it leaves. The connection of a target that lives stays in the pool. After the append the gateway reads the log at once.

--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -160,8 +160,9 @@
 }
 
 func runGateway(p *process) error {
+	targets := platform.NewTargetClient(p.pool)
 	params := gateway.Params{
-		Node: p.node, Store: p.store, Sender: platform.NewTargetClient(p.pool),
+		Node: p.node, Store: p.store, Sender: targets, HasEnded: targets.HasEnded,
 		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry,
 	}
 	if datagrams := p.listenDatagrams(nil); datagrams != nil {
--- a/coordination/quarantine/crashes.go
+++ b/coordination/quarantine/crashes.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -30,6 +31,8 @@
 	Window time.Duration
 
 	undecided []BrokenRun
+	// ended holds when the incarnations in it were found to have ended.
+	ended map[string]time.Time
 }
 
 // TargetStatus is the status of an incarnation of a target.
@@ -52,23 +55,41 @@
 	}
 }
 
+// MarkEnded records that an incarnation of a target was found to have ended, before its
+// status shows it: a request that comes again every few hundred milliseconds crashes many
+// targets until the heartbeats of the first one are missed.
+func (d *CrashDetector) MarkEnded(now time.Time, target string) {
+	if d.ended == nil {
+		d.ended = map[string]time.Time{}
+	}
+	d.ended[target] = now
+}
+
+// HasEnded reports whether the incarnation was marked as ended within Window.
+func (d *CrashDetector) HasEnded(target string) bool {
+	_, ended := d.ended[target]
+	return ended
+}
+
 // Len returns the number of broken runs for which it is still unknown whether the
 // target has ended.
 func (d *CrashDetector) Len() int { return len(d.undecided) }
 
-// Crashed returns the broken runs whose targets have ended without draining. It
-// forgets these, those whose targets are draining, and those older than Window.
+// Crashed returns the broken runs whose targets have ended without draining, according to
+// their status or MarkEnded. It forgets these, those whose targets are draining, and those
+// older than Window.
 func (d *CrashDetector) Crashed(now time.Time, status func(target string) TargetStatus) []BrokenRun {
 	var crashed []BrokenRun
 	d.undecided = slices.DeleteFunc(d.undecided, func(run BrokenRun) bool {
-		switch status(run.Target) {
-		case TargetEnded:
-			crashed = append(crashed, run)
+		switch current := status(run.Target); {
+		case current == TargetDraining:
 			return true
-		case TargetDraining:
+		case current == TargetEnded || d.HasEnded(run.Target):
+			crashed = append(crashed, run)
 			return true
 		}
 		return now.Sub(run.At) > d.Window
 	})
+	maps.DeleteFunc(d.ended, func(_ string, at time.Time) bool { return now.Sub(at) > d.Window })
 	return crashed
 }
--- a/coordination/quarantine/crashes_test.go
+++ b/coordination/quarantine/crashes_test.go
@@ -33,3 +33,25 @@
 	statuses["ends late"] = quarantine.TargetEnded
 	assert.Equal(t, len(crashedAfter(window+2*time.Second)), 0)
 }
+
+// TestMarkedEndsCountBeforeTheRegistryShowsThem checks that the end of an incarnation counts
+// as soon as it was found, unless the target had announced that it leaves.
+func TestMarkedEndsCountBeforeTheRegistryShowsThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	detector := quarantine.CrashDetector{Window: 8 * time.Second}
+	for _, target := range []string{"crashed", "leaving", "alive"} {
+		detector.Add(quarantine.BrokenRun{Fingerprint: "f", Target: target, At: now})
+	}
+	detector.MarkEnded(now, "crashed")
+	detector.MarkEnded(now, "leaving")
+	crashed := detector.Crashed(now, func(target string) quarantine.TargetStatus {
+		if target == "leaving" {
+			return quarantine.TargetDraining
+		}
+		return quarantine.TargetRunning
+	})
+	assert.Equal(t, len(crashed), 1)
+	assert.Equal(t, crashed[0].Target, "crashed")
+	detector.Crashed(now.Add(9*time.Second), func(string) quarantine.TargetStatus { return quarantine.TargetRunning })
+	assert.Assert(t, !detector.HasEnded("crashed"), "marks are kept for the window only")
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,6 +28,12 @@
 	// maxPendingRecords bounds the records that are queued while the store is
 	// unavailable.
 	maxPendingRecords = 256
+	// probeTimeout bounds the check whether a target whose answer broke off has ended, and
+	// probeRepeatDelay is the delay before a second check: a process that ends may lose its
+	// connections first. maxProbes bounds the checks at the same time.
+	probeTimeout     = 500 * time.Millisecond
+	probeRepeatDelay = 200 * time.Millisecond
+	maxProbes        = 64
 )
 
 // suspicions is an immutable snapshot of the work log's suspicions of requests that
@@ -52,10 +58,14 @@
 	// an append is in progress.
 	pending   []worklog.Entry
 	appending bool
+	// unprobed holds the targets of broken runs that are still to be checked, by
+	// incarnation, and probing the incarnations that are being checked.
+	unprobed map[string]*fleet.Target
+	probing  map[string]bool
 }
 
 func newCrashTracker() *crashTracker {
-	c := &crashTracker{breaks: quarantine.CrashDetector{Window: crashWindow}}
+	c := &crashTracker{breaks: quarantine.CrashDetector{Window: crashWindow}, unprobed: map[string]*fleet.Target{}, probing: map[string]bool{}}
 	c.suspicions.Store(&suspicions{})
 	return c
 }
@@ -111,6 +121,57 @@
 	c.breaks.Add(quarantine.BrokenRun{
 		Fingerprint: fingerprintOf(o.request), Target: incarnation(target), Produced: o.lastEvent != o.attemptLastEvent, At: time.Now(),
 	})
+	if name := incarnation(target); !c.probing[name] && len(c.unprobed) < maxProbes {
+		c.unprobed[name] = target
+	}
+}
+
+// startProbes starts to check whether the targets of broken runs have ended. mu must be
+// held.
+func (g *Gateway) startProbes() {
+	c := g.crashes
+	for name, target := range c.unprobed {
+		if len(c.probing) >= maxProbes {
+			return
+		}
+		delete(c.unprobed, name)
+		if g.params.HasEnded == nil || c.breaks.HasEnded(name) {
+			continue
+		}
+		c.probing[name] = true
+		g.tomb.Go(func() error {
+			g.recordProbe(name, g.probe(target))
+			return nil
+		})
+	}
+}
+
+// recordProbe records the result of the check whether an incarnation has ended.
+func (g *Gateway) recordProbe(name string, ended bool) {
+	c := g.crashes
+	c.mu.Lock()
+	delete(c.probing, name)
+	if ended {
+		c.breaks.MarkEnded(time.Now(), name)
+	}
+	c.mu.Unlock()
+	if ended {
+		g.detectCrashes()
+	}
+}
+
+// probe checks twice whether the target has ended.
+func (g *Gateway) probe(target *fleet.Target) bool {
+	check := func() bool {
+		ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+		defer cancel()
+		return g.params.HasEnded(ctx, target.Address)
+	}
+	if check() {
+		return true
+	}
+	pause.For(g.ctx, probeRepeatDelay)
+	return check()
 }
 
 // clearSuspicion enqueues a record that clears the request if it is a suspect, after it
@@ -155,12 +216,14 @@
 	}
 }
 
-// detectCrashes checks which targets have ended while requests were in flight there, and
-// appends pending records to the work log.
+// detectCrashes starts the checks of targets whose answers broke off, finds out which
+// targets have ended while requests were in flight there, and appends pending records
+// to the work log.
 func (g *Gateway) detectCrashes() {
 	c := g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	g.startProbes()
 	if c.breaks.Len() > 0 {
 		c.enqueueCrashes(targetStatuses(g.targets.Current()))
 	}
@@ -184,7 +247,8 @@
 // held.
 func (c *crashTracker) enqueueCrashes(status func(target string) quarantine.TargetStatus) {
 	for _, b := range c.breaks.Crashed(time.Now(), status) {
-		klog.InfoS("target ended under a request", "target", b.Target, "fingerprint", b.Fingerprint, "produced", b.Produced)
+		klog.InfoS("target ended under a request", "target", b.Target, "fingerprint", b.Fingerprint, "produced", b.Produced,
+			"probed", c.breaks.HasEnded(b.Target), "after", time.Since(b.At))
 		c.enqueue(worklog.Entry{Crash: &worklog.Crash{Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced}})
 	}
 }
@@ -205,6 +269,7 @@
 	defer cancel()
 	_, err := g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
 	if err == nil {
+		_ = g.workTail.CatchUp(ctx) // the next periodic read would apply the records later
 		return nil
 	}
 	klog.InfoS("append of quarantine records failed; will be retried", "records", len(records), "error", protocol.CauseOf(err))
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -59,6 +59,30 @@
 	})
 }
 
+// stableWindow is the users' limit stable_window_ms: repeats of a request that come later
+// than this after its third crash reach at most three targets.
+const stableWindow = 3 * time.Second
+
+// TestCrashesAreKnownBeforeHeartbeatsAreMissed crashes three targets whose registrations
+// stay. If only the registry shows that a target has ended, repeats reach further targets
+// for longer than stableWindow.
+func TestCrashesAreKnownBeforeHeartbeatsAreMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		a, b := startGateway(t, store), startGateway(t, store)
+		defer a.stop()
+		defer b.stop()
+		for _, s := range []*fixture{a, b, a} {
+			s.sender.steps = []step{crashing}
+			_, err := s.serve(t.Context(), "stream")
+			assert.Assert(t, errorx.IsOfType(err, fleet.ErrOutcomeUnknown), "%v", err)
+			s.ended.Store(s.sender.sent[len(s.sender.sent)-1].Target.Address, true)
+		}
+		time.Sleep(stableWindow / 2)
+		assert.Assert(t, a.quarantined() && b.quarantined())
+	})
+}
+
 // TestInnocentRequestsAreNotQuarantined checks requests whose connections are lost while
 // their targets go on, and requests that ran to completion between the crashes that they
 // were in flight at.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -153,6 +153,8 @@
 	*gateway.Gateway
 	store  *fleetstore.Store
 	sender *sender
+	// ended holds the addresses at which nothing listens any more.
+	ended *sync.Map
 }
 
 // newStore returns a store with a configuration and six targets.
@@ -188,13 +190,17 @@
 	for _, r := range routes {
 		list = append(list, r)
 	}
-	s := &fixture{t: t, store: store, sender: &sender{steps: steps}}
+	s := &fixture{t: t, store: store, sender: &sender{steps: steps}, ended: &sync.Map{}}
 	s.Gateway = gateway.New(gateway.Params{
 		Node:        &fleet.Node{Name: "gateway-1", GracePeriod: 8 * time.Second, MaxRecordBytes: 1 << 18, KeepResults: keepResults, PeerPort: "7660"},
 		Store:       store,
 		Sender:      s.sender,
 		LoadQuerier: loads,
-		Decoder:     decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})},
+		HasEnded: func(_ context.Context, address string) bool {
+			_, ended := s.ended.Load(address)
+			return ended
+		},
+		Decoder: decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})},
 	})
 	s.Start()
 	time.Sleep(time.Second)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
+	// HasEnded reports whether the process at the address is known to have ended. If nil,
+	// only the registry shows that.
+	HasEnded func(ctx context.Context, address string) bool
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
 	// Registry is where the metrics are registered. If nil, a new registry is used.
--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -30,8 +31,13 @@
 	connBufferBytes = 4 << 10
 )
 
-// ErrDial means that a connection could not be opened.
-var ErrDial = protocol.Errors.NewType("dial")
+var (
+	// ErrDial means that a connection could not be opened.
+	ErrDial = protocol.Errors.NewType("dial")
+	// ErrConnRefused is an ErrDial from a host that answers that nothing listens at the
+	// address.
+	ErrConnRefused = ErrDial.NewSubtype("refused")
+)
 
 // SetUserTimeout sets TCP_USER_TIMEOUT, which bounds the time that sent bytes may
 // stay unacknowledged. It is for the field Control of net.Dialer or net.ListenConfig.
@@ -83,13 +89,30 @@
 		_ = c.Close()
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, ErrConnRefused.Wrap(err, "dial")
+	case err != nil:
 		return nil, ErrDial.Wrap(err, "dial")
 	}
 	limits := &limitedConn{Conn: raw}
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limits, connBufferBytes), limits: limits, pool: p, addr: addr}, nil
 }
 
+// Probe checks that a connection to the address is open or can be opened, and keeps it idle
+// in the pool. It fails like Get.
+func (p *ConnPool) Probe(ctx context.Context, addr string) error {
+	c, err := p.Get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if c.reusableUntil.IsZero() {
+		c.reusableUntil = time.Now().Add(defaultIdleTimeout - idleMargin)
+	}
+	c.keepIdle()
+	return nil
+}
+
 func (p *ConnPool) takeIdle(addr string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,6 +182,10 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	c.reusableUntil = time.Now().Add(keep - idleMargin)
+	c.keepIdle()
+}
+
+func (c *Conn) keepIdle() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pool.idle[c.addr] = append(c.pool.idle[c.addr], c)
