Let only a successful run clear a request of crashes

Cause: any answer that was relayed cleared the request, also a target's 500, its 504 at the deadline, or a stream that ended without an event. Such an answer does not show that the target survives the request. Class: the absence of a failure taken as proof of health.

Evidence: TestFailureOfTargetClearsNoSuspicion failed in all three cases before: two crashes, an error, one crash more, and the request was still sent.

Why it works: the request is cleared only after a complete answer with a success status, for a stream one with an event in this run.

TestCrashesAreKnownBeforeHeartbeatsAreMissed crashes three distinct targets now; by chance two gateways chose the same one, and two crashes are not three.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,17 +73,47 @@
 		a, b := startGateway(t, store), startGateway(t, store)
 		defer a.stop()
 		defer b.stop()
-		for _, s := range []*fixture{a, b, a} {
+		crashed := map[string]bool{}
+		for i := 0; len(crashed) < 3; i++ {
+			s := []*fixture{a, b}[i%2]
 			s.sender.steps = []step{crashing}
 			_, err := s.serve(t.Context(), "stream")
 			assert.Assert(t, errorx.IsOfType(err, fleet.ErrOutcomeUnknown), "%v", err)
-			s.ended.Store(s.sender.sent[len(s.sender.sent)-1].Target.Address, true)
+			address := s.sender.sent[len(s.sender.sent)-1].Target.Address
+			s.ended.Store(address, true)
+			crashed[address] = true
 		}
 		time.Sleep(stableWindow / 2)
 		assert.Assert(t, a.quarantined() && b.quarantined())
 	})
 }
 
+// TestFailureOfTargetClearsNoSuspicion lets a request crash two targets, get an error of a
+// third, and crash a fourth. If any answer clears the request, it has three crashes to go
+// after each error of a target.
+func TestFailureOfTargetClearsNoSuspicion(t *testing.T) {
+	for name, answer := range map[string]step{
+		"error":              {status: http.StatusInternalServerError},
+		"deadline":           {status: http.StatusGatewayTimeout},
+		"nothing but an end": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startGateway(t, newStore(t))
+				defer s.stop()
+				s.crash(true, "n1")
+				s.crash(true, "n2")
+				s.sender.steps = []step{answer}
+				_, err := s.serve(t.Context(), "stream")
+				assert.NilError(t, err)
+				time.Sleep(time.Second)
+				s.crash(true, "n3")
+				assert.Assert(t, s.quarantined())
+			})
+		})
+	}
+}
+
 // TestInnocentRequestsAreNotQuarantined checks requests whose connections are lost while
 // their targets go on, and requests that ran to completion between the crashes that they
 // were in flight at.
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -66,7 +66,7 @@
 	o := &onlineRequest{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
 	took := time.Since(begun)
-	if err == nil {
+	if o.completed {
 		g.clearSuspicion(r)
 	}
 	g.metrics.observe(route, err, took)
@@ -122,6 +122,8 @@
 	attemptLastEvent string
 	// answerBegun is set once the head of an answer has been sent to the caller.
 	answerBegun bool
+	// completed is set once a target has run the request to a successful end.
+	completed bool
 	// tried holds the IDs of targets that must not get the request again.
 	tried map[string]bool
 	// attempts holds the attempts so far. service is the service chosen for the request,
@@ -305,6 +307,7 @@
 	if err := o.sink.Begin(answer); err != nil {
 		return err
 	}
+	o.completed = answer.Status < http.StatusMultipleChoices
 	if len(body) == 0 {
 		return nil
 	}
@@ -370,6 +373,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			o.g.table.RecordSuccess(target)
+			o.completed = o.lastEvent != o.attemptLastEvent
 			return o.relayEvents(answer, splitter.Rest())
 		}
 		if err != nil {
