Check quarantine before each attempt

What callers saw: a request under which enough targets had crashed was sent once more.

Cause: quarantine was checked when a request arrived, not before its next attempt.

Evidence: TestQuarantineStopsFurtherAttempts failed before: the third crash came while another gateway waited for its first attempt, whose end led to a second one.

Why it works: the check stands where each attempt is made.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -114,6 +114,35 @@
 	}
 }
 
+// TestQuarantineStopsFurtherAttempts lets the third crash happen while another gateway waits
+// for its first attempt at the same request. When that attempt breaks off, the request is
+// in quarantine and must not reach a further target.
+func TestQuarantineStopsFurtherAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		a, b := startGateway(t, store), startGateway(t, store)
+		defer a.stop()
+		defer b.stop()
+		a.crash(true, "n1")
+		b.crash(true, "n2")
+		a.sender.steps = []step{{delay: time.Second, broken: true}, {events: events(1, 3)}}
+		sent := len(a.sender.sent)
+		ended := make(chan error)
+		go func() {
+			_, err := a.serve(t.Context(), "resumable")
+			ended <- err
+		}()
+		synctest.Wait()
+		b.sender.steps = []step{crashing}
+		_, err := b.serve(t.Context(), "stream")
+		assert.Assert(t, err != nil)
+		b.ended.Store(b.sender.sent[len(b.sender.sent)-1].Target.Address, true)
+		err = <-ended
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrQuarantined), "%v", err)
+		assert.Equal(t, len(a.sender.sent)-sent, 1)
+	})
+}
+
 // TestInnocentRequestsAreNotQuarantined checks requests whose connections are lost while
 // their targets go on, and requests that ran to completion between the crashes that they
 // were in flight at.
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -53,10 +53,6 @@
 	if r.MaxWait > 0 && (limit == 0 || r.MaxWait < limit) {
 		limit = r.MaxWait
 	}
-	if err := g.checkQuarantine(r); err != nil {
-		g.metrics.observe(route, err, 0)
-		return err
-	}
 	begun := time.Now()
 	if limit > 0 {
 		var cancel context.CancelFunc
@@ -162,6 +158,10 @@
 		o.version = c.Version
 	}
 	for {
+		if err := o.g.checkQuarantine(o.request); err != nil {
+			o.reason = "in quarantine"
+			return err
+		}
 		targets := o.g.targets.Current().Services[o.service]
 		o.knownTargets = len(targets)
 		choice, found := o.chooseTarget(ctx, targets)
