Quarantine the parts of prompts that crash targets

What callers saw: requests that share one part of their prompts, and are different otherwise, crashed target after target as long as they came. Sound requests beside them were cut or refused.

Cause: suspicion was held by the content of a whole request, which never came again. Class: the unit that is blamed is finer than the unit that is at fault.

Why it works: the records of crashes name the shared parts of the requests in flight. All gateways judge from the same records which part explains the crashes: in flight at the most of them, under two or more different requests, and again after it was suspected. A part is cleared when a request with it runs to completion. It is quarantined after a second in which other requests ran to completion and none with it did.

--- a/coordination/quarantine/crashes.go
+++ b/coordination/quarantine/crashes.go
@@ -12,6 +12,10 @@
 	// incarnation of the target's process.
 	Fingerprint string
 	Target      string
+	// PromptParts are the shared parts of the request's prompt, and SuspectedParts those
+	// that were suspected when the run began.
+	PromptParts    []string
+	SuspectedParts []string
 	// Produced is set if the request had produced output in this run.
 	Produced bool
 	At       time.Time
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/crashlimit"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
 
@@ -34,12 +37,19 @@
 	probeTimeout     = 500 * time.Millisecond
 	probeRepeatDelay = 200 * time.Millisecond
 	maxProbes        = 64
+	// partObservation is how long a part of prompts to which crashes point is observed before
+	// it is quarantined: a run of a request with it, and a read of the work log by all
+	// gateways. partCompletions is the number of other requests that must be completed
+	// meanwhile.
+	partObservation = time.Second
+	partCompletions = 3
 )
 
 // suspicions is an immutable snapshot of the work log's suspicions of requests that
 // were in flight at crashes.
 type suspicions struct {
 	byFingerprint map[string]worklog.Suspicion
+	parts         crashlimit.PartVerdicts
 	// fold and version identify the state that the snapshot was taken from.
 	fold    *worklog.Fold
 	version int
@@ -50,14 +60,21 @@
 // to any gateway.
 type crashTracker struct {
 	suspicions atomic.Pointer[suspicions]
+	// quarantinedParts holds the parts of prompts that must not be sent to targets. The map
+	// is never changed.
+	quarantinedParts atomic.Pointer[map[string]bool]
 
 	// mu guards the fields below.
-	mu     sync.Mutex
-	breaks quarantine.CrashDetector
+	mu       sync.Mutex
+	breaks   quarantine.CrashDetector
+	observer quarantine.PartObserver
 	// pending holds the entries that are still to be appended. appending is set while
 	// an append is in progress.
 	pending   []worklog.Entry
 	appending bool
+	// cleared holds what was cleared while clearedOf were the known suspicions.
+	cleared   map[string]bool
+	clearedOf *suspicions
 	// unprobed holds the targets of broken runs that are still to be checked, by
 	// incarnation, and probing the incarnations that are being checked.
 	unprobed map[string]*fleet.Target
@@ -65,7 +82,11 @@
 }
 
 func newCrashTracker() *crashTracker {
-	c := &crashTracker{breaks: quarantine.CrashDetector{Window: crashWindow}, unprobed: map[string]*fleet.Target{}, probing: map[string]bool{}}
+	c := &crashTracker{
+		breaks:   quarantine.CrashDetector{Window: crashWindow},
+		observer: quarantine.PartObserver{Period: partObservation, Completions: partCompletions}, unprobed: map[string]*fleet.Target{}, probing: map[string]bool{},
+	}
+	c.quarantinedParts.Store(&map[string]bool{})
 	c.suspicions.Store(&suspicions{})
 	return c
 }
@@ -75,7 +96,32 @@
 	if old := c.suspicions.Load(); old.fold == fold && old.version == fold.SuspectsVersion() {
 		return
 	}
-	c.suspicions.Store(&suspicions{fold.Suspects(), fold, fold.SuspectsVersion()})
+	c.suspicions.Store(&suspicions{fold.Suspects(), fold.JudgeParts(), fold, fold.SuspectsVersion()})
+}
+
+// updateQuarantinedParts puts into force which parts of prompts are quarantined. mu must be
+// held.
+func (c *crashTracker) updateQuarantinedParts() {
+	now := time.Now()
+	c.observer.Observe(now, c.suspicions.Load().parts.Guilty)
+	before, next := *c.quarantinedParts.Load(), c.observer.Quarantined(now)
+	if maps.Equal(before, next) {
+		return
+	}
+	c.quarantinedParts.Store(&next)
+	klog.InfoS("quarantined parts of prompts changed", "parts", slices.Sorted(maps.Keys(next)), "before", slices.Sorted(maps.Keys(before)))
+}
+
+// suspectedParts returns the parts of the request's prompt that are suspected.
+func (c *crashTracker) suspectedParts(r *fleet.Request) []string {
+	suspected := c.suspicions.Load().parts.Suspected
+	var parts []string
+	for _, part := range r.PromptParts {
+		if suspected[part] {
+			parts = append(parts, part)
+		}
+	}
+	return parts
 }
 
 // enqueue adds an entry to those that are to be appended. mu must be held.
@@ -93,15 +139,22 @@
 	return protocol.Fingerprint([]byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body)
 }
 
-// checkQuarantine returns ErrQuarantined if the request is in quarantine: it was in flight
-// at too many crashes.
+// checkQuarantine returns ErrQuarantined if the request is in quarantine: it, or a part of
+// its prompt, was in flight at too many crashes.
 func (g *Gateway) checkQuarantine(r *fleet.Request) error {
-	suspects := g.crashes.suspicions.Load().byFingerprint
-	if len(suspects) == 0 {
+	known := g.crashes.suspicions.Load()
+	quarantined := *g.crashes.quarantinedParts.Load()
+	for _, part := range r.PromptParts {
+		if quarantined[part] {
+			klog.InfoS("request in quarantine", "request", r.ID, "part", part)
+			return fleet.ErrQuarantined.New("part %s of the prompt was in flight at too many crashes", part)
+		}
+	}
+	if len(known.byFingerprint) == 0 {
 		return nil
 	}
 	fingerprint := fingerprintOf(r)
-	if s := suspects[fingerprint]; s.Quarantined {
+	if s := known.byFingerprint[fingerprint]; s.Quarantined {
 		klog.InfoS("request in quarantine", "request", r.ID, "fingerprint", fingerprint, "crashes", s.Crashes)
 		return fleet.ErrQuarantined.New("request was in flight at %d crashes", s.Crashes)
 	}
@@ -120,6 +173,7 @@
 	defer c.mu.Unlock()
 	c.breaks.Add(quarantine.BrokenRun{
 		Fingerprint: fingerprintOf(o.request), Target: incarnation(target), Produced: o.lastEvent != o.attemptLastEvent, At: time.Now(),
+		PromptParts: o.request.PromptParts, SuspectedParts: o.suspectedParts,
 	})
 	if name := incarnation(target); !c.probing[name] && len(c.unprobed) < maxProbes {
 		c.unprobed[name] = target
@@ -174,21 +228,36 @@
 	return check()
 }
 
-// clearSuspicion enqueues a record that clears the request if it is a suspect, after it
-// has run to completion.
+// clearSuspicion enqueues records that clear the request and the parts of its prompt as far
+// as they are suspected, after it has run to completion.
 func (g *Gateway) clearSuspicion(r *fleet.Request) {
 	c := g.crashes
-	suspects := c.suspicions.Load().byFingerprint
-	if len(suspects) == 0 {
-		return
-	}
-	fingerprint := fingerprintOf(r)
-	if _, suspected := suspects[fingerprint]; !suspected {
+	known := c.suspicions.Load()
+	if len(known.byFingerprint) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.enqueue(worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}})
+	c.observer.Completed(time.Now(), r.PromptParts)
+	for _, part := range c.suspectedParts(r) {
+		c.enqueueOnce(known, worklog.Entry{PartCleared: &worklog.PartCleared{Part: part}}, part)
+	}
+	fingerprint := fingerprintOf(r)
+	if _, suspected := known.byFingerprint[fingerprint]; suspected {
+		c.enqueueOnce(known, worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}}, fingerprint)
+	}
+}
+
+// enqueueOnce enqueues an entry that clears what is suspected, unless that was done since
+// the suspicions became known. mu must be held.
+func (c *crashTracker) enqueueOnce(known *suspicions, e worklog.Entry, cleared string) {
+	if c.clearedOf != known {
+		c.clearedOf, c.cleared = known, map[string]bool{}
+	}
+	if !c.cleared[cleared] {
+		c.cleared[cleared] = true
+		c.enqueue(e)
+	}
 }
 
 // incarnation returns a name for one run of a target's process, distinct from that of a
@@ -217,13 +286,14 @@
 }
 
 // detectCrashes starts the checks of targets whose answers broke off, finds out which
-// targets have ended while requests were in flight there, and appends pending records
-// to the work log.
+// targets have ended while requests were in flight there, updates the quarantine of parts
+// of prompts, and appends pending records to the work log.
 func (g *Gateway) detectCrashes() {
 	c := g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g.startProbes()
+	c.updateQuarantinedParts()
 	if c.breaks.Len() > 0 {
 		c.enqueueCrashes(targetStatuses(g.targets.Current()))
 	}
@@ -248,8 +318,10 @@
 func (c *crashTracker) enqueueCrashes(status func(target string) quarantine.TargetStatus) {
 	for _, b := range c.breaks.Crashed(time.Now(), status) {
 		klog.InfoS("target ended under a request", "target", b.Target, "fingerprint", b.Fingerprint, "produced", b.Produced,
-			"probed", c.breaks.HasEnded(b.Target), "after", time.Since(b.At))
-		c.enqueue(worklog.Entry{Crash: &worklog.Crash{Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced}})
+			"probed", c.breaks.HasEnded(b.Target), "after", time.Since(b.At), "parts", b.PromptParts, "suspected_parts", b.SuspectedParts)
+		c.enqueue(worklog.Entry{Crash: &worklog.Crash{
+			Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced, Parts: b.PromptParts, SuspectedParts: b.SuspectedParts,
+		}})
 	}
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -116,6 +116,9 @@
 	// value of lastEvent when the current attempt began.
 	lastEvent        string
 	attemptLastEvent string
+	// suspectedParts are the parts of the prompt that were suspected of crashing targets
+	// when the current attempt began.
+	suspectedParts []string
 	// answerBegun is set once the head of an answer has been sent to the caller.
 	answerBegun bool
 	// completed is set once a target has run the request to a successful end.
@@ -232,6 +235,7 @@
 	stall := newStallTimer(o, target, cancel)
 	defer stall.stop()
 	o.attemptLastEvent = o.lastEvent
+	o.suspectedParts = o.g.crashes.suspectedParts(o.request)
 	a := fleet.Attempt{Request: o.request, Target: target, LastEventID: o.lastEvent}
 	if o.hasDeadline {
 		a.TimeLeft = time.Until(o.deadline)
--- /dev/null
+++ b/gateway/parts_test.go
@@ -0,0 +1,88 @@
+package gateway_test
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// servePrompt sends a request with a body of its own and the given parts in its prompt,
+// whose target does as the step says.
+func (s *fixture) servePrompt(answer step, parts ...string) error {
+	s.sender.steps = []step{answer}
+	body := rand.Text()
+	r := &fleet.Request{ID: body, Method: http.MethodPost, Host: "h", URI: "/x", Header: http.Header{}, Body: []byte(body), MaxWait: 5 * time.Second, PromptParts: parts}
+	return s.Serve(s.t.Context(), routes["stream"], r, &sink{})
+}
+
+// crashPrompt crashes a target with such a request. Another target is registered in its
+// place.
+func (s *fixture) crashPrompt(parts ...string) {
+	s.t.Helper()
+	assert.Assert(s.t, errorx.IsOfType(s.servePrompt(crashing, parts...), fleet.ErrOutcomeUnknown))
+	crashed := s.sender.sent[len(s.sender.sent)-1].Target
+	s.ended.Store(crashed.Address, true)
+	s.removeTarget(crashed.ID)
+	s.addTarget(fmt.Sprint("next", len(s.sender.sent)))
+	time.Sleep(600 * time.Millisecond)
+}
+
+var sound = step{events: events(1, 3)}
+
+// TestPartOfPromptsThatCrashesTargetsIsStopped sends requests that are all different but for
+// one part of their prompts, which crashes each target, and sound requests with their other
+// parts. Requests with the part are rejected soon after the fifth crash, by a gateway that
+// started later as well, and the sound ones are served all the time.
+func TestPartOfPromptsThatCrashesTargetsIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		s := startGateway(t, store)
+		defer s.stop()
+		for range 5 {
+			s.crashPrompt("first", "second", "x")
+			assert.NilError(t, s.servePrompt(sound, "first", "second"))
+		}
+		later := startGateway(t, store)
+		defer later.stop()
+		for range 20 {
+			assert.NilError(t, s.servePrompt(sound, "first", "second"))
+			assert.NilError(t, later.servePrompt(sound, "first", "second"))
+			time.Sleep(stableWindow / 20)
+		}
+		for _, g := range []*fixture{s, later} {
+			sent := len(g.sender.sent)
+			err := g.servePrompt(crashing, "other", "x")
+			assert.Assert(t, errorx.IsOfType(err, fleet.ErrQuarantined), "%v", err)
+			assert.Equal(t, len(g.sender.sent), sent)
+			assert.NilError(t, g.servePrompt(sound, "first", "second", "y"))
+		}
+	})
+}
+
+// TestPopularPartSurvivesLossOfTargets loses targets again and again under different
+// requests that share a popular part, while nothing can be completed. Requests with the
+// part must be served as soon as targets are back.
+func TestPopularPartSurvivesLossOfTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startGateway(t, newStore(t))
+		defer s.stop()
+		for i := range 12 {
+			s.crashPrompt("popular", fmt.Sprint("part ", i))
+		}
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, s.servePrompt(sound, "popular"))
+		for range 10 {
+			assert.NilError(t, s.servePrompt(sound, "rare"))
+			time.Sleep(stableWindow / 10)
+		}
+		assert.NilError(t, s.servePrompt(sound, "popular"), "the part was cleared")
+	})
+}
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -23,6 +23,9 @@
 	MaxWait time.Duration
 	// LastEventID is the ID of the last event that the caller has, empty if it has none.
 	LastEventID string
+	// PromptParts are the parts of the request's prompt that other requests share, in their
+	// order.
+	PromptParts []string
 }
 
 // Attempt is one attempt to run a request at a target.
--- /dev/null
+++ b/state/crashlimit/parts_test.go
@@ -0,0 +1,66 @@
+package crashlimit_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/state/crashlimit"
+)
+
+// run returns a run of a request at a target that crashed. Suspected parts have a star.
+func run(request, target string, parts ...string) crashlimit.Run {
+	r := crashlimit.Run{Request: request, Target: target}
+	for _, part := range parts {
+		name, suspected := strings.CutSuffix(part, "*")
+		if suspected {
+			r.Suspected = append(r.Suspected, name)
+		}
+		r.Parts = append(r.Parts, name)
+	}
+	return r
+}
+
+func names(parts map[string]bool) []string { return slices.Sorted(maps.Keys(parts)) }
+
+// TestHarmlessPartsOfTheSameRequestsAreSpared judges crashes under requests that share the
+// part x and differ in the others, with a harmless request beside each. Only x is guilty:
+// it explains the crashes of all the others.
+func TestHarmlessPartsOfTheSameRequestsAreSpared(t *testing.T) {
+	runs := []crashlimit.Run{
+		run("r1", "t1", "a", "x"), run("r1", "t2", "a", "x"), run("r2", "t3", "b", "x"),
+		run("r3", "t4", "a*", "x*"), run("r4", "t5", "a*", "x*"),
+		run("s1", "t1", "a", "y"), run("s2", "t2", "a", "y"), run("s3", "t3", "a", "z"),
+		run("s4", "t4", "a*", "y"), run("s5", "t5", "a*", "y*"),
+	}
+	v := crashlimit.JudgeParts(runs)
+	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
+	assert.DeepEqual(t, names(v.Suspected), []string{"x"})
+}
+
+// TestOneRequestAccusesNoPart sends one request again and again: it is stopped by itself,
+// and its parts may be harmless.
+func TestOneRequestAccusesNoPart(t *testing.T) {
+	var runs []crashlimit.Run
+	for i := range 8 {
+		runs = append(runs, run("r", fmt.Sprint("t", i), "a*", "x*"))
+	}
+	assert.Equal(t, len(crashlimit.JudgeParts(runs).Guilty), 0)
+}
+
+// TestTargetsLostTogetherAccuseNoPart loses many targets at once, each with a request that
+// has the popular part a. All these runs began before anything was suspected.
+func TestTargetsLostTogetherAccuseNoPart(t *testing.T) {
+	var runs []crashlimit.Run
+	for i := range 20 {
+		runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), "a", fmt.Sprint(i)))
+	}
+	runs = append(runs, run("later", "t20", "a*", "b"))
+	v := crashlimit.JudgeParts(runs)
+	assert.Equal(t, len(v.Guilty), 0)
+	assert.Assert(t, v.Suspected["a"])
+}
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -30,7 +30,7 @@
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, waitingTokens: map[string]int64{}, lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: suspects{byFingerprint: map[string]*suspect{}}}
+	return &Fold{jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, waitingTokens: map[string]int64{}, lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects()}
 }
 
 // Apply folds records that follow those applied before. now is the process's monotonic
@@ -193,9 +193,11 @@
 	case e.Done != nil:
 		f.done(now, r.Key, e.Done)
 	case e.Crash != nil:
-		f.suspects.addCrash(now, r.Key, e.Crash)
+		f.suspects.addCrash(now, r, e.Crash)
 	case e.Cleared != nil:
 		f.suspects.clear(now, r.Key, e.Cleared.Fingerprint)
+	case e.PartCleared != nil:
+		f.suspects.clearPart(now, r, e.PartCleared.Part)
 	}
 }
 
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -189,7 +189,7 @@
 	job := rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job")
 	item := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "item")
 	ref := ItemRef{job, item}
-	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
 		return accept(job, "x", "y")
 	case 1:
@@ -206,10 +206,13 @@
 		return Entry{Heartbeat: true}
 	case 5:
 		target := rapid.SampledFrom([]string{"t1", "t2", "t3", "t4"}).Draw(t, "target")
-		return Entry{Crash: &Crash{Fingerprint: job, Target: target}}
+		parts := rapid.SampledFrom([][]string{{"p", job}, {"q"}}).Draw(t, "parts")
+		return Entry{Crash: &Crash{Fingerprint: job, Target: target, Parts: parts}}
 	case 6:
 		return Entry{Cleared: &Cleared{Fingerprint: job}}
 	case 7:
+		return Entry{PartCleared: &PartCleared{Part: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "part")}}
+	case 8:
 		return save(ref, rapid.IntRange(1, 9).Draw(t, "events"))
 	default:
 		return done(job, item, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
@@ -278,6 +281,7 @@
 	suspects := all.Suspects()
 	again := newest.Suspects()
 	assert.DeepEqual(t, suspects, again)
+	assert.DeepEqual(t, all.JudgeParts(), newest.JudgeParts())
 	assert.Equal(t, all.WaitingTokens("review"), newest.WaitingTokens("review"))
 	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
 }
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -105,6 +105,8 @@
 	Done    *Done    `msgpack:"d,omitempty"`
 	Crash   *Crash   `msgpack:"x,omitempty"`
 	Cleared *Cleared `msgpack:"y,omitempty"`
+	// PartCleared clears a part of prompts.
+	PartCleared *PartCleared `msgpack:"z,omitempty"`
 	// Heartbeat is set in records that only show that the writer is alive and still runs
 	// the items that it has claimed.
 	Heartbeat bool `msgpack:"v,omitempty"`
@@ -172,7 +174,7 @@
 }
 
 // Encode encodes an entry into a record. Only records that a later one replaces have a
-// key: heartbeats, crashes, and records that clear a suspect. It fails with
+// key: heartbeats, crashes, and records that clear a request or a part. It fails with
 // ErrMalformed.
 func (w *Writer) Encode(e Entry) (fleet.Record, error) {
 	e.Writer = w.name
@@ -188,6 +190,8 @@
 		r.Key = crashKey(e.Crash.Fingerprint, e.Crash.Target)
 	case e.Cleared != nil:
 		r.Key = crashKey(e.Cleared.Fingerprint, clearedSuffix)
+	case e.PartCleared != nil:
+		r.Key = partKey(e.PartCleared.Part)
 	}
 	return r, nil
 }
--- a/state/worklog/suspects.go
+++ b/state/worklog/suspects.go
@@ -1,6 +1,7 @@
 package worklog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +20,10 @@
 	// request had produced output there.
 	Target   string `msgpack:"t"`
 	Produced bool   `msgpack:"p"`
+	// Parts are the shared parts of the request's prompt, in their order. SuspectedParts
+	// are those that the writer knew to be suspected when the run began.
+	Parts          []string `msgpack:"a,omitempty"`
+	SuspectedParts []string `msgpack:"s,omitempty"`
 }
 
 // Cleared records that a request ran to completion, so that it did not cause the crashes
@@ -27,6 +32,12 @@
 	Fingerprint string `msgpack:"f"`
 }
 
+// PartCleared records that a request with the part in its prompt ran to completion, so that
+// the part did not cause the crashes before.
+type PartCleared struct {
+	Part string `msgpack:"p"`
+}
+
 // Suspicion is what is known of a request that was in flight at crashes.
 type Suspicion struct {
 	Crashes int
@@ -36,9 +47,8 @@
 
 // suspect is a request that was in flight at crashes.
 type suspect struct {
-	// producedOn holds, for each crashed target, whether the request had produced output
-	// there. It is empty once the request was cleared.
-	producedOn map[string]bool
+	// crashes holds the crashes by target. It is empty once the request was cleared.
+	crashes map[string]crashRecord
 	// keys holds the keys of all records about the request, including crashes before it
 	// was cleared: these would count again if only the clearing record were deleted.
 	keys map[string]bool
@@ -47,19 +57,34 @@
 	changedAt time.Time
 }
 
+// crashRecord is the newest record of a crash, at its offset in the log.
+type crashRecord struct {
+	*Crash
+	offset int64
+}
+
+// clearedPart is the newest record that a part was cleared.
+type clearedPart struct {
+	offset    int64
+	changedAt time.Time
+}
+
 func (s *suspect) suspicion() Suspicion {
 	productive := 0
-	for _, produced := range s.producedOn {
-		if produced {
+	for _, c := range s.crashes {
+		if c.Produced {
 			productive++
 		}
 	}
-	return Suspicion{Crashes: len(s.producedOn), Quarantined: crashlimit.Reached(len(s.producedOn), productive)}
+	return Suspicion{Crashes: len(s.crashes), Quarantined: crashlimit.Reached(len(s.crashes), productive)}
 }
 
 // suspects holds the requests that were in flight at crashes.
 type suspects struct {
 	byFingerprint map[string]*suspect
+	// clearedParts holds the parts of prompts that were cleared. Crashes before that do not
+	// count for them.
+	clearedParts map[string]clearedPart
 	// version is incremented by each change.
 	version int
 }
@@ -70,24 +95,32 @@
 const (
 	crashPrefix   = "crash/"
 	clearedSuffix = "cleared"
+	// partPrefix is the prefix of the keys of records that clear a part.
+	partPrefix = "part/"
 )
 
 func crashKey(fingerprint, target string) string { return crashPrefix + fingerprint + "/" + target }
 
-func (s *suspects) addCrash(now time.Time, key string, c *Crash) {
+func partKey(part string) string { return partPrefix + part }
+
+func newSuspects() suspects {
+	return suspects{byFingerprint: map[string]*suspect{}, clearedParts: map[string]clearedPart{}}
+}
+
+func (s *suspects) addCrash(now time.Time, r fleet.Record, c *Crash) {
 	known := s.byFingerprint[c.Fingerprint]
 	if known == nil {
 		if len(s.byFingerprint) >= maxSuspects {
 			return
 		}
-		known = &suspect{producedOn: map[string]bool{}, keys: map[string]bool{}}
+		known = &suspect{crashes: map[string]crashRecord{}, keys: map[string]bool{}}
 		s.byFingerprint[c.Fingerprint] = known
 	}
-	if _, reported := known.producedOn[c.Target]; !reported {
+	if _, reported := known.crashes[c.Target]; !reported {
 		known.changedAt = now
 	}
-	known.producedOn[c.Target] = c.Produced
-	known.keys[key] = true
+	known.crashes[c.Target] = crashRecord{c, r.Offset}
+	known.keys[r.Key] = true
 	s.version++
 }
 
@@ -97,45 +130,90 @@
 		known = &suspect{keys: map[string]bool{}}
 		s.byFingerprint[fingerprint] = known
 	}
-	known.producedOn = map[string]bool{}
+	known.crashes = map[string]crashRecord{}
 	known.keys[key] = true
 	known.changedAt = now
 	s.version++
 }
 
-// SuspectsVersion returns a number that changes whenever the result of Suspects may
-// change.
+// clearPart records that the part is harmless as far as the crashes before show.
+func (s *suspects) clearPart(now time.Time, r fleet.Record, part string) {
+	s.clearedParts[part] = clearedPart{r.Offset, now}
+	s.version++
+}
+
+// uncleared returns the parts of the crash's request that were not cleared since.
+func (s *suspects) uncleared(c crashRecord) []string {
+	return slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool {
+		cleared, found := s.clearedParts[part]
+		return found && cleared.offset > c.offset
+	})
+}
+
+// SuspectsVersion returns a number that changes whenever the result of Suspects or
+// JudgeParts may change.
 func (f *Fold) SuspectsVersion() int { return f.suspects.version }
 
 // Suspects returns the requests that were in flight at crashes, by fingerprint.
 func (f *Fold) Suspects() map[string]Suspicion {
 	found := make(map[string]Suspicion, len(f.suspects.byFingerprint))
 	for fingerprint, s := range f.suspects.byFingerprint {
-		if len(s.producedOn) > 0 {
+		if len(s.crashes) > 0 {
 			found[fingerprint] = s.suspicion()
 		}
 	}
 	return found
 }
 
+// JudgeParts returns the parts of prompts to which the crashes point.
+func (f *Fold) JudgeParts() crashlimit.PartVerdicts {
+	var runs []crashlimit.Run
+	for fingerprint, s := range f.suspects.byFingerprint {
+		for target, c := range s.crashes {
+			runs = append(runs, crashlimit.Run{
+				Request: fingerprint, Target: target, Parts: f.suspects.uncleared(c), Suspected: c.SuspectedParts,
+			})
+		}
+	}
+	return crashlimit.JudgeParts(runs)
+}
+
 // SuspectDeletions returns the records that delete all records about requests whose last
-// crash or clearing became known before the given time.
+// crash or clearing became known before the given time, and those about parts that were
+// cleared before it.
 func (f *Fold) SuspectDeletions(before time.Time) []fleet.Record {
 	var deletions []fleet.Record
+	// needed holds the parts whose clearing must still outweigh an earlier crash.
+	needed := map[string]bool{}
 	for _, s := range f.suspects.byFingerprint {
-		if !s.changedAt.Before(before) {
+		if s.changedAt.Before(before) {
+			for key := range s.keys {
+				deletions = append(deletions, fleet.Record{Key: key})
+			}
 			continue
 		}
-		for key := range s.keys {
-			deletions = append(deletions, fleet.Record{Key: key})
+		for _, c := range s.crashes {
+			for _, part := range c.Parts {
+				needed[part] = needed[part] || c.offset < f.suspects.clearedParts[part].offset
+			}
+		}
+	}
+	for part, cleared := range f.suspects.clearedParts {
+		if cleared.changedAt.Before(before) && !needed[part] {
+			deletions = append(deletions, fleet.Record{Key: partKey(part)})
 		}
 	}
 	return deletions
 }
 
-// applyDeletion drops the request that the key of a deleted record refers to. It returns
-// false for other kinds of keys.
+// applyDeletion drops the request or the cleared part that the key of a deleted record
+// refers to. It returns false for other kinds of keys.
 func (s *suspects) applyDeletion(key string) bool {
+	if part, found := strings.CutPrefix(key, partPrefix); found {
+		delete(s.clearedParts, part)
+		s.version++
+		return true
+	}
 	rest, found := strings.CutPrefix(key, crashPrefix)
 	if found {
 		fingerprint, _, _ := strings.Cut(rest, "/")
--- a/state/worklog/suspects_test.go
+++ b/state/worklog/suspects_test.go
@@ -48,3 +48,29 @@
 	l.put(b, crash("long", "t6", false))
 	assert.Equal(t, of("long"), Suspicion{Crashes: 1}, "crashes before the completed run must not count")
 }
+
+// TestCompletedRunClearsThePartsOfItsPrompt checks that crashes before a part was cleared do
+// not count for it, in a process that reads the log later as well, and that no record of it
+// stays in the log.
+func TestCompletedRunClearsThePartsOfItsPrompt(t *testing.T) {
+	l := &log{t: t}
+	w := NewWriter("a")
+	suspected := func() map[string]bool {
+		live := l.fold().JudgeParts()
+		restarted := NewFold()
+		restarted.Apply(now, l.newest())
+		assert.DeepEqual(t, live, restarted.JudgeParts())
+		return live.Suspected
+	}
+	for _, target := range []string{"t1", "t2", "t3"} {
+		l.put(w, Entry{Crash: &Crash{Fingerprint: "f" + target, Target: target, Parts: []string{"first", "x"}}})
+	}
+	assert.DeepEqual(t, suspected(), map[string]bool{"first": true, "x": true})
+	l.put(w, Entry{PartCleared: &PartCleared{Part: "first"}})
+	assert.DeepEqual(t, suspected(), map[string]bool{"x": true})
+	l.put(w, Entry{Crash: &Crash{Fingerprint: "g", Target: "t4", Parts: []string{"first"}}})
+	assert.DeepEqual(t, suspected(), map[string]bool{"x": true}) // one crash since the part was cleared
+	l.append(l.fold().SuspectDeletions(now.Add(time.Second)))
+	assert.Equal(t, len(suspected()), 0)
+	assert.Equal(t, len(l.newest()), 0)
+}
