Take a stream that ends within an event as broken off

What callers saw: a target may answer without a length and end the answer with its connection. When such a stream broke off in the middle of an event, the caller got half an event and a regular end; the stream was not resumed, and the request counted as completed.

Cause: the gateway took the end of the connection for the end of the stream; the batcher already looked at what follows the last event. Class: two readers of one format with different ideas of its end.

Why it works: both readers ask the splitter whether the stream ends within an event. The stream is then resumed at another target if it may be, and otherwise breaks off towards the caller as well.

--- a/batcher/item.go
+++ b/batcher/item.go
@@ -1,7 +1,6 @@
 package batcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -353,7 +352,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if len(bytes.TrimSpace(splitter.Rest())) > 0 {
+			if splitter.EndsWithinEvent() {
 				return fleet.ErrAnswerBroken.New("stream ended within an event")
 			}
 			return nil
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -375,6 +375,9 @@
 				return failure
 			}
 		}
+		if errors.Is(err, io.EOF) && splitter.EndsWithinEvent() {
+			return o.handleBrokenAnswer(ctx, target, fleet.ErrAnswerBroken.New("stream ended within an event"))
+		}
 		if errors.Is(err, io.EOF) {
 			o.g.table.RecordSuccess(target)
 			o.completed = o.lastEvent != o.attemptLastEvent
--- a/protocol/eventstream/splitter.go
+++ b/protocol/eventstream/splitter.go
@@ -32,3 +32,7 @@
 
 // Rest returns the bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.pending[s.returned:] }
+
+// EndsWithinEvent reports whether the stream has broken off if it ends here: bytes other
+// than white space follow the last complete event.
+func (s *Splitter) EndsWithinEvent() bool { return len(bytes.TrimSpace(s.Rest())) > 0 }
