--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -55,7 +55,11 @@
 // Conn is a connection that carries one request at a time.
 type Conn struct {
 	net.Conn
-	Reader        *bufio.Reader
+	Reader *bufio.Reader
+	// RefusedRequest is the ID of the request that the other end refused last on this
+	// connection.
+	RefusedRequest string
+
 	limits        *limitedConn
 	pool          *ConnPool
 	addr          string
