Let odd entries of the registry name no target

What callers would see, reported by other operators: another writer leaves one odd entry among those of the targets, and processes end again and again or stop following the list.

Neither happens here: deeply nested and oversized values were malformed before and are still, and no process ended.

Class: a field taken over from another writer without a look at its range.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -21,6 +21,9 @@
 	// expiryWindow is the time after the recovery during which a removal may be such
 	// an expiry. A later removal means that the target leaves now.
 	expiryWindow = 600 * time.Millisecond
+	// maxClockSkew is how far the clocks of a target and of this process may differ. A target
+	// that was started later than that was registered by another writer.
+	maxClockSkew = time.Hour
 )
 
 // Decoder decodes the operator's configuration records and the targets' records.
@@ -175,6 +178,11 @@
 		t.remove(r.Key)
 		return
 	}
+	if target.StartUnixMillis > t.now().Add(maxClockSkew).UnixMilli() {
+		klog.InfoS("target record not readable", "target", r.Key, "offset", r.Offset, "born", target.StartUnixMillis)
+		t.remove(r.Key)
+		return
+	}
 	old := t.byID[target.ID]
 	if old != nil && target.StartUnixMillis != 0 && target.StartUnixMillis < old.StartUnixMillis {
 		return // a delayed record of an earlier incarnation
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -137,3 +137,17 @@
 	targets.RemoveIncarnation(&fleet.Target{ID: "a", StartUnixMillis: 1})
 	assert.Equal(t, ready(targets), "map[a:true b:true]")
 }
+
+// TestTargetFromTheFutureHidesNoRealOne registers a target with a time of start far ahead
+// under the ID of a real one, as another writer may do. The next record of the real target
+// must count: by its time of start alone it would be a delayed record of an earlier
+// incarnation.
+func TestTargetFromTheFutureHidesNoRealOne(t *testing.T) {
+	targets, clock := newTargets()
+	born := strconv.FormatInt(clock.now.UnixMilli(), 10)
+	targets.Apply([]fleet.Record{record("a", born), record("b", born)})
+	targets.Apply([]fleet.Record{record("a", "9223372036854775807")})
+	assert.Equal(t, ready(targets), "map[b:true]")
+	targets.Apply([]fleet.Record{record("a", born)})
+	assert.Equal(t, ready(targets), "map[a:true b:true]")
+}
