Send nothing more to a target that announces its leave in an answer

What callers would see: a request sent to a target that leaves, from a gateway that could know it.

Cause: only the registry told gateways that a target leaves. While the store is away, or turns some gateways away, that is not read. Class: one source for a fact that a second one states as well.

Evidence: TestTargetThatAnnouncesItsLeaveGetsNoMore and TestAnnouncedLeaveOutlivesTheRegistration failed without the change.

Why it works: an answer or a refusal of the target itself marks its incarnation as draining, for as long as the incarnation may be registered. The end of such a target is no crash.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -24,6 +24,8 @@
 	// maxClockSkew is how far the clocks of a target and of this process may differ. A target
 	// that was started later than that was registered by another writer.
 	maxClockSkew = time.Hour
+	// maxLeaving bounds the incarnations that are remembered as leaving.
+	maxLeaving = 4096
 )
 
 // Decoder decodes the operator's configuration records and the targets' records.
@@ -77,6 +79,10 @@
 	// removeAt holds the removal times, by ID, of the targets whose registration was
 	// removed just after the store had recovered.
 	removeAt map[string]time.Time
+	// leaving holds the time of start, by ID, of incarnations that announced in an answer
+	// that they leave. It outlives their registration, which may expire and come back while
+	// the store is away.
+	leaving map[string]int64
 	// recoveredAt is when the store last answered again after an outage.
 	recoveredAt time.Time
 	snapshot    atomic.Pointer[Snapshot]
@@ -93,7 +99,7 @@
 
 // NewTargets returns a registry without targets.
 func NewTargets(d Decoder, now func() time.Time) *Targets {
-	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}}
+	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}, leaving: map[string]int64{}}
 	t.snapshot.Store(&Snapshot{})
 	return t
 }
@@ -117,6 +123,29 @@
 	t.publishSnapshot()
 }
 
+// MarkLeaving records that the given incarnation of a target announced in an answer that it
+// leaves. It counts as draining from now on, whatever its registration says: that may not
+// reach this process for as long as the store is away.
+func (t *Targets) MarkLeaving(target *fleet.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isLeaving(target) {
+		return
+	}
+	klog.InfoS("target leaving", "target", target.ID, "reason", "announced in an answer")
+	if len(t.leaving) >= maxLeaving {
+		maps.DeleteFunc(t.leaving, func(id string, _ int64) bool { return t.byID[id] == nil })
+	}
+	t.leaving[target.ID] = target.StartUnixMillis
+	t.publishSnapshot()
+}
+
+// isLeaving reports whether the incarnation is marked as leaving. mu must be held.
+func (t *Targets) isLeaving(target *fleet.Target) bool {
+	born, marked := t.leaving[target.ID]
+	return marked && born == target.StartUnixMillis
+}
+
 // StoreRecovered notes that the store answers again after an outage. Targets whose
 // registration expired during the outage stay for a grace period.
 func (t *Targets) StoreRecovered() {
@@ -213,6 +242,11 @@
 func (t *Targets) publishSnapshot() {
 	s := &Snapshot{Services: map[string][]*fleet.Target{}, Addresses: map[string]*fleet.Target{}}
 	for _, target := range t.byID {
+		if t.isLeaving(target) && !target.Draining {
+			draining := *target
+			draining.Draining = true
+			target = &draining
+		}
 		if old := s.Addresses[target.Address]; old == nil || old.StartUnixMillis < target.StartUnixMillis {
 			s.Addresses[target.Address] = target
 		}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -151,3 +151,21 @@
 	targets.Apply([]fleet.Record{record("a", born)})
 	assert.Equal(t, ready(targets), "map[a:true b:true]")
 }
+
+// TestAnnouncedLeaveOutlivesTheRegistration marks an incarnation as leaving. Its heartbeats,
+// and the return of its registration after an outage, must not put it into use again; a
+// later incarnation under its ID is used.
+func TestAnnouncedLeaveOutlivesTheRegistration(t *testing.T) {
+	targets, _ := newTargets()
+	targets.Apply([]fleet.Record{record("a", "1"), record("b", "1")})
+	targets.MarkLeaving(&fleet.Target{ID: "a", StartUnixMillis: 1})
+	assert.Equal(t, ready(targets), "map[b:true]")
+	assert.Assert(t, targets.Current().Addresses["a"].Draining, "its end is no crash")
+	targets.Apply([]fleet.Record{record("a", "1")})
+	assert.Equal(t, ready(targets), "map[b:true]")
+	targets.Apply([]fleet.Record{record("a", "")})
+	targets.Reset([]fleet.Record{record("a", "1"), record("b", "1")})
+	assert.Equal(t, ready(targets), "map[b:true]")
+	targets.Apply([]fleet.Record{record("a", "2")})
+	assert.Equal(t, ready(targets), "map[a:true b:true]")
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -48,6 +48,7 @@
 	endless  string
 	pause    time.Duration
 	unsigned bool
+	leaving  bool
 }
 
 // sender is a fake fleet.Sender whose attempts follow the steps in order, whichever
@@ -71,7 +72,7 @@
 	}
 	status := max(next.status, http.StatusOK)
 	return &fleet.Answer{
-		Verdict: next.verdict, Status: status, Header: http.Header{}, Signed: !next.unsigned, Length: -1,
+		Verdict: next.verdict, Status: status, Header: http.Header{}, Signed: !next.unsigned, Leaving: next.leaving, Length: -1,
 		Body: &script{ctx: ctx, step: next}, Close: func() {}, Discard: func() {},
 	}, nil
 }
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -247,6 +247,9 @@
 	if answer.Load != nil {
 		o.g.table.RecordLoad(target, *answer.Load)
 	}
+	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
+		o.g.targets.MarkLeaving(target)
+	}
 	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
 		answer.Discard()
 		o.refusals++
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 )
 
 // TestOutcomes checks, for each kind of route, the outcome of a request whose targets
@@ -262,3 +263,40 @@
 		assert.Equal(t, len(body), 0)
 	})
 }
+
+// TestTargetThatAnnouncesItsLeaveGetsNoMore lets targets say in an answer, and in a refusal,
+// that they leave, while the store is away and their registrations stay. Neither may get a
+// request again; an answer of another request's target says nothing about this one.
+func TestTargetThatAnnouncesItsLeaveGetsNoMore(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer step
+		leaves bool
+	}{
+		"answer":         {step{events: events(1, 3), leaving: true}, true},
+		"refusal":        {step{verdict: fleet.VerdictNotRun, status: 503, leaving: true}, true},
+		"foreign answer": {step{verdict: fleet.VerdictForeign, leaving: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startGateway(t, newStore(t))
+				defer s.stop()
+				s.store.SetFaults(fleetstore.Faults{Down: true})
+				s.sender.steps = []step{test.answer, sound}
+				_, _ = s.serve(t.Context(), "safe") // the outcome is that of the second target
+				first := s.sender.sent[0].Target.ID
+				sent := len(s.sender.sent)
+				again := false
+				for range 200 {
+					s.sender.steps = []step{sound}
+					_, err := s.serve(t.Context(), "safe")
+					assert.NilError(t, err)
+					time.Sleep(20 * time.Millisecond)
+				}
+				for _, a := range s.sender.sent[sent:] {
+					again = again || a.Target.ID == first
+				}
+				assert.Equal(t, again, !test.leaves)
+			})
+		})
+	}
+}
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -62,6 +62,8 @@
 	Header http.Header
 	// Signed reports whether the target signed the answer.
 	Signed bool
+	// Leaving is set if the target announced with the answer that it leaves.
+	Leaving bool
 	// Load is the target's load report, nil if there is none.
 	Load *Load
 	// Body returns io.EOF only after the target's complete body.
