Show that items outlive crashes of their targets

Reported by other operators: after a burst of crashes, an item that several targets had lost was never placed again, though all was calm.

Looked for here and not found: only answers of 500 and 422 end an item, crashes do not count, and the quarantine of requests does not look at items. TestItemOutlivesManyCrashes lets each item of a job lose five targets or more; it passed at once on the code as it was.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -421,6 +421,43 @@
 	})
 }
 
+// TestItemOutlivesManyCrashes crashes both targets in turn again and again under the items of
+// a job, in the middle of their output. An item is owed however many targets it lost: when
+// all is calm, every item must be completed.
+func TestItemOutlivesManyCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(t)
+		targets := []*target{newTarget(), newTarget()}
+		var batchers []*batcher.Batcher
+		for i, e := range targets {
+			batchers = append(batchers, s.start(fmt.Sprint("b", i), e))
+		}
+		time.Sleep(time.Second)
+		s.accept("j", 4)
+		crashes := 0
+		for crashes < 12 {
+			for i, e := range targets {
+				if e.busy() > 0 {
+					crashes++
+				}
+				e.set(func(e *target) { e.down = true })
+				time.Sleep(2 * tokenTime)
+				e.set(func(e *target) { e.down, e.id = false, fmt.Sprint("life", i, crashes) })
+			}
+			time.Sleep(tokenTime)
+		}
+		for _, item := range s.job("j").Items {
+			lost := targets[0].sent(item.ID) + targets[1].sent(item.ID) - 1
+			assert.Assert(t, lost >= 5, "%s lost only %d targets", item.ID, lost)
+		}
+		time.Sleep(10 * time.Second)
+		s.checkCompleted("j")
+		for _, b := range batchers {
+			assert.NilError(t, b.Stop())
+		}
+	})
+}
+
 // TestHeartbeatsOnlyWhenSilent checks that a batcher whose claims and results are stored
 // adds no heartbeats to them, and that one that runs a long item does: with hundreds of
 // batchers a heartbeat each per second is a third of what the log can take.
