Let no popular part of prompts take the blame from another

Cause: the first part of the same requests, which sound requests share, was in flight at more known crashes than the crashing part, since some of that part's runs are not known. It was judged first, explained all crashes, and lifted the quarantine until it was cleared.

TestPopularPartTakesNoBlameFromAnother fails without the change.

Why it works: parts with which a request has run to completion before are judged last.

The soak's targets announce that they leave as the platform's do, and the soak checks that a gateway which passed such an answer on sends nothing more there, whatever else happens.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -65,6 +65,27 @@
 	sent     []sentRequest
 	jobs     []*job
 	problems []string
+	// announced is when a gateway first passed on an answer in which a target announced
+	// that it leaves.
+	announced map[announcement]time.Time
+}
+
+// announcement is a target's announcement that it leaves, as a gateway passed it on.
+type announcement struct {
+	gateway string
+	target  string
+}
+
+func newRecorder() *recorder { return &recorder{announced: map[announcement]time.Time{}} }
+
+// addAnnouncement records that the gateway passed on the target's announcement.
+func (l *recorder) addAnnouncement(gateway, target string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := announcement{gateway, target}
+	if l.announced[key].IsZero() {
+		l.announced[key] = at
+	}
 }
 
 func (l *recorder) add(s sentRequest) {
@@ -171,6 +192,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	s.end, s.status = time.Now(), resp.StatusCode
+	if err == nil && resp.Header.Get(platformtest.HeaderLeaving) != "" {
+		c.recorder.addAnnouncement(d.name, resp.Header.Get(platformtest.HeaderInstance), s.end)
+	}
 	switch {
 	case err != nil:
 		s.err = err.Error()
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -46,6 +46,7 @@
 	}
 	for _, r := range runs {
 		s.checkDrain(l, r, senders)
+		s.checkAnnouncement(l, r, senders)
 	}
 	s.checkProcesses(l)
 }
@@ -108,6 +109,21 @@
 	}
 }
 
+// checkAnnouncement checks that a target got no request from a gateway that its caller had
+// sent later than drainBound after the gateway had passed on the target's announcement that
+// it leaves. Only a restart or a suspension of the gateway excuses that.
+func (s *site) checkAnnouncement(l *recorder, r platformtest.Run, senders map[string]sentRequest) {
+	one, online := senders[r.Request]
+	if !online {
+		return
+	}
+	at, found := l.announced[announcement{one.gateway, r.Target}]
+	if found && one.begun.After(at.Add(drainBound)) && !s.faultLog.interrupted(at, r.Arrived, one.gateway) {
+		l.recordViolation("%s, sent at %s, reached %s from %s, which had passed on at %s that the target leaves",
+			r.Request, formatTime(one.begun), r.Target, one.gateway, formatTime(at))
+	}
+}
+
 // batcherOf returns the name of the batcher beside a target.
 func batcherOf(target string) string {
 	place := target[:strings.LastIndex(target, "-")]
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -69,6 +69,17 @@
 	return c.faultFree(from, to, names...) && len(c.overlapping(from, to, true, names)) == 0
 }
 
+// interruptions are the faults and planned work after which a process has lost its memory or
+// has not run for a while.
+var interruptions = []string{"killed", "frozen", "stopped", "ended by a hangup", "power lost"}
+
+// interrupted reports whether one of the interruptions affected the process in that time.
+func (c *faultLog) interrupted(from, to time.Time, name string) bool {
+	isInterruption := func(i *interval) bool { return slices.Contains(interruptions, i.what) }
+	return slices.ContainsFunc(c.overlapping(from, to, false, []string{name}), isInterruption) ||
+		slices.ContainsFunc(c.overlapping(from, to, true, []string{name}), isInterruption)
+}
+
 // overlapping returns the intervals that affect any of the names and overlap the
 // times, or ended within stableWindow before.
 func (c *faultLog) overlapping(from, to time.Time, planned bool, names []string) []*interval {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,7 +79,7 @@
 func runSeed(t *testing.T, seed uint64) {
 	s := newSite(t, binary)
 	t.Cleanup(func() { s.writeFailureReport(seed) })
-	l := &recorder{}
+	l := newRecorder()
 	ctx, stopCallers := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range onlineCallers {
--- a/state/crashlimit/parts.go
+++ b/state/crashlimit/parts.go
@@ -43,11 +43,13 @@
 //
 // Requests with different parts share a target, and a part that crashes targets shares its
 // requests with harmless ones. The part that was in flight at the most crashes is therefore
-// judged first, and crashes that it explains count for no other part.
-func JudgeParts(runs []Run) PartVerdicts {
+// judged first, and crashes that it explains count for no other part. Parts that wasCleared
+// reports, with which a request has run to completion before, come last: a popular part is
+// in flight at many crashes that another one causes.
+func JudgeParts(runs []Run, wasCleared func(part string) bool) PartVerdicts {
 	v := PartVerdicts{Suspected: map[string]bool{}, Guilty: map[string]bool{}}
 	for {
-		tallies := tallyParts(unexplained(runs, v.Guilty))
+		tallies := tallyParts(unexplained(runs, v.Guilty), wasCleared)
 		guilty := slices.IndexFunc(tallies, (*partTally).isGuilty)
 		if guilty < 0 {
 			for _, t := range tallies {
@@ -77,7 +79,9 @@
 type partTally struct {
 	part string
 	// position is the part's position in a prompt.
-	position  int
+	position int
+	// cleared is 1 if the part was cleared before.
+	cleared   int
 	targets   map[string]bool
 	requests  map[string]bool
 	confirmed map[string]bool
@@ -87,16 +91,19 @@
 	return len(t.targets) >= guiltyPartCrashes && len(t.requests) >= guiltyPartRequests && len(t.confirmed) >= confirmingCrashes
 }
 
-// tallyParts returns the tallies of the parts, those in flight at the most crashes first.
-// Of parts with equally many, the later one in the prompt comes first: it is shared by
-// fewer requests.
-func tallyParts(runs []Run) []*partTally {
+// tallyParts returns the tallies of the parts: those that were never cleared first, and of
+// these those in flight at the most crashes. Of parts with equally many, the later one in
+// the prompt comes first: it is shared by fewer requests.
+func tallyParts(runs []Run, wasCleared func(part string) bool) []*partTally {
 	byPart := map[string]*partTally{}
 	for _, r := range runs {
 		for position, part := range r.Parts {
 			t := byPart[part]
 			if t == nil {
 				t = &partTally{part: part, targets: map[string]bool{}, requests: map[string]bool{}, confirmed: map[string]bool{}}
+				if wasCleared(part) {
+					t.cleared = 1
+				}
 				byPart[part] = t
 			}
 			t.position = max(t.position, position)
@@ -112,7 +119,7 @@
 		tallies = append(tallies, t)
 	}
 	slices.SortFunc(tallies, func(a, b *partTally) int {
-		return cmp.Or(cmp.Compare(len(b.targets), len(a.targets)), cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(a.cleared, b.cleared), cmp.Compare(len(b.targets), len(a.targets)), cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part))
 	})
 	return tallies
 }
--- a/state/crashlimit/parts_test.go
+++ b/state/crashlimit/parts_test.go
@@ -25,6 +25,8 @@
 	return r
 }
 
+func never(string) bool { return false }
+
 func names(parts map[string]bool) []string { return slices.Sorted(maps.Keys(parts)) }
 
 // TestHarmlessPartsOfTheSameRequestsAreSpared judges crashes under requests that share the
@@ -37,7 +39,7 @@
 		run("s1", "t1", "a", "y"), run("s2", "t2", "a", "y"), run("s3", "t3", "a", "z"),
 		run("s4", "t4", "a*", "y"), run("s5", "t5", "a*", "y*"),
 	}
-	v := crashlimit.JudgeParts(runs)
+	v := crashlimit.JudgeParts(runs, never)
 	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
 	assert.DeepEqual(t, names(v.Suspected), []string{"x"})
 }
@@ -49,7 +51,7 @@
 	for i := range 8 {
 		runs = append(runs, run("r", fmt.Sprint("t", i), "a*", "x*"))
 	}
-	assert.Equal(t, len(crashlimit.JudgeParts(runs).Guilty), 0)
+	assert.Equal(t, len(crashlimit.JudgeParts(runs, never).Guilty), 0)
 }
 
 // TestTargetsLostTogetherAccuseNoPart loses many targets at once, each with a request that
@@ -60,7 +62,25 @@
 		runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), "a", fmt.Sprint(i)))
 	}
 	runs = append(runs, run("later", "t20", "a*", "b"))
-	v := crashlimit.JudgeParts(runs)
+	v := crashlimit.JudgeParts(runs, never)
 	assert.Equal(t, len(v.Guilty), 0)
 	assert.Assert(t, v.Suspected["a"])
 }
+
+// TestPopularPartTakesNoBlameFromAnother judges the part x beside the first part of its
+// requests, which other requests share and which was in flight at more crashes: the runs
+// with x at two of the targets are not known. Once it was cleared it explains no crashes
+// of x.
+func TestPopularPartTakesNoBlameFromAnother(t *testing.T) {
+	var runs []crashlimit.Run
+	for i := range 8 {
+		request, target := fmt.Sprint("r", i), fmt.Sprint("t", i)
+		if i < 6 {
+			runs = append(runs, run(request, target, "first*", "x*"))
+		} else {
+			runs = append(runs, run(request, target, "first*"))
+		}
+	}
+	v := crashlimit.JudgeParts(runs, func(part string) bool { return part == "first" })
+	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
+}
--- a/state/worklog/suspects.go
+++ b/state/worklog/suspects.go
@@ -175,7 +175,10 @@
 			})
 		}
 	}
-	return crashlimit.JudgeParts(runs)
+	return crashlimit.JudgeParts(runs, func(part string) bool {
+		_, cleared := f.suspects.clearedParts[part]
+		return cleared
+	})
 }
 
 // SuspectDeletions returns the records that delete all records about requests whose last
