--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,7 +14,6 @@
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
-	"github.com/sycamoretally/sycamoretally/state/crashlimit"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
 
@@ -31,30 +28,8 @@
 	// maxPendingRecords bounds the records that are queued while the store is
 	// unavailable.
 	maxPendingRecords = 256
-	// probeTimeout bounds the check whether a target whose answer broke off has ended, and
-	// probeRepeatDelay is the delay before a second check: a process that ends may lose its
-	// connections first. maxProbes bounds the checks at the same time.
-	probeTimeout     = 500 * time.Millisecond
-	probeRepeatDelay = 200 * time.Millisecond
-	maxProbes        = 64
-	// partObservation is how long a part of prompts to which crashes point is observed before
-	// it is quarantined: a run of a request with it, and a read of the work log by all
-	// gateways. partCompletions is the number of other requests that must be completed
-	// meanwhile.
-	partObservation = time.Second
-	partCompletions = 3
 )
 
-// suspicions is an immutable snapshot of the work log's suspicions of requests that
-// were in flight at crashes.
-type suspicions struct {
-	byFingerprint map[string]worklog.Suspicion
-	parts         crashlimit.PartVerdicts
-	// fold and version identify the state that the snapshot was taken from.
-	fold    *worklog.Fold
-	version int
-}
-
 // crashTracker shares with all gateways, through the work log, which requests were in
 // flight at targets that crashed: a request that crashes every target is sent again,
 // to any gateway.
@@ -84,46 +59,14 @@
 func newCrashTracker() *crashTracker {
 	c := &crashTracker{
 		breaks:   quarantine.CrashDetector{Window: crashWindow},
-		observer: quarantine.PartObserver{Period: partObservation, Completions: partCompletions}, unprobed: map[string]*fleet.Target{}, probing: map[string]bool{},
+		observer: quarantine.PartObserver{Period: partObservation, Completions: partCompletions},
+		unprobed: map[string]*fleet.Target{}, probing: map[string]bool{},
 	}
 	c.quarantinedParts.Store(&map[string]bool{})
 	c.suspicions.Store(&suspicions{})
 	return c
 }
 
-// publish takes a snapshot of the fold's suspicions. The fold's mutex must be held.
-func (c *crashTracker) publish(fold *worklog.Fold) {
-	if old := c.suspicions.Load(); old.fold == fold && old.version == fold.SuspectsVersion() {
-		return
-	}
-	c.suspicions.Store(&suspicions{fold.Suspects(), fold.JudgeParts(), fold, fold.SuspectsVersion()})
-}
-
-// updateQuarantinedParts puts into force which parts of prompts are quarantined. mu must be
-// held.
-func (c *crashTracker) updateQuarantinedParts() {
-	now := time.Now()
-	c.observer.Observe(now, c.suspicions.Load().parts.Guilty)
-	before, next := *c.quarantinedParts.Load(), c.observer.Quarantined(now)
-	if maps.Equal(before, next) {
-		return
-	}
-	c.quarantinedParts.Store(&next)
-	klog.InfoS("quarantined parts of prompts changed", "parts", slices.Sorted(maps.Keys(next)), "before", slices.Sorted(maps.Keys(before)))
-}
-
-// suspectedParts returns the parts of the request's prompt that are suspected.
-func (c *crashTracker) suspectedParts(r *fleet.Request) []string {
-	suspected := c.suspicions.Load().parts.Suspected
-	var parts []string
-	for _, part := range r.PromptParts {
-		if suspected[part] {
-			parts = append(parts, part)
-		}
-	}
-	return parts
-}
-
 // enqueue adds an entry to those that are to be appended. mu must be held.
 func (c *crashTracker) enqueue(e worklog.Entry) {
 	if len(c.pending) >= maxPendingRecords {
@@ -133,34 +76,6 @@
 	c.pending = append(c.pending, e)
 }
 
-// fingerprintOf returns the request's fingerprint. It depends on the content alone, not
-// on the caller.
-func fingerprintOf(r *fleet.Request) string {
-	return protocol.Fingerprint([]byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body)
-}
-
-// checkQuarantine returns ErrQuarantined if the request is in quarantine: it, or a part of
-// its prompt, was in flight at too many crashes.
-func (g *Gateway) checkQuarantine(r *fleet.Request) error {
-	known := g.crashes.suspicions.Load()
-	quarantined := *g.crashes.quarantinedParts.Load()
-	for _, part := range r.PromptParts {
-		if quarantined[part] {
-			klog.InfoS("request in quarantine", "request", r.ID, "part", part)
-			return fleet.ErrQuarantined.New("part %s of the prompt was in flight at too many crashes", part)
-		}
-	}
-	if len(known.byFingerprint) == 0 {
-		return nil
-	}
-	fingerprint := fingerprintOf(r)
-	if s := known.byFingerprint[fingerprint]; s.Quarantined {
-		klog.InfoS("request in quarantine", "request", r.ID, "fingerprint", fingerprint, "crashes", s.Crashes)
-		return fleet.ErrQuarantined.New("request was in flight at %d crashes", s.Crashes)
-	}
-	return nil
-}
-
 // recordBreak records that the target's answer, or the connection before the answer,
 // broke off. An attempt that the gateway itself broke off because the target was
 // unresponsive is no sign of a crash.
@@ -180,86 +95,6 @@
 	}
 }
 
-// startProbes starts to check whether the targets of broken runs have ended. mu must be
-// held.
-func (g *Gateway) startProbes() {
-	c := g.crashes
-	for name, target := range c.unprobed {
-		if len(c.probing) >= maxProbes {
-			return
-		}
-		delete(c.unprobed, name)
-		if g.params.HasEnded == nil || c.breaks.HasEnded(name) {
-			continue
-		}
-		c.probing[name] = true
-		g.tomb.Go(func() error {
-			g.recordProbe(name, g.probe(target))
-			return nil
-		})
-	}
-}
-
-// recordProbe records the result of the check whether an incarnation has ended.
-func (g *Gateway) recordProbe(name string, ended bool) {
-	c := g.crashes
-	c.mu.Lock()
-	delete(c.probing, name)
-	if ended {
-		c.breaks.MarkEnded(time.Now(), name)
-	}
-	c.mu.Unlock()
-	if ended {
-		g.detectCrashes()
-	}
-}
-
-// probe checks twice whether the target has ended.
-func (g *Gateway) probe(target *fleet.Target) bool {
-	check := func() bool {
-		ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
-		defer cancel()
-		return g.params.HasEnded(ctx, target.Address)
-	}
-	if check() {
-		return true
-	}
-	pause.For(g.ctx, probeRepeatDelay)
-	return check()
-}
-
-// clearSuspicion enqueues records that clear the request and the parts of its prompt as far
-// as they are suspected, after it has run to completion.
-func (g *Gateway) clearSuspicion(r *fleet.Request) {
-	c := g.crashes
-	known := c.suspicions.Load()
-	if len(known.byFingerprint) == 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.observer.Completed(time.Now(), r.PromptParts)
-	for _, part := range c.suspectedParts(r) {
-		c.enqueueOnce(known, worklog.Entry{PartCleared: &worklog.PartCleared{Part: part}}, part)
-	}
-	fingerprint := fingerprintOf(r)
-	if _, suspected := known.byFingerprint[fingerprint]; suspected {
-		c.enqueueOnce(known, worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}}, fingerprint)
-	}
-}
-
-// enqueueOnce enqueues an entry that clears what is suspected, unless that was done since
-// the suspicions became known. mu must be held.
-func (c *crashTracker) enqueueOnce(known *suspicions, e worklog.Entry, cleared string) {
-	if c.clearedOf != known {
-		c.clearedOf, c.cleared = known, map[string]bool{}
-	}
-	if !c.cleared[cleared] {
-		c.cleared[cleared] = true
-		c.enqueue(e)
-	}
-}
-
 // incarnation returns a name for one run of a target's process, distinct from that of a
 // later run with the same ID.
 func incarnation(t *fleet.Target) string {
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/crashlimit"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+)
+
+const (
+	// partObservation is how long a part of prompts to which crashes point is observed before
+	// it is quarantined: a run of a request with it, and a read of the work log by all
+	// gateways. partCompletions is the number of other requests that must be completed
+	// meanwhile.
+	partObservation = time.Second
+	partCompletions = 3
+)
+
+// suspicions is an immutable snapshot of the work log's suspicions of requests that
+// were in flight at crashes.
+type suspicions struct {
+	byFingerprint map[string]worklog.Suspicion
+	parts         crashlimit.PartVerdicts
+	// fold and version identify the state that the snapshot was taken from.
+	fold    *worklog.Fold
+	version int
+}
+
+// publish takes a snapshot of the fold's suspicions. The fold's mutex must be held.
+func (c *crashTracker) publish(fold *worklog.Fold) {
+	if old := c.suspicions.Load(); old.fold == fold && old.version == fold.SuspectsVersion() {
+		return
+	}
+	c.suspicions.Store(&suspicions{fold.Suspects(), fold.JudgeParts(), fold, fold.SuspectsVersion()})
+}
+
+// fingerprintOf returns the request's fingerprint. It depends on the content alone, not
+// on the caller.
+func fingerprintOf(r *fleet.Request) string {
+	return protocol.Fingerprint([]byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body)
+}
+
+// checkQuarantine returns ErrQuarantined if the request is in quarantine: it, or a part of
+// its prompt, was in flight at too many crashes.
+func (g *Gateway) checkQuarantine(r *fleet.Request) error {
+	known := g.crashes.suspicions.Load()
+	quarantined := *g.crashes.quarantinedParts.Load()
+	for _, part := range r.PromptParts {
+		if quarantined[part] {
+			klog.InfoS("request in quarantine", "request", r.ID, "part", part)
+			return fleet.ErrQuarantined.New("part %s of the prompt was in flight at too many crashes", part)
+		}
+	}
+	if len(known.byFingerprint) == 0 {
+		return nil
+	}
+	fingerprint := fingerprintOf(r)
+	if s := known.byFingerprint[fingerprint]; s.Quarantined {
+		klog.InfoS("request in quarantine", "request", r.ID, "fingerprint", fingerprint, "crashes", s.Crashes)
+		return fleet.ErrQuarantined.New("request was in flight at %d crashes", s.Crashes)
+	}
+	return nil
+}
+
+// updateQuarantinedParts puts into force which parts of prompts are quarantined. mu must be
+// held.
+func (c *crashTracker) updateQuarantinedParts() {
+	now := time.Now()
+	c.observer.Observe(now, c.suspicions.Load().parts.Guilty)
+	before, next := *c.quarantinedParts.Load(), c.observer.Quarantined(now)
+	if maps.Equal(before, next) {
+		return
+	}
+	c.quarantinedParts.Store(&next)
+	klog.InfoS("quarantined parts of prompts changed", "parts", slices.Sorted(maps.Keys(next)), "before", slices.Sorted(maps.Keys(before)))
+}
+
+// suspectedParts returns the parts of the request's prompt that are suspected.
+func (c *crashTracker) suspectedParts(r *fleet.Request) []string {
+	suspected := c.suspicions.Load().parts.Suspected
+	var parts []string
+	for _, part := range r.PromptParts {
+		if suspected[part] {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// clearSuspicion enqueues records that clear the request and the parts of its prompt as far
+// as they are suspected, after it has run to completion.
+func (g *Gateway) clearSuspicion(r *fleet.Request) {
+	c := g.crashes
+	known := c.suspicions.Load()
+	if len(known.byFingerprint) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observer.Completed(time.Now(), r.PromptParts)
+	for _, part := range c.suspectedParts(r) {
+		c.enqueueOnce(known, worklog.Entry{PartCleared: &worklog.PartCleared{Part: part}}, part)
+	}
+	fingerprint := fingerprintOf(r)
+	if _, suspected := known.byFingerprint[fingerprint]; suspected {
+		c.enqueueOnce(known, worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}}, fingerprint)
+	}
+}
+
+// enqueueOnce enqueues an entry that clears what is suspected, unless that was done since
+// the suspicions became known. mu must be held.
+func (c *crashTracker) enqueueOnce(known *suspicions, e worklog.Entry, cleared string) {
+	if c.clearedOf != known {
+		c.clearedOf, c.cleared = known, map[string]bool{}
+	}
+	if !c.cleared[cleared] {
+		c.cleared[cleared] = true
+		c.enqueue(e)
+	}
+}
