Count only requests with prompts while a part is observed

What callers would see: after all model targets were lost, requests with a popular part of prompts refused, though the part is harmless.

Cause: the observation of a part waits for other requests that run to completion, since targets that are all down complete nothing. Requests without prompts, at another service, counted as well.

Evidence: TestPopularPartSurvivesLossOfTargets completes such requests now, and failed before the change.

Why it works: only a request with a prompt shows that the targets which run prompts work.

--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -68,8 +68,9 @@
 }
 
 // TestPopularPartSurvivesLossOfTargets loses targets again and again under different
-// requests that share a popular part, while nothing can be completed. Requests with the
-// part must be served as soon as targets are back.
+// requests that share a popular part, while no request with a prompt can be completed, but
+// others at another service. Requests with the part must be served as soon as targets are
+// back.
 func TestPopularPartSurvivesLossOfTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startGateway(t, newStore(t))
@@ -77,7 +78,10 @@
 		for i := range 12 {
 			s.crashPrompt("popular", fmt.Sprint("part ", i))
 		}
-		time.Sleep(10 * time.Second)
+		for range 10 {
+			assert.NilError(t, s.servePrompt(sound))
+			time.Sleep(time.Second)
+		}
 		assert.NilError(t, s.servePrompt(sound, "popular"))
 		for range 10 {
 			assert.NilError(t, s.servePrompt(sound, "rare"))
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -16,8 +16,8 @@
 const (
 	// partObservation is how long a part of prompts to which crashes point is observed before
 	// it is quarantined: a run of a request with it, and a read of the work log by all
-	// gateways. partCompletions is the number of other requests that must be completed
-	// meanwhile.
+	// gateways. partCompletions is the number of other requests with prompts that must be
+	// completed meanwhile.
 	partObservation = time.Second
 	partCompletions = 3
 )
@@ -103,7 +103,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observer.Completed(time.Now(), r.PromptParts)
+	if len(r.PromptParts) > 0 {
+		c.observer.Completed(time.Now(), r.PromptParts)
+	}
 	for _, part := range c.suspectedParts(r) {
 		c.enqueueOnce(known, worklog.Entry{PartCleared: &worklog.PartCleared{Part: part}}, part)
 	}
