Record the quarantine of a part of prompts for all gateways

Causes, of one class, a verdict that each process reaches and loses by itself: a gateway with few requests took seconds to complete the three that the observation asks for; and a part that several requests share with the crashing one could explain its crashes later on, which lifted the quarantine.

TestQuarantineOfPartReachesIdleGateways and the new cases of TestPopularPartTakesNoBlameFromAnother fail without the change.

Why it works: the first gateway whose observation is over records the quarantine in the work log. It holds for all, also for those that start later, until the part is cleared. Quarantined parts explain crashes before any other is judged, and of parts at about equally many crashes the later one in the prompt counts. The observation begins with the first request that is completed, so that it does not pass while all targets are down.

--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -16,14 +16,16 @@
 	o := quarantine.PartObserver{Period: time.Second, Completions: 2}
 	after := func(d time.Duration) time.Time { return now.Add(d) }
 	guilty := map[string]bool{"x": true, "popular": true}
-	o.Observe(now, guilty)
+	o.Observe(guilty)
 	assert.Equal(t, len(o.Quarantined(after(time.Minute))), 0, "no target completes anything")
+	now = after(time.Minute)
+	o.Completed(now, nil)
 	o.Completed(after(100*time.Millisecond), []string{"popular", "other"})
-	o.Completed(after(200*time.Millisecond), nil)
-	o.Observe(after(300*time.Millisecond), guilty)
-	assert.Equal(t, len(o.Quarantined(after(900*time.Millisecond))), 0)
-	assert.DeepEqual(t, o.Quarantined(after(time.Second)), map[string]bool{"x": true})
-	assert.DeepEqual(t, o.Quarantined(after(1050*time.Millisecond)), map[string]bool{"x": true}) // the observation of the popular part began again
-	o.Observe(after(2*time.Second), nil)
+	o.Observe(guilty)
+	assert.Equal(t, len(o.Quarantined(after(900*time.Millisecond))), 0, "the targets have been back for less than the period")
+	o.Completed(after(950*time.Millisecond), nil)
+	o.Completed(after(960*time.Millisecond), nil)
+	assert.DeepEqual(t, o.Quarantined(after(time.Second)), map[string]bool{"x": true}) // not the popular part
+	o.Observe(nil)
 	assert.Equal(t, len(o.Quarantined(after(time.Minute))), 0, "crashes point to no part any more")
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -47,9 +47,10 @@
 	// an append is in progress.
 	pending   []worklog.Entry
 	appending bool
-	// cleared holds what was cleared while clearedOf were the known suspicions.
-	cleared   map[string]bool
-	clearedOf *suspicions
+	// verdicts holds the verdicts that were enqueued while verdictsOn were the known
+	// suspicions.
+	verdicts   map[string]bool
+	verdictsOn *suspicions
 	// unprobed holds the targets of broken runs that are still to be checked, by
 	// incarnation, and probing the incarnations that are being checked.
 	unprobed map[string]*fleet.Target
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -67,6 +67,29 @@
 	})
 }
 
+// TestQuarantineOfPartReachesIdleGateways lets one gateway complete requests while a part to
+// which crashes point is observed, and another one none. Both must reject requests with the
+// part: the idle gateway can't observe anything itself.
+func TestQuarantineOfPartReachesIdleGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		busy, idle := startGateway(t, store), startGateway(t, store)
+		defer busy.stop()
+		defer idle.stop()
+		for range 5 {
+			busy.crashPrompt("first", "x")
+		}
+		for range 8 {
+			assert.NilError(t, busy.servePrompt(sound, "first"))
+			time.Sleep(stableWindow / 10)
+		}
+		for _, s := range []*fixture{busy, idle} {
+			err := s.servePrompt(crashing, "first", "x")
+			assert.Assert(t, errorx.IsOfType(err, fleet.ErrQuarantined), "%v", err)
+		}
+	})
+}
+
 // TestPopularPartSurvivesLossOfTargets loses targets again and again under different
 // requests that share a popular part, while no request with a prompt can be completed, but
 // others at another service. Requests with the part must be served as soon as targets are
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -27,6 +27,8 @@
 type suspicions struct {
 	byFingerprint map[string]worklog.Suspicion
 	parts         crashlimit.PartVerdicts
+	// quarantinedParts are the parts of prompts that a gateway has quarantined.
+	quarantinedParts map[string]bool
 	// fold and version identify the state that the snapshot was taken from.
 	fold    *worklog.Fold
 	version int
@@ -37,7 +39,7 @@
 	if old := c.suspicions.Load(); old.fold == fold && old.version == fold.SuspectsVersion() {
 		return
 	}
-	c.suspicions.Store(&suspicions{fold.Suspects(), fold.JudgeParts(), fold, fold.SuspectsVersion()})
+	c.suspicions.Store(&suspicions{fold.Suspects(), fold.JudgeParts(), fold.QuarantinedParts(), fold, fold.SuspectsVersion()})
 }
 
 // fingerprintOf returns the request's fingerprint. It depends on the content alone, not
@@ -68,12 +70,21 @@
 	return nil
 }
 
-// updateQuarantinedParts puts into force which parts of prompts are quarantined. mu must be
-// held.
+// updateQuarantinedParts puts into force which parts of prompts are quarantined: those that
+// the work log names, and those that this gateway has observed itself, which it records
+// there. One gateway's observation counts for all, since others may have few requests. mu
+// must be held.
 func (c *crashTracker) updateQuarantinedParts() {
-	now := time.Now()
-	c.observer.Observe(now, c.suspicions.Load().parts.Guilty)
-	before, next := *c.quarantinedParts.Load(), c.observer.Quarantined(now)
+	known := c.suspicions.Load()
+	c.observer.Observe(known.parts.Guilty)
+	next := c.observer.Quarantined(time.Now())
+	for part := range next {
+		if !known.quarantinedParts[part] {
+			c.enqueueOnce(known, worklog.Entry{PartQuarantined: &worklog.PartQuarantined{Part: part}}, "quarantine of "+part)
+		}
+	}
+	maps.Copy(next, known.quarantinedParts)
+	before := *c.quarantinedParts.Load()
 	if maps.Equal(before, next) {
 		return
 	}
@@ -115,14 +126,14 @@
 	}
 }
 
-// enqueueOnce enqueues an entry that clears what is suspected, unless that was done since
-// the suspicions became known. mu must be held.
-func (c *crashTracker) enqueueOnce(known *suspicions, e worklog.Entry, cleared string) {
-	if c.clearedOf != known {
-		c.clearedOf, c.cleared = known, map[string]bool{}
+// enqueueOnce enqueues an entry that follows from the known suspicions, unless it has
+// enqueued the same verdict since they became known. mu must be held.
+func (c *crashTracker) enqueueOnce(known *suspicions, e worklog.Entry, verdict string) {
+	if c.verdictsOn != known {
+		c.verdictsOn, c.verdicts = known, map[string]bool{}
 	}
-	if !c.cleared[cleared] {
-		c.cleared[cleared] = true
+	if !c.verdicts[verdict] {
+		c.verdicts[verdict] = true
 		c.enqueue(e)
 	}
 }
--- a/state/crashlimit/parts.go
+++ b/state/crashlimit/parts.go
@@ -1,7 +1,7 @@
 package crashlimit
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -18,6 +18,9 @@
 	// was suspected. When many targets are lost at once for another reason, popular parts
 	// are in flight at several of them, but not again after that.
 	confirmingCrashes = 2
+	// similarShare is the share of the crashes of one part from which on another one was in
+	// flight at about equally many.
+	similarShare = 0.75
 )
 
 // Run is a run of a request that was in flight when its target crashed.
@@ -31,6 +34,15 @@
 	Suspected []string
 }
 
+// PartHistory is what is known of parts beside the crashes.
+type PartHistory struct {
+	// Cleared parts are those with which a request has run to completion before. A popular
+	// part is in flight at many crashes that another one causes.
+	Cleared map[string]bool
+	// Quarantined parts must not be sent to targets any more.
+	Quarantined map[string]bool
+}
+
 // PartVerdicts are the parts of prompts that are suspected to crash targets. Crashes point to
 // those that are guilty as well.
 type PartVerdicts struct {
@@ -39,19 +51,22 @@
 }
 
 // JudgeParts judges the parts of prompts by the crashes at which they were in flight. The
-// verdicts depend on the runs alone, so all processes that know of the same crashes agree.
+// verdicts depend on the arguments alone, so all processes that know of the same crashes
+// agree.
 //
 // Requests with different parts share a target, and a part that crashes targets shares its
 // requests with harmless ones. The part that was in flight at the most crashes is therefore
-// judged first, and crashes that it explains count for no other part. Parts that wasCleared
-// reports, with which a request has run to completion before, come last: a popular part is
-// in flight at many crashes that another one causes.
-func JudgeParts(runs []Run, wasCleared func(part string) bool) PartVerdicts {
-	v := PartVerdicts{Suspected: map[string]bool{}, Guilty: map[string]bool{}}
+// judged first, and crashes that it explains count for no other part. Quarantined parts have
+// been judged already.
+func JudgeParts(runs []Run, history PartHistory) PartVerdicts {
+	v := PartVerdicts{Suspected: maps.Clone(history.Quarantined), Guilty: maps.Clone(history.Quarantined)}
+	if v.Guilty == nil {
+		v = PartVerdicts{Suspected: map[string]bool{}, Guilty: map[string]bool{}}
+	}
 	for {
-		tallies := tallyParts(unexplained(runs, v.Guilty), wasCleared)
-		guilty := slices.IndexFunc(tallies, (*partTally).isGuilty)
-		if guilty < 0 {
+		tallies := tallyParts(unexplained(runs, v.Guilty))
+		guilty := mostGuilty(tallies, history.Cleared)
+		if guilty == nil {
 			for _, t := range tallies {
 				if len(t.targets) >= suspectedPartCrashes {
 					v.Suspected[t.part] = true
@@ -59,9 +74,34 @@
 			}
 			return v
 		}
-		v.Guilty[tallies[guilty].part] = true
-		v.Suspected[tallies[guilty].part] = true
+		v.Guilty[guilty.part] = true
+		v.Suspected[guilty.part] = true
+	}
+}
+
+// mostGuilty returns the part to which the crashes point most, nil if there is none. Parts
+// that were cleared before come last. Of parts in flight at about equally many crashes the
+// last one in the prompt counts: it is shared by the fewest requests, and some runs of a
+// part that crashes targets are not known.
+func mostGuilty(tallies []*partTally, cleared map[string]bool) *partTally {
+	var best *partTally
+	for _, t := range tallies {
+		if t.isGuilty() && (best == nil || t.moreGuiltyThan(best, cleared)) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (t *partTally) moreGuiltyThan(other *partTally, cleared map[string]bool) bool {
+	if cleared[t.part] != cleared[other.part] {
+		return cleared[other.part]
+	}
+	if t.position > other.position {
+		return float64(len(t.targets)) >= similarShare*float64(len(other.targets))
 	}
+	return t.position == other.position && len(t.targets) > len(other.targets) ||
+		float64(len(other.targets)) < similarShare*float64(len(t.targets))
 }
 
 // unexplained returns the runs at targets at which no run had a guilty part.
@@ -79,9 +119,7 @@
 type partTally struct {
 	part string
 	// position is the part's position in a prompt.
-	position int
-	// cleared is 1 if the part was cleared before.
-	cleared   int
+	position  int
 	targets   map[string]bool
 	requests  map[string]bool
 	confirmed map[string]bool
@@ -91,19 +129,14 @@
 	return len(t.targets) >= guiltyPartCrashes && len(t.requests) >= guiltyPartRequests && len(t.confirmed) >= confirmingCrashes
 }
 
-// tallyParts returns the tallies of the parts: those that were never cleared first, and of
-// these those in flight at the most crashes. Of parts with equally many, the later one in
-// the prompt comes first: it is shared by fewer requests.
-func tallyParts(runs []Run, wasCleared func(part string) bool) []*partTally {
+// tallyParts returns the tallies of the parts, in the order of their names.
+func tallyParts(runs []Run) []*partTally {
 	byPart := map[string]*partTally{}
 	for _, r := range runs {
 		for position, part := range r.Parts {
 			t := byPart[part]
 			if t == nil {
 				t = &partTally{part: part, targets: map[string]bool{}, requests: map[string]bool{}, confirmed: map[string]bool{}}
-				if wasCleared(part) {
-					t.cleared = 1
-				}
 				byPart[part] = t
 			}
 			t.position = max(t.position, position)
@@ -114,12 +147,9 @@
 			}
 		}
 	}
-	tallies := make([]*partTally, 0, len(byPart))
-	for _, t := range byPart {
-		tallies = append(tallies, t)
+	var tallies []*partTally
+	for _, part := range slices.Sorted(maps.Keys(byPart)) {
+		tallies = append(tallies, byPart[part])
 	}
-	slices.SortFunc(tallies, func(a, b *partTally) int {
-		return cmp.Or(cmp.Compare(a.cleared, b.cleared), cmp.Compare(len(b.targets), len(a.targets)), cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part))
-	})
 	return tallies
 }
--- a/state/crashlimit/parts_test.go
+++ b/state/crashlimit/parts_test.go
@@ -25,8 +25,6 @@
 	return r
 }
 
-func never(string) bool { return false }
-
 func names(parts map[string]bool) []string { return slices.Sorted(maps.Keys(parts)) }
 
 // TestHarmlessPartsOfTheSameRequestsAreSpared judges crashes under requests that share the
@@ -39,7 +37,7 @@
 		run("s1", "t1", "a", "y"), run("s2", "t2", "a", "y"), run("s3", "t3", "a", "z"),
 		run("s4", "t4", "a*", "y"), run("s5", "t5", "a*", "y*"),
 	}
-	v := crashlimit.JudgeParts(runs, never)
+	v := crashlimit.JudgeParts(runs, crashlimit.PartHistory{})
 	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
 	assert.DeepEqual(t, names(v.Suspected), []string{"x"})
 }
@@ -51,7 +49,7 @@
 	for i := range 8 {
 		runs = append(runs, run("r", fmt.Sprint("t", i), "a*", "x*"))
 	}
-	assert.Equal(t, len(crashlimit.JudgeParts(runs, never).Guilty), 0)
+	assert.Equal(t, len(crashlimit.JudgeParts(runs, crashlimit.PartHistory{}).Guilty), 0)
 }
 
 // TestTargetsLostTogetherAccuseNoPart loses many targets at once, each with a request that
@@ -62,25 +60,31 @@
 		runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), "a", fmt.Sprint(i)))
 	}
 	runs = append(runs, run("later", "t20", "a*", "b"))
-	v := crashlimit.JudgeParts(runs, never)
+	v := crashlimit.JudgeParts(runs, crashlimit.PartHistory{})
 	assert.Equal(t, len(v.Guilty), 0)
 	assert.Assert(t, v.Suspected["a"])
 }
 
 // TestPopularPartTakesNoBlameFromAnother judges the part x beside the first part of its
 // requests, which other requests share and which was in flight at more crashes: the runs
-// with x at two of the targets are not known. Once it was cleared it explains no crashes
-// of x.
+// with x at some of the targets are not known. The first part must not explain the crashes
+// of x, neither when it was cleared before, nor when it is in flight at few more, nor once
+// x is quarantined.
 func TestPopularPartTakesNoBlameFromAnother(t *testing.T) {
-	var runs []crashlimit.Run
-	for i := range 8 {
-		request, target := fmt.Sprint("r", i), fmt.Sprint("t", i)
-		if i < 6 {
-			runs = append(runs, run(request, target, "first*", "x*"))
-		} else {
-			runs = append(runs, run(request, target, "first*"))
+	for unknown, history := range map[int]crashlimit.PartHistory{
+		2: {},
+		5: {Cleared: map[string]bool{"first": true}},
+		9: {Quarantined: map[string]bool{"x": true}},
+	} {
+		var runs []crashlimit.Run
+		for i := range 6 + unknown {
+			parts := []string{"first*", "x*"}
+			if i >= 6 {
+				parts = parts[:1]
+			}
+			runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), parts...))
 		}
+		v := crashlimit.JudgeParts(runs, history)
+		assert.Assert(t, v.Guilty["x"] && v.Suspected["x"], "%d runs with x are not known: %v", unknown, v)
 	}
-	v := crashlimit.JudgeParts(runs, func(part string) bool { return part == "first" })
-	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
 }
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -197,7 +197,9 @@
 	case e.Cleared != nil:
 		f.suspects.clear(now, r.Key, e.Cleared.Fingerprint)
 	case e.PartCleared != nil:
-		f.suspects.clearPart(now, r, e.PartCleared.Part)
+		f.suspects.setPart(now, r, e.PartCleared.Part, false)
+	case e.PartQuarantined != nil:
+		f.suspects.setPart(now, r, e.PartQuarantined.Part, true)
 	}
 }
 
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -189,7 +189,7 @@
 	job := rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job")
 	item := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "item")
 	ref := ItemRef{job, item}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		return accept(job, "x", "y")
 	case 1:
@@ -213,6 +213,8 @@
 	case 7:
 		return Entry{PartCleared: &PartCleared{Part: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "part")}}
 	case 8:
+		return Entry{PartQuarantined: &PartQuarantined{Part: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "part")}}
+	case 9:
 		return save(ref, rapid.IntRange(1, 9).Draw(t, "events"))
 	default:
 		return done(job, item, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
@@ -282,6 +284,7 @@
 	again := newest.Suspects()
 	assert.DeepEqual(t, suspects, again)
 	assert.DeepEqual(t, all.JudgeParts(), newest.JudgeParts())
+	assert.DeepEqual(t, all.QuarantinedParts(), newest.QuarantinedParts())
 	assert.Equal(t, all.WaitingTokens("review"), newest.WaitingTokens("review"))
 	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
 }
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -105,8 +105,9 @@
 	Done    *Done    `msgpack:"d,omitempty"`
 	Crash   *Crash   `msgpack:"x,omitempty"`
 	Cleared *Cleared `msgpack:"y,omitempty"`
-	// PartCleared clears a part of prompts.
-	PartCleared *PartCleared `msgpack:"z,omitempty"`
+	// PartQuarantined and PartCleared quarantine and clear a part of prompts.
+	PartQuarantined *PartQuarantined `msgpack:"q,omitempty"`
+	PartCleared     *PartCleared     `msgpack:"z,omitempty"`
 	// Heartbeat is set in records that only show that the writer is alive and still runs
 	// the items that it has claimed.
 	Heartbeat bool `msgpack:"v,omitempty"`
@@ -174,7 +175,7 @@
 }
 
 // Encode encodes an entry into a record. Only records that a later one replaces have a
-// key: heartbeats, crashes, and records that clear a request or a part. It fails with
+// key: heartbeats, crashes, and records that judge a request or a part. It fails with
 // ErrMalformed.
 func (w *Writer) Encode(e Entry) (fleet.Record, error) {
 	e.Writer = w.name
@@ -190,6 +191,8 @@
 		r.Key = crashKey(e.Crash.Fingerprint, e.Crash.Target)
 	case e.Cleared != nil:
 		r.Key = crashKey(e.Cleared.Fingerprint, clearedSuffix)
+	case e.PartQuarantined != nil:
+		r.Key = partKey(e.PartQuarantined.Part)
 	case e.PartCleared != nil:
 		r.Key = partKey(e.PartCleared.Part)
 	}
--- a/state/worklog/suspects.go
+++ b/state/worklog/suspects.go
@@ -38,6 +38,12 @@
 	Part string `msgpack:"p"`
 }
 
+// PartQuarantined records that requests with the part in their prompts must not be sent to
+// targets any more, until the part is cleared.
+type PartQuarantined struct {
+	Part string `msgpack:"p"`
+}
+
 // Suspicion is what is known of a request that was in flight at crashes.
 type Suspicion struct {
 	Crashes int
@@ -63,10 +69,11 @@
 	offset int64
 }
 
-// clearedPart is the newest record that a part was cleared.
-type clearedPart struct {
-	offset    int64
-	changedAt time.Time
+// partRecord is the newest record that quarantines or clears a part.
+type partRecord struct {
+	quarantined bool
+	offset      int64
+	changedAt   time.Time
 }
 
 func (s *suspect) suspicion() Suspicion {
@@ -82,9 +89,9 @@
 // suspects holds the requests that were in flight at crashes.
 type suspects struct {
 	byFingerprint map[string]*suspect
-	// clearedParts holds the parts of prompts that were cleared. Crashes before that do not
-	// count for them.
-	clearedParts map[string]clearedPart
+	// parts holds the parts of prompts that were quarantined or cleared. Crashes before a
+	// part was cleared do not count for it.
+	parts map[string]partRecord
 	// version is incremented by each change.
 	version int
 }
@@ -95,7 +102,8 @@
 const (
 	crashPrefix   = "crash/"
 	clearedSuffix = "cleared"
-	// partPrefix is the prefix of the keys of records that clear a part.
+	// partPrefix is the prefix of the keys of records that quarantine or clear a part, each
+	// of which replaces the one before.
 	partPrefix = "part/"
 )
 
@@ -104,7 +112,7 @@
 func partKey(part string) string { return partPrefix + part }
 
 func newSuspects() suspects {
-	return suspects{byFingerprint: map[string]*suspect{}, clearedParts: map[string]clearedPart{}}
+	return suspects{byFingerprint: map[string]*suspect{}, parts: map[string]partRecord{}}
 }
 
 func (s *suspects) addCrash(now time.Time, r fleet.Record, c *Crash) {
@@ -136,18 +144,34 @@
 	s.version++
 }
 
-// clearPart records that the part is harmless as far as the crashes before show.
-func (s *suspects) clearPart(now time.Time, r fleet.Record, part string) {
-	s.clearedParts[part] = clearedPart{r.Offset, now}
+// setPart records that the part is quarantined or cleared.
+func (s *suspects) setPart(now time.Time, r fleet.Record, part string, quarantined bool) {
+	s.parts[part] = partRecord{quarantined, r.Offset, now}
 	s.version++
 }
 
+// isCleared reports whether the part was cleared at or after the offset.
+func (s *suspects) isCleared(part string, offset int64) bool {
+	record, found := s.parts[part]
+	return found && !record.quarantined && record.offset >= offset
+}
+
 // uncleared returns the parts of the crash's request that were not cleared since.
 func (s *suspects) uncleared(c crashRecord) []string {
-	return slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool {
-		cleared, found := s.clearedParts[part]
-		return found && cleared.offset > c.offset
-	})
+	return slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool { return s.isCleared(part, c.offset) })
+}
+
+// partHistory returns the parts that were cleared or quarantined.
+func (s *suspects) partHistory() crashlimit.PartHistory {
+	h := crashlimit.PartHistory{Cleared: map[string]bool{}, Quarantined: map[string]bool{}}
+	for part, record := range s.parts {
+		if record.quarantined {
+			h.Quarantined[part] = true
+		} else {
+			h.Cleared[part] = true
+		}
+	}
+	return h
 }
 
 // SuspectsVersion returns a number that changes whenever the result of Suspects or
@@ -175,15 +199,15 @@
 			})
 		}
 	}
-	return crashlimit.JudgeParts(runs, func(part string) bool {
-		_, cleared := f.suspects.clearedParts[part]
-		return cleared
-	})
+	return crashlimit.JudgeParts(runs, f.suspects.partHistory())
 }
 
+// QuarantinedParts returns the parts of prompts that must not be sent to targets.
+func (f *Fold) QuarantinedParts() map[string]bool { return f.suspects.partHistory().Quarantined }
+
 // SuspectDeletions returns the records that delete all records about requests whose last
 // crash or clearing became known before the given time, and those about parts that were
-// cleared before it.
+// quarantined or cleared before it.
 func (f *Fold) SuspectDeletions(before time.Time) []fleet.Record {
 	var deletions []fleet.Record
 	// needed holds the parts whose clearing must still outweigh an earlier crash.
@@ -197,23 +221,23 @@
 		}
 		for _, c := range s.crashes {
 			for _, part := range c.Parts {
-				needed[part] = needed[part] || c.offset < f.suspects.clearedParts[part].offset
+				needed[part] = needed[part] || f.suspects.isCleared(part, c.offset)
 			}
 		}
 	}
-	for part, cleared := range f.suspects.clearedParts {
-		if cleared.changedAt.Before(before) && !needed[part] {
+	for part, record := range f.suspects.parts {
+		if record.changedAt.Before(before) && !needed[part] {
 			deletions = append(deletions, fleet.Record{Key: partKey(part)})
 		}
 	}
 	return deletions
 }
 
-// applyDeletion drops the request or the cleared part that the key of a deleted record
+// applyDeletion drops the request or the part that the key of a deleted record
 // refers to. It returns false for other kinds of keys.
 func (s *suspects) applyDeletion(key string) bool {
 	if part, found := strings.CutPrefix(key, partPrefix); found {
-		delete(s.clearedParts, part)
+		delete(s.parts, part)
 		s.version++
 		return true
 	}
--- a/state/worklog/suspects_test.go
+++ b/state/worklog/suspects_test.go
@@ -74,3 +74,27 @@
 	assert.Equal(t, len(suspected()), 0)
 	assert.Equal(t, len(l.newest()), 0)
 }
+
+// TestQuarantineOfPartLastsUntilItIsCleared checks that a recorded quarantine holds for every
+// process that reads the log, that clearing the part ends it, and that its record does not
+// stay in the log.
+func TestQuarantineOfPartLastsUntilItIsCleared(t *testing.T) {
+	l := &log{t: t}
+	w := NewWriter("a")
+	quarantined := func() bool {
+		live := l.fold().QuarantinedParts()
+		restarted := NewFold()
+		restarted.Apply(now, l.newest())
+		assert.DeepEqual(t, live, restarted.QuarantinedParts())
+		return live["x"]
+	}
+	l.put(w, Entry{PartCleared: &PartCleared{Part: "x"}})
+	l.put(w, Entry{PartQuarantined: &PartQuarantined{Part: "x"}})
+	assert.Assert(t, quarantined())
+	l.put(w, Entry{PartCleared: &PartCleared{Part: "x"}})
+	assert.Assert(t, !quarantined())
+	l.put(w, Entry{PartQuarantined: &PartQuarantined{Part: "x"}})
+	l.append(l.fold().SuspectDeletions(now.Add(time.Second)))
+	assert.Assert(t, !quarantined())
+	assert.Equal(t, len(l.newest()), 0)
+}
