--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -15,13 +15,13 @@
 	now := time.Unix(1000, 0)
 	o := quarantine.PartObserver{Period: time.Second, Completions: 2}
 	after := func(d time.Duration) time.Time { return now.Add(d) }
-	guilty := map[string]bool{"x": true, "popular": true}
-	o.Observe(guilty)
+	implicated := map[string]bool{"x": true, "popular": true}
+	o.Observe(implicated)
 	assert.Equal(t, len(o.Quarantined(after(time.Minute))), 0, "no target completes anything")
 	now = after(time.Minute)
 	o.Completed(now, nil)
 	o.Completed(after(100*time.Millisecond), []string{"popular", "other"})
-	o.Observe(guilty)
+	o.Observe(implicated)
 	assert.Equal(t, len(o.Quarantined(after(900*time.Millisecond))), 0, "the targets have been back for less than the period")
 	o.Completed(after(950*time.Millisecond), nil)
 	o.Completed(after(960*time.Millisecond), nil)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -76,7 +76,7 @@
 // must be held.
 func (c *crashTracker) updateQuarantinedParts() {
 	known := c.suspicions.Load()
-	c.observer.Observe(known.parts.Guilty)
+	c.observer.Observe(known.parts.Implicated)
 	next := c.observer.Quarantined(time.Now())
 	for part := range next {
 		if !known.quarantinedParts[part] {
--- a/state/crashlimit/parts.go
+++ b/state/crashlimit/parts.go
@@ -9,11 +9,11 @@
 	// suspectedPartCrashes is the number of crashes at which a part of a prompt is
 	// suspected.
 	suspectedPartCrashes = 3
-	// guiltyPartCrashes is the number of crashes at which a part may be guilty, and
-	// guiltyPartRequests the number of different requests that they must come from: a
+	// implicatedPartCrashes is the number of crashes at which a part is implicated, and
+	// implicatedPartRequests the number of different requests that they must come from: a
 	// single request that is sent again takes all its parts along.
-	guiltyPartCrashes  = 5
-	guiltyPartRequests = 2
+	implicatedPartCrashes  = 5
+	implicatedPartRequests = 2
 	// confirmingCrashes is the number of these crashes under runs that began while the part
 	// was suspected. When many targets are lost at once for another reason, popular parts
 	// are in flight at several of them, but not again after that.
@@ -43,11 +43,12 @@
 	Quarantined map[string]bool
 }
 
-// PartVerdicts are the parts of prompts that are suspected to crash targets. Crashes point to
-// those that are guilty as well.
+// PartVerdicts are the verdicts on parts of prompts.
 type PartVerdicts struct {
+	// Suspected parts were in flight at several crashes that no other part explains.
 	Suspected map[string]bool
-	Guilty    map[string]bool
+	// Implicated parts, which are suspected too, explain the crashes.
+	Implicated map[string]bool
 }
 
 // JudgeParts judges the parts of prompts by the crashes at which they were in flight. The
@@ -59,14 +60,14 @@
 // judged first, and crashes that it explains count for no other part. Quarantined parts have
 // been judged already.
 func JudgeParts(runs []Run, history PartHistory) PartVerdicts {
-	v := PartVerdicts{Suspected: maps.Clone(history.Quarantined), Guilty: maps.Clone(history.Quarantined)}
-	if v.Guilty == nil {
-		v = PartVerdicts{Suspected: map[string]bool{}, Guilty: map[string]bool{}}
+	v := PartVerdicts{Suspected: map[string]bool{}, Implicated: map[string]bool{}}
+	for part := range history.Quarantined {
+		v.addImplicated(part)
 	}
 	for {
-		tallies := tallyParts(unexplained(runs, v.Guilty))
-		guilty := mostGuilty(tallies, history.Cleared)
-		if guilty == nil {
+		tallies := tallyParts(unexplained(runs, v.Implicated))
+		implicated := mostImplicated(tallies, history.Cleared)
+		if implicated == nil {
 			for _, t := range tallies {
 				if len(t.targets) >= suspectedPartCrashes {
 					v.Suspected[t.part] = true
@@ -74,26 +75,31 @@
 			}
 			return v
 		}
-		v.Guilty[guilty.part] = true
-		v.Suspected[guilty.part] = true
+		v.addImplicated(implicated.part)
 	}
 }
 
-// mostGuilty returns the part to which the crashes point most, nil if there is none. Parts
+func (v *PartVerdicts) addImplicated(part string) {
+	v.Suspected[part] = true
+	v.Implicated[part] = true
+}
+
+// mostImplicated returns the part to which the crashes point most, nil if there is none. Parts
 // that were cleared before come last. Of parts in flight at about equally many crashes the
 // last one in the prompt counts: it is shared by the fewest requests, and some runs of a
 // part that crashes targets are not known.
-func mostGuilty(tallies []*partTally, cleared map[string]bool) *partTally {
+func mostImplicated(tallies []*partTally, cleared map[string]bool) *partTally {
 	var best *partTally
 	for _, t := range tallies {
-		if t.isGuilty() && (best == nil || t.moreGuiltyThan(best, cleared)) {
+		if t.isImplicated() && (best == nil || t.moreImplicatedThan(best, cleared)) {
 			best = t
 		}
 	}
 	return best
 }
 
-func (t *partTally) moreGuiltyThan(other *partTally, cleared map[string]bool) bool {
+// moreImplicatedThan reports whether t counts before another implicated part.
+func (t *partTally) moreImplicatedThan(other *partTally, cleared map[string]bool) bool {
 	if cleared[t.part] != cleared[other.part] {
 		return cleared[other.part]
 	}
@@ -104,11 +110,11 @@
 		float64(len(other.targets)) < similarShare*float64(len(t.targets))
 }
 
-// unexplained returns the runs at targets at which no run had a guilty part.
-func unexplained(runs []Run, guilty map[string]bool) []Run {
+// unexplained returns the runs at targets at which no run had an implicated part.
+func unexplained(runs []Run, implicated map[string]bool) []Run {
 	explained := map[string]bool{}
 	for _, r := range runs {
-		if slices.ContainsFunc(r.Parts, func(part string) bool { return guilty[part] }) {
+		if slices.ContainsFunc(r.Parts, func(part string) bool { return implicated[part] }) {
 			explained[r.Target] = true
 		}
 	}
@@ -125,8 +131,8 @@
 	confirmed map[string]bool
 }
 
-func (t *partTally) isGuilty() bool {
-	return len(t.targets) >= guiltyPartCrashes && len(t.requests) >= guiltyPartRequests && len(t.confirmed) >= confirmingCrashes
+func (t *partTally) isImplicated() bool {
+	return len(t.targets) >= implicatedPartCrashes && len(t.requests) >= implicatedPartRequests && len(t.confirmed) >= confirmingCrashes
 }
 
 // tallyParts returns the tallies of the parts, in the order of their names.
--- a/state/crashlimit/parts_test.go
+++ b/state/crashlimit/parts_test.go
@@ -28,7 +28,7 @@
 func names(parts map[string]bool) []string { return slices.Sorted(maps.Keys(parts)) }
 
 // TestHarmlessPartsOfTheSameRequestsAreSpared judges crashes under requests that share the
-// part x and differ in the others, with a harmless request beside each. Only x is guilty:
+// part x and differ in the others, with a harmless request beside each. Only x is implicated:
 // it explains the crashes of all the others.
 func TestHarmlessPartsOfTheSameRequestsAreSpared(t *testing.T) {
 	runs := []crashlimit.Run{
@@ -38,39 +38,39 @@
 		run("s4", "t4", "a*", "y"), run("s5", "t5", "a*", "y*"),
 	}
 	v := crashlimit.JudgeParts(runs, crashlimit.PartHistory{})
-	assert.DeepEqual(t, names(v.Guilty), []string{"x"})
+	assert.DeepEqual(t, names(v.Implicated), []string{"x"})
 	assert.DeepEqual(t, names(v.Suspected), []string{"x"})
 }
 
-// TestOneRequestAccusesNoPart sends one request again and again: it is stopped by itself,
+// TestOneRequestImplicatesNoPart sends one request again and again: it is stopped by itself,
 // and its parts may be harmless.
-func TestOneRequestAccusesNoPart(t *testing.T) {
+func TestOneRequestImplicatesNoPart(t *testing.T) {
 	var runs []crashlimit.Run
 	for i := range 8 {
 		runs = append(runs, run("r", fmt.Sprint("t", i), "a*", "x*"))
 	}
-	assert.Equal(t, len(crashlimit.JudgeParts(runs, crashlimit.PartHistory{}).Guilty), 0)
+	assert.Equal(t, len(crashlimit.JudgeParts(runs, crashlimit.PartHistory{}).Implicated), 0)
 }
 
-// TestTargetsLostTogetherAccuseNoPart loses many targets at once, each with a request that
+// TestTargetsLostTogetherImplicateNoPart loses many targets at once, each with a request that
 // has the popular part a. All these runs began before anything was suspected.
-func TestTargetsLostTogetherAccuseNoPart(t *testing.T) {
+func TestTargetsLostTogetherImplicateNoPart(t *testing.T) {
 	var runs []crashlimit.Run
 	for i := range 20 {
 		runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), "a", fmt.Sprint(i)))
 	}
 	runs = append(runs, run("later", "t20", "a*", "b"))
 	v := crashlimit.JudgeParts(runs, crashlimit.PartHistory{})
-	assert.Equal(t, len(v.Guilty), 0)
+	assert.Equal(t, len(v.Implicated), 0)
 	assert.Assert(t, v.Suspected["a"])
 }
 
-// TestPopularPartTakesNoBlameFromAnother judges the part x beside the first part of its
+// TestPopularPartExplainsNoCrashesOfAnother judges the part x beside the first part of its
 // requests, which other requests share and which was in flight at more crashes: the runs
 // with x at some of the targets are not known. The first part must not explain the crashes
 // of x, neither when it was cleared before, nor when it is in flight at few more, nor once
 // x is quarantined.
-func TestPopularPartTakesNoBlameFromAnother(t *testing.T) {
+func TestPopularPartExplainsNoCrashesOfAnother(t *testing.T) {
 	for unknown, history := range map[int]crashlimit.PartHistory{
 		2: {},
 		5: {Cleared: map[string]bool{"first": true}},
@@ -85,6 +85,6 @@
 			runs = append(runs, run(fmt.Sprint("r", i), fmt.Sprint("t", i), parts...))
 		}
 		v := crashlimit.JudgeParts(runs, history)
-		assert.Assert(t, v.Guilty["x"] && v.Suspected["x"], "%d runs with x are not known: %v", unknown, v)
+		assert.Assert(t, v.Implicated["x"] && v.Suspected["x"], "%d runs with x are not known: %v", unknown, v)
 	}
 }
