Quarantine no part that another gateway has just cleared

What callers would see: requests with a harmless part of prompts refused for ten minutes.

Cause: a gateway that ended its observation recorded the quarantine before it had read, up to 400 ms later, that another one had cleared the part. The quarantine followed the clearing record in the log and outweighed it. Class: a decision recorded on an outdated view.

Evidence: TestClearedPartIsNotQuarantinedLate failed before, for a request completed 0.55 s after the observation began.

Why it works: the gateway reads the log to its end before it records a quarantine, and leaves out parts to which the crashes no longer point. A clearing record that follows in the few milliseconds until the append ends the quarantine.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -164,6 +164,24 @@
 // appendQuarantineRecords appends the entries to the work log and returns those that must be
 // appended again.
 func (g *Gateway) appendQuarantineRecords(entries []worklog.Entry) []worklog.Entry {
+	ctx, cancel := context.WithTimeout(g.ctx, appendTimeout)
+	defer cancel()
+	current, err := g.withoutOutdatedQuarantines(ctx, entries)
+	records := g.encodeQuarantineRecords(current)
+	if err == nil && len(records) > 0 {
+		_, err = g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
+	}
+	if err == nil {
+		_ = g.workTail.CatchUp(ctx) // the next periodic read would apply the records later
+		return nil
+	}
+	klog.InfoS("append of quarantine records failed; will be retried", "records", len(entries), "error", protocol.CauseOf(err))
+	pause.For(g.ctx, appendRetryDelay)
+	return entries
+}
+
+// encodeQuarantineRecords encodes the entries.
+func (g *Gateway) encodeQuarantineRecords(entries []worklog.Entry) []fleet.Record {
 	var records []fleet.Record
 	for _, e := range entries {
 		record, err := g.writer.Record(e)
@@ -173,14 +191,5 @@
 		}
 		records = append(records, record)
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, appendTimeout)
-	defer cancel()
-	_, err := g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, records)
-	if err == nil {
-		_ = g.workTail.CatchUp(ctx) // the next periodic read would apply the records later
-		return nil
-	}
-	klog.InfoS("append of quarantine records failed; will be retried", "records", len(records), "error", protocol.CauseOf(err))
-	pause.For(g.ctx, appendRetryDelay)
-	return entries
+	return records
 }
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -90,6 +90,34 @@
 	})
 }
 
+// TestClearedPartIsNotQuarantinedLate lets one gateway end the observation of a part while
+// another one completes a request with it, at different moments. Both gateways must serve
+// requests with the part soon after. If the first one records the quarantine before it has
+// read that the part was cleared, the quarantine is the newer record.
+func TestClearedPartIsNotQuarantinedLate(t *testing.T) {
+	for delay := time.Duration(0); delay < 1500*time.Millisecond; delay += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store := newStore(t)
+			a, b := startGateway(t, store), startGateway(t, store)
+			defer a.stop()
+			defer b.stop()
+			for range 5 {
+				a.crashPrompt("popular")
+			}
+			for range 3 {
+				assert.NilError(t, a.servePrompt(sound, "other"))
+			}
+			time.Sleep(delay)
+			if err := b.servePrompt(sound, "popular"); err != nil {
+				return // quarantined before
+			}
+			time.Sleep(stableWindow)
+			assert.NilError(t, a.servePrompt(sound, "popular"), "cleared after %v", delay)
+			assert.NilError(t, b.servePrompt(sound, "popular"), "cleared after %v", delay)
+		})
+	}
+}
+
 // TestPopularPartSurvivesLossOfTargets loses targets again and again under different
 // requests that share a popular part, while no request with a prompt can be completed, but
 // others at another service. Requests with the part must be served as soon as targets are
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -92,6 +93,24 @@
 	klog.InfoS("quarantined parts of prompts changed", "parts", slices.Sorted(maps.Keys(next)), "before", slices.Sorted(maps.Keys(before)))
 }
 
+// withoutOutdatedQuarantines reads the work log if an entry quarantines a part, and returns
+// the entries without those for parts that another gateway has cleared meanwhile: the
+// quarantine would follow the clearing record in the log, and outweigh it. It fails if the
+// log cannot be read.
+func (g *Gateway) withoutOutdatedQuarantines(ctx context.Context, entries []worklog.Entry) ([]worklog.Entry, error) {
+	quarantines := func(e worklog.Entry) bool { return e.PartQuarantined != nil }
+	if !slices.ContainsFunc(entries, quarantines) {
+		return entries, nil
+	}
+	if err := g.workTail.CatchUp(ctx); err != nil {
+		return nil, err
+	}
+	implicated := g.crashes.suspicions.Load().parts.Implicated
+	return slices.DeleteFunc(slices.Clone(entries), func(e worklog.Entry) bool {
+		return quarantines(e) && !implicated[e.PartQuarantined.Part]
+	}), nil
+}
+
 // suspectedParts returns the parts of the request's prompt that are suspected.
 func (c *crashTracker) suspectedParts(r *fleet.Request) []string {
 	suspected := c.suspicions.Load().parts.Suspected
