Keep the records of crashes that wait for the store bounded

Records of a failed append were put back without a look at the bound, so that twice as many could wait. They go through the same check now. Found by an earlier reading; no test of its own, since nothing outside shows the number.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -144,7 +144,11 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.appending = false
-		c.pending = append(failed, c.pending...)
+		added := c.pending
+		c.pending = nil
+		for _, e := range append(failed, added...) {
+			c.enqueue(e)
+		}
 		return nil
 	})
 }
