--- a/processtest/process.go
+++ b/processtest/process.go
@@ -50,9 +50,6 @@
 	defer p.mu.Unlock()
 	cmd := p.command()
 	cmd.Stdout, cmd.Stderr = &logWriter{p}, &logWriter{p}
-	// In the test's own process group, a process that the test has suspended would be
-	// resumed by the system when the shell that started the test ends.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return ErrProcess.Wrap(err, "start %s", p.path)
 	}
