--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,12 +24,11 @@
 type scenario func(s *site, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"unheld-claim":      runUnheldClaim,
-	"new-route":         runNewRoute,
-	"smuggled":          runSmuggled,
-	"removed-route":     runRemovedRoute,
-	"second-failure":    runSecondFailure,
-	"position-past-end": runPositionPastEnd,
+	"unheld-claim":   runUnheldClaim,
+	"new-route":      runNewRoute,
+	"smuggled":       runSmuggled,
+	"removed-route":  runRemovedRoute,
+	"second-failure": runSecondFailure,
 }
 
 func main() {
