Show that items whose claim is stored late are never run

Case 1, rule LOST: the store carries out claims seconds after their batchers have given them up. The log then says that the batcher holds the items, but it never runs them, and no other takes them over while it shows signs of life.

--- a/review/cases/unheld.go
+++ b/review/cases/unheld.go
@@ -23,15 +23,15 @@
 	lostTime    = 4500 * time.Millisecond
 )
 
-// runUnheldClaim lets the store lose answers, four times, while many jobs wait and each target
+// runUnheldClaim lets the store lose answers, three times, while many jobs wait and each target
 // also runs some long items. It breaks if an item is listed neither as completed nor as a
 // dead letter at the end of finish_s, though the targets had room all the while.
 func runUnheldClaim(s *site, trouble bool) ([]string, error) {
 	const (
 		workers    = 8
-		longItems  = 24
+		longItems  = 20
 		longEvents = 8200
-		burstJobs  = 32
+		burstJobs  = 48
 	)
 	short := batchRoute("short", "jobs.example", "/short.100/", "model")
 	long := batchRoute("long", "jobs.example", fmt.Sprintf("/long.%d/", longEvents), "model")
@@ -57,7 +57,7 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
-	for range 4 {
+	for range 3 {
 		b.send(burstJobs)
 		time.Sleep(500 * time.Millisecond)
 		if trouble {
@@ -67,8 +67,9 @@
 		time.Sleep(lostTime)
 		s.lostPercent.Store(0)
 		s.rec.note("the store loses no answers any more")
-		time.Sleep(9 * time.Second)
+		time.Sleep(7 * time.Second)
 	}
+	time.Sleep(17 * time.Second)
 	b.send(1)
 	b.senders.Wait()
 	s.rec.note("no further jobs are sent")
