--- a/review/cases/newroute.go
+++ b/review/cases/newroute.go
@@ -15,6 +15,7 @@
 	const (
 		rounds     = 3
 		awayTime   = 6 * time.Second
+		calmTime   = 7 * time.Second
 		maxReadGap = 700 * time.Millisecond
 	)
 	routes := []platformtest.Route{batchRoute("first", "jobs.example", "/first.30/", "model")}
@@ -32,6 +33,9 @@
 	}
 	var broken []string
 	for i := range rounds {
+		if i > 0 {
+			time.Sleep(calmTime)
+		}
 		warmUp := newJob(routes[0], 10)
 		if !s.submit(warmUp, i, 3) || len(s.results(warmUp, 15*time.Second)) < 10 {
 			return nil, fmt.Errorf("%w: a job on the first route was not done", errCase)
