Judge a job's route only by a configuration that can know it

Cause: batchers read the configuration and the work log apart from each other. While the store turned them away, or simply between two reads, a batcher learned of the job before it had read the version that added the route, and took "no route" in its older version for "the route was removed". The class: absence in a view that may be older than the fact that refers to it is taken for removal. A wider route of the older version would likewise have sent items to a service that the job's own route does not name.

The line has an error of kind no_route now, with the version by which the job was accepted and the one that lacks the route; `job submitted` has its version.

Change: an accept record has the version of the configuration by which the job was accepted, and coordination/jobroute decides: an older configuration says nothing about the job, so that its items are neither claimed nor run nor given up. Why it works: versions only increase, and a process never goes back to an older one, so that a route which is missing from a version that is not older than the job's has been removed in between.

Records without the field, of gateways of an earlier build, are judged as before.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/batchlimit"
+	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/outbox"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
@@ -310,22 +311,17 @@
 	b.enqueue(worklog.Entry{Heartbeat: true})
 }
 
-// servesJob reports whether the target's service may run the job's items. It also does so
-// for a job whose route has been removed.
+// servesJob reports whether the target's service may run the job's items, as far as the
+// configuration that this batcher has read can tell. It also does so for a job whose route
+// has been removed.
 func (b *Batcher) servesJob(job *worklog.Job) bool {
-	route := b.route(job.Accept)
-	return route == nil || route.Serves(b.params.Node.Service)
-}
-
-// route returns the route of the job, nil if it has been removed.
-func (b *Batcher) route(a *worklog.Accept) *fleet.Route {
-	c := b.configs.Current()
-	if c == nil {
-		return nil
-	}
-	route := c.Match(a.Job.Host, a.Path)
-	if route == nil || route.Kind != fleet.KindBatch {
-		return nil
+	route, standing := jobroute.Find(b.configs.Current(), job.Accept)
+	switch standing {
+	case jobroute.InForce:
+		return route.Serves(b.params.Node.Service)
+	case jobroute.Removed:
+		return true
+	default:
+		return false
 	}
-	return route
 }
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/batchlimit"
+	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
 	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -120,7 +121,7 @@
 	u := urgency.Item{
 		Age: now.Sub(c.submitted), Remaining: b.pace.Remaining(c.item.Tokens, events), Started: events > 0, JobOffset: c.offset,
 	}
-	if route := b.route(c.job); route != nil {
+	if route, standing := jobroute.Find(b.configs.Current(), c.job); standing == jobroute.InForce {
 		u.Due = route.ResultDeadline
 	}
 	return u
@@ -175,17 +176,27 @@
 	}
 }
 
-// startRun starts a run of the item. mu must be held.
+// startRun starts a run of the item, unless the configuration cannot tell its route. mu must
+// be held.
 func (b *Batcher) startRun(ctx context.Context, h *heldItem, now time.Time) {
+	config := b.configs.Current()
+	route, standing := jobroute.Find(config, h.job)
+	if standing == jobroute.Undecided {
+		return
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancel = cancel
 	h.startedAt = now
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
-	route := b.route(h.job)
 	progress := h.progress
 	b.tomb.Go(func() error {
 		defer cancel(nil)
-		end := b.runItem(ctx, h, target, route, progress)
+		var end runOutcome
+		if standing == jobroute.Removed {
+			end = removedRouteOutcome(h, progress, config.Version)
+		} else {
+			end = b.runItem(ctx, h, target, route, progress)
+		}
 		b.handleRunEnd(ctx, h, end)
 		return nil
 	})
@@ -265,11 +276,17 @@
 	}
 }
 
+// removedRouteOutcome returns the outcome of an item whose route the given version of the
+// configuration no longer has: a dead letter.
+func removedRouteOutcome(h *heldItem, progress worklog.Progress, version int64) runOutcome {
+	return runOutcome{
+		progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter},
+		err: fleet.ErrNoRoute.New("route %s, in configuration version %d when the job was accepted, is not in version %d", h.job.Route, h.job.ConfigVersion, version),
+	}
+}
+
 // runItem sends the item to the target once and reads its events.
 func (b *Batcher) runItem(ctx context.Context, h *heldItem, target *fleet.Target, route *fleet.Route, progress worklog.Progress) runOutcome {
-	if route == nil {
-		return runOutcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter}}
-	}
 	request := &fleet.Request{
 		ID: h.item.ID, Method: http.MethodPost, Host: h.job.Job.Host, URI: h.item.Path, Path: h.item.Path, Header: h.item.Header, Body: h.item.Body,
 	}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -72,7 +72,7 @@
 	waiting := g.fold.WaitingTokens(route.Name)
 	g.jobsMu.RUnlock()
 	age, _ := g.workTail.Age()
-	klog.InfoS("job submitted", "job", job.ID, "route", route.Name, "items", len(job.Items), "tokens", tokensOf(job),
+	klog.InfoS("job submitted", "job", job.ID, "route", route.Name, "version", g.configVersion(), "items", len(job.Items), "tokens", tokensOf(job),
 		"tokens_waiting", waiting, "quota", route.TokenQuota, "log_age", age, "took", time.Since(begun), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
 	return err
 }
@@ -85,7 +85,7 @@
 		return err
 	}
 	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{
-		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(),
+		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(), ConfigVersion: g.configVersion(),
 	}})
 	if err != nil {
 		return err
@@ -145,6 +145,15 @@
 	})
 }
 
+// configVersion returns the version of the configuration in force, 0 if there is none. It
+// is not older than the one that a request in flight was matched by.
+func (g *Gateway) configVersion() int64 {
+	if c := g.configs.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 func (g *Gateway) hasJob(job string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -472,3 +472,20 @@
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
 	})
 }
+
+// TestAcceptNamesItsConfiguration checks that the record of an accepted job has the version
+// of the configuration that its gateway had read. Without it a batcher that has read an
+// older one takes a route that it does not know yet for a removed one.
+func TestAcceptNamesItsConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		s := startGateway(t, store)
+		defer s.stop()
+		assert.NilError(t, s.submit(job("job", 1)))
+		records, _, err := store.Newest(t.Context(), fleet.TopicWork)
+		assert.NilError(t, err)
+		fold := worklog.NewFold()
+		fold.Apply(time.Now(), records)
+		assert.Equal(t, fold.Job("job").Accept.ConfigVersion, int64(1))
+	})
+}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -152,9 +152,7 @@
 // request is given up.
 func (o *onlineRequest) run(ctx context.Context) error {
 	o.service = o.route.PickService(rand.Float64())
-	if c := o.g.configs.Current(); c != nil {
-		o.version = c.Version
-	}
+	o.version = o.g.configVersion()
 	for {
 		if err := o.g.checkQuarantine(o.request); err != nil {
 			o.reason = "in quarantine"
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -24,6 +24,10 @@
 	// AcceptedUnixMillis is the acceptor's time of day. Clocks differ and jump, so it gives
 	// only an estimate of the job's age to a process that starts later.
 	AcceptedUnixMillis int64 `msgpack:"t"`
+	// ConfigVersion is the version of the configuration by which the job was accepted. An
+	// older one says nothing about the job. It is 0 in records of processes that did not
+	// write it.
+	ConfigVersion int64 `msgpack:"v,omitempty"`
 }
 
 // End ends a job: it takes no more results.
