Serve what was accepted whether or not its route is still there

Cause: the ingress took the paths of job calls for job calls only if the configuration in force had a batch route on the host. Otherwise it matched them like a new request, found no route and answered 404; where an online route has every path of the host, the call went there. The class: access to what was accepted by an earlier version is decided by the present one.

Change: HasJobs takes the place of AcceptsJobs. Calls about jobs are the system's own on each host that has a batch route or kept jobs, by the work log, which a gateway that starts later reads too. A gateway that has not read the work log can't know, and says 503. Where no route matches, the work log is read to its end before a 404; a submission without a route that is known by its ID gets its 202 again.

Why it works: the log keeps a job, with its host, for at least as long as its results are promised, whatever the configuration says, and 404 is only said after the log was read to its end.

Excluded: the results themselves, which stay in the work log and the texts. Read, not mended: a submission that comes again while an online route has its path is served by that route.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,12 +218,6 @@
 	return route, nil
 }
 
-// AcceptsJobs implements fleet.CallerAPI.
-func (g *Gateway) AcceptsJobs(host string) bool {
-	c := g.configs.Current()
-	return c != nil && c.HasBatchRoute(host)
-}
-
 // trackRequest counts a request as active until leave is called. It returns ErrRefused
 // if the gateway is about to stop.
 func (g *Gateway) trackRequest() (leave func(), err error) {
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -202,6 +202,25 @@
 	return job != nil && visit(job)
 }
 
+// HasJobs implements fleet.CallerAPI. Without a route for jobs, only the work log can tell;
+// until it has been read, HasJobs fails with ErrRefused.
+func (g *Gateway) HasJobs(host string) (bool, error) {
+	if c := g.configs.Current(); c != nil && c.HasBatchRoute(host) {
+		return true, nil
+	}
+	if _, known := g.workTail.Age(); !known {
+		return false, fleet.WithRetryAfter(fleet.ErrRefused.New("the work log has not been read yet"), jobRetryAfter)
+	}
+	g.jobsMu.RLock()
+	defer g.jobsMu.RUnlock()
+	return g.fold.HasJobsOf(host), nil
+}
+
+// IsAccepted implements fleet.CallerAPI.
+func (g *Gateway) IsAccepted(ctx context.Context, host, id string) error {
+	return g.lookUpJob(ctx, id, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
+}
+
 // Results implements fleet.CallerAPI.
 func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
 	leave, err := g.trackRequest()
--- a/protocol/fleet/caller.go
+++ b/protocol/fleet/caller.go
@@ -20,8 +20,12 @@
 	Limits() Limits
 	// Match returns the route of a request.
 	Match(host, path string) (*Route, error)
-	// AcceptsJobs reports whether the host has a route for jobs.
-	AcceptsJobs(host string) bool
+	// HasJobs reports whether calls about jobs on the host are the system's own: a route
+	// for jobs is in force there, or jobs are kept whose route was removed.
+	HasJobs(host string) (bool, error)
+	// IsAccepted returns nil if the job was accepted on the host, whether or not its route
+	// is still in force.
+	IsAccepted(ctx context.Context, host, job string) error
 	// Serve answers a request of a route that accepts no jobs. If it fails after
 	// Begin, the answer must be broken off so that the caller sees the failure.
 	Serve(ctx context.Context, route *Route, r *Request, sink Sink) error
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -17,6 +17,8 @@
 	// may have unfinished items.
 	acceptedJobs []*Job
 	openJobs     []*Job
+	// jobsByHost is the number of jobs by the host of their route.
+	jobsByHost map[string]int
 	// waitingTokens is the sum of the tokens of unfinished items by route.
 	waitingTokens map[string]int64
 	// lastHeard is when this process last applied a record of each writer.
@@ -30,7 +32,10 @@
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, waitingTokens: map[string]int64{}, lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects()}
+	return &Fold{
+		jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, jobsByHost: map[string]int{}, waitingTokens: map[string]int64{},
+		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(),
+	}
 }
 
 // Apply folds records that follow those applied before. now is the process's monotonic
@@ -104,6 +109,7 @@
 		f.subtractWaitingTokens(job)
 	}
 	delete(f.jobs, id)
+	f.countJob(job, -1)
 	for _, k := range job.recordKeys {
 		delete(f.jobByAcceptKey, k)
 	}
@@ -214,10 +220,22 @@
 		f.waitingTokens[a.Route] += item.Tokens
 	}
 	f.jobs[a.Job.ID] = job
+	f.countJob(job, 1)
 	f.acceptedJobs = append(f.acceptedJobs, job)
 	f.openJobs = append(f.openJobs, job)
 }
 
+// countJob adds n to the number of jobs of the job's host.
+func (f *Fold) countJob(job *Job, n int) {
+	host := job.Accept.Job.Host
+	if f.jobsByHost[host] += n; f.jobsByHost[host] == 0 {
+		delete(f.jobsByHost, host)
+	}
+}
+
+// HasJobsOf reports whether there are jobs of the host, finished ones included.
+func (f *Fold) HasJobsOf(host string) bool { return f.jobsByHost[host] > 0 }
+
 func (f *Fold) end(now time.Time, e *End) {
 	job := f.jobs[e.Job]
 	if job == nil || job.Ended {
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -338,3 +338,27 @@
 		assert.Equal(t, now.Sub(f.Job("j").AcceptedAt), test.age, name)
 	}
 }
+
+// TestForgottenJobsFreeTheirHost checks that a host counts as one with jobs until the last
+// of them is forgotten, finished or not. Later, its paths belong to routes alone.
+func TestForgottenJobsFreeTheirHost(t *testing.T) {
+	l := &log{t: t}
+	w := NewWriter("a")
+	for _, id := range []string{"j", "k"} {
+		e := accept(id, "x")
+		e.Accept.Job.Host = "h"
+		l.put(w, e)
+		l.put(w, done(id, "x", ""))
+	}
+	f := l.fold()
+	assert.Assert(t, f.HasJobsOf("h"))
+	assert.Assert(t, !f.HasJobsOf("other"))
+	for _, job := range f.ForgettableJobs(anyJob, 10) {
+		assert.Assert(t, l.fold().HasJobsOf("h"))
+		records, _ := job.Deletions()
+		l.append(records)
+	}
+	f = l.fold()
+	assert.Assert(t, !f.HasJobsOf("h"))
+	assert.Equal(t, len(f.jobsByHost), 0)
+}
