Carry each request once on a connection to a target

Cause: a target may send an answer a second time, late, where the next answer on the connection is due. An answer is matched by the request's ID alone, and the second run of an item has the same ID; the batcher sent it over the same connection, took the copy of the 500 for the answer to the second run and counted a second failure. The class: an answer is told by an ID that names the request, while what has to be told apart are its runs. Until now only the last refusal on a connection was remembered, so that the same happened to a refusal with another request between, and to a stream that ended within an event and was resumed.

Change: a connection carries a request ID once. It remembers the IDs, as hashes, for up to 1,024 requests and is closed then; the pool gives a request that comes again another connection, and keeps the first for others.

Why it works: a copy can only arrive on the connection of its run, on which no other run of that request is ever waiting, whatever lies between and however late the copy is; to any other request it is foreign by its ID.

--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
 
@@ -29,6 +31,9 @@
 	idleMargin = 500 * time.Millisecond
 	// connBufferBytes is the size of a connection's read buffer.
 	connBufferBytes = 4 << 10
+	// maxCarried is the number of requests with an ID after which a connection is closed in
+	// place of being kept idle.
+	maxCarried = 1024
 )
 
 var (
@@ -56,9 +61,8 @@
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
-	// RefusedRequest is the ID of the request that the other end refused last on this
-	// connection.
-	RefusedRequest string
+	// carried holds the hashes of the IDs of the requests that the connection has carried.
+	carried []uint64
 
 	limits        *limitedConn
 	pool          *ConnPool
@@ -79,15 +83,19 @@
 	return &ConnPool{dialer: net.Dialer{Timeout: targetDialTimeout, Control: SetUserTimeout}, idle: map[string][]*Conn{}}
 }
 
-// Get returns an idle connection that is still open, or opens a new one. It fails
-// with ErrDial.
-func (p *ConnPool) Get(ctx context.Context, addr string) (*Conn, error) {
+// Get returns an idle connection that is still open, or opens a new one, for the request
+// with the given ID. A connection carries a request once: the answer to an earlier run of
+// the same request may come a second time, late, and could not be told from the answer to
+// this one. The ID is empty for requests whose answers name no ID. Get fails with ErrDial.
+func (p *ConnPool) Get(ctx context.Context, addr, request string) (*Conn, error) {
+	id := xxhash.Sum64String(request)
 	for {
-		c := p.takeIdle(addr)
+		c := p.takeIdle(addr, func(c *Conn) bool { return request == "" || !slices.Contains(c.carried, id) })
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.reusableUntil) && c.isReusable() {
+			c.carry(request, id)
 			return c, nil
 		}
 		_ = c.Close()
@@ -100,13 +108,22 @@
 		return nil, ErrDial.Wrap(err, "dial")
 	}
 	limits := &limitedConn{Conn: raw}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limits, connBufferBytes), limits: limits, pool: p, addr: addr}, nil
+	c := &Conn{Conn: raw, Reader: bufio.NewReaderSize(limits, connBufferBytes), limits: limits, pool: p, addr: addr}
+	c.carry(request, id)
+	return c, nil
+}
+
+// carry notes that the connection carries a request from now on.
+func (c *Conn) carry(request string, id uint64) {
+	if request != "" {
+		c.carried = append(c.carried, id)
+	}
 }
 
 // Probe checks that a connection to the address is open or can be opened, and keeps it idle
 // in the pool. It fails like Get.
 func (p *ConnPool) Probe(ctx context.Context, addr string) error {
-	c, err := p.Get(ctx, addr)
+	c, err := p.Get(ctx, addr, "")
 	if err != nil {
 		return err
 	}
@@ -117,17 +134,22 @@
 	return nil
 }
 
-func (p *ConnPool) takeIdle(addr string) *Conn {
+// takeIdle takes the most recently used of the idle connections to the address for which
+// usable returns true. It returns nil if there is none.
+func (p *ConnPool) takeIdle(addr string, usable func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[addr]
-	if len(idle) == 0 {
-		delete(p.idle, addr)
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !usable(c) {
+			continue
+		}
+		if p.idle[addr] = slices.Delete(idle, i, i+1); len(idle) == 1 {
+			delete(p.idle, addr)
+		}
+		return c
 	}
-	c := idle[len(idle)-1]
-	p.idle[addr] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 // HasIdle reports whether there is an idle connection to the address that has not expired.
@@ -175,12 +197,13 @@
 }
 
 // Release returns the connection to the pool. keep is how long the other end keeps
-// it idle, 0 if unknown. A connection with unread bytes is closed instead.
+// it idle, 0 if unknown. A connection with unread bytes, or one that has carried maxCarried
+// requests, is closed instead.
 func (c *Conn) Release(keep time.Duration) {
 	if keep == 0 {
 		keep = defaultIdleTimeout
 	}
-	if c.Reader.Buffered() > 0 || keep <= idleMargin {
+	if c.Reader.Buffered() > 0 || keep <= idleMargin || len(c.carried) >= maxCarried {
 		_ = c.Close()
 		return
 	}
--- /dev/null
+++ b/transport/connpool_test.go
@@ -0,0 +1,76 @@
+package transport
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// listenForConns accepts connections and keeps them open. It returns the address.
+func listenForConns(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestConnectionCarriesARequestOnce gets connections for requests and returns them. A request
+// that comes again must get another connection than the one that has carried it, however many
+// others that has carried since; that one stays idle for others.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	addr, pool := listenForConns(t), NewConnPool()
+	get := func(request string) *Conn {
+		c, err := pool.Get(t.Context(), addr, request)
+		assert.NilError(t, err)
+		return c
+	}
+	first := get("r1")
+	first.Release(0)
+	for i := range 100 {
+		other := get(fmt.Sprint("other-", i))
+		assert.Assert(t, other == first)
+		other.Release(0)
+	}
+	second := get("r1")
+	assert.Assert(t, second != first)
+	assert.Assert(t, get("r2") == first, "the connection was closed")
+	second.Release(0)
+	third := get("r1")
+	assert.Assert(t, third != first && third != second)
+	for range 2 {
+		unnamed := get("")
+		assert.Assert(t, unnamed == second, "a request without an ID may use any connection")
+		unnamed.Release(0)
+	}
+}
+
+// TestConnectionRemembersBoundedly checks that a connection is closed once it has carried as
+// many requests as it remembers.
+func TestConnectionRemembersBoundedly(t *testing.T) {
+	addr, pool := listenForConns(t), NewConnPool()
+	var first *Conn
+	for i := range maxCarried {
+		c, err := pool.Get(t.Context(), addr, fmt.Sprint(i))
+		assert.NilError(t, err)
+		assert.Assert(t, first == nil || c == first)
+		first = c
+		c.Release(0)
+	}
+	assert.Assert(t, !pool.HasIdle(addr))
+	next, err := pool.Get(t.Context(), addr, "next")
+	assert.NilError(t, err)
+	assert.Assert(t, next != first)
+	assert.NilError(t, next.Close())
+}
