Give items back whose route goes to another service

A waiting item whose route goes to other services is released with its progress now, before items are chosen to run. A run that is under way may end.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -289,6 +289,7 @@
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
 	b.inflow.SetReported(load.Online())
 	room := b.meter.Update(now, load)
+	b.releaseMoved()
 	ranked := b.rankItems(now)
 	b.runMostUrgent(ctx, now, ranked, room)
 	b.claim(ctx, now, room.MaxAfterStarts-countInTime(ranked), room.MaxAfterStarts-len(ranked))
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -169,13 +169,29 @@
 		if i < room || r.cancel != nil || r.CanMeetDeadline() {
 			continue
 		}
-		klog.InfoS("item given back", "job", r.ref.Job, "item", r.ref.Item, "reason", "late", "age", r.Age, "due", r.Due, "left", r.Remaining,
-			"last_event", r.progress.LastEventID)
-		delete(b.held, r.ref)
-		b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: r.ref, Progress: r.progress}})
+		b.release(r.heldItem, "late", "age", r.Age, "due", r.Due, "left", r.Remaining)
 	}
 }
 
+// releaseMoved releases waiting items whose route now goes to other services. A run that is
+// under way may go on. mu must be held.
+func (b *Batcher) releaseMoved() {
+	for _, h := range b.held {
+		route, standing := jobroute.Find(b.configs.Current(), h.job)
+		if standing == jobroute.InForce && h.cancel == nil && !route.Serves(b.params.Node.Service) {
+			b.release(h, "its route goes to other services", "route", route.Name)
+		}
+	}
+}
+
+// release gives the item back with its progress, for another batcher, and logs why. mu must
+// be held.
+func (b *Batcher) release(h *heldItem, why string, details ...any) {
+	klog.InfoS("item given back", append([]any{"job", h.ref.Job, "item", h.ref.Item, "reason", why, "last_event", h.progress.LastEventID}, details...)...)
+	delete(b.held, h.ref)
+	b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: h.ref, Progress: h.progress}})
+}
+
 // startRun starts a run of the item, unless the configuration cannot tell its route. mu must
 // be held.
 func (b *Batcher) startRun(ctx context.Context, h *heldItem, now time.Time) {
@@ -268,11 +284,9 @@
 		return
 	}
 	klog.InfoS("items released", "items", len(b.held), "reason", why)
-	for ref, h := range b.held {
-		klog.InfoS("item given back", "job", ref.Job, "item", ref.Item, "reason", why, "last_event", h.progress.LastEventID)
+	for _, h := range b.held {
 		h.cancelRun(errItemLost.New("released"))
-		delete(b.held, ref)
-		b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: ref, Progress: h.progress}})
+		b.release(h, why)
 	}
 }
 
--- a/batcher/newroute_test.go
+++ b/batcher/newroute_test.go
@@ -92,3 +92,40 @@
 		})
 	}
 }
+
+// TestItemsOfMovedRouteAreGivenBack moves the route of a job to another service while online
+// requests preempt its items, which stay held. Once there is room again they must not run at
+// the service that the route has left, but be given back with their progress.
+func TestItemsOfMovedRouteAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		services := []*fleet.Service{{Name: "llm", Slots: slots}}
+		configs := versions{
+			"1": fleet.NewConfiguration(1, []*fleet.Route{jobsRoute("jobs", "/j/", "llm")}, services, fleet.Limits{}),
+			"2": fleet.NewConfiguration(2, []*fleet.Route{jobsRoute("jobs", "/j/", "other")}, services, fleet.Limits{}),
+		}
+		s, e := newFixture(t), newTarget()
+		s.accept("j", slots)
+		b := batcher.New(batcher.Params{
+			Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20},
+			Store: s.store, Sender: e, Reporter: e, Decoder: configs,
+		})
+		b.Start()
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, e.busy(), slots)
+		e.set(func(e *target) { e.online = slots })
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, e.busy(), 0)
+		sends := e.sent("")
+		_, err := s.store.Append(t.Context(), fleet.TopicConfiguration, fleet.AnyOffset, []fleet.Record{{Key: "config", Value: []byte("2")}})
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		e.set(func(e *target) { e.online = 0 })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, e.sent(""), sends, "items ran at the service that their route has left")
+		for _, item := range s.job("j").Items {
+			assert.Equal(t, item.Holder, "")
+			assert.Assert(t, item.Progress.Events > 0)
+		}
+		assert.NilError(t, b.Stop())
+	})
+}
