Take no request that may outlast a draining gateway

Report of other operators: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them some that may not be repeated. It can happen here.

Cause: a draining gateway took requests for a fixed 3 s, whatever its grace period and whatever time the request may take. With a grace period of 8 s only requests that last over 4.3 s and came in the first 3 s were cut; with 3.7 s or less it never refused anything. What was still in flight then was cut with the process, and an answer that was complete might be: nothing waited for the server's last writes.

Change: coordination/drain decides: a request is taken only if its time limit (the caller's or the route's) ends before the gateway stops, and while callers have not had time to notice, for at most 3 s; one without a limit is refused. A refusal promises that nothing has run, and the caller goes to another gateway. What is in flight at the end is given up with a final answer, 502, or 503 if nothing of it has run, and the server is shut down once these are written. Bodies of items count as requests in flight too.

--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -39,6 +40,8 @@
 	metricsPath = "/metrics"
 	// logFlushTimeout is the time allowed for writing the last log lines.
 	logFlushTimeout = 500 * time.Millisecond
+	// lastAnswersTimeout is the time allowed for writing the last answers to callers.
+	lastAnswersTimeout = 200 * time.Millisecond
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection.
 	gcPercent = 60
 )
@@ -89,22 +92,25 @@
 	instrument.RegisterLogMetrics(p.log, p.registry)
 	router := bunrouter.New()
 	router.GET(metricsPath, bunrouter.HTTPHandler(promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{})))
-	return p, listenAndServe(net.JoinHostPort(node.Address, metricsPort), router)
+	_, err = listenAndServe(net.JoinHostPort(node.Address, metricsPort), router)
+	return p, err
 }
 
-// listenAndServe serves the handler at the address until the process ends.
-func listenAndServe(address string, h http.Handler) error {
+// listenAndServe serves the handler at the address until the process ends or the server is
+// shut down.
+func listenAndServe(address string, h http.Handler) (*http.Server, error) {
 	config := net.ListenConfig{Control: transport.SetUserTimeout}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return fleet.ErrMalformed.Wrap(err, "listen on %s", address)
+		return nil, fleet.ErrMalformed.Wrap(err, "listen on %s", address)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() {
-		err := server.Serve(l)
-		klog.ErrorS(err, "server ended", "address", address)
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "server ended", "address", address)
+		}
 	}()
-	return nil
+	return server, nil
 }
 
 // listenDatagrams opens the socket for messages between gateways and batchers. It
@@ -170,17 +176,29 @@
 	}
 	g := gateway.New(params)
 	g.Start()
-	if err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
+	if _, err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
 		return err
 	}
-	if err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g)); err != nil {
+	callers, err := listenAndServe(p.node.CallerAddress, platform.NewIngress(g))
+	if err != nil {
 		return err
 	}
 	p.awaitStop(g.Reload)
 	g.Drain()
+	writeLastAnswers(callers)
 	return g.Stop()
 }
 
+// writeLastAnswers closes the server to callers once the answers to requests that have ended
+// are written.
+func writeLastAnswers(callers *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		klog.InfoS("connections of callers cut", "error", err)
+	}
+}
+
 func batcherCommand() *cobra.Command {
 	return roleCommand("batcher", "Run a batcher on the users' platform: items of batch jobs beside a target", runBatcher)
 }
--- a/cmd/sycamoretally/fleet_test.go
+++ b/cmd/sycamoretally/fleet_test.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +19,8 @@
 
 	"github.com/sycamoretally/sycamoretally/platform/platformtest"
 	"github.com/sycamoretally/sycamoretally/processtest"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 )
 
 // startRole starts a role of the platform with the settings at path.
@@ -103,3 +111,87 @@
 		})
 	}
 }
+
+// startSilentTarget starts a target that never answers, registered at a store that the settings
+// of node name, with an unsafe route to it. It returns the number of requests it got.
+func startSilentTarget(t *testing.T, node platformtest.Node) *atomic.Int32 {
+	t.Helper()
+	requests := &atomic.Int32{}
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // until then the server does not notice a closed connection
+		requests.Add(1)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(silent.Close)
+	store := fleetstore.New()
+	l, err := net.Listen("tcp", node.Store)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: platformtest.StoreHandler(store), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	route := platformtest.Route{Name: "r", Host: "h.example", PathPrefix: "/r/", Kind: "unsafe", Service: "s", Attempts: 1, TimeoutMS: 2500}
+	assert.NilError(t, platformtest.PublishConfiguration(t.Context(), store, 1, []platformtest.Route{route}, []platformtest.Service{{Name: "s"}}))
+	entry := fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc","slots":4,"state":"ready","born":%d}`, silent.Listener.Addr(), time.Now().UnixMilli())
+	_, err = store.Append(t.Context(), fleet.TopicTargets, fleet.AnyOffset, []fleet.Record{{Key: "i-1", Value: []byte(entry)}})
+	assert.NilError(t, err)
+	return requests
+}
+
+// TestStoppedGatewayAnswersWhatItHasTaken stops a gateway whose target takes longer than the
+// grace period. A request that the target has got must be answered before the process ends,
+// with a status that promises nothing. One that comes while the gateway drains, and may
+// outlast it, must be refused before it reaches the target.
+func TestStoppedGatewayAnswersWhatItHasTaken(t *testing.T) {
+	t.Parallel()
+	const limit, host = 10 * time.Second, "127.45.1.4"
+	node := platformtest.Node{
+		Name: "gateway", DataCentre: "dc", Address: host, Callers: host + ":8144", Ready: host + ":8140", Store: host + ":8142", Grace: 2 * time.Second,
+	}
+	requests := startSilentTarget(t, node)
+	path := filepath.Join(t.TempDir(), "settings")
+	assert.NilError(t, os.WriteFile(path, []byte(node.Settings()), 0o600))
+	p := startRole(t, "gateway", path)
+	call := func(id string) (int, error) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+node.Callers+"/r/1", strings.NewReader("x"))
+		assert.NilError(t, err)
+		r.Host = "h.example"
+		r.Header.Set(platformtest.HeaderRequestID, id)
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}
+	for deadline := time.Now().Add(limit); ; <-time.After(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%s", p.Log())
+		if strings.Contains(p.Log(), "target registered") && strings.Contains(p.Log(), "configuration in force") {
+			break
+		}
+	}
+	type answer struct {
+		status int
+		err    error
+	}
+	taken := make(chan answer, 1)
+	go func() {
+		status, err := call("taken")
+		taken <- answer{status, err}
+	}()
+	for deadline := time.Now().Add(limit); requests.Load() == 0; <-time.After(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%s", p.Log())
+	}
+	assert.NilError(t, p.Signal(syscall.SIGTERM))
+	for deadline := time.Now().Add(limit); !strings.Contains(p.Log(), "gateway draining"); <-time.After(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%s", p.Log())
+	}
+	status, err := call("late")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	got := <-taken
+	assert.NilError(t, got.err, "cut without an answer")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	code, err := p.Wait(limit)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0, "%s", p.Log())
+	assert.Equal(t, requests.Load(), int32(1))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,9 +11,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/balancing"
+	"github.com/sycamoretally/sycamoretally/coordination/drain"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/coordination/topic"
+	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
@@ -24,13 +26,11 @@
 	readInterval = 400 * time.Millisecond
 	// housekeepingInterval is the time between two runs of the housekeeping.
 	housekeepingInterval = 100 * time.Millisecond
-	// drainNoticeTime is how long the platform may go on sending new connections to a
-	// gateway that is no longer ready.
-	drainNoticeTime = 3 * time.Second
-	// stopMargin is how long before the end of its grace period a gateway stops.
-	stopMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks whether all requests have ended.
 	drainPollInterval = 50 * time.Millisecond
+	// giveUpTimeout bounds the wait for the answers to requests that are given up because
+	// the gateway stops.
+	giveUpTimeout = 200 * time.Millisecond
 )
 
 // Params holds the dependencies of a gateway.
@@ -80,9 +80,11 @@
 
 	active  atomic.Int64
 	closing atomic.Bool
-	// refusing is set once callers have had time to notice that the gateway is closing.
-	// New requests are then refused.
-	refusing atomic.Bool
+	// drainWindow decides which new requests are taken. It is nil until the gateway drains.
+	drainWindow atomic.Pointer[drain.Window]
+	// requests is cancelled when the requests that are still in flight are given up.
+	requests       context.Context
+	giveUpRequests context.CancelFunc
 	// ctx is cancelled when the tomb is dying.
 	ctx  context.Context
 	tomb *tomb.Tomb
@@ -107,6 +109,7 @@
 	}
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
+	g.requests, g.giveUpRequests = context.WithCancel(context.Background())
 	g.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
 		Reset: g.configs.Apply, Apply: g.configs.Apply, StoreAnswers: func() bool { return g.targetTail.Answers() },
@@ -166,27 +169,38 @@
 func (g *Gateway) IsClosing() bool { return g.closing.Load() }
 
 // Drain makes the gateway unready and waits for requests in flight to end. New requests
-// are still served for drainNoticeTime, until callers have noticed. Then they are
-// refused, since callers keep coming for as long as too few other gateways are ready.
-// Drain returns once no request is in flight or the grace period is nearly over.
+// are still served until callers have had time to notice, if they are sure to end before the
+// gateway stops; others are refused. Drain returns once no request is in flight. Shortly
+// before the end of the grace period it gives up those that still are.
 func (g *Gateway) Drain() {
 	klog.InfoS("gateway draining", "requests", g.active.Load())
-	g.closing.Store(true)
 	begun := time.Now()
-	deadline := begun.Add(g.node.Load().GracePeriod - stopMargin)
-	for time.Now().Before(deadline) {
-		pause.For(context.Background(), drainPollInterval)
-		g.refusing.Store(time.Since(begun) > drainNoticeTime)
-		if g.active.Load() == 0 && g.refusing.Load() {
-			break
-		}
+	window := drain.NewWindow(begun, g.node.Load().GracePeriod)
+	g.drainWindow.Store(&window)
+	g.closing.Store(true)
+	g.awaitIdle(func(now time.Time) bool { return !now.Before(window.NoticeEnd) }, window.Stop)
+	if left := g.active.Load(); left > 0 {
+		klog.InfoS("requests given up, the grace period is over", "requests", left)
+		g.giveUpRequests()
+		g.awaitIdle(func(time.Time) bool { return true }, time.Now().Add(giveUpTimeout))
 	}
 	klog.InfoS("gateway drained", "requests", g.active.Load(), "after", time.Since(begun))
 }
 
+// awaitIdle returns at the deadline, or once no request is in flight and mayEnd returns true.
+func (g *Gateway) awaitIdle(mayEnd func(now time.Time) bool, deadline time.Time) {
+	for now := time.Now(); now.Before(deadline); now = time.Now() {
+		if g.active.Load() == 0 && mayEnd(now) {
+			return
+		}
+		pause.For(context.Background(), min(drainPollInterval, deadline.Sub(now)))
+	}
+}
+
 // Stop stops following the store and waits for the background tasks to end.
 func (g *Gateway) Stop() error {
-	g.refusing.Store(true)
+	g.drainWindow.Store(&drain.Window{})
+	g.giveUpRequests()
 	g.tomb.Kill(nil)
 	err := g.tomb.Wait()
 	klog.InfoS("gateway stopped", "instance", g.params.Node.Name)
@@ -218,17 +232,33 @@
 	return route, nil
 }
 
-// trackRequest counts a request as active until leave is called. It returns ErrRefused
-// if the gateway is about to stop.
-func (g *Gateway) trackRequest() (leave func(), err error) {
+// trackRequest counts a request as active until leave is called. limit is the longest time
+// that the request may take, 0 if it is not known. trackRequest returns ErrRefused if the
+// gateway may stop before then.
+func (g *Gateway) trackRequest(limit time.Duration) (leave func(), err error) {
 	g.active.Add(1)
-	if g.refusing.Load() {
+	if window := g.drainWindow.Load(); window != nil && !window.Accepts(time.Now(), limit) {
 		g.active.Add(-1)
 		return nil, newRefusal("the gateway is stopping")
 	}
 	return func() { g.active.Add(-1) }, nil
 }
 
+// errStopping is the cancellation cause of requests that are given up because the gateway
+// stops.
+var errStopping = protocol.Errors.NewType("stopping")
+
+// untilStop returns a copy of ctx that is cancelled with errStopping when requests in flight
+// are given up. The caller must call the returned function once the request has ended.
+func (g *Gateway) untilStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unhook := context.AfterFunc(g.requests, func() { cancel(errStopping.New("the gateway stops")) })
+	return ctx, func() {
+		unhook()
+		cancel(nil)
+	}
+}
+
 // defaultRetryAfter is the delay after which a caller whose request was refused should
 // retry: a slot becomes free within this time unless the overload lasts.
 const defaultRetryAfter = 150 * time.Millisecond
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -18,6 +18,8 @@
 	// submitTimeout bounds the attempts to accept a job. After it the caller tries
 	// another gateway.
 	submitTimeout = 1500 * time.Millisecond
+	// jobCallLimit is the time that a call about a job may take while the gateway drains.
+	jobCallLimit = 2 * time.Second
 	// submitRetryDelay is the delay between two attempts to accept a job.
 	submitRetryDelay = 10 * time.Millisecond
 	// maxPageBytes bounds the text of one page of results.
@@ -60,7 +62,7 @@
 // if the log ends at the offset up to which this gateway has folded it, and therefore
 // means that the job fits.
 func (g *Gateway) Submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
-	leave, err := g.trackRequest()
+	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return err
 	}
@@ -223,7 +225,7 @@
 
 // Results implements fleet.CallerAPI.
 func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
-	leave, err := g.trackRequest()
+	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return fleet.ResultPage{}, err
 	}
@@ -297,8 +299,13 @@
 
 // ItemBody implements fleet.CallerAPI.
 func (g *Gateway) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	leave, err := g.trackRequest(jobCallLimit)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
 	var body []byte
-	err := g.lookUpJob(ctx, id, func(job *worklog.Job) bool {
+	err = g.lookUpJob(ctx, id, func(job *worklog.Job) bool {
 		for _, i := range job.Items {
 			if i.ID == item {
 				body = i.Body
@@ -312,7 +319,7 @@
 
 // CancelJob implements fleet.CallerAPI.
 func (g *Gateway) CancelJob(ctx context.Context, id string) error {
-	leave, err := g.trackRequest()
+	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return err
 	}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -39,16 +39,18 @@
 
 // Serve implements fleet.CallerAPI.
 func (g *Gateway) Serve(ctx context.Context, route *fleet.Route, r *fleet.Request, sink fleet.Sink) error {
-	leave, err := g.trackRequest()
-	if err != nil {
-		return err
-	}
-	defer leave()
 	limit := route.Timeout
 	if r.MaxWait > 0 && (limit == 0 || r.MaxWait < limit) {
 		limit = r.MaxWait
 	}
+	leave, err := g.trackRequest(limit)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	begun := time.Now()
+	ctx, ended := g.untilStop(ctx)
+	defer ended()
 	if limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
@@ -266,6 +268,14 @@
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// endReason returns why the context of a request has ended before its answer.
+func endReason(ctx context.Context) string {
+	if errorx.IsOfType(context.Cause(ctx), errStopping) {
+		return "the gateway stops"
+	}
+	return "deadline exceeded or caller disconnected"
+}
+
 // handleNoAnswer returns the error of an attempt that got no answer. It counts a possible
 // run unless the request was not delivered.
 func (o *onlineRequest) handleNoAnswer(ctx context.Context, target *fleet.Target, err error) error {
@@ -273,7 +283,7 @@
 		if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 			o.possibleRuns++
 		}
-		return o.giveUp(ctx, "deadline exceeded or caller disconnected")
+		return o.giveUp(ctx, endReason(ctx))
 	}
 	o.reportFailure(ctx, target)
 	if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
--- a/gateway/online_test.go
+++ b/gateway/online_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -173,6 +175,77 @@
 	})
 }
 
+// TestDrainingGatewayTakesNothingThatOutlastsIt keeps sending requests of several lengths to
+// gateways that drain within several grace periods. When Drain returns, no request may be in
+// flight that came after its start: its target would have run it for nothing, and its caller
+// could not know that. Short requests are taken while callers have not noticed yet.
+func TestDrainingGatewayTakesNothingThatOutlastsIt(t *testing.T) {
+	for _, grace := range []time.Duration{1200 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		for _, length := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+			t.Run(fmt.Sprint("grace ", grace, ", length ", length), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var steps []step
+					for range 100 {
+						steps = append(steps, step{delay: length, events: events(1, 1)})
+					}
+					s := startGateway(t, newStore(t), steps...)
+					s.Reload(&fleet.Node{Name: "gateway-1", GracePeriod: grace})
+					begun := time.Now()
+					var inFlight, taken atomic.Int32
+					ctx, cancel := context.WithCancel(t.Context())
+					go func() {
+						for ctx.Err() == nil {
+							time.Sleep(100 * time.Millisecond)
+							go func() {
+								inFlight.Add(1)
+								defer inFlight.Add(-1)
+								r := &fleet.Request{ID: "r1", Method: http.MethodPost, Host: "h", URI: "/x", Header: http.Header{}, MaxWait: length + 200*time.Millisecond}
+								if err := s.Serve(t.Context(), routes["stream"], r, &sink{}); err == nil {
+									taken.Add(1)
+								}
+							}()
+						}
+					}()
+					s.Drain()
+					cancel()
+					synctest.Wait()
+					assert.Equal(t, inFlight.Load(), int32(0), "requests are cut")
+					assert.Assert(t, time.Since(begun) < grace, "%v", time.Since(begun))
+					assert.Assert(t, taken.Load() > 0 || length+time.Second > grace, "no request was taken")
+					s.stop()
+					time.Sleep(10 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestGivenUpRequestsGetAnAnswer stops a gateway whose targets take longer than its grace
+// period. The requests in flight must end before the process does, with an error that says
+// that they may have run.
+func TestGivenUpRequestsGetAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startGateway(t, newStore(t), step{silent: true}, step{events: events(1, 1), silent: true})
+		s.Reload(&fleet.Node{Name: "gateway-1", GracePeriod: 2 * time.Second})
+		errs := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := s.serve(t.Context(), "stream")
+				errs <- err
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		begun := time.Now()
+		s.Drain()
+		assert.Equal(t, len(errs), 2, "requests in flight when the process stops")
+		for range 2 {
+			assert.Assert(t, errorx.IsOfType(<-errs, fleet.ErrOutcomeUnknown))
+		}
+		assert.Assert(t, time.Since(begun) < 2*time.Second, "%v", time.Since(begun))
+		s.stop()
+	})
+}
+
 // TestAllTargetsRestarted sends requests while all targets have restarted and their old
 // registrations are still in place. Each target must be tried once. Once none is left,
 // the caller is told to retry after the time within which a target may register.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,7 +67,7 @@
 // handleBrokenAnswer returns the error of an attempt whose answer broke off.
 func (o *onlineRequest) handleBrokenAnswer(ctx context.Context, target *fleet.Target, err error) error {
 	if ctx.Err() != nil && !isStalled(ctx) {
-		return o.giveUp(ctx, "deadline exceeded or caller disconnected")
+		return o.giveUp(ctx, endReason(ctx))
 	}
 	o.reportFailure(ctx, target)
 	o.recordBreak(ctx, target)
