Join no page to a stream that goes on at another target

Report of other operators: a stream broke off, the next target answered with an error, and callers found the error's text in their stream, or a stream that ended as if it were complete.

Cause: what may go on with a stream was judged by its status and stamp alone.

Change: a stream goes on only with an answer of its first content type; an item's run counts only with the stamp, and if its content type, where there is one, is that of an event stream. Anything else is a broken answer, and the attempt is made again where it may be.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -48,10 +48,13 @@
 	endless map[string]string
 	// resumed holds the event after which each item was last resumed.
 	resumed map[string]int
+	// pages holds, for each item, the success that its next attempt is answered with in
+	// place of a stream. It is deleted with that attempt.
+	pages map[string]fleet.Answer
 }
 
 func newTarget() *target {
-	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}}
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}, pages: map[string]fleet.Answer{}}
 }
 
 func (e *target) set(change func(*target)) {
@@ -119,6 +122,11 @@
 		answer.Status, e.statuses[id] = left[0], left[1:]
 		return answer, nil
 	}
+	if page, found := e.pages[id]; found {
+		delete(e.pages, id)
+		page.Status, page.Length, page.Close, page.Discard = http.StatusOK, -1, func() {}, func() {}
+		return &page, nil
+	}
 	e.running++
 	e.maxLoad = max(e.maxLoad, e.running+e.online)
 	after := 0
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -321,6 +321,12 @@
 		return failureOutcome(h, route, progress, answer.Status)
 	}
 	defer answer.Close()
+	if !answer.Signed {
+		return runOutcome{progress: progress, err: fleet.ErrAnswerBroken.New("success without the target's signature")}
+	}
+	if contentType := answer.Header.Get("Content-Type"); contentType != "" && !eventstream.IsContentType(contentType) {
+		return runOutcome{progress: progress, err: fleet.ErrAnswerBroken.New("answer of type %q is no event stream", contentType)}
+	}
 	begin := progress
 	err = readEvents(answer.Body, func(e eventstream.Event) error {
 		watchdog.Reset(eventTimeout)
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -118,6 +118,8 @@
 	suspectedParts []string
 	// answerBegun is set once the head of an answer has been sent to the caller.
 	answerBegun bool
+	// contentType is the content type of the answer that was begun.
+	contentType string
 	// completed is set once a target has run the request to a successful end.
 	completed bool
 	// tried holds the IDs of targets that must not get the request again.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,6 +86,11 @@
 
 // relayStream relays events to the caller as they arrive, and only complete ones.
 func (o *onlineRequest) relayStream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stallTimer) error {
+	contentType := answer.Header.Get("Content-Type")
+	if o.answerBegun && contentType != o.contentType {
+		return o.handleBrokenAnswer(ctx, target, fleet.ErrAnswerBroken.New("target resumed a stream of type %q with one of type %q", o.contentType, contentType))
+	}
+	o.contentType = contentType
 	buffer := make([]byte, streamBufferBytes)
 	var splitter eventstream.Splitter
 	for {
