Return an accepted job when it comes again without its service

Once the service was removed, the same submission, which returns the same job, got 404 at each entry.

The job's ID follows from the submission alone, so it is looked up first. That file or service do not exist is said only after the log was read to its end and has neither them nor the job; before, an entry that lagged denied a file that another had just stored. If the log's end cannot be read the answer is "busy".

Evidence: TestRemovedServiceDeniesNoAcceptedJob failed before ("no model service drafting"). Results, the job's state and its end were never denied.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/uptrace/bunrouter"
 	"k8s.io/klog/v2"
 
@@ -53,31 +54,30 @@
 }
 
 // serveSubmit accepts a job for an uploaded file. A repeated submission returns
-// the same job.
+// the same job, whether or not its service still exists.
 func (e *Entry) serveSubmit(w http.ResponseWriter, r bunrouter.Request) error {
 	body, err := readBody(w, r, e.settings.Entry.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
-	accept, err := e.parseJob(body, workspaceOf(r), r.Header.Get(headerKey))
+	s, err := parseSubmission(body, workspaceOf(r), r.Header.Get(headerKey))
 	if err != nil {
 		return err
 	}
 	clock := e.ring.Clock().Now()
-	if _, found := e.jobs.Job(accept.Job); !found {
-		rec := protocol.Record{ID: protocol.NewID(), Clock: clock, Job: accept}
-		if err := e.appendAndFold(r.Context(), rec); err != nil {
+	if _, found := e.jobs.Job(s.job); !found {
+		if err := e.acceptJob(r.Context(), clock, s); err != nil {
 			return err
 		}
 	}
 	if err := e.catchUp(r.Context()); err != nil {
 		return err
 	}
-	j, found := e.jobs.Job(accept.Job)
+	j, found := e.jobs.Job(s.job)
 	if !found {
 		return protocol.ErrInternal.New("the job was not accepted")
 	}
-	if j.File != accept.File {
+	if j.File != s.file {
 		return protocol.ErrKeyConflict.New("the key belongs to a job with another input file")
 	}
 	trace := traceOf(r.Request)
@@ -87,37 +87,76 @@
 	return nil
 }
 
-func (e *Entry) parseJob(body []byte, workspace, key string) (*protocol.JobAccept, error) {
-	var submission JobRequest
-	if err := json.Unmarshal(body, &submission); err != nil {
-		return nil, protocol.ErrBadRequest.New("malformed JSON: %v", err)
-	}
-	file, found := e.jobs.File(submission.InputFileID)
-	if !found || file.Workspace != workspace {
-		return nil, protocol.ErrNotFound.New("no file %q", submission.InputFileID)
+// submission is a job as its caller submits it.
+type submission struct {
+	job       string
+	workspace string
+	file      string
+	window    time.Duration
+}
+
+// parseSubmission decodes the body of a submission. The job's ID follows from the caller's
+// key or, without one, from the file and the window.
+func parseSubmission(body []byte, workspace, key string) (submission, error) {
+	var request JobRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return submission{}, protocol.ErrBadRequest.New("malformed JSON: %v", err)
 	}
 	window := DefaultWindow
-	if submission.CompletionWindow != "" {
-		parsed, err := time.ParseDuration(submission.CompletionWindow)
+	if request.CompletionWindow != "" {
+		parsed, err := time.ParseDuration(request.CompletionWindow)
 		if err != nil || parsed <= 0 {
-			return nil, protocol.ErrBadRequest.New("completion_window %q is not a duration such as \"24h\"", submission.CompletionWindow)
+			return submission{}, protocol.ErrBadRequest.New("completion_window %q is not a duration such as \"24h\"", request.CompletionWindow)
 		}
 		window = parsed
 	}
-	if _, err := e.findService(e.context(), file.Service, protocol.ServiceModel); err != nil {
-		return nil, err
-	}
 	identity := key
 	if identity == "" {
-		identity = submission.InputFileID + "/" + submission.CompletionWindow
-	}
-	return &protocol.JobAccept{
-		Job:           "job-" + protocol.Fingerprint([]byte(workspace), []byte(identity)),
-		Workspace:     workspace,
-		Service:       file.Service,
-		File:          submission.InputFileID,
-		DueUnixMillis: time.Now().Add(window).UnixMilli(),
-	}, nil
+		identity = request.InputFileID + "/" + request.CompletionWindow
+	}
+	job := "job-" + protocol.Fingerprint([]byte(workspace), []byte(identity))
+	return submission{job: job, workspace: workspace, file: request.InputFileID, window: window}, nil
+}
+
+// acceptJob accepts the job unless it was accepted before. It reports that its file or
+// service does not exist only if the log up to its end has neither file nor job.
+func (e *Entry) acceptJob(ctx context.Context, clock uint64, s submission) error {
+	err := e.appendJob(ctx, clock, s)
+	if !errorx.IsOfType(err, protocol.ErrNotFound) {
+		return err
+	}
+	if err := e.foldToEndInTime(ctx); err != nil {
+		return err
+	}
+	if _, found := e.jobs.Job(s.job); found {
+		return nil
+	}
+	return e.appendJob(ctx, clock, s)
+}
+
+// appendJob appends the job's record if this entry knows its file and its service.
+func (e *Entry) appendJob(ctx context.Context, clock uint64, s submission) error {
+	file, found := e.jobs.File(s.file)
+	if !found || file.Workspace != s.workspace {
+		return protocol.ErrNotFound.New("no file %q", s.file)
+	}
+	if _, err := e.findService(e.context(), file.Service, protocol.ServiceModel); err != nil {
+		return err
+	}
+	return e.appendAndFold(ctx, protocol.Record{ID: protocol.NewID(), Clock: clock, Job: &protocol.JobAccept{
+		Job: s.job, Workspace: s.workspace, Service: file.Service, File: s.file, DueUnixMillis: time.Now().Add(s.window).UnixMilli(),
+	}})
+}
+
+// foldToEndInTime is foldToEnd within storeTimeout. It fails with ErrBusy: without the end of
+// the log this entry cannot tell that something does not exist.
+func (e *Entry) foldToEndInTime(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := e.foldToEnd(ctx); err != nil {
+		return protocol.ErrBusy.Wrap(err, "the end of the log cannot be read")
+	}
+	return nil
 }
 
 // catchUp waits until this entry has folded everything that the log held when it
