Deny no job while the end of the log cannot be read

An entry that could not read the log answered 404 for a job that another entry may have accepted just before; callers take that as final.

An unknown job is denied only once the log was read to its end, as results of requests are already; otherwise the answer is "busy".

Evidence: TestOutageDeniesNoJob failed before: "no job job-unread" with every path to the log down.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -177,14 +177,21 @@
 }
 
 // findJob returns the job that the request names if its caller may see it. If
-// the job is running or unknown, it catches up with the log first.
+// the job is running it catches up with the log first. If it is unknown, it reads
+// the log to its end, and fails with ErrBusy if it cannot.
 func (e *Entry) findJob(r bunrouter.Request) (state.Job, error) {
-	if j, found := e.jobs.Job(r.Param("job")); !found || j.Status == state.JobRunning {
-		if err := e.catchUp(r.Context()); err != nil {
-			return j, err
-		}
-	}
 	j, found := e.jobs.Job(r.Param("job"))
+	var err error
+	switch {
+	case !found:
+		err = e.foldToEndInTime(r.Context())
+	case j.Status == state.JobRunning:
+		err = e.catchUp(r.Context())
+	}
+	if err != nil {
+		return j, err
+	}
+	j, found = e.jobs.Job(r.Param("job"))
 	if !found || j.Workspace != workspaceOf(r) {
 		return j, protocol.ErrNotFound.New("no job %q", r.Param("job"))
 	}
--- a/promises/removed_service_test.go
+++ b/promises/removed_service_test.go
@@ -13,6 +13,7 @@
 	"github.com/sycamoretally/sycamoretally/demo"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/settings"
+	"github.com/sycamoretally/sycamoretally/standin/logservice"
 )
 
 // removeService deletes the service from the configuration and waits until every entry has
@@ -63,3 +64,30 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestOutageDeniesNoJob asks an entry for a job that it does not know while it cannot read
+// the log, and submits one for a file that it does not know. Another entry may have accepted
+// them just before: the entry must not say that they do not exist.
+func TestOutageDeniesNoJob(t *testing.T) {
+	t.Parallel()
+	site, c := startInProcess(t, demo.DefaultLayout())
+	for _, p := range site.Paths {
+		p.Set(logservice.PathDown)
+	}
+	_, err := c.Job(t.Context(), "job-unread")
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrBusy), "%v", err)
+	_, err = c.Submit(t.Context(), "file-unread", "24h", "key")
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrBusy), "%v", err)
+	for _, p := range site.Paths {
+		p.Set(logservice.PathOpen)
+	}
+	eventually(t, 10*time.Second, func() error {
+		_, err := c.Job(t.Context(), "job-unread")
+		if !errorx.IsOfType(err, protocol.ErrNotFound) {
+			return protocol.ErrBusy.Wrap(err, "the log can be read again")
+		}
+		return nil
+	})
+	_, err = c.Submit(t.Context(), "file-unread", "24h", "key")
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotFound), "%v", err)
+}
