Deny no service by a configuration that may be outdated

A change is in force everywhere within 5 s. An entry whose configuration may lack older changes answers "busy" for a service that it does not know, at once.

Evidence: TestOutageDeniesNoService failed before (not_found 6 s into the outage).

--- a/entry/services.go
+++ b/entry/services.go
@@ -15,9 +15,15 @@
 // started.
 const configTimeout = 2 * time.Second
 
+// maxConfigStaleness is the time within which a change of the configuration is in force
+// everywhere. An entry whose configuration may lack older changes cannot tell that a service
+// does not exist.
+const maxConfigStaleness = 5 * time.Second
+
 // findService returns the service with the name and type. If it is unknown and
 // this entry has not read the whole configuration yet, it waits, and fails with
-// ErrBusy after configTimeout. Otherwise it fails with ErrNotFound.
+// ErrBusy after configTimeout. It fails with ErrBusy at once if the configuration is
+// older than maxConfigStaleness, and otherwise with ErrNotFound.
 func (e *Entry) findService(ctx context.Context, name string, kind protocol.ServiceType) (*protocol.Service, error) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
@@ -27,6 +33,8 @@
 		switch {
 		case service != nil && service.Type == kind:
 			return service, nil
+		case caughtUp && e.configStream.follower.Staleness() > maxConfigStaleness:
+			return nil, protocol.ErrBusy.New("this entry may not have read the newest configuration; it knows no %s service %q", kind, name)
 		case caughtUp:
 			return nil, protocol.ErrNotFound.New("no %s service %q", kind, name)
 		case ctx.Err() != nil:
--- a/promises/removed_service_test.go
+++ b/promises/removed_service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -91,3 +92,33 @@
 	_, err = c.Submit(t.Context(), "file-unread", "24h", "key")
 	assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotFound), "%v", err)
 }
+
+// TestOutageDeniesNoService calls a service that an entry does not know while it has not read
+// the configuration for longer than a change may take. The operator may have added the service
+// meanwhile: the entry must not say that it does not exist.
+func TestOutageDeniesNoService(t *testing.T) {
+	t.Parallel()
+	site, c := startInProcess(t, demo.DefaultLayout())
+	call := func() error {
+		_, err := c.Call(t.Context(), "added", http.MethodGet, "/", nil, client.CallOptions{Key: protocol.NewID()})
+		return err
+	}
+	err := call()
+	assert.Assert(t, errorx.IsOfType(err, protocol.ErrNotFound), "%v", err)
+	for _, p := range site.Paths {
+		p.Set(logservice.PathDown)
+	}
+	<-time.After(inForceLimit + time.Second)
+	err = call()
+	assert.Assert(t, err != nil && !errorx.IsOfType(err, protocol.ErrNotFound), "%v", err)
+	assert.Equal(t, protocol.OutcomeOf(err), protocol.OutcomeNotRun)
+	for _, p := range site.Paths {
+		p.Set(logservice.PathOpen)
+	}
+	eventually(t, 10*time.Second, func() error {
+		if err := call(); !errorx.IsOfType(err, protocol.ErrNotFound) {
+			return protocol.ErrBusy.New("the configuration can be read again: %v", err)
+		}
+		return nil
+	})
+}
