Use a connection to a target of our own deployment for one request

When one sent an answer a second time, late, on a connection in use again, the next caller got an answer that wasn't its own. Shown by TestLateCopyReachesNoOtherCall and TestLateCopyReachesNoOtherGeneration, which failed before ("answer 1" for the second call).

Sidecars open a connection for each call of a plain service and each generation, cancel and order now; calls that are not repeatable had one already. Load reports, which come often, keep theirs: a copy is only an older report. Why it works: what arrives on a connection belongs to its only request. The cost is a connection within the instance for each call; 20,000 requests a second before 5,700 workers are four a second for each.

Weighed: to drop a connection on which bytes arrive while it is idle (net/http does so, and the copy comes when the next request waits), and an ID that targets echo (engines and services are not ours).

Tests that took a reused connection for granted, replaced: a half-open connection of an earlier call made one call stall, now none (TestSilentEngineConnection); the deadline of a request is over for the next one, on a connection of its own (TestDeadlineEndsWithItsRequest); a broken connection is never repeated, now for repeatable calls too (TestBrokenConnectionIsNotRepeated).

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -55,6 +55,8 @@
 	base         string
 	stallTimeout time.Duration
 	client       *http.Client
+	// reports keeps connections open, for load reports alone.
+	reports *http.Client
 }
 
 // NewEngine returns a client of the engine at the URL base. A request on which the
@@ -64,15 +66,24 @@
 	if stallTimeout <= 0 {
 		stallTimeout = protocol.HeartbeatTimeout
 	}
-	return &Engine{base: base, stallTimeout: stallTimeout, client: newTargetClient()}
+	return &Engine{base: base, stallTimeout: stallTimeout, client: newTargetClient(), reports: newReportClient()}
 }
 
+// newTargetClient returns a client that uses each connection for one request. Answers of
+// targets do not name their request, and a target may send an answer once more, late: on a
+// connection in use again it would be taken for the answer to the next request. net/http
+// also repeats some requests when a reused connection fails.
 func newTargetClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialTarget,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTargetTimeout,
-		DisableCompression:  true,
+		DialContext: dialTarget, DisableKeepAlives: true, DisableCompression: true,
+	}}
+}
+
+// newReportClient returns a client for load reports, which come often. A late copy of one is
+// only an older report.
+func newReportClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialTarget, IdleConnTimeout: idleTargetTimeout, DisableCompression: true,
 	}}
 }
 
@@ -84,9 +95,7 @@
 )
 
 // Close closes idle connections.
-func (e *Engine) Close() { e.client.CloseIdleConnections() }
-
-const maxIdlePerTarget = 64
+func (e *Engine) Close() { e.reports.CloseIdleConnections() }
 
 // Generation is a request to an engine.
 type Generation struct {
@@ -153,7 +162,7 @@
 	if err == nil || !errorx.IsOfType(cause, errEngineStalled) {
 		return err
 	}
-	e.client.CloseIdleConnections()
+	e.reports.CloseIdleConnections()
 	return protocol.ErrTruncated.Wrap(cause, "generate")
 }
 
@@ -340,7 +349,7 @@
 	if err != nil {
 		return load, protocol.ErrBadRequest.Wrap(err, "load")
 	}
-	resp, err := e.client.Do(req)
+	resp, err := e.reports.Do(req)
 	if err != nil {
 		return load, classifyTargetError(err, "load")
 	}
--- a/backend/service.go
+++ b/backend/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -14,19 +13,13 @@
 type PlainService struct {
 	base   string
 	client *http.Client
-	// singleUse never reuses a connection. net/http retries a request with an
-	// Idempotency-Key header when a reused connection fails.
-	singleUse *http.Client
 }
 
 // NewPlainService returns a client of the service at the URL base.
 func NewPlainService(base string) *PlainService {
-	dialer := net.Dialer{Timeout: targetDialTimeout}
-	singleUse := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	s := &PlainService{base: base, client: newTargetClient(), singleUse: &http.Client{Transport: singleUse}}
+	s := &PlainService{base: base, client: newTargetClient()}
 	// Following a redirect would send the call again. The caller gets the redirect.
 	s.client.CheckRedirect = keepRedirect
-	s.singleUse.CheckRedirect = keepRedirect
 	return s
 }
 
@@ -38,13 +31,9 @@
 // maxServiceAnswer is the maximum size of a plain service's answer in bytes.
 const maxServiceAnswer = 16 << 20
 
-// Close closes idle connections.
-func (s *PlainService) Close() { s.client.CloseIdleConnections() }
-
-// Do sends one call. A call that is not repeatable is sent once, on a connection of
-// its own. Do fails with ErrNotSent if the service was not reached, and with
+// Do sends one call once, on a connection of its own. Do fails with ErrNotSent if the service was not reached, and with
 // ErrTargetFailed or ErrTruncated if the call may have run.
-func (s *PlainService) Do(ctx context.Context, key string, call *protocol.Call, repeatable bool) (protocol.Result, error) {
+func (s *PlainService) Do(ctx context.Context, key string, call *protocol.Call) (protocol.Result, error) {
 	var result protocol.Result
 	ctx, connected := TraceConnection(ctx)
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.base+call.Path, bytes.NewReader(call.Body))
@@ -55,11 +44,7 @@
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
-	client := s.singleUse
-	if repeatable {
-		client = s.client
-	}
-	resp, err := client.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil && connected() {
 		return result, protocol.ErrTargetFailed.Wrap(err, "service call")
 	}
--- a/sidecar/atmostonce.go
+++ b/sidecar/atmostonce.go
@@ -46,7 +46,7 @@
 	// the key.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.TimeLeft())
 	defer cancel()
-	result, err := r.callService(callCtx, a, false)
+	result, err := r.callService(callCtx, a)
 	switch {
 	case err == nil:
 	case errorx.IsOfType(err, protocol.ErrNotSent), errorx.IsOfType(err, protocol.ErrBadRequest):
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -70,7 +70,7 @@
 		}
 		return r.generate(ctx, a, time.Time{}, frames.Token)
 	case a.Repeatable:
-		result, err := r.callService(ctx, a, true)
+		result, err := r.callService(ctx, a)
 		if err != nil {
 			return err
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -217,7 +217,6 @@
 	s.peers.Close()
 	for _, r := range s.runners {
 		r.engine.Close()
-		r.service.Close()
 	}
 	s.batchEntries.peers.Close()
 	return s.tomb.Wait()
--- a/sidecar/target.go
+++ b/sidecar/target.go
@@ -47,9 +47,9 @@
 }
 
 // callService runs a call of a plain service.
-func (r *runner) callService(ctx context.Context, a *protocol.AttemptRequest, repeatable bool) (protocol.Result, error) {
+func (r *runner) callService(ctx context.Context, a *protocol.AttemptRequest) (protocol.Result, error) {
 	r.attemptSent(a)
-	result, err := r.service.Do(ctx, a.Key, &a.Call, repeatable)
+	result, err := r.service.Do(ctx, a.Key, &a.Call)
 	return result, r.attemptEnded(ctx, a, err)
 }
 
