Bound the heads and events that engines and services may send

Report of other operators: a faulty worker sent bytes without end, and the machine that had called it ran out of memory. In the product's own deployment it could happen: net/http accepts a head of 10 MB, for which 67 MB were allocated, and an event could have 16 MB, for each call in flight; a sidecar has 128 MB.

A head may have 64 KiB and an event 1 MiB now.

Read, not changed: answers of plain services are buffered up to 16 MB each, as their contract allows; `client` reads what entries, which are ours, send.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -75,7 +75,7 @@
 // also repeats some requests when a reused connection fails.
 func newTargetClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialTarget, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dialTarget, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -83,7 +83,7 @@
 // only an older report.
 func newReportClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialTarget, IdleConnTimeout: idleTargetTimeout, DisableCompression: true,
+		DialContext: dialTarget, IdleConnTimeout: idleTargetTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -92,6 +92,8 @@
 	targetDialTimeout = time.Second
 	// idleTargetTimeout is how long an unused connection to a target is kept.
 	idleTargetTimeout = 30 * time.Second
+	// maxHeadBytes is the size limit of the head of a target's answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Close closes idle connections.
@@ -244,8 +246,9 @@
 // maxLoadBytes is the size limit of an engine's load report.
 const maxLoadBytes = 64 << 10
 
-// maxEventBytes is the maximum size of an event of an engine's stream.
-const maxEventBytes = 16 << 20
+// maxEventBytes is the maximum size of an event of an engine's stream, which holds a few
+// tokens.
+const maxEventBytes = 1 << 20
 
 func readTokens(body io.Reader, sink func(string) error) error {
 	lines := bufio.NewScanner(body)
