--- a/backend/service.go
+++ b/backend/service.go
@@ -31,8 +31,8 @@
 // maxServiceAnswer is the maximum size of a plain service's answer in bytes.
 const maxServiceAnswer = 16 << 20
 
-// Do sends one call once, on a connection of its own. Do fails with ErrNotSent if the service was not reached, and with
-// ErrTargetFailed or ErrTruncated if the call may have run.
+// Do sends one call once, on a connection of its own. Do fails with ErrNotSent if the
+// service was not reached, and with ErrTargetFailed or ErrTruncated if the call may have run.
 func (s *PlainService) Do(ctx context.Context, key string, call *protocol.Call) (protocol.Result, error) {
 	var result protocol.Result
 	ctx, connected := TraceConnection(ctx)
