Close the connection that a repeated request replaces

An item that its target refuses comes again every 100 ms, and each refusal would have left one more idle connection, up to the target's limit for all callers together; batchers close idle connections only when they take one.

A new connection that is opened because no idle one may carry the request replaces the oldest idle one, and expired ones are closed whenever the pool is asked.

--- a/transport/connpool.go
+++ b/transport/connpool.go
@@ -90,11 +90,14 @@
 func (p *ConnPool) Get(ctx context.Context, addr, request string) (*Conn, error) {
 	id := xxhash.Sum64String(request)
 	for {
-		c := p.takeIdle(addr, func(c *Conn) bool { return request == "" || !slices.Contains(c.carried, id) })
+		c, surplus := p.takeIdle(addr, func(c *Conn) bool { return request == "" || !slices.Contains(c.carried, id) })
+		for _, s := range surplus {
+			_ = s.Close()
+		}
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.reusableUntil) && c.isReusable() {
+		if c.isReusable() {
 			c.carry(request, id)
 			return c, nil
 		}
@@ -135,21 +138,39 @@
 }
 
 // takeIdle takes the most recently used of the idle connections to the address for which
-// usable returns true. It returns nil if there is none.
-func (p *ConnPool) takeIdle(addr string, usable func(*Conn) bool) *Conn {
+// usable returns true, nil if there is none. It also takes the surplus ones, which must be
+// closed: those that have expired and, if none is usable, one that the new connection
+// replaces. Otherwise a request that is refused again and again would leave one more
+// connection idle each time.
+func (p *ConnPool) takeIdle(addr string, usable func(*Conn) bool) (taken *Conn, surplus []*Conn) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[addr]
-	for i, c := range slices.Backward(idle) {
-		if !usable(c) {
-			continue
+	p.idle[addr] = slices.DeleteFunc(idle, func(c *Conn) bool {
+		expired := !now.Before(c.reusableUntil)
+		if expired {
+			surplus = append(surplus, c)
 		}
-		if p.idle[addr] = slices.Delete(idle, i, i+1); len(idle) == 1 {
+		return expired
+	})
+	defer func() {
+		if len(p.idle[addr]) == 0 {
 			delete(p.idle, addr)
 		}
-		return c
+	}()
+	idle = p.idle[addr]
+	for i, c := range slices.Backward(idle) {
+		if usable(c) {
+			p.idle[addr] = slices.Delete(idle, i, i+1)
+			return c, surplus
+		}
 	}
-	return nil
+	if len(idle) > 0 {
+		surplus = append(surplus, idle[0])
+		p.idle[addr] = slices.Delete(idle, 0, 1)
+	}
+	return nil, surplus
 }
 
 // HasIdle reports whether there is an idle connection to the address that has not expired.
