--- a/batcher/item.go
+++ b/batcher/item.go
@@ -177,8 +177,11 @@
 // under way may go on. mu must be held.
 func (b *Batcher) releaseMoved() {
 	for _, h := range b.held {
+		if h.cancel != nil {
+			continue
+		}
 		route, standing := jobroute.Find(b.configs.Current(), h.job)
-		if standing == jobroute.InForce && h.cancel == nil && !route.Serves(b.params.Node.Service) {
+		if standing == jobroute.InForce && !route.Serves(b.params.Node.Service) {
 			b.release(h, "its route goes to other services", "route", route.Name)
 		}
 	}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -220,6 +220,11 @@
 
 // IsAccepted implements fleet.CallerAPI.
 func (g *Gateway) IsAccepted(ctx context.Context, host, id string) error {
+	leave, err := g.trackRequest(jobCallLimit)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	return g.lookUpJob(ctx, id, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
 }
 
