Accept items' answers of any content type that stays the same

An item's output goes on only with the content type that its earlier runs at the same batcher had, as online streams do.

--- a/batcher/item.go
+++ b/batcher/item.go
@@ -56,6 +56,10 @@
 	cancel    context.CancelCauseFunc
 	yielding  bool
 	startedAt time.Time
+	// contentType is the content type of the last answer here that was read as a stream, if
+	// hasContentType is set.
+	contentType    string
+	hasContentType bool
 	// notBefore is the earliest time at which the item may run again.
 	notBefore time.Time
 }
@@ -327,8 +331,8 @@
 	if !answer.Signed {
 		return runOutcome{progress: progress, err: fleet.ErrAnswerBroken.New("success without the target's signature")}
 	}
-	if contentType := answer.Header.Get("Content-Type"); contentType != "" && !eventstream.IsContentType(contentType) {
-		return runOutcome{progress: progress, err: fleet.ErrAnswerBroken.New("answer of type %q is no event stream", contentType)}
+	if err := b.checkContentType(h, answer); err != nil {
+		return runOutcome{progress: progress, err: err}
 	}
 	begin := progress
 	err = readEvents(answer.Body, func(e eventstream.Event) error {
@@ -347,6 +351,19 @@
 	return runOutcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultCompleted, Text: progress.Text}}
 }
 
+// checkContentType returns ErrAnswerBroken if an earlier run of the item here has brought
+// events in an answer of another content type: this one cannot go on with them.
+func (b *Batcher) checkContentType(h *heldItem, answer *fleet.Answer) error {
+	contentType := answer.Header.Get("Content-Type")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.hasContentType && h.progress.Events > 0 && contentType != h.contentType {
+		return fleet.ErrAnswerBroken.New("target goes on with a stream of type %q in one of type %q", h.contentType, contentType)
+	}
+	h.contentType, h.hasContentType = contentType, true
+	return nil
+}
+
 // recordProgress records the item's progress, so that it is not lost if the item is
 // released while it runs.
 func (b *Batcher) recordProgress(h *heldItem, p worklog.Progress) {
--- a/protocol/eventstream/eventstream.go
+++ b/protocol/eventstream/eventstream.go
@@ -10,16 +10,6 @@
 // terminator ends each event of a stream.
 var terminator = []byte("\n\n")
 
-// contentType is the content type of event streams.
-const contentType = "text/event-stream"
-
-// IsContentType reports whether the value of a Content-Type header is that of an event
-// stream.
-func IsContentType(value string) bool {
-	mediaType, _, _ := strings.Cut(value, ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), contentType)
-}
-
 // Event is one event of a stream.
 type Event struct {
 	// ID is the event's ID, empty if it has none.
