Keep the heartbeat's timer under the lock that its heartbeat takes

The timer runs before its variable is set; if the process is not scheduled for a heartbeat's interval in between, the heartbeat reads nil and the sidecar ends.

Assignment and use are under mu now. No test of its own: neither the interval nor the gap can be set from outside.

--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -225,6 +225,8 @@
 		encoder: msgpack.NewEncoder(w),
 		sum:     xxhash.New(),
 	}
+	f.mu.Lock() // the timer may fire before it is assigned
+	defer f.mu.Unlock()
 	f.timer = time.AfterFunc(protocol.HeartbeatInterval, f.heartbeat)
 	return f
 }
