--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/standin/rawtarget"
 )
 
 // maxAllocated bounds what one endless answer may allocate, in bytes. A sidecar has 128 MB and
@@ -23,28 +24,15 @@
 // repeats the filler until the connection is closed.
 func startEndlessTarget(t *testing.T, beginning, filler string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, beginning)
-				for err == nil {
-					_, err = io.WriteString(conn, filler)
-				}
-			}()
+	return "http://" + rawtarget.Start(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err := io.WriteString(conn, beginning)
+		for err == nil {
+			_, err = io.WriteString(conn, filler)
 		}
-	}()
-	return "http://" + l.Addr().String()
+	})
 }
 
 func allocated() uint64 {
--- a/backend/latecopy_test.go
+++ b/backend/latecopy_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/standin/rawtarget"
 )
 
 // copyDelay is the time after which the target sends its first answer once more, and workTime
@@ -26,13 +27,9 @@
 // puts it, and sends the first answer once more, late, on the same connection.
 func startRepeatingTarget(t *testing.T, answerOf func(n int) string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	var mu sync.Mutex
 	requests := 0
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
+	return "http://" + rawtarget.Start(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		for {
 			r, err := http.ReadRequest(reader)
@@ -52,17 +49,7 @@
 				time.AfterFunc(copyDelay, func() { _, _ = io.WriteString(conn, answerOf(1)) })
 			}
 		}
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return "http://" + l.Addr().String()
+	})
 }
 
 // TestLateCopyReachesNoOtherCall lets a plain service send its answer to one call once more,
--- a/transport/connpool_test.go
+++ b/transport/connpool_test.go
@@ -7,31 +7,23 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/standin/rawtarget"
 )
 
-// listenForConns accepts connections and keeps them open. It returns the address.
-func listenForConns(t *testing.T) string {
+// startSilentTarget starts a target that keeps its connections open until the test ends.
+func startSilentTarget(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-		}
-	}()
-	return l.Addr().String()
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	return rawtarget.Start(t, func(net.Conn) { <-ended })
 }
 
 // TestConnectionCarriesARequestOnce gets connections for requests and returns them. A request
 // that comes again must get another connection than the one that has carried it, however many
 // others that has carried since; that one stays idle for others.
 func TestConnectionCarriesARequestOnce(t *testing.T) {
-	addr, pool := listenForConns(t), NewConnPool()
+	addr, pool := startSilentTarget(t), NewConnPool()
 	get := func(request string) *Conn {
 		c, err := pool.Get(t.Context(), addr, request)
 		assert.NilError(t, err)
@@ -64,7 +56,7 @@
 // target that refuses it each time. Each run has another connection, and the one before must
 // be closed: targets accept few connections, and the batcher closes idle ones only here.
 func TestRepeatedRequestLeavesNoConnectionsBehind(t *testing.T) {
-	addr, pool := listenForConns(t), NewConnPool()
+	addr, pool := startSilentTarget(t), NewConnPool()
 	for range 50 {
 		c, err := pool.Get(t.Context(), addr, "r1")
 		assert.NilError(t, err)
@@ -83,7 +75,7 @@
 // TestConnectionRemembersBoundedly checks that a connection is closed once it has carried as
 // many requests as it remembers.
 func TestConnectionRemembersBoundedly(t *testing.T) {
-	addr, pool := listenForConns(t), NewConnPool()
+	addr, pool := startSilentTarget(t), NewConnPool()
 	var first *Conn
 	for i := range maxCarried {
 		c, err := pool.Get(t.Context(), addr, fmt.Sprint(i))
