--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -24,13 +24,14 @@
 // repeats the filler until the connection is closed.
 func startEndlessTarget(t *testing.T, beginning, filler string) string {
 	t.Helper()
+	repeated := []byte(filler) // io.WriteString would allocate a copy each time
 	return "http://" + rawtarget.Start(t, func(conn net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
 		}
 		_, err := io.WriteString(conn, beginning)
 		for err == nil {
-			_, err = io.WriteString(conn, filler)
+			_, err = conn.Write(repeated)
 		}
 	})
 }
