Reserve the ports of test sites against other processes

Processes whose IDs differ by 104 chose from nearly the same ports (104 x 211 is 56 short of 22,000), each after a check that they were free. A chosen port is reserved by an abstract socket until its process ends.

--- a/demo/address.go
+++ b/demo/address.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -27,6 +28,9 @@
 	for range portCount {
 		port := firstPort + (int64(os.Getpid())*portStride+nextPort.Add(1))%portCount
 		address := net.JoinHostPort(host, strconv.FormatInt(port, 10))
+		if !reserve(port) {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -36,3 +40,17 @@
 	}
 	return "", protocol.ErrInternal.New("no free port on %s", host)
 }
+
+// reserve reports whether no other process has chosen the port. The reservation, an abstract
+// socket, ends with this process: the port is used only after FreeAddress has returned.
+func reserve(port int64) bool {
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: "@sycamoretally-port-" + strconv.FormatInt(port, 10), Net: "unix"})
+	if err != nil {
+		return false
+	}
+	reservations.Store(port, l)
+	return true
+}
+
+// reservations holds the open reservations by their port.
+var reservations sync.Map
