--- a/demo/address.go
+++ b/demo/address.go
@@ -22,8 +22,9 @@
 
 var nextPort atomic.Int64
 
-// FreeAddress returns a loopback address that was free when checked and that this
-// process has not returned recently.
+// FreeAddress returns a loopback address that was free when checked and that neither this
+// process nor another running one has returned. Each address costs one file descriptor until
+// the process ends.
 func FreeAddress() (string, error) {
 	for range portCount {
 		port := firstPort + (int64(os.Getpid())*portStride+nextPort.Add(1))%portCount
