Log what was asked of a job that is denied, and how old the log was

A line 'job call denied' names the job, what was sought and what the gateway knows; a histogram has the age of the log in answers without results. No logic changed. TestDeniedJobCallsAreExplained did not find the line before.

--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -110,3 +110,26 @@
 	}
 	assert.DeepEqual(t, kinds, []string{"attempt sycamoretally.elsewhere.no_answer", "attempt answered", "request ended answered"})
 }
+
+// TestDeniedJobCallsAreExplained checks that the log tells a job that the gateway does not
+// know from a job without the item that was asked for.
+func TestDeniedJobCallsAreExplained(t *testing.T) {
+	recording := logtest.Start(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := startGateway(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("known", 3)))
+		_, err := s.Results(t.Context(), "unknown", 1, 0)
+		assert.Assert(t, err != nil)
+		_, err = s.ItemBody(t.Context(), "known", "i9")
+		assert.Assert(t, err != nil)
+	})
+	recording.Stop()
+	for id, want := range map[string][]string{
+		"unknown": {"results from position 1", "false", "0"},
+		"known":   {"the body of item i9", "true", "3"},
+	} {
+		line := logtest.Last(recording.Explain(id), "job call denied")
+		assert.DeepEqual(t, []string{line.Value("sought"), line.Value("known"), line.Value("items")}, want)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,9 +69,11 @@
 	targetTail *topic.Follower
 	workTail   *topic.Follower
 
-	// jobsMu guards fold and changed.
+	// jobsMu guards fold, rebuiltAt and changed.
 	jobsMu sync.RWMutex
 	fold   *worklog.Fold
+	// rebuiltAt is when the fold was last made anew from the newest records.
+	rebuiltAt time.Time
 	// changed is closed and replaced whenever the fold changes.
 	changed chan struct{}
 	writer  *worklog.Writer
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -36,6 +37,7 @@
 	fold.Apply(time.Now(), records)
 	g.jobsMu.Lock()
 	g.fold = fold
+	g.rebuiltAt = time.Now()
 	g.crashes.publish(fold)
 	g.notifyWaiters()
 	g.jobsMu.Unlock()
@@ -178,11 +180,11 @@
 	return tokens
 }
 
-// lookUpJob calls visit with the job. visit reports whether it found what it looks for.
-// If the job is unknown or visit returns false, lookUpJob reads the log to its end and
-// tries once more. It returns ErrRefused if the log cannot be read, and ErrUnknownJob if
-// the second try fails as well.
-func (g *Gateway) lookUpJob(ctx context.Context, id string, visit func(*worklog.Job) bool) error {
+// lookUpJob calls visit with the job. visit reports whether it found what it looks for,
+// which sought describes for the log. If the job is unknown or visit returns false,
+// lookUpJob reads the log to its end and tries once more. It returns ErrRefused if the log
+// cannot be read, and ErrUnknownJob if the second try fails as well.
+func (g *Gateway) lookUpJob(ctx context.Context, id, sought string, visit func(*worklog.Job) bool) error {
 	if g.viewJob(id, visit) {
 		return nil
 	}
@@ -192,9 +194,25 @@
 	if g.viewJob(id, visit) {
 		return nil
 	}
+	g.logDenial(id, sought)
 	return fleet.ErrUnknownJob.New("job %s", id)
 }
 
+// logDenial logs what was asked of a job and what this gateway knows of it.
+func (g *Gateway) logDenial(id, sought string) {
+	items, results, ended := 0, 0, false
+	known := g.viewJob(id, func(job *worklog.Job) bool {
+		items, results, ended = len(job.Items), len(job.Results), job.Ended
+		return true
+	})
+	age, _ := g.workTail.Age()
+	g.jobsMu.RLock()
+	rebuilt := time.Since(g.rebuiltAt)
+	g.jobsMu.RUnlock()
+	klog.InfoS("job call denied", "job", id, "sought", sought, "known", known, "items", items, "results", results, "ended", ended,
+		"log_age", age, "rebuilt", rebuilt)
+}
+
 // viewJob calls visit with the job while holding jobsMu. It reports whether the job is
 // known and visit returned true.
 func (g *Gateway) viewJob(id string, visit func(*worklog.Job) bool) bool {
@@ -225,7 +243,7 @@
 		return err
 	}
 	defer leave()
-	return g.lookUpJob(ctx, id, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
+	return g.lookUpJob(ctx, id, "the job on host "+host, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
 }
 
 // Results implements fleet.CallerAPI.
@@ -235,7 +253,7 @@
 		return fleet.ResultPage{}, err
 	}
 	defer leave()
-	err = g.lookUpJob(ctx, id, func(job *worklog.Job) bool { return after <= len(job.Results) })
+	err = g.lookUpJob(ctx, id, fmt.Sprint("results from position ", after), func(job *worklog.Job) bool { return after <= len(job.Results) })
 	if err != nil {
 		return fleet.ResultPage{}, err
 	}
@@ -295,6 +313,10 @@
 // resultPage returns a page of the results found, with their outputs. It returns
 // ErrRefused if not even the first output can be read.
 func (g *Gateway) resultPage(ctx context.Context, id string, after int, f foundResults) (fleet.ResultPage, error) {
+	if len(f.results) == 0 && f.open {
+		age, _ := g.workTail.Age()
+		g.metrics.emptyPageAge.Observe(age.Seconds())
+	}
 	results, err := g.texts.resolve(ctx, id, f.results)
 	if err != nil && len(results) == 0 {
 		return fleet.ResultPage{}, fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "results of job %s cannot be read from the store at the moment", id), jobRetryAfter)
@@ -310,7 +332,7 @@
 	}
 	defer leave()
 	var body []byte
-	err = g.lookUpJob(ctx, id, func(job *worklog.Job) bool {
+	err = g.lookUpJob(ctx, id, "the body of item "+item, func(job *worklog.Job) bool {
 		for _, i := range job.Items {
 			if i.ID == item {
 				body = i.Body
@@ -330,7 +352,7 @@
 	}
 	defer leave()
 	ended := false
-	if err := g.lookUpJob(ctx, id, func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
+	if err := g.lookUpJob(ctx, id, "the end of the job", func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
 		return err
 	}
 	if err := g.checkStoreReachable(ctx); err != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,9 @@
 	attempts    *prometheus.CounterVec
 	oversized   *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
+	// emptyPageAge is the age of the work log in answers that an open job has no more
+	// results.
+	emptyPageAge prometheus.Histogram
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -39,8 +42,12 @@
 		loadQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
 		}, []string{"result"}),
+		emptyPageAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sycamoretally_gateway_empty_page_age_seconds", Help: "Age of the work log in answers that an open job has no more results yet.",
+			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge)
 	return m
 }
 
