Add tests that fail: gateways that deny what others have shown

A third is shown by a test of coordination/topic: a resumed read of the newest records counts as new.

--- a/coordination/topic/newest_test.go
+++ b/coordination/topic/newest_test.go
@@ -55,6 +55,27 @@
 	assert.DeepEqual(t, f.keys, []string{"b", "c", "a", "10", "d"})
 }
 
+// TestResumedReadHidesNothingWrittenMeanwhile lets the read of the newest records fail after
+// its first page and go on 10 s later, after a key was written. Who catches up then must know
+// that key, and the state must not count as 10 s newer than it is.
+func TestResumedReadHidesNothingWrittenMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := fleetstore.New()
+		put(t, inner, "a", "b")
+		s := &pagedStore{Store: inner, pages: []*fleet.NewestPage{
+			{Records: []fleet.Record{{Key: "a", Offset: 0}}, More: true, End: 2},
+			nil,
+			{Records: []fleet.Record{{Key: "b", Offset: 1}}, End: 3},
+		}}
+		f := follow(s)
+		assert.Assert(t, f.CatchUp(t.Context()) != nil)
+		put(t, inner, "c")
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, f.CatchUp(t.Context()))
+		assert.DeepEqual(t, f.keys, []string{"a", "b", "c"})
+	})
+}
+
 // TestPausesAreBounded reads many pages on an instance on which each takes long. The pauses
 // that leave the store's bandwidth to others must not add up without a bound, or a slow
 // instance knows its jobs only long after the others.
--- /dev/null
+++ b/soak/jobreads_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+)
+
+var (
+	readSeed     = flag.Uint64("read-seed", 37, "the seed of TestAcceptedJobsAreNeverDenied")
+	readBeyond   = flag.Bool("read-beyond", true, "whether readers ask for positions after the last known result")
+	readDuration = flag.Duration("read-duration", 20*time.Second, "how long TestAcceptedJobsAreNeverDenied disturbs")
+)
+
+// manyGateways is the layout of a site whose gateways are disturbed apart from each other.
+var manyGateways = layout{gateways: 6, modelTargets: 4, callTargets: 1, eventTime: 25 * time.Millisecond}
+
+// readerFaults are the faults that make gateways know different parts of the log.
+var readerFaults = []fault{
+	{"late answers", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		d := pick(rng, s.gateways)
+		d.door.setDelay(time.Duration(100+rng.IntN(800)) * time.Millisecond)
+		sleep(ctx, 2*duration)
+		d.door.setDelay(0)
+	}},
+	{"turned away", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		d := pick(rng, s.daemons())
+		d.door.refusal.Store(int64(pick(rng, []int{hang, http.StatusServiceUnavailable, http.StatusTooManyRequests})))
+		sleep(ctx, 2*duration)
+		d.door.refusal.Store(0)
+	}},
+	{"turned away by turns", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		d := pick(rng, s.gateways)
+		for end := time.Now().Add(2 * duration); time.Now().Before(end); {
+			d.door.refusal.Store(http.StatusServiceUnavailable)
+			sleep(ctx, time.Duration(rng.IntN(30))*time.Millisecond)
+			d.door.refusal.Store(0)
+			sleep(ctx, time.Duration(rng.IntN(30))*time.Millisecond)
+		}
+	}},
+	{"history dropped", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		for range 3 {
+			s.store.Compact(fleet.TopicWork)
+			s.store.Compact(fleet.TopicTexts)
+			sleep(ctx, duration/3)
+		}
+	}},
+	{"short of processor time", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		s.starve(ctx, pick(rng, s.daemons()), rng, 2*duration)
+	}},
+	{"killed", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		s.kill(ctx, pick(rng, s.daemons()), duration)
+	}},
+	{"all dark", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		if rng.IntN(3) > 0 {
+			return
+		}
+		var group sync.WaitGroup
+		for _, d := range s.daemons() {
+			group.Go(func() { s.kill(ctx, d, duration) })
+		}
+		group.Wait()
+	}},
+	{"writes lost", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		s.store.SetFaults(pick(rng, []fleetstore.Faults{
+			{LoseAnswers: 4}, {LoseAppends: 4}, {LateAppends: 4, LateBy: 3 * time.Second},
+		}))
+		sleep(ctx, duration)
+		s.store.SetFaults(fleetstore.Faults{})
+	}},
+}
+
+// starve lets a process run for short times only.
+func (s *site) starve(ctx context.Context, d *daemon, rng *rand.Rand, duration time.Duration) {
+	if !d.tryClaim() {
+		return
+	}
+	defer d.release()
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		_ = d.process.Signal(syscall.SIGSTOP)
+		sleep(ctx, time.Duration(200+rng.IntN(1300))*time.Millisecond)
+		_ = d.process.Signal(syscall.SIGCONT)
+		sleep(ctx, time.Duration(10+rng.IntN(100))*time.Millisecond)
+	}
+}
+
+// TestAcceptedJobsAreNeverDenied reads jobs at all gateways while these know different parts
+// of the log. A gateway that can't be sure must refuse: it must neither deny a job nor have
+// nothing at a position that another gateway showed a second before.
+func TestAcceptedJobsAreNeverDenied(t *testing.T) {
+	s := newSite(t, binary, manyGateways)
+	l := newRecorder()
+	ctx, stop := context.WithTimeout(t.Context(), *readDuration)
+	defer stop()
+	var readers sync.WaitGroup
+	counts := s.startJobReaders(ctx, &readers, l, readerParams{seed: *readSeed, submitters: 5, readers: 40, beyond: *readBeyond})
+	rng := rand.New(rand.NewPCG(*readSeed, 1000))
+	var faults sync.WaitGroup
+	for ctx.Err() == nil {
+		s.begin(t.Context(), &faults, pick(rng, readerFaults), rng)
+		sleep(ctx, time.Duration(200+rng.IntN(1200))*time.Millisecond)
+	}
+	faults.Wait()
+	readers.Wait()
+	s.checkProcesses(l)
+	s.reportAnswers(l, counts)
+}
+
+// TestPositionWithoutResultIsNoUnknownJob reads an open job at every gateway from each position
+// up to the number of its items. None of them may deny the job.
+func TestPositionWithoutResultIsNoUnknownJob(t *testing.T) {
+	s := newSite(t, binary, slowItems)
+	l := newRecorder()
+	r := &reader{caller: newCaller(s, l, "c", rand.New(rand.NewPCG(1, 1))), jobs: &readJobs{}, answers: &answerCount{counts: map[string]int{}}}
+	r.submitJob(t.Context())
+	assert.Equal(t, len(r.jobs.jobs), 1)
+	sleep(t.Context(), settleBound+settleMargin)
+	for _, d := range s.gateways {
+		for after := range jobItems + 1 {
+			r.readFrom(t.Context(), r.jobs.jobs[0], after, 0, d)
+		}
+	}
+	s.reportAnswers(l, r.answers)
+}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -24,12 +24,9 @@
 )
 
 const (
-	gatewayCount = 3
-	modelTargets = 3
-	callTargets  = 2
-	callerPort   = 8144
-	readyPort    = 8140
-	targetPort   = 8080
+	callerPort = 8144
+	readyPort  = 8140
+	targetPort = 8080
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 8 * time.Second
 	// host is the host of all routes.
@@ -43,12 +40,26 @@
 	itemEvents   = 30
 )
 
+// layout is the size of a site.
+type layout struct {
+	gateways     int
+	modelTargets int
+	callTargets  int
+	// eventTime is the time that an event of an item takes.
+	eventTime time.Duration
+}
+
+// smallLayout is the layout of the sites of the seeds.
+var smallLayout = layout{gateways: 3, modelTargets: 3, callTargets: 2, eventTime: 10 * time.Millisecond}
+
 // daemon is a gateway or batcher process.
 type daemon struct {
 	name    string
 	address string
 	process *processtest.Process
-	store   *relay.Relay
+	// store is the path to the store, and door what the store does with its calls.
+	store *relay.Relay
+	door  *storeDoor
 	// claimed is set while a fault or planned work uses the process.
 	claimed atomic.Bool
 }
@@ -69,7 +80,9 @@
 // site is a system with its store, targets and processes.
 type site struct {
 	t            *testing.T
+	size         layout
 	store        *fleetstore.Store
+	storeHandler http.Handler
 	gateways     []*daemon
 	batchers     []*daemon
 	places       []*place
@@ -86,30 +99,33 @@
 var subnets atomic.Int32
 
 // newSite starts a site and waits until the gateways are ready.
-func newSite(t *testing.T, binary string) *site {
+func newSite(t *testing.T, binary string, size layout) *site {
 	t.Helper()
-	s := &site{t: t, store: fleetstore.New(), journal: &platformtest.Journal{}, faultLog: newFaultLog()}
+	s := &site{t: t, size: size, store: fleetstore.New(), journal: &platformtest.Journal{}, faultLog: newFaultLog()}
+	s.storeHandler = platformtest.StoreHandler(s.store)
 	s.registry = newRegistry(s.store)
 	t.Cleanup(s.registry.stop)
 	subnet := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, subnets.Add(1))
-	server := s.startStore()
 	assert.NilError(t, s.publish(t.Context(), modelService))
-	for i := range modelTargets + callTargets {
-		s.addPlace(i, fmt.Sprint(subnet, 100+i))
+	for i := range size.modelTargets {
+		s.addPlace(i, modelService, fmt.Sprint(subnet, 100+i))
+	}
+	for i := range size.callTargets {
+		s.addPlace(size.modelTargets+i, callService, fmt.Sprint(subnet, 100+size.modelTargets+i))
 	}
 	dir := t.TempDir()
-	for i := range gatewayCount {
+	for i := range size.gateways {
 		address := fmt.Sprint(subnet, 1+i)
 		node := platformtest.Node{
 			Name: fmt.Sprint("gateway-", i), Address: address, Callers: fmt.Sprint(address, ":", callerPort), Ready: fmt.Sprint(address, ":", readyPort),
 		}
-		s.gateways = append(s.gateways, s.startDaemon(binary, dir, server, "gateway", node))
+		s.gateways = append(s.gateways, s.startDaemon(binary, dir, "gateway", node))
 	}
-	for i := range modelTargets {
+	for i := range size.modelTargets {
 		node := platformtest.Node{
 			Name: fmt.Sprint("batcher-", i), Address: fmt.Sprint(subnet, 50+i), App: s.places[i].address, Service: modelService,
 		}
-		s.batchers = append(s.batchers, s.startDaemon(binary, dir, server, "batcher", node))
+		s.batchers = append(s.batchers, s.startDaemon(binary, dir, "batcher", node))
 	}
 	for _, g := range s.gateways {
 		assert.NilError(t, awaitReady(g, 10*time.Second))
@@ -117,26 +133,27 @@
 	return s
 }
 
-// startStore serves the store over HTTP and returns its address.
-func (s *site) startStore() string {
+// startStore serves the store through the door over HTTP and returns its address.
+func (s *site) startStore(door *storeDoor) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
-	server := &http.Server{Handler: platformtest.StoreHandler(s.store)}
+	server := &http.Server{Handler: door}
 	go func() { _ = server.Serve(l) }()
 	s.t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
 
 // startDaemon starts a gateway or batcher that reaches the store through a relay.
-func (s *site) startDaemon(binary, dir, server, role string, node platformtest.Node) *daemon {
+func (s *site) startDaemon(binary, dir, role string, node platformtest.Node) *daemon {
 	s.t.Helper()
-	r, err := relay.New(server)
+	door := &storeDoor{store: s.storeHandler}
+	r, err := relay.New(s.startStore(door))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(r.Close)
 	node.Store, node.DataCentre, node.Grace = r.Address(), "dc", grace
 	path := filepath.Join(dir, node.Name+".conf")
 	assert.NilError(s.t, os.WriteFile(path, []byte(node.Settings()), 0o600))
-	d := &daemon{name: node.Name, address: node.Address, store: r}
+	d := &daemon{name: node.Name, address: node.Address, store: r, door: door}
 	d.process = processtest.NewProcess(binary, []string{role}, []string{"SYCAMORETALLY_SETTINGS=" + path})
 	assert.NilError(s.t, d.process.Start())
 	s.t.Cleanup(func() {
@@ -163,7 +180,7 @@
 		route("moving", "/m/", "safe", moving), route("stream", "/s.20/", "streaming", modelService), resumable, jobs,
 	}
 	model := platformtest.Service{Name: modelService, HealthPath: platformtest.HealthPath, Limit: 200}
-	model.Engine.Slots = workOf(modelService).Slots
+	model.Engine.Slots = s.workOf(modelService).Slots
 	calls := platformtest.Service{Name: callService, HealthPath: platformtest.HealthPath, Limit: 200}
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
@@ -172,20 +189,17 @@
 }
 
 // workOf returns the capacity of the targets of a service.
-func workOf(service string) platformtest.TargetParams {
+func (s *site) workOf(service string) platformtest.TargetParams {
 	if service == modelService {
-		return platformtest.TargetParams{Slots: 6, Queue: 4, EventTime: 10 * time.Millisecond, CallTime: 5 * time.Millisecond}
+		return platformtest.TargetParams{Slots: 6, Queue: 4, EventTime: s.size.eventTime, CallTime: 5 * time.Millisecond}
 	}
 	return platformtest.TargetParams{Slots: 6, Queue: 8, CallTime: 15 * time.Millisecond}
 }
 
 // addPlace starts a relay and the first target at an address.
-func (s *site) addPlace(i int, address string) {
+func (s *site) addPlace(i int, service, address string) {
 	s.t.Helper()
-	p := &place{name: fmt.Sprint("place-", i), service: callService, address: fmt.Sprint(address, ":", targetPort)}
-	if i < modelTargets {
-		p.service = modelService
-	}
+	p := &place{name: fmt.Sprint("place-", i), service: service, address: fmt.Sprint(address, ":", targetPort)}
 	var err error
 	p.relay, err = relay.New(p.address)
 	assert.NilError(s.t, err)
@@ -213,7 +227,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := fmt.Sprintf("%s-%d", p.name, p.generation)
-	target, err := platformtest.NewTarget(id, p.service, p.address, workOf(p.service), s.journal)
+	target, err := platformtest.NewTarget(id, p.service, p.address, s.workOf(p.service), s.journal)
 	if err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,9 +17,10 @@
 )
 
 var (
-	firstSeed = flag.Uint64("first", 1, "the first seed")
-	seeds     = flag.Int("seeds", 2, "the number of seeds")
-	keepLogs  = flag.String("logs", "", "the directory for the logs of the processes of failed seeds")
+	firstSeed   = flag.Uint64("first", 1, "the first seed")
+	seeds       = flag.Int("seeds", 2, "the number of seeds")
+	otherBinary = flag.String("binary", "", "a program to test in place of the one that is built")
+	keepLogs    = flag.String("logs", "", "the directory for the logs of the processes of failed seeds")
 )
 
 // failedSeeds are the seeds that have failed before, with the cause.
@@ -50,6 +51,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	if *otherBinary != "" {
+		binary = *otherBinary
+		os.Exit(m.Run())
+	}
 	os.Exit(processtest.Main(&binary, m.Run))
 }
 
@@ -77,7 +82,7 @@
 // goes on for a while with planned work only, and checks what callers and targets
 // observed.
 func runSeed(t *testing.T, seed uint64) {
-	s := newSite(t, binary)
+	s := newSite(t, binary, smallLayout)
 	t.Cleanup(func() { s.writeFailureReport(seed) })
 	l := newRecorder()
 	ctx, stopCallers := context.WithCancel(t.Context())
