Deny no job for a position that has no result

The pages let them read from any position, and 404 means that the job does not exist.

Cause: one look-up, whose condition was that the position is reached, and one error for both ways to miss it. The class: a missing part is reported as a missing whole.

A read of results looks up the job alone. If the position is not reached, the log is read to its end first, since another gateway may have shown the results, and then the page is empty.

--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -253,8 +252,7 @@
 		return fleet.ResultPage{}, err
 	}
 	defer leave()
-	err = g.lookUpJob(ctx, id, fmt.Sprint("results from position ", after), func(job *worklog.Job) bool { return after <= len(job.Results) })
-	if err != nil {
+	if err := g.lookUpPosition(ctx, id, after); err != nil {
 		return fleet.ResultPage{}, err
 	}
 	timer := time.NewTimer(min(wait, maxResultWait))
@@ -277,6 +275,20 @@
 	}
 }
 
+// lookUpPosition looks the job up. If it may have results before the position that are not
+// known yet, lookUpPosition reads the log to its end: the caller may have seen them at
+// another gateway. The position itself needs no result.
+func (g *Gateway) lookUpPosition(ctx context.Context, id string, position int) error {
+	if err := g.lookUpJob(ctx, id, "its results", func(*worklog.Job) bool { return true }); err != nil {
+		return err
+	}
+	isReached := func(job *worklog.Job) bool { return position <= len(job.Results) || !job.Open() }
+	if g.viewJob(id, isReached) {
+		return nil
+	}
+	return g.catchUp(ctx)
+}
+
 // foundResults holds the known results of a job from a position on.
 type foundResults struct {
 	total   int
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -489,3 +489,30 @@
 		assert.Equal(t, fold.Job("job").Accept.ConfigVersion, int64(1))
 	})
 }
+
+// TestPositionWithoutResultIsNoUnknownJob reads a job from positions that have no result yet, or
+// never will have one. The job must not be denied, as a job that does not exist is.
+func TestPositionWithoutResultIsNoUnknownJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startGateway(t, newStore(t))
+		defer s.stop()
+		assert.NilError(t, s.submit(job("job", 2)))
+		read := func(after, results int) {
+			t.Helper()
+			page, err := s.Results(t.Context(), "job", after, 0)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, []int{page.Total, page.Next, len(page.Results)}, []int{2, after + results, results})
+		}
+		read(1, 0)
+		read(2, 0)
+		w := worklog.NewWriter("b")
+		finish(t, s.store, w, "job", "i0", "a")
+		read(2, 0)
+		read(0, 1)
+		assert.NilError(t, s.CancelJob(t.Context(), "job"))
+		read(1, 0)
+		read(2, 0)
+		_, err := s.Results(t.Context(), "no job", 0, 0)
+		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob), "%v", err)
+	})
+}
