Say that there is no more only by a log that was read lately

Cause: the age up to which the store counts as reachable (1.5 s) was also the age up to which absence was answered; callers may ask any gateway after 1 s. The class: absence in a view that may be older than what callers know is answered as a fact. It needs a gateway that reads the log late while others do not: one short of processor time, or far from the store.

A page without results needs a log that was read at most 0.8 s ago at the moment of the answer, after a wait too. Otherwise the gateway joins or makes a read, for 0.5 s at most, and refuses with 503 if the store does not answer: another gateway may know more. In calm, reads are 0.4 s apart, and no call is added.

--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -148,13 +148,17 @@
 
 // CatchUp returns once every record that was in the topic at the time of the call has
 // been applied, or an error of the store.
-func (f *Follower) CatchUp(ctx context.Context) error {
-	calledAt := time.Since(f.base)
+func (f *Follower) CatchUp(ctx context.Context) error { return f.CatchUpWithin(ctx, 0) }
+
+// CatchUpWithin returns once every record that was in the topic maxAge before the call has
+// been applied, or an error of the store.
+func (f *Follower) CatchUpWithin(ctx context.Context, maxAge time.Duration) error {
+	since := time.Since(f.base) - maxAge
 	if err := f.acquire(ctx); err != nil {
 		return err
 	}
 	defer f.release()
-	if f.lastReadStart.Load() > int64(calledAt) {
+	if last := f.lastReadStart.Load(); last != 0 && last > int64(since) {
 		return nil
 	}
 	err := f.readToEnd(ctx)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -176,16 +176,24 @@
 // startGateway starts a gateway whose targets follow the steps. The caller must stop it.
 func startGateway(t *testing.T, store *fleetstore.Store, steps ...step) *fixture {
 	t.Helper()
-	return startWith(t, store, nil, steps)
+	return startWith(t, store, store, nil, steps)
 }
 
 // startWithLoads starts a gateway that queries loads. The caller must stop it.
 func startWithLoads(t *testing.T, loads gateway.LoadQuerier, steps ...step) *fixture {
 	t.Helper()
-	return startWith(t, newStore(t), loads, steps)
+	store := newStore(t)
+	return startWith(t, store, store, loads, steps)
 }
 
-func startWith(t *testing.T, store *fleetstore.Store, loads gateway.LoadQuerier, steps []step) *fixture {
+// startThrough starts a gateway that makes its calls of the store through path. The caller
+// must stop it.
+func startThrough(t *testing.T, path fleet.Store, store *fleetstore.Store) *fixture {
+	t.Helper()
+	return startWith(t, store, path, nil, nil)
+}
+
+func startWith(t *testing.T, store *fleetstore.Store, path fleet.Store, loads gateway.LoadQuerier, steps []step) *fixture {
 	t.Helper()
 	var list []*fleet.Route
 	for _, r := range routes {
@@ -194,7 +202,7 @@
 	s := &fixture{t: t, store: store, sender: &sender{steps: steps}, ended: &sync.Map{}}
 	s.Gateway = gateway.New(gateway.Params{
 		Node:        &fleet.Node{Name: "gateway-1", GracePeriod: 8 * time.Second, MaxRecordBytes: 1 << 18, KeepResults: keepResults, PeerPort: "7660"},
-		Store:       store,
+		Store:       path,
 		Sender:      s.sender,
 		LoadQuerier: loads,
 		HasEnded: func(_ context.Context, address string) bool {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -9,9 +9,15 @@
 
 const (
 	// maxWorkLogAge is the age of the last read of the work log up to which the gateway
-	// answers that there are no more results, and waits for the store as long as the
-	// call allows. It covers a few reads.
+	// waits for the store as long as the call allows. It covers a few reads.
 	maxWorkLogAge = 1500 * time.Millisecond
+	// maxAbsenceAge is the age of the last read of the work log up to which the gateway
+	// answers that there are no more results. It is less than the second after which callers
+	// may ask any gateway for a result that another one has shown.
+	maxAbsenceAge = 800 * time.Millisecond
+	// absenceReadTimeout bounds the wait for a read of the work log by a call that would
+	// otherwise be refused. Callers of results wait longer than this.
+	absenceReadTimeout = 500 * time.Millisecond
 	// maxConfigurationAge is the age of the last read of the configuration up to which a
 	// gateway tells callers that a route does not exist. It covers a few reads.
 	maxConfigurationAge = 1500 * time.Millisecond
@@ -61,6 +67,21 @@
 	return nil
 }
 
+// checkAbsence returns nil if what this gateway does not know of a job did not exist
+// maxAbsenceAge ago. It reads the work log if that is necessary, and returns ErrRefused if the
+// store does not answer in time.
+func (g *Gateway) checkAbsence(ctx context.Context) error {
+	if err := g.checkStoreReachable(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, absenceReadTimeout)
+	defer cancel()
+	if err := g.workTail.CatchUpWithin(ctx, maxAbsenceAge); err != nil {
+		return fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "the work log is too old to tell what is not in it"), otherGatewayRetryAfter)
+	}
+	return nil
+}
+
 // catchUp reads the work log to its end. A failure is returned as ErrRefused.
 func (g *Gateway) catchUp(ctx context.Context) error {
 	if err := g.checkStoreReachable(ctx); err != nil {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -1,6 +1,10 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +14,7 @@
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
 
 // TestUnknownRouteDuringOutage asks for a route that a gateway does not know while the
@@ -54,3 +59,70 @@
 		assert.NilError(t, s.submit(job("one", 1)))
 	})
 }
+
+// lateStore is a store whose answers to reads of the work log arrive late.
+type lateStore struct {
+	fleet.Store
+	late time.Duration
+}
+
+// Read implements fleet.Store.
+func (s *lateStore) Read(ctx context.Context, t fleet.Topic, from int64) (fleet.Page, error) {
+	page, err := s.Store.Read(ctx, t, from)
+	if t != fleet.TopicWork {
+		return page, err
+	}
+	select {
+	case <-time.After(s.late):
+		return page, err
+	case <-ctx.Done():
+		return fleet.Page{}, fleet.ErrStoreOutcomeUnknown.Wrap(ctx.Err(), "store call")
+	}
+}
+
+// TestOldViewHidesNoResult finishes items while one gateway reads the log late, and reads them
+// there at any time a second or more after they were stored. They must be found or refused.
+func TestOldViewHidesNoResult(t *testing.T) {
+	for _, late := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
+		for _, wait := range []time.Duration{0, time.Second} {
+			t.Run(fmt.Sprintf("%v late, wait %v", late, wait), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { readLate(t, late, wait) })
+			})
+		}
+	}
+}
+
+// readLate finishes an item every 100 ms and reads each at its position 1,010 ms later.
+func readLate(t *testing.T, late, wait time.Duration) {
+	const items = 40
+	store := newStore(t)
+	s := startGateway(t, store)
+	defer s.stop()
+	large := job("job", items)
+	for i := range large.Items {
+		large.Items[i].Tokens = 1
+	}
+	assert.NilError(t, s.submit(large))
+	slow := startThrough(t, &lateStore{store, late}, store)
+	defer slow.stop()
+	time.Sleep(3 * time.Second)
+	var readers sync.WaitGroup
+	w := worklog.NewWriter("b")
+	var found atomic.Int32
+	for i := range items {
+		finish(t, store, w, "job", fmt.Sprint("i", i), "text")
+		readers.Go(func() {
+			time.Sleep(1010 * time.Millisecond)
+			page, err := slow.Results(t.Context(), "job", i, wait)
+			switch {
+			case err == nil && len(page.Results) > 0:
+				found.Add(1)
+			case !errorx.IsOfType(err, fleet.ErrRefused):
+				t.Errorf("position %d: %d results, %v", i, len(page.Results), err)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	readers.Wait()
+	assert.Assert(t, found.Load() > 0)
+}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -255,22 +255,23 @@
 	if err := g.lookUpPosition(ctx, id, after); err != nil {
 		return fleet.ResultPage{}, err
 	}
-	timer := time.NewTimer(min(wait, maxResultWait))
-	defer timer.Stop()
+	waitOver, cancel := context.WithTimeout(ctx, min(wait, maxResultWait))
+	defer cancel()
 	for {
 		found := g.findResults(id, after)
-		if len(found.results) == 0 && found.open && g.isWorkLogStale(maxWorkLogAge) {
-			return fleet.ResultPage{}, fleet.WithRetryAfter(fleet.ErrRefused.New("job %s may have results that this gateway has not read", id), otherGatewayRetryAfter)
+		if found.isFinal() {
+			return g.resultPage(ctx, id, after, found)
+		}
+		if err := g.checkAbsence(ctx); err != nil {
+			return fleet.ResultPage{}, err
 		}
-		if len(found.results) > 0 || !found.open || wait == 0 || g.closing.Load() {
+		found = g.findResults(id, after)
+		if found.isFinal() || waitOver.Err() != nil || g.closing.Load() {
 			return g.resultPage(ctx, id, after, found)
 		}
 		select {
 		case <-found.changed:
-		case <-timer.C:
-			return g.resultPage(ctx, id, after, found)
-		case <-ctx.Done():
-			return g.resultPage(ctx, id, after, found)
+		case <-waitOver.Done():
 		}
 	}
 }
@@ -299,6 +300,9 @@
 	changed <-chan struct{}
 }
 
+// isFinal reports whether a caller that waits for results need not wait any longer.
+func (f *foundResults) isFinal() bool { return len(f.results) > 0 || !f.open }
+
 // findResults returns the results from the position after on, as many as fit into a
 // page.
 func (g *Gateway) findResults(id string, after int) foundResults {
