Count a resumed read of the newest records as old as its first page

What was written in between was missing until the next read, while the log's age said that it was new: an accepted job would be denied, or have no results there.

Cause: the time of a read and the end that it told came from two calls.

A read of the newest records now keeps the time of its first page, and who catches up reads on until the end is one that was told after the call.

TestNewestPages asserted the fault: its second CatchUp returned without two records that had been in the topic before the call, against the contract of CatchUp. It demands them there now, and still that the third call applies nothing twice.

--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -192,30 +192,33 @@
 	return do()
 }
 
-// readToEnd reads up to the end of the topic. The read token must be held.
+// readToEnd reads up to the end that the topic had at the time of the call. The read token
+// must be held.
 func (f *Follower) readToEnd(ctx context.Context) error {
+	called := time.Since(f.base)
 	for {
-		start, before := time.Since(f.base), f.next
-		end, err := f.readOnce(ctx)
+		before := f.next
+		end, asOf, err := f.readOnce(ctx)
 		if err != nil {
 			return err
 		}
-		if f.next >= end {
-			f.lastReadStart.Store(int64(start))
+		if f.next >= end && asOf >= called {
+			f.lastReadStart.Store(int64(asOf))
 			return nil
 		}
-		if f.next == before {
+		if f.next < end && f.next == before {
 			return fleet.ErrStoreUnavailable.New("read no records from offset %d, but the topic ends at %d", f.next, end)
 		}
 	}
 }
 
-// readOnce reads the newest records or one page of the records that follow, and
-// returns the end offset of the topic.
-func (f *Follower) readOnce(ctx context.Context) (int64, error) {
+// readOnce reads the newest records or one page of the records that follow. It returns the
+// end offset that the topic had at asOf, the time at which the read that told it began.
+func (f *Follower) readOnce(ctx context.Context) (end int64, asOf time.Duration, err error) {
 	if f.next < 0 {
 		return f.readNewest(ctx)
 	}
+	asOf = time.Since(f.base)
 	page, err := f.readPage(ctx)
 	if errorx.IsOfType(err, fleet.ErrRecordsExpired) {
 		klog.InfoS("records expired, reading the newest record of each key again", "topic", f.params.Name, "offset", f.next)
@@ -223,7 +226,7 @@
 		return f.readOnce(ctx)
 	}
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	f.notifyRecovery()
 	if len(page.Records) > 0 {
@@ -231,25 +234,25 @@
 		f.params.Apply(page.Records)
 		f.next = page.Next
 	}
-	return page.End, nil
+	return page.End, asOf, nil
 }
 
-// readNewest reads the newest records, or those that remain after a failed read, and
-// returns the end offset of the topic at their first page.
-func (f *Follower) readNewest(ctx context.Context) (int64, error) {
-	if f.newest == nil {
-		f.newest = &newestRead{next: -1}
+// readNewest reads the newest records, or those that remain after a failed read. The end is
+// that of the first page, which may have been read by an earlier call.
+func (f *Follower) readNewest(ctx context.Context) (end int64, asOf time.Duration, err error) {
+	if f.newest == nil || f.newest.next < 0 {
+		f.newest = &newestRead{next: -1, begun: time.Since(f.base)}
 	}
 	if err := f.newest.read(ctx, f.params.Store, f.params.Topic); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	f.notifyRecovery()
 	records := f.newest.inOrder()
-	f.next = f.newest.next
+	f.next, asOf = f.newest.next, f.newest.begun
 	f.newest = nil
 	f.measure(records)
 	f.params.Reset(records)
-	return f.next, nil
+	return f.next, asOf, nil
 }
 
 // measure notes the size of the largest record.
--- a/coordination/topic/newest.go
+++ b/coordination/topic/newest.go
@@ -29,6 +29,8 @@
 	// before it: later pages may hold newer records, which are read from there.
 	after string
 	next  int64
+	// begun is when the read of the first page began, in time after the follower's base.
+	begun time.Duration
 	// paused is the sum of the pauses so far.
 	paused time.Duration
 }
--- a/coordination/topic/newest_test.go
+++ b/coordination/topic/newest_test.go
@@ -50,7 +50,7 @@
 	assert.Assert(t, f.CatchUp(t.Context()) != nil)
 	assert.NilError(t, f.CatchUp(t.Context()))
 	assert.DeepEqual(t, s.afters, []string{"", "b", "b"})
-	assert.DeepEqual(t, f.keys, []string{"b", "c", "a"})
+	assert.DeepEqual(t, f.keys, []string{"b", "c", "a", "10", "d"})
 	assert.NilError(t, f.CatchUp(t.Context()))
 	assert.DeepEqual(t, f.keys, []string{"b", "c", "a", "10", "d"})
 }
