--- a/soak/jobreads_test.go
+++ b/soak/jobreads_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -19,6 +21,7 @@
 var (
 	readSeed     = flag.Uint64("read-seed", 37, "the seed of TestAcceptedJobsAreNeverDenied")
 	readBeyond   = flag.Bool("read-beyond", true, "whether readers ask for positions after the last known result")
+	readFaults   = flag.String("read-faults", ".", "which faults TestAcceptedJobsAreNeverDenied injects, a regular expression")
 	readDuration = flag.Duration("read-duration", 20*time.Second, "how long TestAcceptedJobsAreNeverDenied disturbs")
 )
 
@@ -71,6 +74,11 @@
 		}
 		group.Wait()
 	}},
+	{"store down or slow", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
+		s.store.SetFaults(pick(rng, []fleetstore.Faults{{Down: true}, {Delay: 300 * time.Millisecond}, {Delay: time.Second}}))
+		sleep(ctx, duration)
+		s.store.SetFaults(fleetstore.Faults{})
+	}},
 	{"writes lost", func(s *site, ctx context.Context, rng *rand.Rand, duration time.Duration) {
 		s.store.SetFaults(pick(rng, []fleetstore.Faults{
 			{LoseAnswers: 4}, {LoseAppends: 4}, {LateAppends: 4, LateBy: 3 * time.Second},
@@ -104,10 +112,11 @@
 	defer stop()
 	var readers sync.WaitGroup
 	counts := s.startJobReaders(ctx, &readers, l, readerParams{seed: *readSeed, submitters: 5, readers: 40, beyond: *readBeyond})
+	selected := slices.DeleteFunc(slices.Clone(readerFaults), func(f fault) bool { return !regexp.MustCompile(*readFaults).MatchString(f.name) })
 	rng := rand.New(rand.NewPCG(*readSeed, 1000))
 	var faults sync.WaitGroup
 	for ctx.Err() == nil {
-		s.begin(t.Context(), &faults, pick(rng, readerFaults), rng)
+		s.begin(t.Context(), &faults, pick(rng, selected), rng)
 		sleep(ctx, time.Duration(200+rng.IntN(1200))*time.Millisecond)
 	}
 	faults.Wait()
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -95,9 +95,28 @@
 	version    int64
 }
 
-// subnets numbers the sites of this process, so that each has its own addresses.
+// subnets numbers the subnets that this process has tried, so that each site has its own
+// addresses.
 var subnets atomic.Int32
 
+// reservedHost is the host of each subnet that its site keeps open against other processes.
+const reservedHost = 254
+
+// reserveSubnet returns the prefix of addresses that no other site uses until the test ends.
+func reserveSubnet(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		subnet := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, subnets.Add(1))
+		l, err := net.Listen("tcp", fmt.Sprint(subnet, reservedHost, ":", callerPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return subnet
+		}
+	}
+	t.Fatal("no free subnet")
+	return ""
+}
+
 // newSite starts a site and waits until the gateways are ready.
 func newSite(t *testing.T, binary string, size layout) *site {
 	t.Helper()
@@ -105,7 +124,7 @@
 	s.storeHandler = platformtest.StoreHandler(s.store)
 	s.registry = newRegistry(s.store)
 	t.Cleanup(s.registry.stop)
-	subnet := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, subnets.Add(1))
+	subnet := reserveSubnet(t)
 	assert.NilError(t, s.publish(t.Context(), modelService))
 	for i := range size.modelTargets {
 		s.addPlace(i, modelService, fmt.Sprint(subnet, 100+i))
