Count a holder's silence only up to the last read of the log

Callers lose the time; the target the tokens.

Cause: a holder counts as gone after 4 s without a record, by the clock; a process that goes on after a suspension looks at the clock before it reads the log. Absence in an old view again.

Silence counts up to a second after the last read of the whole log. The usual takeover is as fast as before, since reads are 0.3 s apart.

--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -11,7 +11,8 @@
 // An item is free again once its holder has been unresponsive for HolderTimeout
 // while the log was readable. Items held by an earlier process of the same
 // instance are free at once: after a power failure every batcher restarts and
-// finds items that no process runs.
+// finds items that no process runs. Silence counts only up to the last read of the log: a
+// process that was suspended knows nothing of the heartbeats since.
 package claims
 
 import (
@@ -25,6 +26,11 @@
 // HolderTimeout is how long a holder may be silent before others claim its items.
 const HolderTimeout = 4 * time.Second
 
+// readTolerance is how much later than the last read of the log a holder's silence still
+// counts. It covers the time between two reads, and a holder writes more than once in
+// HolderTimeout less this.
+const readTolerance = time.Second
+
 // candidatesPerItem is the number of items from which a claim picks each item
 // that it wants, beside one for each claimant.
 const candidatesPerItem = 4
@@ -34,6 +40,8 @@
 	// Self is the writer name of this process.
 	Self string
 	Now  time.Time
+	// ReadAt is when the last read of the whole log began.
+	ReadAt time.Time
 	// ReadableSince is when the log became readable. A holder's silence before it
 	// does not count.
 	ReadableSince time.Time
@@ -107,6 +115,10 @@
 	if heard.Before(p.ReadableSince) {
 		heard = p.ReadableSince
 	}
-	expiredFor := p.Now.Sub(heard) - HolderTimeout
+	now := p.Now
+	if limit := p.ReadAt.Add(readTolerance); now.After(limit) {
+		now = limit
+	}
+	expiredFor := now.Sub(heard) - HolderTimeout
 	return expiredFor, expiredFor > 0
 }
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -41,7 +41,7 @@
 
 func params(now time.Time) claims.Params {
 	return claims.Params{
-		Self: "me", Now: now, ReadableSince: start, CanRun: func(*worklog.Job) bool { return true }, Shuffle: func(int, func(i, j int)) {},
+		Self: "me", Now: now, ReadAt: now, ReadableSince: start, CanRun: func(*worklog.Job) bool { return true }, Shuffle: func(int, func(i, j int)) {},
 		CanFinishInTime: func(*worklog.Job, *worklog.Item) bool { return true },
 	}
 }
@@ -61,6 +61,19 @@
 	assert.Equal(t, claims.Choose(p, l.fold, 1, 1)[0].Job, "new")
 }
 
+// TestUnreadLogShowsNoSilence lets a process go on after a suspension, before it has read the log
+// again. It must not take the items of holders whose heartbeats it has not read.
+func TestUnreadLogShowsNoSilence(t *testing.T) {
+	l := newLog(t)
+	items := claims.Choose(params(start), l.fold, 20, 20)
+	l.append(start, worklog.NewWriter("other"), worklog.Entry{Claim: &worklog.Claim{Items: items}})
+	p := params(start.Add(10 * claims.HolderTimeout))
+	for readAt, want := range map[time.Duration]int{0: 0, claims.HolderTimeout - 2*time.Second: 0, claims.HolderTimeout + time.Second: 12} {
+		p.ReadAt = start.Add(readAt)
+		assert.Equal(t, len(claims.Choose(p, l.fold, 20, 20)), want, "read %v after the holder's last record", readAt)
+	}
+}
+
 // TestSilentHolder covers a holder that stops, an outage of the log in which no
 // holder's records can be read, and a holder that keeps writing.
 func TestSilentHolder(t *testing.T) {
--- /dev/null
+++ b/soak/suspendedbatcher_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// longItems is the layout of a site whose items run for several seconds.
+var longItems = layout{gateways: 1, modelTargets: 2, callTargets: 1, eventTime: 400 * time.Millisecond}
+
+// suspension is longer than the silence after which the items of a holder are free.
+const suspension = 6 * time.Second
+
+// TestSuspendedBatcherTakesNothingOver suspends a batcher while the other one runs all items. When
+// it goes on, the log that it has read last shows no heartbeat of the other one for seconds. It
+// must not take items over that the other one is running.
+func TestSuspendedBatcherTakesNothingOver(t *testing.T) {
+	s := newSite(t, binary, longItems)
+	l := newRecorder()
+	suspended := s.batchers[1]
+	assert.NilError(t, suspended.process.Signal(syscall.SIGSTOP))
+	r := &reader{caller: newCaller(s, l, "c", rand.New(rand.NewPCG(1, 1))), jobs: &readJobs{}, answers: &answerCount{counts: map[string]int{}}}
+	r.submitJob(t.Context())
+	sleep(t.Context(), time.Second)
+	assert.NilError(t, suspended.process.Signal(syscall.SIGCONT))
+	sleep(t.Context(), time.Second)
+	assert.NilError(t, suspended.process.Signal(syscall.SIGSTOP))
+	sleep(t.Context(), suspension)
+	assert.NilError(t, suspended.process.Signal(syscall.SIGCONT))
+	sleep(t.Context(), time.Second)
+	targets := map[string][]string{}
+	for _, run := range s.journal.Runs() {
+		targets[run.Request] = append(targets[run.Request], run.Target)
+	}
+	assert.Assert(t, len(targets) > 0)
+	for item, ran := range targets {
+		assert.Check(t, len(ran) == 1, "%s, held by a batcher that was running it, ran at %v", item, ran)
+	}
+}
