Say that a host has no jobs only by a log that was read lately

Cause: absence in an old view. Hosts with a route for jobs, and all that are known, ask nothing more.

Evidence: gateway TestOldViewHidesNoHost failed before and passes.

--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -126,3 +126,35 @@
 	readers.Wait()
 	assert.Assert(t, found.Load() > 0)
 }
+
+// TestOldViewHidesNoHost accepts jobs on hosts without a route while one gateway reads the log
+// late, and asks it a second later whether it has jobs of them. Callers whose job is taken for
+// a path without a route get 404.
+func TestOldViewHidesNoHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		s := startGateway(t, store)
+		defer s.stop()
+		slow := startThrough(t, &lateStore{store, 600 * time.Millisecond}, store)
+		defer slow.stop()
+		time.Sleep(3 * time.Second)
+		var callers sync.WaitGroup
+		var found atomic.Int32
+		for i := range 40 {
+			one := job(fmt.Sprint("job", i), 1)
+			one.Host, one.Items[0].Tokens = fmt.Sprint("host", i), 1
+			assert.NilError(t, s.submit(one))
+			callers.Go(func() {
+				time.Sleep(1010 * time.Millisecond)
+				has, err := slow.HasJobs(t.Context(), one.Host)
+				if has {
+					found.Add(1)
+				}
+				assert.Check(t, has || errorx.IsOfType(err, fleet.ErrRefused), "%s: %v", one.Host, err)
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		callers.Wait()
+		assert.Assert(t, found.Load() > 0)
+	})
+}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -222,17 +222,21 @@
 }
 
 // HasJobs implements fleet.CallerAPI. Without a route for jobs, only the work log can tell;
-// until it has been read, HasJobs fails with ErrRefused.
-func (g *Gateway) HasJobs(host string) (bool, error) {
-	if c := g.configs.Current(); c != nil && c.HasBatchRoute(host) {
+// HasJobs fails with ErrRefused if it has not been read lately.
+func (g *Gateway) HasJobs(ctx context.Context, host string) (bool, error) {
+	if c := g.configs.Current(); c != nil && c.HasBatchRoute(host) || g.knowsJobsOf(host) {
 		return true, nil
 	}
-	if _, known := g.workTail.Age(); !known {
-		return false, fleet.WithRetryAfter(fleet.ErrRefused.New("the work log has not been read yet"), jobRetryAfter)
+	if err := g.checkAbsence(ctx); err != nil {
+		return false, err
 	}
+	return g.knowsJobsOf(host), nil
+}
+
+func (g *Gateway) knowsJobsOf(host string) bool {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
-	return g.fold.HasJobsOf(host), nil
+	return g.fold.HasJobsOf(host)
 }
 
 // IsAccepted implements fleet.CallerAPI.
--- a/protocol/fleet/caller.go
+++ b/protocol/fleet/caller.go
@@ -22,7 +22,7 @@
 	Match(host, path string) (*Route, error)
 	// HasJobs reports whether calls about jobs on the host are the system's own: a route
 	// for jobs is in force there, or jobs are kept whose route was removed.
-	HasJobs(host string) (bool, error)
+	HasJobs(ctx context.Context, host string) (bool, error)
 	// IsAccepted returns nil if the job was accepted on the host, whether or not its route
 	// is still in force.
 	IsAccepted(ctx context.Context, host, job string) error
