--- a/soak/jobreads_test.go
+++ b/soak/jobreads_test.go
@@ -116,7 +116,9 @@
 	rng := rand.New(rand.NewPCG(*readSeed, 1000))
 	var faults sync.WaitGroup
 	for ctx.Err() == nil {
-		s.begin(t.Context(), &faults, pick(rng, selected), rng)
+		if len(selected) > 0 {
+			s.begin(t.Context(), &faults, pick(rng, selected), rng)
+		}
 		sleep(ctx, time.Duration(200+rng.IntN(1200))*time.Millisecond)
 	}
 	faults.Wait()
