--- a/soak/jobreaders_test.go
+++ b/soak/jobreaders_test.go
@@ -295,15 +295,19 @@
 		request.Header.Set(platformtest.HeaderWait, fmt.Sprint(wait.Milliseconds()))
 	}
 	resp, err := r.client.Do(request)
-	if err != nil {
-		return 0, ""
+	if err == nil {
+		defer func() { _ = resp.Body.Close() }()
+		var text []byte
+		if text, err = io.ReadAll(resp.Body); err == nil {
+			return resp.StatusCode, string(text)
+		}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
+	why := "no answer"
+	if ctx.Err() != nil {
+		why = fmt.Sprint("no answer within ", callTimeout)
 	}
-	return resp.StatusCode, string(text)
+	r.answers.add(why)
+	return 0, ""
 }
 
 // reportAnswers logs what readers got and fails the test with the first violations of each
