Wait for no read of the log where the last one is recent enough

Callers of open jobs got 503, and later answers, while the store was slow.

Evidence: topic TestRecentReadIsNotWaitedFor failed before and passes.

--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -154,11 +154,14 @@
 // been applied, or an error of the store.
 func (f *Follower) CatchUpWithin(ctx context.Context, maxAge time.Duration) error {
 	since := time.Since(f.base) - maxAge
+	if f.hasReadSince(since) {
+		return nil
+	}
 	if err := f.acquire(ctx); err != nil {
 		return err
 	}
 	defer f.release()
-	if last := f.lastReadStart.Load(); last != 0 && last > int64(since) {
+	if f.hasReadSince(since) {
 		return nil
 	}
 	err := f.readToEnd(ctx)
@@ -166,6 +169,13 @@
 	return err
 }
 
+// hasReadSince reports whether a read that reached the end of the topic began after since,
+// a time after base.
+func (f *Follower) hasReadSince(since time.Duration) bool {
+	last := f.lastReadStart.Load()
+	return last != 0 && last > int64(since)
+}
+
 // notifyRecovery calls OnRecovered if the store did not answer before.
 func (f *Follower) notifyRecovery() {
 	if f.unavailable && f.params.OnRecovered != nil {
--- a/coordination/topic/follower_test.go
+++ b/coordination/topic/follower_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+// TestRecentReadIsNotWaitedFor asks for a state of a certain age while a slow read is under way.
+// A state that is recent enough must do, or callers are refused while the store is slow.
+func TestRecentReadIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleetstore.New()
+		f := follow(s)
+		assert.NilError(t, f.CatchUp(t.Context()))
+		s.SetFaults(fleetstore.Faults{Delay: 600 * time.Millisecond})
+		go func() { _ = f.CatchUp(t.Context()) }()
+		time.Sleep(100 * time.Millisecond)
+		calls, begun := s.Calls(), time.Now()
+		assert.NilError(t, f.CatchUpWithin(t.Context(), time.Second))
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+		assert.NilError(t, f.CatchUpWithin(t.Context(), 50*time.Millisecond))
+		assert.Equal(t, time.Since(begun), 1100*time.Millisecond, "the read under way, which began too early, and one more")
+		assert.Equal(t, s.Calls(), calls+1)
+	})
+}
+
 // TestNoReadWhileCaughtUp checks that no record is read between catching up and the
 // end of the function.
 func TestNoReadWhileCaughtUp(t *testing.T) {
