--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -45,9 +45,7 @@
 func TestCrashingRequestIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(t)
-		a, b := startGateway(t, store), startGateway(t, store)
-		defer a.stop()
-		defer b.stop()
+		a, b := startTwo(t, store)
 		a.crash(true, "n1")
 		b.crash(true, "n2")
 		a.crash(true, "n3")
@@ -70,9 +68,7 @@
 func TestCrashesAreKnownBeforeHeartbeatsAreMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(t)
-		a, b := startGateway(t, store), startGateway(t, store)
-		defer a.stop()
-		defer b.stop()
+		a, b := startTwo(t, store)
 		crashed := map[string]bool{}
 		for i := 0; len(crashed) < 3; i++ {
 			s := []*fixture{a, b}[i%2]
@@ -120,9 +116,7 @@
 func TestQuarantineStopsFurtherAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(t)
-		a, b := startGateway(t, store), startGateway(t, store)
-		defer a.stop()
-		defer b.stop()
+		a, b := startTwo(t, store)
 		a.crash(true, "n1")
 		b.crash(true, "n2")
 		a.sender.steps = []step{{delay: time.Second, broken: true}, {events: events(1, 3)}}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -179,6 +179,17 @@
 	return startWith(t, store, store, nil, steps)
 }
 
+// startTwo starts two gateways on the store, which are stopped when the test ends.
+func startTwo(t *testing.T, store *fleetstore.Store) (a, b *fixture) {
+	t.Helper()
+	a, b = startGateway(t, store), startGateway(t, store)
+	t.Cleanup(func() {
+		a.stop()
+		b.stop()
+	})
+	return a, b
+}
+
 // startWithLoads starts a gateway that queries loads. The caller must stop it.
 func startWithLoads(t *testing.T, loads gateway.LoadQuerier, steps ...step) *fixture {
 	t.Helper()
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -75,9 +75,7 @@
 func TestQuotaHoldsAcrossGateways(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(t)
-		a, b := startGateway(t, store), startGateway(t, store)
-		defer a.stop()
-		defer b.stop()
+		a, b := startTwo(t, store)
 		store.SetFaults(fleetstore.Faults{Delay: 4 * time.Millisecond})
 		var accepted [8]atomic.Bool
 		var group sync.WaitGroup
@@ -116,9 +114,7 @@
 func TestJobsAreAcceptedWhileTheLogGrows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(t)
-		a, b := startGateway(t, store), startGateway(t, store)
-		defer a.stop()
-		defer b.stop()
+		a, b := startTwo(t, store)
 		ctx, cancel := context.WithCancel(t.Context())
 		others := worklog.NewWriter("others")
 		go func() {
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -98,9 +98,7 @@
 	for delay := time.Duration(0); delay < 1500*time.Millisecond; delay += 50 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			store := newStore(t)
-			a, b := startGateway(t, store), startGateway(t, store)
-			defer a.stop()
-			defer b.stop()
+			a, b := startTwo(t, store)
 			for range 5 {
 				a.crashPrompt("popular")
 			}
