--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,4 +6,9 @@
 //
 //	go test ./soak                                  two seeds, and all that have failed before
 //	go test ./soak -timeout 1h -first 100 -seeds 50 fifty new seeds
+//
+// TestAcceptedJobsAreNeverDenied is a soak of its own for reads of jobs at gateways that know
+// different parts of the log:
+//
+//	go test ./soak -run TestAccepted -read-duration 2m -read-seed 5
 package soak
