Dial the stopped gateway only once it listens

Traced: a role follows the store before it listens to callers, the test took the first log lines of the one for the other, and dialled a port that was not open yet; the gateway's log has the same five lines and no request.

The test waits until the port accepts a connection, and says so at once if the request ends before it reaches the target, in place of after 10 s. What is checked is the same.

--- a/cmd/sycamoretally/fleet_test.go
+++ b/cmd/sycamoretally/fleet_test.go
@@ -137,6 +137,16 @@
 	return requests
 }
 
+// accepts reports whether a connection to the address can be opened. A role follows the store
+// before it listens.
+func accepts(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
 // TestStoppedGatewayAnswersWhatItHasTaken stops a gateway whose target takes longer than the
 // grace period. A request that the target has got must be answered before the process ends,
 // with a status that promises nothing. One that comes while the gateway drains, and may
@@ -164,7 +174,7 @@
 	}
 	for deadline := time.Now().Add(limit); ; <-time.After(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline), "%s", p.Log())
-		if strings.Contains(p.Log(), "target registered") && strings.Contains(p.Log(), "configuration in force") {
+		if strings.Contains(p.Log(), "target registered") && strings.Contains(p.Log(), "configuration in force") && accepts(node.Callers) {
 			break
 		}
 	}
@@ -177,8 +187,12 @@
 		status, err := call("taken")
 		taken <- answer{status, err}
 	}()
-	for deadline := time.Now().Add(limit); requests.Load() == 0; <-time.After(10 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(deadline), "%s", p.Log())
+	for requests.Load() == 0 {
+		select {
+		case early := <-taken:
+			t.Fatalf("the request ended before it reached the target: %+v\n%s", early, p.Log())
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 	assert.NilError(t, p.Signal(syscall.SIGTERM))
 	for deadline := time.Now().Add(limit); !strings.Contains(p.Log(), "gateway draining"); <-time.After(time.Millisecond) {
