Name the types and ports that workspaces, rates, order and capacity share

Nothing limits or orders anything yet. The test that changes every setting also changes floating-point ones, which exist now.

--- a/coordination/balancing/balancing.go
+++ b/coordination/balancing/balancing.go
@@ -75,6 +75,10 @@
 	// probed or none answered.
 	ProbeAnswers int
 	ProbedOnline int
+	// Room is the number of requests that the target takes well beyond those it has, as far
+	// as is known; it is negative if it has too many. RoomKnown is false if nothing is known.
+	Room      int
+	RoomKnown bool
 	// Ejected is set if the target is ejected and was chosen because no other was left.
 	Ejected bool
 }
--- a/coordination/balancing/probe.go
+++ b/coordination/balancing/probe.go
@@ -52,5 +52,6 @@
 	}
 	choice, found := b.Begin([]*fleet.Target{best}, nil)
 	choice.ProbeAnswers, choice.ProbedOnline = len(answers), fewest
+	choice.Room, choice.RoomKnown = best.Slots-fewest, best.Slots > 0
 	return choice, found
 }
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -27,9 +27,9 @@
 		defer s.stop()
 		check := func(want *errorx.Type) {
 			t.Helper()
-			_, err := s.Match("h", "/added/")
+			_, _, err := s.Match(t.Context(), "h", "/added/", "")
 			assert.Assert(t, errorx.IsOfType(err, want), "%v", err)
-			_, err = s.Match("h", "/safe/x")
+			_, _, err = s.Match(t.Context(), "h", "/safe/x", "")
 			assert.NilError(t, err)
 		}
 		check(fleet.ErrNoRoute)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// LoadQuerier queries batchers for the loads of targets. It is nil if there are no
 	// batchers to query.
 	LoadQuerier LoadQuerier
+	// RateLimiter admits the online requests of workspaces with a rate. It is nil if rates
+	// are not limited.
+	RateLimiter RateLimiter
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
@@ -218,20 +221,21 @@
 }
 
 // Match implements fleet.CallerAPI.
-func (g *Gateway) Match(host, path string) (*fleet.Route, error) {
+func (g *Gateway) Match(_ context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
 	c := g.configs.Current()
 	if c == nil {
-		return nil, newRefusal("no configuration has been read yet")
+		return nil, nil, newRefusal("no configuration has been read yet")
 	}
 	route := c.Match(host, path)
 	if route == nil && g.isConfigurationStale() {
-		return nil, newRefusal("no matching route in configuration version %d, which may be outdated", c.Version)
+		return nil, nil, newRefusal("no matching route in configuration version %d, which may be outdated", c.Version)
 	}
 	if route == nil {
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
-		return nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
+		return nil, nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
 	}
-	return route, nil
+	workspace, err := g.authorize(c, route, key)
+	return route, workspace, err
 }
 
 // trackRequest counts a request as active until leave is called. limit is the longest time
--- a/protocol/fleet/caller.go
+++ b/protocol/fleet/caller.go
@@ -13,13 +13,14 @@
 	Write(p []byte) error
 }
 
-// CallerAPI is the system's interface to callers. Its errors are ErrNoRoute,
+// CallerAPI is the system's interface to callers. Its errors are ErrNoRoute, ErrNoAccess,
 // ErrRefused, ErrOutcomeUnknown, ErrUnknownJob, ErrMalformed and ErrTooLarge.
 type CallerAPI interface {
 	// Limits returns the limits on callers' requests.
 	Limits() Limits
-	// Match returns the route of a request.
-	Match(host, path string) (*Route, error)
+	// Match returns the route of a request, and the workspace that holds its key: nil if
+	// the configuration has none or the route needs no key.
+	Match(ctx context.Context, host, path string, key Key) (*Route, *Workspace, error)
 	// HasJobs reports whether calls about jobs on the host are the system's own: a route
 	// for jobs is in force there, or jobs are kept whose route was removed.
 	HasJobs(ctx context.Context, host string) (bool, error)
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -52,6 +52,8 @@
 	// Retention is the time from a job's first submission after which its items may
 	// be given up.
 	Retention time.Duration
+	// Anonymous routes take requests without a key.
+	Anonymous bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -82,7 +84,10 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	hosts    map[string][]*Route
+	// Keyring holds the workspaces' keys. It is nil if the configuration has no workspaces;
+	// requests then need no key.
+	Keyring *Keyring
+	hosts   map[string][]*Route
 }
 
 // NewConfiguration returns a configuration of the routes.
--- a/protocol/fleet/errors.go
+++ b/protocol/fleet/errors.go
@@ -25,9 +25,12 @@
 var (
 	// ErrNoRoute means that no route matches the request.
 	ErrNoRoute = protocol.Errors.NewType("no_route")
+	// ErrNoAccess means that no workspace holds the request's key.
+	ErrNoAccess = protocol.Errors.NewType("no_access")
 	// ErrRefused means that no part of the request has run or will run.
 	ErrRefused = protocol.Errors.NewType("refused")
-	// ErrQuotaExceeded is an ErrRefused for a job that exceeds its route's quota.
+	// ErrQuotaExceeded is an ErrRefused for a job that exceeds its route's quota, or for a
+	// request that exceeds its workspace's rate.
 	ErrQuotaExceeded = ErrRefused.NewSubtype("quota")
 	// ErrOutcomeUnknown means that the request may have run.
 	ErrOutcomeUnknown = protocol.Errors.NewType("uncertain")
--- a/protocol/fleet/node.go
+++ b/protocol/fleet/node.go
@@ -36,6 +36,16 @@
 	// the system's processes; it is the same on all instances. Both may be empty.
 	Address  string
 	PeerPort string
+	// RevocationTimeout is how long after the removal of a key was acknowledged its last
+	// request may begin; 0 means that no such bound is set.
+	RevocationTimeout time.Duration
+	// Rate limits of workspaces hold over any QuotaWindow, with a tolerance: QuotaOverage is
+	// its share of the limit, and QuotaSlack its number of requests.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   int
+	// ProcessorShare is the share of a core that the process has, 0 if unknown.
+	ProcessorShare float64
 }
 
 // NodeChange is a setting that differs between two versions of the settings file.
@@ -58,6 +68,11 @@
 	note("keep_results", n.KeepResults, next.KeepResults, false)
 	note("memory_mb", n.MemoryMB, next.MemoryMB, false)
 	note("max_record_bytes", n.MaxRecordBytes, next.MaxRecordBytes, false)
+	note("revocation_timeout", n.RevocationTimeout, next.RevocationTimeout, true)
+	note("quota_window", n.QuotaWindow, next.QuotaWindow, true)
+	note("quota_overage", n.QuotaOverage, next.QuotaOverage, true)
+	note("quota_slack", n.QuotaSlack, next.QuotaSlack, true)
+	note("processor_share", n.ProcessorShare, next.ProcessorShare, true)
 	note("max_call_bytes", n.MaxCallBytes, next.MaxCallBytes, true)
 	note("name", n.Name, next.Name, true)
 	note("data_centre", n.DataCentre, next.DataCentre, true)
--- a/protocol/fleet/node_test.go
+++ b/protocol/fleet/node_test.go
@@ -29,6 +29,8 @@
 		switch f := fields.Field(i); f.Kind() {
 		case reflect.String:
 			f.SetString("x")
+		case reflect.Float64:
+			f.SetFloat(1)
 		default:
 			f.SetInt(1)
 		}
