Run the items whose claim was stored late

Cause: a claim that the store carries out after its batcher has given up the append makes the batcher their holder in the log without its knowing.

Change: after each read of the log a batcher takes the items that it holds without knowing of them, or releases them where the target has no room.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -88,6 +88,10 @@
 	// readableSince is when the work log last became readable.
 	readableSince time.Time
 	held          map[worklog.ItemRef]*heldItem
+	// handedOver holds the items that were released or got a result here, until the log
+	// shows it. room is the number of items that the target had room for at its last poll.
+	handedOver map[worklog.ItemRef]bool
+	room       int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
 	// lastReport is when the target last answered a poll.
@@ -127,6 +131,8 @@
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*heldItem{},
 
+		handedOver: map[worklog.ItemRef]bool{},
+
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
 		inflow:       batchlimit.OnlineCounter{Window: announceWindow},
@@ -184,6 +190,7 @@
 	b.fold = fold
 	b.readableSince = time.Now()
 	b.dropLostItems()
+	b.reconcile()
 	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
 }
 
@@ -192,6 +199,7 @@
 	defer b.mu.Unlock()
 	b.fold.Apply(time.Now(), records)
 	b.dropLostItems()
+	b.reconcile()
 }
 
 func (b *Batcher) storeReturned() {
@@ -289,6 +297,7 @@
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
 	b.inflow.SetReported(load.Online())
 	room := b.meter.Update(now, load)
+	b.room = room.MaxAfterStarts
 	b.releaseMoved()
 	ranked := b.rankItems(now)
 	b.runMostUrgent(ctx, now, ranked, room)
