--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -40,6 +40,8 @@
 type Configurations struct {
 	decoder Decoder
 	current atomic.Pointer[fleet.Configuration]
+	// before is the configuration that was in force before.
+	before atomic.Pointer[fleet.Configuration]
 }
 
 // NewConfigurations returns Configurations without a configuration.
@@ -48,6 +50,9 @@
 // Current returns the configuration in force, or nil before the first one.
 func (c *Configurations) Current() *fleet.Configuration { return c.current.Load() }
 
+// Before returns the configuration that was in force before the current one, or nil.
+func (c *Configurations) Before() *fleet.Configuration { return c.before.Load() }
+
 // Apply puts the newest configuration among the records in force. Versions that
 // are not newer than the one in force are ignored, in whatever order they arrive.
 func (c *Configurations) Apply(records []fleet.Record) {
@@ -64,6 +69,7 @@
 		if old != nil && next.Version <= old.Version {
 			continue
 		}
+		c.before.Store(old)
 		c.current.Store(next)
 		klog.InfoS("configuration in force", "version", next.Version, "offset", r.Offset)
 	}
--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -59,6 +59,9 @@
 	// StoreAnswers, if set, reports whether the store has answered reads of another topic
 	// lately.
 	StoreAnswers func() bool
+	// Now is the clock by which the state ages. If nil, it is the monotonic clock, which may
+	// stand still while the instance is suspended.
+	Now func() time.Duration
 	// OnRecovered, if set, is called when the store answers again after an outage,
 	// before its records are applied.
 	OnRecovered func()
@@ -76,7 +79,7 @@
 	// lastReadStart is the start of the last read that reached the end of the topic,
 	// in nanoseconds after base, or 0 before the first.
 	lastReadStart atomic.Int64
-	base          time.Time
+	base          time.Duration
 	unavailable   bool
 	// failures is the number of failed reads since the last successful one.
 	failures int
@@ -86,11 +89,18 @@
 
 // New returns a Follower that has read nothing.
 func New(p Params) *Follower {
-	f := &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond), readToken: make(chan struct{}, 1)}
+	if p.Now == nil {
+		created := time.Now()
+		p.Now = func() time.Duration { return time.Since(created) }
+	}
+	f := &Follower{params: p, next: -1, base: p.Now() - time.Nanosecond, readToken: make(chan struct{}, 1)}
 	f.readToken <- struct{}{}
 	return f
 }
 
+// elapsed returns the time since base.
+func (f *Follower) elapsed() time.Duration { return f.params.Now() - f.base }
+
 // acquire waits until no other read is in progress and takes the read token.
 func (f *Follower) acquire(ctx context.Context) error {
 	select {
@@ -143,7 +153,7 @@
 	if start == 0 {
 		return 0, false
 	}
-	return time.Since(f.base.Add(time.Duration(start))), true
+	return f.elapsed() - time.Duration(start), true
 }
 
 // CatchUp returns once every record that was in the topic at the time of the call has
@@ -153,7 +163,7 @@
 // CatchUpWithin returns once every record that was in the topic maxAge before the call has
 // been applied, or an error of the store.
 func (f *Follower) CatchUpWithin(ctx context.Context, maxAge time.Duration) error {
-	since := time.Since(f.base) - maxAge
+	since := f.elapsed() - maxAge
 	if f.hasReadSince(since) {
 		return nil
 	}
@@ -205,7 +215,7 @@
 // readToEnd reads up to the end that the topic had at the time of the call. The read token
 // must be held.
 func (f *Follower) readToEnd(ctx context.Context) error {
-	called := time.Since(f.base)
+	called := f.elapsed()
 	for {
 		before := f.next
 		end, asOf, err := f.readOnce(ctx)
@@ -228,7 +238,7 @@
 	if f.next < 0 {
 		return f.readNewest(ctx)
 	}
-	asOf = time.Since(f.base)
+	asOf = f.elapsed()
 	page, err := f.readPage(ctx)
 	if errorx.IsOfType(err, fleet.ErrRecordsExpired) {
 		klog.InfoS("records expired, reading the newest record of each key again", "topic", f.params.Name, "offset", f.next)
@@ -251,7 +261,7 @@
 // that of the first page, which may have been read by an earlier call.
 func (f *Follower) readNewest(ctx context.Context) (end int64, asOf time.Duration, err error) {
 	if f.newest == nil || f.newest.next < 0 {
-		f.newest = &newestRead{next: -1, begun: time.Since(f.base)}
+		f.newest = &newestRead{next: -1, begun: f.elapsed()}
 	}
 	if err := f.newest.read(ctx, f.params.Store, f.params.Topic); err != nil {
 		return 0, 0, err
--- a/coordination/topic/follower_test.go
+++ b/coordination/topic/follower_test.go
@@ -197,3 +197,28 @@
 		assert.DeepEqual(t, f.keys, []string{"a", "b"})
 	})
 }
+
+// TestAgeCountsSuspensions suspends the instance between two reads: the follower's clock goes
+// on while no time passes for the process. What was read must be as old as it is, or a key
+// that was removed meanwhile would still be served.
+func TestAgeCountsSuspensions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		created, suspended := time.Now(), time.Duration(0)
+		add := func([]fleet.Record) {}
+		f := topic.New(topic.Params{
+			Store: fleetstore.New(), Topic: fleet.TopicConfiguration, Name: "configuration", Reset: add, Apply: add,
+			Now: func() time.Duration { return time.Since(created) + suspended },
+		})
+		_, known := f.Age()
+		assert.Assert(t, !known)
+		assert.NilError(t, f.CatchUp(t.Context()))
+		time.Sleep(time.Second)
+		before, _ := f.Age()
+		suspended = time.Minute
+		after, _ := f.Age()
+		assert.Equal(t, after-before, time.Minute)
+		assert.NilError(t, f.CatchUpWithin(t.Context(), time.Second))
+		renewed, _ := f.Age()
+		assert.Assert(t, renewed < time.Second, "%v", renewed)
+	})
+}
