Serve requests for the workspace that holds their key

Each attempt is judged again by the configuration in force, and a gateway whose configuration is too old refuses with 503. Jobs belong to the workspace that submitted them: other workspaces get what a job that does not exist gets, items run for it, and waiting tokens are limited for each. The accept record has the workspace's name; a record without one is open to all callers, and builds that do not know the field ignore it. Existing tests of job calls pass no workspace (one argument more each); nothing else in them changed.

--- a/batcher/run.go
+++ b/batcher/run.go
@@ -122,10 +122,23 @@
 	}
 }
 
+// workspaceOf returns the workspace that the job's items run for. Whether its keys are still
+// in force does not matter: what was accepted is run.
+func (b *Batcher) workspaceOf(job *worklog.Accept) *fleet.Workspace {
+	if job.Workspace != "" {
+		return &fleet.Workspace{Name: job.Workspace}
+	}
+	if c := b.configs.Current(); c != nil && c.Keyring != nil {
+		return fleet.Anonymous
+	}
+	return nil
+}
+
 // runItem sends the item to the target once and reads its events.
 func (b *Batcher) runItem(ctx context.Context, h *heldItem, target *fleet.Target, route *fleet.Route, progress worklog.Progress) runOutcome {
 	request := &fleet.Request{
 		ID: h.item.ID, Method: http.MethodPost, Host: h.job.Job.Host, URI: h.item.Path, Path: h.item.Path, Header: h.item.Header, Body: h.item.Body,
+		Workspace: b.workspaceOf(h.job),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/reload"
 	"github.com/sycamoretally/sycamoretally/transport"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
 )
 
 const (
@@ -169,7 +170,7 @@
 	targets := platform.NewTargetClient(p.pool)
 	params := gateway.Params{
 		Node: p.node, Store: p.store, Sender: targets, HasEnded: targets.HasEnded,
-		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry,
+		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry, Now: boottime.Now,
 	}
 	if datagrams := p.listenDatagrams(nil); datagrams != nil {
 		params.LoadQuerier = datagrams
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/access"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
@@ -24,13 +28,97 @@
 	ID        uint64
 }
 
-// authorize returns the workspace that holds the key according to the configuration.
-func (g *Gateway) authorize(c *fleet.Configuration, route *fleet.Route, key fleet.Key) (*fleet.Workspace, error) {
-	if c.Keyring == nil || route.Anonymous {
+// elsewhereRetryAfter is the delay after which a caller should retry whose request is
+// refused because this gateway has not read the configuration lately: another gateway may
+// have.
+const elsewhereRetryAfter = 50 * time.Millisecond
+
+// configView returns what this gateway knows of the configuration.
+func (g *Gateway) configView() access.View {
+	age, known := g.configTail.Age()
+	return access.View{Known: known, Age: age, RevocationTimeout: g.params.Node.RevocationTimeout}
+}
+
+// mayServeKeys reports whether callers with a key may connect, as far as the configuration
+// has workspaces.
+func (g *Gateway) mayServeKeys() bool {
+	c := g.configs.Current()
+	return c == nil || c.Keyring == nil || g.configView().MayServeKeys()
+}
+
+// Authorize implements fleet.CallerAPI.
+func (g *Gateway) Authorize(_ context.Context, host string, key fleet.Key) (*fleet.Workspace, error) {
+	c := g.configs.Current()
+	if c == nil {
+		return nil, newRefusal("no configuration has been read yet")
+	}
+	return g.authorize(c, c.HasAnonymousBatchRoute(host), key, nil)
+}
+
+// authorize returns the workspace that holds the key according to the configuration: nil
+// if that has no workspaces, and fleet.Anonymous if no key is needed and the caller has none
+// that a workspace holds. before is the workspace for which the request was admitted, nil if
+// it is judged for the first time. authorize fails with ErrNoAccess, and with ErrRefused if
+// this gateway cannot tell.
+func (g *Gateway) authorize(c *fleet.Configuration, anonymous bool, key fleet.Key, before *fleet.Workspace) (*fleet.Workspace, error) {
+	if c.Keyring == nil {
 		return nil, nil
 	}
-	if workspace := c.Keyring.Workspace(key); workspace != nil {
+	workspace := c.Keyring.Workspace(key)
+	if before == nil && workspace == nil {
+		before = g.workspaceBefore(key)
+	}
+	view := g.configView()
+	verdict := access.Decide(view, access.Credentials{Required: !anonymous, Held: workspace != nil, HeldBefore: before != nil})
+	switch verdict {
+	case access.Serve:
 		return workspace, nil
+	case access.Anonymous:
+		return fleet.Anonymous, nil
+	}
+	if workspace == nil {
+		workspace = before
+	}
+	g.metrics.accessRefusals.WithLabelValues(verdict.String()).Inc()
+	klog.InfoS("access refused", "reason", verdict.String(), "workspace", fleet.NameOf(workspace), "key_given", key != "",
+		"version", c.Version, "age", view.Age, "age_known", view.Known)
+	switch verdict {
+	case access.UnknownKey, access.Revoked:
+		return nil, fleet.ErrNoAccess.New("%s by configuration version %d", verdict, c.Version)
+	default:
+		return nil, fleet.WithRetryAfter(fleet.ErrRefused.New("%s: version %d was read %v ago", verdict, c.Version, view.Age), elsewhereRetryAfter)
+	}
+}
+
+// workspaceBefore returns the workspace that held the key in the configuration before the one
+// in force, nil if there is none.
+func (g *Gateway) workspaceBefore(key fleet.Key) *fleet.Workspace {
+	if c := g.configs.Before(); c != nil {
+		return c.Keyring.Workspace(key)
+	}
+	return nil
+}
+
+// checkAccess judges the request's key by the configuration now in force, before each
+// attempt: the key may have been removed while the request waited or ran elsewhere. A
+// request that may have run is given up with its true outcome.
+func (o *onlineRequest) checkAccess() error {
+	c := o.g.configs.Current()
+	if c == nil || c.Keyring == nil {
+		return nil
+	}
+	before := o.request.Workspace
+	if before != nil && before.IsAnonymous() {
+		before = nil
+	}
+	workspace, err := o.g.authorize(c, o.route.Anonymous, o.request.Key, before)
+	if err == nil {
+		o.request.Workspace = workspace
+		return nil
+	}
+	o.reason = "no access any more"
+	if o.possibleRuns > 0 || o.answerBegun {
+		return fleet.ErrOutcomeUnknown.Wrap(err, "the request's key is not served any more")
 	}
-	return nil, fleet.ErrNoAccess.New("no workspace of configuration version %d holds the key", c.Version)
+	return err
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -57,11 +57,16 @@
 	mu    sync.Mutex
 	steps []step
 	sent  []fleet.Attempt
+	// before, if set, is called before each attempt.
+	before func()
 }
 
 func (s *sender) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.before != nil {
+		s.before()
+	}
 	s.sent = append(s.sent, a)
 	next := step{err: fleet.ErrNotDelivered.New("no step left")}
 	if len(s.steps) > 0 {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -52,7 +52,7 @@
 		s := startGateway(t, store)
 		defer s.stop()
 		assert.Assert(t, errorx.IsOfType(s.submit(job("one", 1)), fleet.ErrRefused))
-		_, err := s.Results(t.Context(), "unknown", 0, 0)
+		_, err := s.Results(t.Context(), nil, "unknown", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
 		s.store.SetFaults(fleetstore.Faults{})
 		time.Sleep(3 * time.Second)
@@ -113,7 +113,7 @@
 		finish(t, store, w, "job", fmt.Sprint("i", i), "text")
 		readers.Go(func() {
 			time.Sleep(1010 * time.Millisecond)
-			page, err := slow.Results(t.Context(), "job", i, wait)
+			page, err := slow.Results(t.Context(), nil, "job", i, wait)
 			switch {
 			case err == nil && len(page.Results) > 0:
 				found.Add(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,9 @@
 	HasEnded func(ctx context.Context, address string) bool
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
+	// Now is the clock by which the configuration ages, which counts suspensions of the
+	// instance. If nil, it is the monotonic clock.
+	Now func() time.Duration
 	// Registry is where the metrics are registered. If nil, a new registry is used.
 	Registry *prometheus.Registry
 }
@@ -118,6 +121,7 @@
 	g.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
 		Reset: g.configs.Apply, Apply: g.configs.Apply, StoreAnswers: func() bool { return g.targetTail.Answers() },
+		Now: p.Now,
 	})
 	g.targetTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicTargets, Name: "targets", Interval: readInterval,
@@ -167,7 +171,7 @@
 // or configuration. If no gateway reaches the store, the platform goes on using all of
 // them.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+	return !g.closing.Load() && g.mayServeKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // IsClosing implements fleet.CallerAPI.
@@ -234,7 +238,7 @@
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
 		return nil, nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
 	}
-	workspace, err := g.authorize(c, route, key)
+	workspace, err := g.authorize(c, route.Anonymous, key, nil)
 	return route, workspace, err
 }
 
--- a/gateway/history_test.go
+++ b/gateway/history_test.go
@@ -134,14 +134,14 @@
 	case draw < 7:
 		in.Op = history.WorkEnd
 		op := c.recorder.Invoke(client, in)
-		err = s.CancelJob(ctx, id)
+		err = s.CancelJob(ctx, nil, id)
 		c.finishOp(op, out, err)
 	default:
 		in.Op = history.WorkRead
 		in.After = rng.IntN(historyItems + 1)
 		op := c.recorder.Invoke(client, in)
 		var page fleet.ResultPage
-		page, err = s.Results(ctx, id, in.After, time.Duration(rng.IntN(600))*time.Millisecond)
+		page, err = s.Results(ctx, nil, id, in.After, time.Duration(rng.IntN(600))*time.Millisecond)
 		out.Results = joined(page.Results)
 		c.finishOp(op, out, err)
 	}
--- a/gateway/jobreads.go
+++ b/gateway/jobreads.go
@@ -17,18 +17,19 @@
 	maxResultWait = 2 * time.Second
 )
 
-// lookUpJob calls visit with the job. visit reports whether it found what it looks for,
+// lookUpJob calls visit with the job. A job of another workspace counts as unknown. visit reports whether it found what it looks for,
 // which sought describes for the log. If the job is unknown or visit returns false,
 // lookUpJob reads the log to its end and tries once more. It returns ErrRefused if the log
 // cannot be read, and ErrUnknownJob if the second try fails as well.
-func (g *Gateway) lookUpJob(ctx context.Context, id, sought string, visit func(*worklog.Job) bool) error {
-	if g.viewJob(id, visit) {
+func (g *Gateway) lookUpJob(ctx context.Context, workspace *fleet.Workspace, id, sought string, visit func(*worklog.Job) bool) error {
+	visitOwn := func(job *worklog.Job) bool { return workspace.MayUse(job.Accept.Workspace) && visit(job) }
+	if g.viewJob(id, visitOwn) {
 		return nil
 	}
 	if err := g.catchUp(ctx); err != nil {
 		return err
 	}
-	if g.viewJob(id, visit) {
+	if g.viewJob(id, visitOwn) {
 		return nil
 	}
 	g.logDenial(id, sought)
@@ -78,23 +79,23 @@
 }
 
 // IsAccepted implements fleet.CallerAPI.
-func (g *Gateway) IsAccepted(ctx context.Context, host, id string) error {
+func (g *Gateway) IsAccepted(ctx context.Context, workspace *fleet.Workspace, host, id string) error {
 	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return err
 	}
 	defer leave()
-	return g.lookUpJob(ctx, id, "the job on host "+host, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
+	return g.lookUpJob(ctx, workspace, id, "the job on host "+host, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
 }
 
 // Results implements fleet.CallerAPI.
-func (g *Gateway) Results(ctx context.Context, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
+func (g *Gateway) Results(ctx context.Context, workspace *fleet.Workspace, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
 	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return fleet.ResultPage{}, err
 	}
 	defer leave()
-	if err := g.lookUpPosition(ctx, id, after); err != nil {
+	if err := g.lookUpPosition(ctx, workspace, id, after); err != nil {
 		return fleet.ResultPage{}, err
 	}
 	waitOver, cancel := context.WithTimeout(ctx, min(wait, maxResultWait))
@@ -121,8 +122,8 @@
 // lookUpPosition looks the job up. If it may have results before the position that are not
 // known yet, lookUpPosition reads the log to its end: the caller may have seen them at
 // another gateway. The position itself needs no result.
-func (g *Gateway) lookUpPosition(ctx context.Context, id string, position int) error {
-	if err := g.lookUpJob(ctx, id, "its results", func(*worklog.Job) bool { return true }); err != nil {
+func (g *Gateway) lookUpPosition(ctx context.Context, workspace *fleet.Workspace, id string, position int) error {
+	if err := g.lookUpJob(ctx, workspace, id, "its results", func(*worklog.Job) bool { return true }); err != nil {
 		return err
 	}
 	isReached := func(job *worklog.Job) bool { return position <= len(job.Results) || !job.Open() }
@@ -183,14 +184,14 @@
 }
 
 // ItemBody implements fleet.CallerAPI.
-func (g *Gateway) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+func (g *Gateway) ItemBody(ctx context.Context, workspace *fleet.Workspace, id, item string) ([]byte, error) {
 	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return nil, err
 	}
 	defer leave()
 	var body []byte
-	err = g.lookUpJob(ctx, id, "the body of item "+item, func(job *worklog.Job) bool {
+	err = g.lookUpJob(ctx, workspace, id, "the body of item "+item, func(job *worklog.Job) bool {
 		for _, i := range job.Items {
 			if i.ID == item {
 				body = i.Body
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -58,33 +58,34 @@
 // its first record in the log. Near the quota the append is conditional: it succeeds only
 // if the log ends at the offset up to which this gateway has folded it, and therefore
 // means that the job fits.
-func (g *Gateway) Submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
+func (g *Gateway) Submit(ctx context.Context, workspace *fleet.Workspace, route *fleet.Route, path string, job *fleet.Job) error {
 	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return err
 	}
 	defer leave()
 	begun := time.Now()
-	err = g.submit(ctx, route, path, job)
+	name := fleet.NameOf(workspace)
+	err = g.submit(ctx, route, path, job, name)
 	g.metrics.observe(route, err, time.Since(begun))
 	g.jobsMu.RLock()
-	waiting := g.fold.WaitingTokens(route.Name)
+	waiting := g.fold.WaitingTokens(route.Name, name)
 	g.jobsMu.RUnlock()
 	age, _ := g.workTail.Age()
-	klog.InfoS("job submitted", "job", job.ID, "route", route.Name, "version", g.configVersion(), "items", len(job.Items), "tokens", tokensOf(job),
+	klog.InfoS("job submitted", "job", job.ID, "workspace", name, "route", route.Name, "version", g.configVersion(), "items", len(job.Items), "tokens", tokensOf(job),
 		"tokens_waiting", waiting, "quota", route.TokenQuota, "log_age", age, "took", time.Since(begun), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
 	return err
 }
 
-func (g *Gateway) submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job) error {
-	if g.hasJob(job.ID) {
-		return nil
+func (g *Gateway) submit(ctx context.Context, route *fleet.Route, path string, job *fleet.Job, workspace string) error {
+	if known, err := g.isKnown(job.ID, workspace); known || err != nil {
+		return err
 	}
 	if err := g.checkStoreReachable(ctx); err != nil {
 		return err
 	}
 	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{
-		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(), ConfigVersion: g.configVersion(),
+		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(), ConfigVersion: g.configVersion(), Workspace: workspace,
 	}})
 	if err != nil {
 		return err
@@ -97,7 +98,7 @@
 	mayBeAppended := false
 	err = fleet.ErrStoreUnavailable.New("context ended before the first append")
 	for ctx.Err() == nil {
-		err = g.accept(ctx, route, job, record)
+		err = g.accept(ctx, route, job, workspace, record)
 		if errorx.IsOfType(err, fleet.ErrStoreOutcomeUnknown) {
 			mayBeAppended = true
 			_ = g.workTail.CatchUp(ctx) // shows whether it was; the next attempt fails if the store is down
@@ -121,23 +122,24 @@
 // accept tries once to append the job's accept record, unless the job is known. It returns
 // nil if the job is accepted. Each append has a key of its own: a copy of an accept whose
 // answer was lost has no effect, but must not replace the first one.
-func (g *Gateway) accept(ctx context.Context, route *fleet.Route, job *fleet.Job, record fleet.Record) error {
-	if g.hasJob(job.ID) {
-		return nil
+func (g *Gateway) accept(ctx context.Context, route *fleet.Route, job *fleet.Job, workspace string, record fleet.Record) error {
+	if known, err := g.isKnown(job.ID, workspace); known || err != nil {
+		return err
 	}
 	record.Key = g.writer.NextKey()
 	appendAt := func(offset int64) error {
 		_, err := g.params.Store.Append(ctx, fleet.TopicWork, offset, []fleet.Record{record})
 		return err
 	}
-	if g.judgeQuota(route, job) == jobquota.Append {
+	if g.judgeQuota(route, job, workspace) == jobquota.Append {
 		return appendAt(fleet.AnyOffset)
 	}
 	return g.workTail.WhileCaughtUp(ctx, func() error {
+		known, err := g.isKnown(job.ID, workspace)
 		switch {
-		case g.hasJob(job.ID):
-			return nil
-		case g.judgeQuota(route, job) == jobquota.Refuse:
+		case known || err != nil:
+			return err
+		case g.judgeQuota(route, job, workspace) == jobquota.Refuse:
 			return fleet.WithRetryAfter(fleet.ErrQuotaExceeded.New("%d more tokens exceed the quota of %d", tokensOf(job), route.TokenQuota), jobRetryAfter)
 		}
 		return appendAt(g.workTail.Next())
@@ -153,18 +155,28 @@
 	return 0
 }
 
-func (g *Gateway) hasJob(job string) bool {
+// isKnown reports whether the job has been accepted for the workspace. It fails with
+// ErrMalformed if another workspace has a job of this ID: a job can't be stored under an ID
+// that is in use.
+func (g *Gateway) isKnown(id, workspace string) (bool, error) {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
-	return g.fold.Job(job) != nil
+	job := g.fold.Job(id)
+	if job == nil {
+		return false, nil
+	}
+	if owner := job.Accept.Workspace; owner != "" && workspace != "" && owner != workspace {
+		return false, fleet.ErrMalformed.New("job ID %s is in use", id)
+	}
+	return true, nil
 }
 
-// judgeQuota returns how the job may be accepted according to the route's quota and the
-// tokens that wait as far as this gateway knows.
-func (g *Gateway) judgeQuota(route *fleet.Route, job *fleet.Job) jobquota.Verdict {
+// judgeQuota returns how the workspace's job may be accepted according to the route's quota
+// and the tokens that wait as far as this gateway knows.
+func (g *Gateway) judgeQuota(route *fleet.Route, job *fleet.Job, workspace string) jobquota.Verdict {
 	g.jobsMu.RLock()
 	defer g.jobsMu.RUnlock()
-	return jobquota.Decide(g.fold.WaitingTokens(route.Name), tokensOf(job), route.TokenQuota)
+	return jobquota.Decide(g.fold.WaitingTokens(route.Name, workspace), tokensOf(job), route.TokenQuota)
 }
 
 func tokensOf(job *fleet.Job) int64 {
@@ -176,14 +188,14 @@
 }
 
 // CancelJob implements fleet.CallerAPI.
-func (g *Gateway) CancelJob(ctx context.Context, id string) error {
+func (g *Gateway) CancelJob(ctx context.Context, workspace *fleet.Workspace, id string) error {
 	leave, err := g.trackRequest(jobCallLimit)
 	if err != nil {
 		return err
 	}
 	defer leave()
 	ended := false
-	if err := g.lookUpJob(ctx, id, "the end of the job", func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
+	if err := g.lookUpJob(ctx, workspace, id, "the end of the job", func(job *worklog.Job) bool { ended = job.Ended; return true }); err != nil || ended {
 		return err
 	}
 	if err := g.checkStoreReachable(ctx); err != nil {
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -26,7 +26,7 @@
 }
 
 func (s *fixture) submit(j *fleet.Job) error {
-	return s.Submit(s.t.Context(), routes["jobs"], "/j/1", j)
+	return s.Submit(s.t.Context(), nil, routes["jobs"], "/j/1", j)
 }
 
 // errNoText means that the item was not finished because its text was not stored.
@@ -95,8 +95,8 @@
 		time.Sleep(time.Second)
 		count := 0
 		for i := range accepted {
-			_, errA := a.Results(t.Context(), fmt.Sprint("job", i), 0, 0)
-			_, errB := b.Results(t.Context(), fmt.Sprint("job", i), 0, 0)
+			_, errA := a.Results(t.Context(), nil, fmt.Sprint("job", i), 0, 0)
+			_, errB := b.Results(t.Context(), nil, fmt.Sprint("job", i), 0, 0)
 			assert.Equal(t, errA == nil, accepted[i].Load(), "%v", errA)
 			assert.Equal(t, errB == nil, accepted[i].Load(), "%v", errB)
 			if errA == nil {
@@ -132,7 +132,7 @@
 		for i := range 20 {
 			for _, s := range []*fixture{a, b} {
 				group.Go(func() {
-					assert.Check(t, s.Submit(t.Context(), routes["bulk"], "/b/1", job(fmt.Sprint("job", i), 3)))
+					assert.Check(t, s.Submit(t.Context(), nil, routes["bulk"], "/b/1", job(fmt.Sprint("job", i), 3)))
 				})
 			}
 		}
@@ -144,7 +144,7 @@
 		fold := worklog.NewFold()
 		fold.Apply(time.Now(), records)
 		assert.Equal(t, len(fold.OpenJobs()), 20)
-		assert.Equal(t, fold.WaitingTokens("bulk"), int64(20*30))
+		assert.Equal(t, fold.WaitingTokens("bulk", ""), int64(20*30))
 	})
 }
 
@@ -159,7 +159,7 @@
 		finish(t, s.store, worklog.NewWriter("b"), "big", "i0", "x")
 		assert.NilError(t, s.submit(job("two", 2)))
 		assert.Assert(t, errorx.IsOfType(s.submit(job("three", 9)), fleet.ErrQuotaExceeded))
-		assert.NilError(t, s.CancelJob(t.Context(), "big"))
+		assert.NilError(t, s.CancelJob(t.Context(), nil, "big"))
 		assert.Assert(t, errorx.IsOfType(s.submit(job("three", 9)), fleet.ErrQuotaExceeded), "job two still takes up quota")
 		assert.NilError(t, s.submit(job("three", 8)))
 	})
@@ -193,29 +193,29 @@
 		assert.NilError(t, s.submit(job("one", 3)))
 		finish(t, s.store, w, "one", "i1", "x")
 		time.Sleep(time.Second)
-		_, err := s.Results(t.Context(), "one", 0, 0)
+		_, err := s.Results(t.Context(), nil, "one", 0, 0)
 		assert.NilError(t, err)
 		finish(t, s.store, w, "one", "i0", "y")
 		time.Sleep(time.Second)
 		s.store.SetFaults(fleetstore.Faults{Down: true})
 		assert.Assert(t, errorx.IsOfType(s.submit(job("two", 1)), fleet.ErrRefused))
 		assert.NilError(t, s.submit(job("one", 3)), "the submission of a known job must succeed")
-		assert.Assert(t, errorx.IsOfType(s.CancelJob(t.Context(), "one"), fleet.ErrRefused))
-		page, err := s.Results(t.Context(), "one", 0, 0)
+		assert.Assert(t, errorx.IsOfType(s.CancelJob(t.Context(), nil, "one"), fleet.ErrRefused))
+		page, err := s.Results(t.Context(), nil, "one", 0, 0)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, page, fleet.ResultPage{Total: 3, Next: 1, Results: []fleet.Result{{Item: "i1", Text: "x"}}})
-		_, err = s.Results(t.Context(), "one", 1, 0)
+		_, err = s.Results(t.Context(), nil, "one", 1, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "a result whose output is not in this gateway's cache: %v", err)
 		assert.Assert(t, fleet.RetryAfterOf(err) > 0)
 		time.Sleep(2 * time.Second)
-		_, err = s.Results(t.Context(), "one", 2, time.Second)
+		_, err = s.Results(t.Context(), nil, "one", 2, time.Second)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "other gateways may have read more results: %v", err)
-		_, err = s.Results(t.Context(), "two", 0, 0)
+		_, err = s.Results(t.Context(), nil, "two", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
-		_, err = s.Results(t.Context(), "one", 3, 0)
+		_, err = s.Results(t.Context(), nil, "one", 3, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "a position that was returned by another gateway: %v", err)
 		s.store.SetFaults(fleetstore.Faults{})
-		_, err = s.Results(t.Context(), "two", 0, 0)
+		_, err = s.Results(t.Context(), nil, "two", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob), "%v", err)
 	})
 }
@@ -231,10 +231,10 @@
 		time.Sleep(time.Second) // the gateway reads the job back
 		s.store.SetFaults(fleetstore.Faults{Delay: 400 * time.Millisecond})
 		time.AfterFunc(300*time.Millisecond, func() { s.store.SetFaults(fleetstore.Faults{Down: true}) })
-		assert.NilError(t, s.CancelJob(t.Context(), "one"))
+		assert.NilError(t, s.CancelJob(t.Context(), nil, "one"))
 		s.store.SetFaults(fleetstore.Faults{})
 		finish(t, s.store, worklog.NewWriter("b"), "one", "i1", "x")
-		page, err := s.Results(t.Context(), "one", 0, time.Second)
+		page, err := s.Results(t.Context(), nil, "one", 0, time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, len(page.Results), 0)
 	})
@@ -248,7 +248,7 @@
 		defer s.stop()
 		assert.NilError(t, s.submit(job("one", 2)))
 		begun := time.Now()
-		page, err := s.Results(t.Context(), "one", 0, time.Second)
+		page, err := s.Results(t.Context(), nil, "one", 0, time.Second)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, page, fleet.ResultPage{Total: 2})
 		assert.Equal(t, time.Since(begun), time.Second)
@@ -256,7 +256,7 @@
 			time.Sleep(100 * time.Millisecond)
 			finish(t, s.store, worklog.NewWriter("b"), "one", "i1", "x")
 		}()
-		page, err = s.Results(t.Context(), "one", 0, 2*time.Second)
+		page, err = s.Results(t.Context(), nil, "one", 0, 2*time.Second)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, page, fleet.ResultPage{Total: 2, Next: 1, Results: []fleet.Result{{Item: "i1", Text: "x"}}})
 	})
@@ -271,29 +271,29 @@
 		s := startGateway(t, store)
 		assert.NilError(t, s.submit(job("one", 3)))
 		assert.NilError(t, s.submit(job("ended", 1)))
-		assert.NilError(t, s.CancelJob(t.Context(), "ended"))
+		assert.NilError(t, s.CancelJob(t.Context(), nil, "ended"))
 		w := worklog.NewWriter("b")
 		finish(t, store, w, "one", "i2", "first")
 		finish(t, store, w, "one", "i0", "second")
 		finish(t, store, w, "one", "i2", "again")
 		finish(t, store, w, "ended", "i0", "late")
-		before, err := s.Results(t.Context(), "one", 0, 2*time.Second)
+		before, err := s.Results(t.Context(), nil, "one", 0, 2*time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, len(before.Results), 2)
 		s.stop()
 		store.Compact(fleet.TopicWork)
 		s = startGateway(t, store)
 		defer s.stop()
-		after, err := s.Results(t.Context(), "one", 0, 0)
+		after, err := s.Results(t.Context(), nil, "one", 0, 0)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, before, after)
-		body, err := s.ItemBody(t.Context(), "one", "i1")
+		body, err := s.ItemBody(t.Context(), nil, "one", "i1")
 		assert.NilError(t, err)
 		assert.Equal(t, string(body), "body")
-		page, err := s.Results(t.Context(), "ended", 0, 0)
+		page, err := s.Results(t.Context(), nil, "ended", 0, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(page.Results), 0)
-		_, err = s.ItemBody(t.Context(), "one", "i9")
+		_, err = s.ItemBody(t.Context(), nil, "one", "i9")
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob))
 	})
 }
@@ -310,7 +310,7 @@
 		}
 		s.finishLongAgo("one", 9)
 		before := s.store.Calls()
-		page, err := s.Results(t.Context(), "one", 0, 0)
+		page, err := s.Results(t.Context(), nil, "one", 0, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(page.Results), 9)
 		for i, r := range page.Results {
@@ -334,8 +334,8 @@
 		var group sync.WaitGroup
 		for range 4 {
 			group.Go(func() {
-				_, _ = s.Results(t.Context(), "one", 0, 0) // may time out
-				page, err := s.Results(t.Context(), "one", 0, 0)
+				_, _ = s.Results(t.Context(), nil, "one", 0, 0) // may time out
+				page, err := s.Results(t.Context(), nil, "one", 0, 0)
 				assert.Check(t, err)
 				assert.Check(t, len(page.Results) == 3)
 			})
@@ -370,7 +370,7 @@
 		finish(t, store, w, "done", "i0", "x")
 		finish(t, store, w, "done", "i1", "y")
 		time.Sleep(5 * time.Second)
-		want, err := s.Results(t.Context(), "done", 0, 0)
+		want, err := s.Results(t.Context(), nil, "done", 0, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(want.Results), 2)
 		records, _, err := store.Newest(t.Context(), fleet.TopicWork)
@@ -378,7 +378,7 @@
 		assert.Equal(t, len(records), 3+3, "accept and results of one job; accept, claim and save of the other")
 		fresh := startGateway(t, store)
 		defer fresh.stop()
-		got, err := fresh.Results(t.Context(), "done", 0, 0)
+		got, err := fresh.Results(t.Context(), nil, "done", 0, 0)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, want)
 	})
@@ -399,7 +399,7 @@
 		finish(t, store, w, "orphan", "i0", "x")
 		b.stop()
 		known := func(id string) bool {
-			_, err := a.Results(t.Context(), id, 0, 0)
+			_, err := a.Results(t.Context(), nil, id, 0, 0)
 			return err == nil
 		}
 		time.Sleep(5*keepResults - time.Second)
@@ -432,10 +432,10 @@
 		for call, attempt := range map[string]func() error{
 			"submit": func() error { return s.submit(job("one", 1)) },
 			"read": func() error {
-				_, err := s.Results(t.Context(), "unknown", 0, 0)
+				_, err := s.Results(t.Context(), nil, "unknown", 0, 0)
 				return err
 			},
-			"end": func() error { return s.CancelJob(t.Context(), "known") },
+			"end": func() error { return s.CancelJob(t.Context(), nil, "known") },
 		} {
 			begun := time.Now()
 			err := attempt()
@@ -464,7 +464,7 @@
 		assert.Assert(t, time.Since(begun) <= 2*time.Second, "%v", time.Since(begun))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err = s.Results(ctx, "unknown", 0, 0)
+		_, err = s.Results(ctx, nil, "unknown", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrRefused), "%v", err)
 	})
 }
@@ -495,7 +495,7 @@
 		assert.NilError(t, s.submit(job("job", 2)))
 		read := func(after, results int) {
 			t.Helper()
-			page, err := s.Results(t.Context(), "job", after, 0)
+			page, err := s.Results(t.Context(), nil, "job", after, 0)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, []int{page.Total, page.Next, len(page.Results)}, []int{2, after + results, results})
 		}
@@ -505,10 +505,10 @@
 		finish(t, s.store, w, "job", "i0", "a")
 		read(2, 0)
 		read(0, 1)
-		assert.NilError(t, s.CancelJob(t.Context(), "job"))
+		assert.NilError(t, s.CancelJob(t.Context(), nil, "job"))
 		read(1, 0)
 		read(2, 0)
-		_, err := s.Results(t.Context(), "no job", 0, 0)
+		_, err := s.Results(t.Context(), nil, "no job", 0, 0)
 		assert.Assert(t, errorx.IsOfType(err, fleet.ErrUnknownJob), "%v", err)
 	})
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,8 @@
 	attempts    *prometheus.CounterVec
 	oversized   *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
+	// accessRefusals counts requests and attempts that were refused because of their key.
+	accessRefusals *prometheus.CounterVec
 	// emptyPageAge is the age of the work log in answers that an open job has no more
 	// results.
 	emptyPageAge prometheus.Histogram
@@ -42,12 +44,15 @@
 		loadQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
 		}, []string{"result"}),
+		accessRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_access_refusals_total", Help: "Requests and attempts that were refused because of their key, by reason.",
+		}, []string{"reason"}),
 		emptyPageAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamoretally_gateway_empty_page_age_seconds", Help: "Age of the work log in answers that an open job has no more results yet.",
 			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.accessRefusals, m.emptyPageAge)
 	return m
 }
 
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -123,6 +123,17 @@
 	return false
 }
 
+// HasAnonymousBatchRoute reports whether the host has a route that accepts jobs without a
+// key.
+func (c *Configuration) HasAnonymousBatchRoute(host string) bool {
+	for _, r := range c.hosts[host] {
+		if r.Kind == KindBatch && r.Anonymous {
+			return true
+		}
+	}
+	return false
+}
+
 // PickService returns the route's service for a random number in [0, 1), weighted by
 // the services' weights. It returns an empty name if the route has no service.
 func (r *Route) PickService(random float64) string {
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -26,8 +26,8 @@
 	// PromptParts are the parts of the request's prompt that other requests share, in their
 	// order.
 	PromptParts []string
-	// Key is the caller's key, empty if it sent none. Workspace holds the key; it is nil if
-	// the configuration has no workspaces or the request needs no key.
+	// Key is the caller's key, empty if it sent none. Workspace holds the key. It is nil if
+	// the configuration has no workspaces, and Anonymous if the request needs no key.
 	Key       Key
 	Workspace *Workspace
 }
--- a/protocol/fleet/workspace.go
+++ b/protocol/fleet/workspace.go
@@ -36,6 +36,26 @@
 	Rate     Rate
 }
 
+// Anonymous is the workspace of callers without a key, where the configuration has
+// workspaces. It has no name and no limits.
+var Anonymous = &Workspace{}
+
+// IsAnonymous reports whether the workspace is that of callers without a key.
+func (w *Workspace) IsAnonymous() bool { return w.Name == "" }
+
+// MayUse reports whether a caller of the workspace may use what belongs to the workspace of
+// the given name. What belongs to none is open to all callers, and everything is where the
+// configuration has no workspaces, and w is nil.
+func (w *Workspace) MayUse(owner string) bool { return w == nil || owner == "" || owner == w.Name }
+
+// NameOf returns the workspace's name, empty if there is none.
+func NameOf(w *Workspace) string {
+	if w == nil {
+		return ""
+	}
+	return w.Name
+}
+
 // Rank returns the priority of a workspace's request on the route, 0 being the most urgent.
 // workspace is nil for a request without one.
 func Rank(route *Route, workspace *Workspace) int {
@@ -77,5 +97,11 @@
 	return ring
 }
 
-// Workspace returns the workspace that holds the key, nil if none does.
-func (k *Keyring) Workspace(key Key) *Workspace { return k.workspaces[digestOf(key)] }
+// Workspace returns the workspace that holds the key, nil if none does. No workspace holds
+// the empty key.
+func (k *Keyring) Workspace(key Key) *Workspace {
+	if k == nil || key == "" {
+		return nil
+	}
+	return k.workspaces[digestOf(key)]
+}
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -19,8 +19,8 @@
 	openJobs     []*Job
 	// jobsByHost is the number of jobs by the host of their route.
 	jobsByHost map[string]int
-	// waitingTokens is the sum of the tokens of unfinished items by route.
-	waitingTokens map[string]int64
+	// waitingTokens is the sum of the tokens of unfinished items by route and workspace.
+	waitingTokens map[quotaKey]int64
 	// lastHeard is when this process last applied a record of each writer.
 	lastHeard map[string]time.Time
 	// lastClaimed is when this process last applied a claim of each writer.
@@ -30,10 +30,15 @@
 	malformed int
 }
 
+// quotaKey identifies the jobs whose waiting tokens are limited together.
+type quotaKey struct{ route, workspace string }
+
+func quotaKeyOf(a *Accept) quotaKey { return quotaKey{a.Route, a.Workspace} }
+
 // NewFold returns an empty fold.
 func NewFold() *Fold {
 	return &Fold{
-		jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, jobsByHost: map[string]int{}, waitingTokens: map[string]int64{},
+		jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, jobsByHost: map[string]int{}, waitingTokens: map[quotaKey]int64{},
 		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(),
 	}
 }
@@ -123,7 +128,7 @@
 func (f *Fold) subtractWaitingTokens(job *Job) {
 	for _, item := range job.Items {
 		if !item.Done {
-			f.waitingTokens[job.Accept.Route] -= item.Tokens
+			f.waitingTokens[quotaKeyOf(job.Accept)] -= item.Tokens
 		}
 	}
 }
@@ -217,7 +222,7 @@
 	for _, item := range a.Job.Items {
 		ref := ItemRef{Job: a.Job.ID, Item: item.ID}
 		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim, FreeSince: now})
-		f.waitingTokens[a.Route] += item.Tokens
+		f.waitingTokens[quotaKeyOf(a)] += item.Tokens
 	}
 	f.jobs[a.Job.ID] = job
 	f.countJob(job, 1)
@@ -303,7 +308,7 @@
 	job.resultKeys[d.Item] = key
 	item.free()
 	job.Results = append(job.Results, Result{Item: d.Item, State: d.State, Text: d.Text})
-	f.waitingTokens[job.Accept.Route] -= item.Tokens
+	f.waitingTokens[quotaKeyOf(job.Accept)] -= item.Tokens
 	if !job.Open() {
 		f.close(now, job)
 	}
@@ -334,8 +339,11 @@
 // OpenJobs returns the jobs with unfinished items, oldest first.
 func (f *Fold) OpenJobs() []*Job { return f.openJobs }
 
-// WaitingTokens returns the sum of the tokens of the route's unfinished items.
-func (f *Fold) WaitingTokens(route string) int64 { return f.waitingTokens[route] }
+// WaitingTokens returns the sum of the tokens of the workspace's unfinished items on the
+// route. Jobs without a workspace count together, under the empty name.
+func (f *Fold) WaitingTokens(route, workspace string) int64 {
+	return f.waitingTokens[quotaKey{route, workspace}]
+}
 
 // LastHeard returns when this process last applied a record of the writer. It is the
 // zero time if there was none.
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -93,7 +94,7 @@
 	l.put(b, done("j", "z", "of no item"))
 	f := l.fold()
 	assert.DeepEqual(t, f.Job("j").Results, []Result{{Item: "y", Text: &TextRef{Key: "first"}}, {Item: "x", Text: &TextRef{Key: "other"}}})
-	assert.Equal(t, f.WaitingTokens("review"), int64(0))
+	assert.Equal(t, f.WaitingTokens("review", ""), int64(0))
 	assert.Equal(t, len(f.OpenJobs()), 0)
 }
 
@@ -102,13 +103,13 @@
 	w := NewWriter("a")
 	l.put(w, accept("j", "x", "y"))
 	l.put(w, done("j", "x", "1"))
-	assert.Equal(t, l.fold().WaitingTokens("review"), int64(10))
+	assert.Equal(t, l.fold().WaitingTokens("review", ""), int64(10))
 	l.put(w, Entry{End: &End{Job: "j"}})
 	l.put(w, Entry{End: &End{Job: "j"}})
 	l.put(w, done("j", "y", "late"))
 	f := l.fold()
 	assert.Equal(t, len(f.Job("j").Results), 1)
-	assert.Equal(t, f.WaitingTokens("review"), int64(0))
+	assert.Equal(t, f.WaitingTokens("review", ""), int64(0))
 	assert.Assert(t, !f.Job("j").Open())
 }
 
@@ -118,7 +119,7 @@
 	l.put(NewWriter("b"), accept("j", "x"))
 	f := l.fold()
 	assert.Equal(t, len(f.OpenJobs()), 1)
-	assert.Equal(t, f.WaitingTokens("review"), int64(10))
+	assert.Equal(t, f.WaitingTokens("review", ""), int64(10))
 }
 
 // TestClaims has two writers claim the same item: the first claim wins, and a later one
@@ -285,7 +286,7 @@
 	assert.DeepEqual(t, suspects, again)
 	assert.DeepEqual(t, all.JudgeParts(), newest.JudgeParts())
 	assert.DeepEqual(t, all.QuarantinedParts(), newest.QuarantinedParts())
-	assert.Equal(t, all.WaitingTokens("review"), newest.WaitingTokens("review"))
+	assert.Equal(t, all.WaitingTokens("review", ""), newest.WaitingTokens("review", ""))
 	assert.Equal(t, len(all.OpenJobs()), len(newest.OpenJobs()))
 }
 
@@ -312,7 +313,7 @@
 	l.append(records)
 	f = l.fold()
 	assert.Assert(t, f.Job("j") == nil && f.Job("k") != nil)
-	assert.Equal(t, f.WaitingTokens("review"), int64(10))
+	assert.Equal(t, f.WaitingTokens("review", ""), int64(10))
 	assert.Equal(t, len(l.newest()), 2, "an accept and a heartbeat")
 	l.append(f.WriterDeletions(now.Add(time.Second), 10))
 	assert.Equal(t, len(l.newest()), 1)
@@ -362,3 +363,54 @@
 	assert.Assert(t, !f.HasJobsOf("h"))
 	assert.Equal(t, len(f.jobsByHost), 0)
 }
+
+// TestJobsOfEarlierBuilds folds an accept record without a workspace, as a build writes that
+// knows none, and reads one with a workspace as that build does. Neither may lose the job:
+// this build gives it to no workspace, so that all callers may use it, and the earlier build
+// ignores the workspace.
+func TestJobsOfEarlierBuilds(t *testing.T) {
+	type earlierAccept struct {
+		Job           fleet.Job `msgpack:"j"`
+		Route         string    `msgpack:"r"`
+		Path          string    `msgpack:"p"`
+		Accepted      int64     `msgpack:"t"`
+		ConfigVersion int64     `msgpack:"v,omitempty"`
+	}
+	type earlierEntry struct {
+		Writer string         `msgpack:"w"`
+		Accept *earlierAccept `msgpack:"a,omitempty"`
+	}
+	content := fleet.Job{ID: "j", Items: []fleet.Item{{ID: "x", Tokens: 10}}}
+	value, err := msgpack.Marshal(&earlierEntry{Writer: "a", Accept: &earlierAccept{Job: content, Route: "review"}})
+	assert.NilError(t, err)
+	f := NewFold()
+	f.Apply(now, []fleet.Record{{Key: "a/1", Value: value}})
+	assert.Equal(t, f.Job("j").Accept.Workspace, "")
+	assert.Equal(t, f.WaitingTokens("review", ""), int64(10))
+
+	record, err := NewWriter("a").Record(Entry{Accept: &Accept{Job: content, Route: "review", Workspace: "one"}})
+	assert.NilError(t, err)
+	var read earlierEntry
+	assert.NilError(t, msgpack.Unmarshal(record.Value, &read))
+	assert.DeepEqual(t, read.Accept, &earlierAccept{Job: content, Route: "review"})
+}
+
+// TestWaitingTokensOfWorkspaces checks that a workspace's tokens count against its own quota
+// of a route only: a large workspace must not take the room of a small one.
+func TestWaitingTokensOfWorkspaces(t *testing.T) {
+	l := &log{t: t}
+	w := NewWriter("a")
+	for id, workspace := range map[string]string{"j1": "one", "j2": "two", "j3": ""} {
+		e := accept(id, "x")
+		e.Accept.Workspace = workspace
+		l.put(w, e)
+	}
+	for _, workspace := range []string{"one", "two", ""} {
+		assert.Equal(t, l.fold().WaitingTokens("review", workspace), int64(10))
+	}
+	l.put(w, done("j1", "x", "text"))
+	assert.Equal(t, l.fold().WaitingTokens("review", "one"), int64(0))
+	l.put(w, Entry{End: &End{Job: "j2"}})
+	assert.Equal(t, l.fold().WaitingTokens("review", "two"), int64(0))
+	assert.Equal(t, l.fold().WaitingTokens("review", ""), int64(10))
+}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -28,6 +28,10 @@
 	// older one says nothing about the job. It is 0 in records of processes that did not
 	// write it.
 	ConfigVersion int64 `msgpack:"v,omitempty"`
+	// Workspace is the name of the workspace that the job belongs to. It is empty in records
+	// of processes that did not write it, of callers without a key, and where the
+	// configuration had no workspaces: such a job is open to all callers.
+	Workspace string `msgpack:"w,omitempty"`
 }
 
 // End ends a job: it takes no more results.
