--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -51,10 +51,12 @@
 	// pages holds, for each item, the success that its next attempt is answered with in
 	// place of a stream. It is deleted with that attempt.
 	pages map[string]fleet.Answer
+	// workspaces holds the workspace that each item was last sent for.
+	workspaces map[string]*fleet.Workspace
 }
 
 func newTarget() *target {
-	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}, pages: map[string]fleet.Answer{}}
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}, pages: map[string]fleet.Answer{}, workspaces: map[string]*fleet.Workspace{}}
 }
 
 func (e *target) set(change func(*target)) {
@@ -113,6 +115,7 @@
 	}
 	id := a.Request.ID
 	e.sends[id]++
+	e.workspaces[id] = a.Request.Workspace
 	answer := &fleet.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, Body: strings.NewReader(""), Close: func() {}, Discard: func() {}}
 	if a.Target.ID != e.id {
 		answer.Verdict = fleet.VerdictWrongTarget
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -47,12 +47,12 @@
 }
 
 // Authorize implements fleet.CallerAPI.
-func (g *Gateway) Authorize(_ context.Context, host string, key fleet.Key) (*fleet.Workspace, error) {
+func (g *Gateway) Authorize(ctx context.Context, host string, key fleet.Key) (*fleet.Workspace, error) {
 	c := g.configs.Current()
 	if c == nil {
 		return nil, newRefusal("no configuration has been read yet")
 	}
-	return g.authorize(c, c.HasAnonymousBatchRoute(host), key, nil)
+	return g.authorize(ctx, c, c.HasAnonymousBatchRoute(host), key, nil)
 }
 
 // authorize returns the workspace that holds the key according to the configuration: nil
@@ -60,7 +60,7 @@
 // that a workspace holds. before is the workspace for which the request was admitted, nil if
 // it is judged for the first time. authorize fails with ErrNoAccess, and with ErrRefused if
 // this gateway cannot tell.
-func (g *Gateway) authorize(c *fleet.Configuration, anonymous bool, key fleet.Key, before *fleet.Workspace) (*fleet.Workspace, error) {
+func (g *Gateway) authorize(ctx context.Context, c *fleet.Configuration, anonymous bool, key fleet.Key, before *fleet.Workspace) (*fleet.Workspace, error) {
 	if c.Keyring == nil {
 		return nil, nil
 	}
@@ -80,13 +80,20 @@
 		workspace = before
 	}
 	g.metrics.accessRefusals.WithLabelValues(verdict.String()).Inc()
-	klog.InfoS("access refused", "reason", verdict.String(), "workspace", fleet.NameOf(workspace), "key_given", key != "",
+	klog.InfoS("access refused", "request", fleet.RequestIDOf(ctx), "reason", verdict.String(), "workspace", fleet.NameOf(workspace), "key_given", key != "",
 		"version", c.Version, "age", view.Age, "age_known", view.Known)
+	return nil, newAccessError(verdict, c.Version, view.Age)
+}
+
+// newAccessError returns the error of a verdict that is a refusal.
+func newAccessError(verdict access.Verdict, version int64, age time.Duration) error {
 	switch verdict {
-	case access.UnknownKey, access.Revoked:
-		return nil, fleet.ErrNoAccess.New("%s by configuration version %d", verdict, c.Version)
+	case access.UnknownKey:
+		return fleet.ErrKeyUnknown.New("unknown by configuration version %d", version)
+	case access.Revoked:
+		return fleet.ErrKeyRevoked.New("removed by configuration version %d", version)
 	default:
-		return nil, fleet.WithRetryAfter(fleet.ErrRefused.New("%s: version %d was read %v ago", verdict, c.Version, view.Age), elsewhereRetryAfter)
+		return fleet.WithRetryAfter(fleet.ErrConfigurationTooOld.New("version %d was read %v ago", version, age), elsewhereRetryAfter)
 	}
 }
 
@@ -102,7 +109,7 @@
 // checkAccess judges the request's key by the configuration now in force, before each
 // attempt: the key may have been removed while the request waited or ran elsewhere. A
 // request that may have run is given up with its true outcome.
-func (o *onlineRequest) checkAccess() error {
+func (o *onlineRequest) checkAccess(ctx context.Context) error {
 	c := o.g.configs.Current()
 	if c == nil || c.Keyring == nil {
 		return nil
@@ -111,7 +118,7 @@
 	if before != nil && before.IsAnonymous() {
 		before = nil
 	}
-	workspace, err := o.g.authorize(c, o.route.Anonymous, o.request.Key, before)
+	workspace, err := o.g.authorize(ctx, c, o.route.Anonymous, o.request.Key, before)
 	if err == nil {
 		o.request.Workspace = workspace
 		return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,7 +225,7 @@
 }
 
 // Match implements fleet.CallerAPI.
-func (g *Gateway) Match(_ context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+func (g *Gateway) Match(ctx context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
 	c := g.configs.Current()
 	if c == nil {
 		return nil, nil, newRefusal("no configuration has been read yet")
@@ -238,7 +238,7 @@
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
 		return nil, nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
 	}
-	workspace, err := g.authorize(c, route.Anonymous, key, nil)
+	workspace, err := g.authorize(ctx, c, route.Anonymous, key, nil)
 	return route, workspace, err
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -227,7 +227,7 @@
 // send sends the request to the target and relays the answer to the caller. It returns
 // errRetryElsewhere if the request may be sent to another target.
 func (o *onlineRequest) send(ctx context.Context, target *fleet.Target) error {
-	if err := o.checkAccess(); err != nil {
+	if err := o.checkAccess(ctx); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/protocol/fleet/errors.go
+++ b/protocol/fleet/errors.go
@@ -27,11 +27,18 @@
 	ErrNoRoute = protocol.Errors.NewType("no_route")
 	// ErrNoAccess means that no workspace holds the request's key.
 	ErrNoAccess = protocol.Errors.NewType("no_access")
+	// ErrKeyUnknown is an ErrNoAccess of a key that no workspace has had lately, ErrKeyRevoked
+	// of one that was removed.
+	ErrKeyUnknown = ErrNoAccess.NewSubtype("unknown_key")
+	ErrKeyRevoked = ErrNoAccess.NewSubtype("revoked_key")
 	// ErrRefused means that no part of the request has run or will run.
 	ErrRefused = protocol.Errors.NewType("refused")
 	// ErrQuotaExceeded is an ErrRefused for a job that exceeds its route's quota, or for a
 	// request that exceeds its workspace's rate.
 	ErrQuotaExceeded = ErrRefused.NewSubtype("quota")
+	// ErrConfigurationTooOld is an ErrRefused of a gateway that has not read the configuration
+	// lately enough to judge the request's key.
+	ErrConfigurationTooOld = ErrRefused.NewSubtype("configuration_too_old")
 	// ErrOutcomeUnknown means that the request may have run.
 	ErrOutcomeUnknown = protocol.Errors.NewType("uncertain")
 	// ErrTimedOut is an ErrOutcomeUnknown of a request that reached its deadline.
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -32,6 +32,19 @@
 	Workspace *Workspace
 }
 
+type requestIDKey struct{}
+
+// WithRequestID returns a copy of ctx that names the request for log lines.
+func WithRequestID(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, requestIDKey{}, id)
+}
+
+// RequestIDOf returns the ID of the request that ctx names, empty if there is none.
+func RequestIDOf(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey{}).(string)
+	return id
+}
+
 // Attempt is one attempt to run a request at a target.
 type Attempt struct {
 	Request *Request
