Let requests wait for a gateway's first reads

A gateway that has just started refused each request until its first read of the configuration. After a loss of power all callers try again at that moment, and those whose last try was refused are lost.

FirstRead of a Follower replaces the polling of RunAfter.

--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -37,8 +37,6 @@
 	// maxStartInterval is the longest time between two reads of a follower that has not read
 	// its topic yet.
 	maxStartInterval = time.Second
-	// startPollInterval is the time between two looks of RunAfter at another follower.
-	startPollInterval = 20 * time.Millisecond
 	// fullTimeoutEvery is the number of reads during an outage of which one has the
 	// full readTimeout, for a store that only answers slowly.
 	fullTimeoutEvery = 4
@@ -77,7 +75,9 @@
 	// in nanoseconds after base, or 0 before the first.
 	lastReadStart atomic.Int64
 	base          time.Time
-	unavailable   bool
+	// firstRead is closed once the topic has been read to its end for the first time.
+	firstRead   chan struct{}
+	unavailable atomic.Bool
 	// failures is the number of failed reads since the last successful one.
 	failures int
 	// largestRecord is the size of the largest record read so far, in bytes.
@@ -86,7 +86,7 @@
 
 // New returns a Follower that has read nothing.
 func New(p Params) *Follower {
-	f := &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond), readToken: make(chan struct{}, 1)}
+	f := &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond), firstRead: make(chan struct{}), readToken: make(chan struct{}, 1)}
 	f.readToken <- struct{}{}
 	return f
 }
@@ -126,16 +126,21 @@
 // process needs first. Callers of CatchUp do not wait for that.
 func (f *Follower) RunAfter(ctx context.Context, others ...*Follower) error {
 	for _, other := range others {
-		for ctx.Err() == nil {
-			if _, known := other.Age(); known {
-				break
-			}
-			pause.For(ctx, startPollInterval)
+		select {
+		case <-other.FirstRead():
+		case <-ctx.Done():
 		}
 	}
 	return f.Run(ctx)
 }
 
+// FirstRead returns a channel that is closed once the topic has been read to its end for
+// the first time.
+func (f *Follower) FirstRead() <-chan struct{} { return f.firstRead }
+
+// IsFailing reports whether the last read failed.
+func (f *Follower) IsFailing() bool { return f.unavailable.Load() }
+
 // Age returns the age of the state: the time since the start of the last read that
 // reached the end of the topic. It returns false if there was none.
 func (f *Follower) Age() (time.Duration, bool) {
@@ -178,7 +183,7 @@
 
 // notifyRecovery calls OnRecovered if the store did not answer before.
 func (f *Follower) notifyRecovery() {
-	if f.unavailable && f.params.OnRecovered != nil {
+	if f.unavailable.Load() && f.params.OnRecovered != nil {
 		f.params.OnRecovered()
 	}
 }
@@ -213,7 +218,7 @@
 			return err
 		}
 		if f.next >= end && asOf >= called {
-			f.lastReadStart.Store(int64(asOf))
+			f.recordReadStart(asOf)
 			return nil
 		}
 		if f.next < end && f.next == before {
@@ -222,6 +227,14 @@
 	}
 }
 
+// recordReadStart notes that a read which began at asOf has reached the end of the topic.
+// The read token must be held.
+func (f *Follower) recordReadStart(asOf time.Duration) {
+	if f.lastReadStart.Swap(int64(asOf)) == 0 {
+		close(f.firstRead)
+	}
+}
+
 // readOnce reads the newest records or one page of the records that follow. It returns the
 // end offset that the topic had at asOf, the time at which the read that told it began.
 func (f *Follower) readOnce(ctx context.Context) (end int64, asOf time.Duration, err error) {
@@ -306,11 +319,10 @@
 	if err == nil {
 		f.failures = 0
 	}
-	if (err != nil) == f.unavailable {
+	if f.unavailable.Swap(err != nil) == (err != nil) {
 		return
 	}
-	f.unavailable = err != nil
-	if f.unavailable {
+	if err != nil {
 		klog.InfoS("topic not readable", "topic", f.params.Name, "offset", f.next, "error", protocol.CauseOf(err))
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/drain"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/coordination/starting"
 	"github.com/sycamoretally/sycamoretally/coordination/topic"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -66,6 +67,7 @@
 	targets      *registry.Targets
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
+	gate         *starting.Gate
 	metrics      *metrics
 
 	configTail *topic.Follower
@@ -105,6 +107,7 @@
 		configs: registry.NewConfigurations(p.Decoder),
 		targets: registry.NewTargets(p.Decoder, time.Now),
 		table:   balancing.New(time.Now, nil),
+		gate:    starting.NewGate(time.Now()),
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		texts:   newTextReader(p.Store),
@@ -140,6 +143,7 @@
 	g.tomb.Go(func() error { return g.configTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
+	g.tomb.Go(g.logFirstReads)
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
@@ -221,7 +225,10 @@
 }
 
 // Match implements fleet.CallerAPI.
-func (g *Gateway) Match(_ context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+func (g *Gateway) Match(ctx context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+	if err := g.awaitConfiguration(ctx); err != nil {
+		return nil, nil, err
+	}
 	c := g.configs.Current()
 	if c == nil {
 		return nil, nil, newRefusal("no configuration has been read yet")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,10 @@
 	// emptyPageAge is the age of the work log in answers that an open job has no more
 	// results.
 	emptyPageAge prometheus.Histogram
+	// startWaits, startWaitSeconds and startSeconds tell of the time before the first reads.
+	startWaits       *prometheus.CounterVec
+	startWaitSeconds prometheus.Histogram
+	startSeconds     prometheus.Gauge
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -46,8 +50,18 @@
 			Name: "sycamoretally_gateway_empty_page_age_seconds", Help: "Age of the work log in answers that an open job has no more results yet.",
 			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
 		}),
+		startWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_start_requests_total", Help: "Requests that came before the first reads of configuration and targets, by what became of them.",
+		}, []string{"result"}),
+		startWaitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sycamoretally_gateway_start_wait_seconds", Help: "Time that requests waited for the first reads of configuration and targets.",
+			Buckets: []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5},
+		}),
+		startSeconds: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sycamoretally_gateway_start_seconds", Help: "Time from the start to the first reads of configuration and targets.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge, m.startWaits, m.startWaitSeconds, m.startSeconds)
 	return m
 }
 
