Never choose a target at whose address a later one is registered

After a loss of power the registry lists the incarnations from before until their registrations expire. Each gateway found out about each of them by a request that came back unserved.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -90,7 +90,8 @@
 
 // Snapshot is the state of the registry at one time. It is immutable.
 type Snapshot struct {
-	// Services holds the targets of each service that are not draining.
+	// Services holds the targets of each service that are not draining and at whose address
+	// none was born later: of two incarnations at one address only the later one runs.
 	Services map[string][]*fleet.Target
 	// Addresses holds every registered target by its address; of several at one
 	// address, the one born last.
@@ -241,6 +242,7 @@
 // publishSnapshot makes a snapshot of the targets current. mu must be held.
 func (t *Targets) publishSnapshot() {
 	s := &Snapshot{Services: map[string][]*fleet.Target{}, Addresses: map[string]*fleet.Target{}}
+	all := make([]*fleet.Target, 0, len(t.byID))
 	for _, target := range t.byID {
 		if t.isLeaving(target) && !target.Draining {
 			draining := *target
@@ -250,7 +252,10 @@
 		if old := s.Addresses[target.Address]; old == nil || old.StartUnixMillis < target.StartUnixMillis {
 			s.Addresses[target.Address] = target
 		}
-		if !target.Draining {
+		all = append(all, target)
+	}
+	for _, target := range all {
+		if !target.Draining && s.Addresses[target.Address].StartUnixMillis == target.StartUnixMillis {
 			s.Services[target.Service] = append(s.Services[target.Service], target)
 		}
 	}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -13,8 +13,8 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// decoder reads "VERSION" as a configuration, and "BORN" or "BORN draining" as a
-// target at the address of its own name.
+// decoder reads "VERSION" as a configuration, and "BORN", "BORN draining" or "BORN at
+// ADDRESS" as a target; without an address it is at the address of its own name.
 type decoder struct{}
 
 func (decoder) Configuration(r fleet.Record) (*fleet.Configuration, error) {
@@ -34,7 +34,11 @@
 	if err != nil {
 		return nil, fleet.ErrMalformed.Wrap(err, "born")
 	}
-	return &fleet.Target{ID: r.Key, StartUnixMillis: at, Service: "s", Address: r.Key, Draining: state == "draining"}, nil
+	address, named := strings.CutPrefix(state, "at ")
+	if !named {
+		address = r.Key
+	}
+	return &fleet.Target{ID: r.Key, StartUnixMillis: at, Service: "s", Address: address, Draining: state == "draining"}, nil
 }
 
 func record(key, value string) fleet.Record { return fleet.Record{Key: key, Value: []byte(value)} }
@@ -169,3 +173,19 @@
 	targets.Apply([]fleet.Record{record("a", "2")})
 	assert.Equal(t, ready(targets), "map[a:true b:true]")
 }
+
+// TestEarlierIncarnationAtTheAddressIsNotUsed registers a target at the address of one that
+// lost power and whose registration has not expired yet. Requests for the earlier one would
+// find another incarnation at its address and come back unserved, one caller after the other.
+// It is used again if the later registration turns out to be gone first.
+func TestEarlierIncarnationAtTheAddressIsNotUsed(t *testing.T) {
+	targets, _ := newTargets()
+	targets.Reset([]fleet.Record{record("old", "1 at x"), record("new", "2 at x"), record("other", "1 at y")})
+	assert.Equal(t, ready(targets), "map[new:true other:true]")
+	targets.MarkLeaving(&fleet.Target{ID: "new", StartUnixMillis: 2})
+	assert.Equal(t, ready(targets), "map[other:true]", "the earlier one has ended, whatever the later one does")
+	targets.Apply([]fleet.Record{record("new", "")})
+	assert.Equal(t, ready(targets), "map[old:true other:true]")
+	targets.Apply([]fleet.Record{record("same", "1 at y")})
+	assert.Equal(t, ready(targets), "map[old:true other:true same:true]", "nothing tells which is the later one")
+}
