Eject a target whose batcher names another incarnation

The batcher beside a target answers load queries with the incarnation that runs there. What it says about an ended one now counts for all requests of the gateway. The answer carries the address that was asked; TestQueryLoads expects it too.

--- a/gateway/start.go
+++ b/gateway/start.go
@@ -90,3 +90,11 @@
 	klog.InfoS("gateway can serve", "version", g.configVersion(), "targets", targets, "took", took, "requests_waiting", g.gate.Waiting())
 	return nil
 }
+
+// ejectReplaced ejects the targets whose batcher names another incarnation.
+func (g *Gateway) ejectReplaced(candidates []*fleet.Target, addresses []string, answers []fleet.PeerLoad) {
+	for _, target := range g.table.EjectReplaced(candidates, addresses, answers) {
+		g.metrics.replaced.Inc()
+		klog.InfoS("target ejected", "target", target.ID, "reason", "its batcher names another lifetime")
+	}
+}
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -17,4 +17,6 @@
 	// Online counts the target's running, waiting and announced requests. It leaves
 	// out the batcher's items, because requests preempt them.
 	Online int `msgpack:"o"`
+	// Address is the address that was asked. It is empty in the message itself.
+	Address string `msgpack:"-"`
 }
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -35,7 +35,13 @@
 
 	mu          sync.Mutex
 	lastQueryID uint64
-	pending     map[uint64]chan fleet.PeerLoad
+	pending     map[uint64]pendingQuery
+}
+
+// pendingQuery is a query that is not answered yet.
+type pendingQuery struct {
+	address string
+	answers chan fleet.PeerLoad
 }
 
 // ListenDatagrams opens the socket at the address and serves it until Close. The
@@ -50,7 +56,7 @@
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "listen at %s", address)
 	}
-	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]chan fleet.PeerLoad{}}
+	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]pendingQuery{}}
 	go d.serve()
 	return d, nil
 }
@@ -100,10 +106,14 @@
 func (d *Datagrams) deliverAnswer(m fleet.PeerMessage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if waiting := d.pending[m.QueryID]; waiting != nil {
-		waiting <- *m.Load // the channel has room for one answer to each query
-		delete(d.pending, m.QueryID)
+	query, waiting := d.pending[m.QueryID]
+	if !waiting {
+		return
 	}
+	load := *m.Load
+	load.Address = query.address
+	query.answers <- load // the channel has room for one answer to each query
+	delete(d.pending, m.QueryID)
 }
 
 // QueryLoads queries all addresses and returns the answers that arrive within wait.
@@ -111,7 +121,7 @@
 	answers := make(chan fleet.PeerLoad, len(addresses))
 	ids := make([]uint64, 0, len(addresses))
 	for _, address := range addresses {
-		id := d.registerQuery(answers)
+		id := d.registerQuery(address, answers)
 		ids = append(ids, id)
 		d.send(address, fleet.PeerMessage{QueryID: id})
 	}
@@ -137,11 +147,11 @@
 	d.send(address, fleet.PeerMessage{Announcement: true})
 }
 
-func (d *Datagrams) registerQuery(answers chan fleet.PeerLoad) uint64 {
+func (d *Datagrams) registerQuery(address string, answers chan fleet.PeerLoad) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastQueryID++
-	d.pending[d.lastQueryID] = answers
+	d.pending[d.lastQueryID] = pendingQuery{address, answers}
 	return d.lastQueryID
 }
 
--- a/transport/loads_test.go
+++ b/transport/loads_test.go
@@ -51,10 +51,10 @@
 
 	begun := time.Now()
 	loads := gateway.QueryLoads(t.Context(), []string{batcher.address()}, 10*time.Second)
-	assert.DeepEqual(t, loads, []fleet.PeerLoad{{Target: "t1", Online: 3}})
+	assert.DeepEqual(t, loads, []fleet.PeerLoad{{Target: "t1", Online: 3, Address: batcher.address()}})
 	assert.Assert(t, time.Since(begun) < 5*time.Second, "QueryLoads waited although all addresses had answered")
 	loads = gateway.QueryLoads(t.Context(), []string{silent.address(), batcher.address(), "127.0.0.1:1", "no address"}, wait)
-	assert.DeepEqual(t, loads, []fleet.PeerLoad{{Target: "t1", Online: 3}})
+	assert.DeepEqual(t, loads, []fleet.PeerLoad{{Target: "t1", Online: 3, Address: batcher.address()}})
 	assert.Equal(t, len(gateway.pending), 0, "pending queries are removed")
 
 	gateway.AnnounceRequest(batcher.address())
