Learn from batchers which target runs at an address

After a loss of power the registry lists for a second what ran before, and the targets that are back register only then. Streams were sent to four ended targets each and refused. The batcher beside a target knows it within a moment: its answer to a load query names target, service and start, and the gateway uses what it names in place of the registered one, for as long as a registration takes. An answer of another incarnation starts a survey of all batchers, and no longer counts as one of the four refusals of a request.

EjectReplaced is replaced by the announcement.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -90,6 +90,8 @@
 	held          map[worklog.ItemRef]*heldItem
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
+	// targetBorn is the time of its start in milliseconds since the epoch, 0 if unknown.
+	targetBorn int64
 	// lastReport is when the target last answered a poll.
 	lastReport time.Time
 	// claiming is set while a claim is in progress, which alone uses claimBackoff.
@@ -234,9 +236,9 @@
 		return state, err
 	}
 	b.mu.Lock()
-	known := b.targetID
+	known, born := b.targetID, b.targetBorn
 	b.mu.Unlock()
-	if state.ID == "" {
+	if state.ID == "" && state.StartUnixMillis == born {
 		state.ID = known
 	}
 	if service := b.service(); state.ID == "" && service != nil {
@@ -275,6 +277,7 @@
 		klog.InfoS("target found", "target", state.ID, "before", b.targetID)
 		b.targetID = state.ID
 	}
+	b.targetBorn = state.StartUnixMillis
 	b.draining = state.Draining
 	if b.draining {
 		b.releaseAll("the target is draining")
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -23,7 +23,7 @@
 	if b.stopping || b.draining || b.targetID == "" || now.Sub(b.lastReport) > maxLoadAge {
 		return nil
 	}
-	return &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now)}
+	return &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now), Service: b.params.Node.Service, StartUnixMillis: b.targetBorn}
 }
 
 // RecordAnnouncement records that a gateway is about to send a request to the target.
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -83,6 +83,11 @@
 	// that they leave. It outlives their registration, which may expire and come back while
 	// the store is away.
 	leaving map[string]int64
+	// provisional holds the targets, by ID, that their batchers have announced.
+	provisional map[string]provisional
+	// past holds the IDs of targets that have been registered, or whose announcement turned
+	// out to be wrong.
+	past map[string]bool
 	// recoveredAt is when the store last answered again after an outage.
 	recoveredAt time.Time
 	snapshot    atomic.Pointer[Snapshot]
@@ -100,7 +105,7 @@
 
 // NewTargets returns a registry without targets.
 func NewTargets(d Decoder, now func() time.Time) *Targets {
-	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}, leaving: map[string]int64{}}
+	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}, leaving: map[string]int64{}, provisional: map[string]provisional{}, past: map[string]bool{}}
 	t.snapshot.Store(&Snapshot{})
 	return t
 }
@@ -114,6 +119,10 @@
 func (t *Targets) RemoveIncarnation(target *fleet.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if target.Provisional {
+		t.refute(target)
+		return
+	}
 	known := t.byID[target.ID]
 	if known == nil || known.StartUnixMillis != target.StartUnixMillis {
 		return
@@ -184,7 +193,7 @@
 func (t *Targets) RemoveExpired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
+	changed := t.expireProvisional()
 	for id, until := range t.removeAt {
 		if t.now().After(until) {
 			klog.InfoS("target gone", "target", id, "reason", "not registered again after the store recovered")
@@ -222,6 +231,7 @@
 	}
 	delete(t.removeAt, target.ID)
 	t.byID[target.ID] = target
+	t.confirm(target.ID)
 }
 
 // remove removes a target, after a grace period if its registration may have
@@ -243,7 +253,7 @@
 func (t *Targets) publishSnapshot() {
 	s := &Snapshot{Services: map[string][]*fleet.Target{}, Addresses: map[string]*fleet.Target{}}
 	all := make([]*fleet.Target, 0, len(t.byID))
-	for _, target := range t.byID {
+	for _, target := range t.known() {
 		if t.isLeaving(target) && !target.Draining {
 			draining := *target
 			draining.Draining = true
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -81,7 +81,7 @@
 // broke off. An attempt that the gateway itself broke off because the target was
 // unresponsive is no sign of a crash.
 func (o *onlineRequest) recordBreak(ctx context.Context, target *fleet.Target) {
-	if isStalled(ctx) {
+	if isStalled(ctx) || target.Provisional { // the registry cannot tell the end of the latter
 		return
 	}
 	c := o.g.crashes
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,10 @@
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
 	gate         *starting.Gate
-	metrics      *metrics
+	survey       *starting.Survey
+	// surveyWake holds a token when the survey has new questions.
+	surveyWake chan struct{}
+	metrics    *metrics
 
 	configTail *topic.Follower
 	targetTail *topic.Follower
@@ -108,6 +111,7 @@
 		targets: registry.NewTargets(p.Decoder, time.Now),
 		table:   balancing.New(time.Now, nil),
 		gate:    starting.NewGate(time.Now()),
+		survey:  starting.NewSurvey(), surveyWake: make(chan struct{}, 1),
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		texts:   newTextReader(p.Store),
@@ -144,6 +148,7 @@
 	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
 	g.tomb.Go(g.logFirstReads)
+	g.tomb.Go(g.runSurveys)
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -87,7 +87,9 @@
 	answers := o.g.params.LoadQuerier.QueryLoads(ctx, addresses, loadQueryTimeout)
 	o.g.metrics.loadQueries.WithLabelValues("answered").Add(float64(len(answers)))
 	o.g.metrics.loadQueries.WithLabelValues("silent").Add(float64(len(addresses) - len(answers)))
-	o.g.ejectReplaced(candidates, addresses, answers)
+	for _, target := range o.g.adoptAnnounced(candidates, addresses, answers) {
+		o.g.questionTargets(target)
+	}
 	if len(answers) == 0 {
 		o.g.unresponsive.add(o.service)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,8 +25,8 @@
 	startWaits       *prometheus.CounterVec
 	startWaitSeconds prometheus.Histogram
 	startSeconds     prometheus.Gauge
-	// replaced counts targets that were ejected because their batcher named another incarnation.
-	replaced prometheus.Counter
+	// announced counts uses of what a batcher says of a later incarnation at its address.
+	announced prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -62,11 +62,11 @@
 		startSeconds: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sycamoretally_gateway_start_seconds", Help: "Time from the start to the first reads of configuration and targets.",
 		}),
-		replaced: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sycamoretally_gateway_targets_replaced_total", Help: "Targets ejected because their batcher named another incarnation.",
+		announced: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_targets_announced_total", Help: "Answers of batchers by which a registered target was replaced by the incarnation that runs at its address.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge, m.startWaits, m.startWaitSeconds, m.startSeconds, m.replaced)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge, m.startWaits, m.startWaitSeconds, m.startSeconds, m.announced)
 	return m
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -19,6 +19,10 @@
 const (
 	// maxRefusals bounds the number of targets that may refuse one request.
 	maxRefusals = 4
+	// maxWrongTargets bounds the number of targets of one request at whose address another
+	// incarnation answered. Such an answer takes a round trip only, and after a loss of power
+	// most registered targets are of that kind.
+	maxWrongTargets = 16
 	// firstEventShare is the share of a stream's latency objective after which the stream
 	// leaves a target that has sent no event. Gateways that send at the same moment fill
 	// some targets while others have free slots, and the rest of the objective suffices
@@ -135,6 +139,8 @@
 	// those whose target refused it without running it.
 	possibleRuns int
 	refusals     int
+	// wrongTargets counts the attempts that another incarnation answered.
+	wrongTargets int
 	// reason says why the request was given up. It is empty if it was not.
 	reason string
 }
@@ -204,7 +210,7 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (o *onlineRequest) mayRetry() bool {
-	if o.refusals >= maxRefusals {
+	if o.refusals >= maxRefusals || o.wrongTargets >= maxWrongTargets {
 		return false
 	}
 	return o.possibleRuns == 0 || o.route.Repeatable() && o.possibleRuns < o.route.MaxAttempts
@@ -249,11 +255,13 @@
 	}
 	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
 		answer.Discard()
-		o.refusals++
 		if answer.Verdict == fleet.VerdictWrongTarget {
+			o.wrongTargets++
 			o.g.targets.RemoveIncarnation(target)
+			o.g.questionTargets(target)
 			return errOtherIncarnation.New("another incarnation answered at the target's address")
 		}
+		o.refusals++
 		return errNotRun.New("target refused the request without running it")
 	}
 	defer answer.Close()
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -2,14 +2,26 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/coordination/starting"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
+const (
+	// surveyPause is the pause between two questions to the batchers of a survey, and
+	// surveyTimeout the wait for their answers. maxSurveyQueries bounds the batchers asked at
+	// a time.
+	surveyPause      = 50 * time.Millisecond
+	surveyTimeout    = 15 * time.Millisecond
+	maxSurveyQueries = 96
+)
+
 // awaitConfiguration returns once the gateway has read its configuration and its targets for
 // the first time. Right after the start a request waits for that for a short time; it fails
 // with ErrRefused if it must not wait, or has waited in vain.
@@ -91,10 +103,72 @@
 	return nil
 }
 
-// ejectReplaced ejects the targets whose batcher names another incarnation.
-func (g *Gateway) ejectReplaced(candidates []*fleet.Target, addresses []string, answers []fleet.PeerLoad) {
-	for _, target := range g.table.EjectReplaced(candidates, addresses, answers) {
-		g.metrics.replaced.Inc()
-		klog.InfoS("target ejected", "target", target.ID, "reason", "its batcher names another lifetime")
+// adoptAnnounced replaces the candidates whose batcher names a later incarnation by that one.
+// addresses holds the address that was asked for each candidate. It returns the candidates
+// that were replaced.
+func (g *Gateway) adoptAnnounced(candidates []*fleet.Target, addresses []string, answers []fleet.PeerLoad) (replaced []*fleet.Target) {
+	for _, a := range answers {
+		i := slices.Index(addresses, a.Address)
+		if i < 0 || a.Address == "" {
+			continue
+		}
+		announced := g.targets.Announce(candidates[i], registry.Announcement{ID: a.Target, StartUnixMillis: a.StartUnixMillis, Service: a.Service})
+		if announced != nil {
+			replaced = append(replaced, candidates[i])
+			candidates[i] = announced
+			g.metrics.announced.Inc()
+		}
 	}
+	return replaced
+}
+
+// questionTargets starts a survey of the targets, because another incarnation answered at
+// the address of one.
+func (g *Gateway) questionTargets(target *fleet.Target) {
+	if g.params.LoadQuerier == nil {
+		return
+	}
+	g.survey.Question(time.Now(), target, g.targets.Current().Addresses)
+	select {
+	case g.surveyWake <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// runSurveys asks the batchers beside questioned targets which incarnations run there.
+// Batchers that do not answer are asked again for a while: they may be starting as well.
+func (g *Gateway) runSurveys() error {
+	for {
+		select {
+		case <-g.surveyWake:
+		case <-g.ctx.Done():
+			return nil
+		}
+		for g.ctx.Err() == nil && g.surveyOnce() {
+			pause.For(g.ctx, surveyPause)
+		}
+	}
+}
+
+// surveyOnce asks about a few targets. It returns false if there is none to ask about.
+func (g *Gateway) surveyOnce() bool {
+	targets := g.survey.Next(time.Now(), maxSurveyQueries)
+	if len(targets) == 0 {
+		return false
+	}
+	asked := map[string]*fleet.Target{}
+	var addresses []string
+	for _, target := range targets {
+		address := g.batcherAddress(target)
+		asked[address] = target
+		addresses = append(addresses, address)
+	}
+	answers := g.params.LoadQuerier.QueryLoads(g.ctx, addresses, surveyTimeout)
+	for _, a := range answers {
+		if target := asked[a.Address]; target != nil {
+			g.survey.Answered(target)
+		}
+	}
+	g.adoptAnnounced(targets, addresses, answers)
+	return true
 }
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -17,6 +17,10 @@
 	// Online counts the target's running, waiting and announced requests. It leaves
 	// out the batcher's items, because requests preempt them.
 	Online int `msgpack:"o"`
+	// Service is the target's service, and StartUnixMillis the time of the incarnation's start
+	// in milliseconds since the epoch, 0 if unknown.
+	Service         string `msgpack:"sv,omitempty"`
+	StartUnixMillis int64  `msgpack:"bn,omitempty"`
 	// Address is the address that was asked. It is empty in the message itself.
 	Address string `msgpack:"-"`
 }
--- a/protocol/fleet/target.go
+++ b/protocol/fleet/target.go
@@ -13,6 +13,9 @@
 	Slots           int
 	// Draining targets accept no new requests.
 	Draining bool
+	// Provisional is set for a target that the batcher beside it has announced and that is
+	// not registered yet.
+	Provisional bool
 }
 
 // Load is a target's report of its load.
@@ -27,7 +30,10 @@
 
 // TargetState is the state that the target on the same instance reports.
 type TargetState struct {
-	ID       string
+	ID string
+	// StartUnixMillis is the time of its start in milliseconds since the epoch, 0 if unknown.
+	StartUnixMillis int64
+
 	Running  int
 	Waiting  int
 	Draining bool
