Ask the batcher beside a target that turns out to have ended

A request whose target has ended goes on at the one that runs at its address, also where it belongs to no stream and where all registered targets have ended.

--- a/gateway/online.go
+++ b/gateway/online.go
@@ -258,7 +258,7 @@
 		if answer.Verdict == fleet.VerdictWrongTarget {
 			o.wrongTargets++
 			o.g.targets.RemoveIncarnation(target)
-			o.g.questionTargets(target)
+			o.g.askBeside(ctx, target)
 			return errOtherIncarnation.New("another incarnation answered at the target's address")
 		}
 		o.refusals++
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -122,6 +122,22 @@
 	return replaced
 }
 
+// askBeside asks the batcher beside a target which incarnation runs there, because another one
+// answered at its address. It starts a survey of the other targets.
+func (g *Gateway) askBeside(ctx context.Context, target *fleet.Target) {
+	if g.params.LoadQuerier == nil {
+		return
+	}
+	g.questionTargets(target)
+	addresses := []string{g.batcherAddress(target)}
+	answers := g.params.LoadQuerier.QueryLoads(ctx, addresses, loadQueryTimeout)
+	if len(answers) == 0 {
+		return
+	}
+	g.survey.Answered(target)
+	g.adoptAnnounced([]*fleet.Target{target}, addresses, answers)
+}
+
 // questionTargets starts a survey of the targets, because another incarnation answered at
 // the address of one.
 func (g *Gateway) questionTargets(target *fleet.Target) {
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -162,3 +165,74 @@
 		assert.Equal(t, time.Since(begun), time.Duration(0))
 	})
 }
+
+// restarted is a fake fleet.Sender of targets that have all been started anew: at the address
+// of the target tN runs nN.
+type restarted struct {
+	mu    sync.Mutex
+	wrong int
+}
+
+func (r *restarted) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
+	next := step{events: events(1, 3)}
+	if strings.HasPrefix(a.Target.ID, "t") {
+		next = step{verdict: fleet.VerdictWrongTarget, status: http.StatusMisdirectedRequest}
+		r.mu.Lock()
+		r.wrong++
+		r.mu.Unlock()
+	}
+	return &fleet.Answer{
+		Verdict: next.verdict, Status: max(next.status, http.StatusOK), Header: http.Header{}, Signed: true, Length: -1,
+		Body: &script{ctx: ctx, step: next}, Close: func() {}, Discard: func() {},
+	}, nil
+}
+
+// restartedBatchers is a fake of the batchers beside these targets.
+type restartedBatchers struct{}
+
+func (restartedBatchers) QueryLoads(_ context.Context, addresses []string, _ time.Duration) []fleet.PeerLoad {
+	var loads []fleet.PeerLoad
+	for _, address := range addresses {
+		id := strings.TrimSuffix(strings.TrimPrefix(address, "t"), ":7660")
+		loads = append(loads, fleet.PeerLoad{Target: "n" + id, Service: "llm", Address: address})
+	}
+	return loads
+}
+
+func (restartedBatchers) AnnounceRequest(string) {}
+
+// TestAllStartedAtOnce starts a gateway after a loss of power: the registry names only targets
+// that have ended, and the callers of a wave wait already. Each request must be served, and the
+// ended targets must not cost each of them an attempt.
+func TestAllStartedAtOnce(t *testing.T) {
+	for name, kind := range map[string]string{"a stream": "stream", "a call without a question to batchers": "unsafe"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newStore(t)
+				store.SetFaults(fleetstore.Faults{Delay: 200 * time.Millisecond})
+				var list []*fleet.Route
+				for _, r := range routes {
+					list = append(list, r)
+				}
+				targets := &restarted{}
+				g := gateway.New(gateway.Params{
+					Node:  &fleet.Node{Name: "gateway-1", GracePeriod: 8 * time.Second, MaxRecordBytes: 1 << 18, KeepResults: keepResults, PeerPort: "7660"},
+					Store: store, Sender: targets, LoadQuerier: restartedBatchers{},
+					Decoder: decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})},
+				})
+				g.Start()
+				defer func() { assert.NilError(t, g.Stop()) }()
+				for i := range 50 {
+					_, _, err := g.Match(t.Context(), "h", "/s/1", "")
+					assert.NilError(t, err)
+					r := &fleet.Request{ID: fmt.Sprint(i), Method: http.MethodPost, Host: "h", URI: "/x", Header: http.Header{}, MaxWait: callersDeadline}
+					out := &sink{}
+					assert.NilError(t, g.Serve(t.Context(), routes[kind], r, out))
+					assert.Equal(t, out.body.String(), fullStream)
+					synctest.Wait()
+				}
+				assert.Assert(t, targets.wrong <= 6, "%d attempts at ended targets", targets.wrong)
+			})
+		})
+	}
+}
