--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/drain"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/coordination/starting"
 	"github.com/sycamoretally/sycamoretally/coordination/topic"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -69,7 +70,11 @@
 	targets      *registry.Targets
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
-	metrics      *metrics
+	gate         *starting.Gate
+	survey       *starting.Survey
+	// surveyWake holds a token when the survey has new questions.
+	surveyWake chan struct{}
+	metrics    *metrics
 
 	configTail *topic.Follower
 	targetTail *topic.Follower
@@ -108,6 +113,8 @@
 		configs: registry.NewConfigurations(p.Decoder),
 		targets: registry.NewTargets(p.Decoder, time.Now),
 		table:   balancing.New(time.Now, nil),
+		gate:    starting.NewGate(time.Now()),
+		survey:  starting.NewSurvey(), surveyWake: make(chan struct{}, 1),
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		texts:   newTextReader(p.Store),
@@ -144,6 +151,8 @@
 	g.tomb.Go(func() error { return g.configTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
+	g.tomb.Go(g.logFirstReads)
+	g.tomb.Go(g.runSurveys)
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
@@ -226,6 +235,9 @@
 
 // Match implements fleet.CallerAPI.
 func (g *Gateway) Match(ctx context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+	if err := g.awaitConfiguration(ctx); err != nil {
+		return nil, nil, err
+	}
 	c := g.configs.Current()
 	if c == nil {
 		return nil, nil, newRefusal("no configuration has been read yet")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,12 @@
 	// emptyPageAge is the age of the work log in answers that an open job has no more
 	// results.
 	emptyPageAge prometheus.Histogram
+	// startWaits, startWaitSeconds and startSeconds tell of the time before the first reads.
+	startWaits       *prometheus.CounterVec
+	startWaitSeconds prometheus.Histogram
+	startSeconds     prometheus.Gauge
+	// announced counts uses of what a batcher says of a later incarnation at its address.
+	announced prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -51,8 +57,21 @@
 			Name: "sycamoretally_gateway_empty_page_age_seconds", Help: "Age of the work log in answers that an open job has no more results yet.",
 			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
 		}),
+		startWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_start_requests_total", Help: "Requests that came before the first reads of configuration and targets, by what became of them.",
+		}, []string{"result"}),
+		startWaitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sycamoretally_gateway_start_wait_seconds", Help: "Time that requests waited for the first reads of configuration and targets.",
+			Buckets: []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5},
+		}),
+		startSeconds: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sycamoretally_gateway_start_seconds", Help: "Time from the start to the first reads of configuration and targets.",
+		}),
+		announced: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_targets_announced_total", Help: "Answers of batchers by which a registered target was replaced by the incarnation that runs at its address.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.accessRefusals, m.emptyPageAge)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.accessRefusals, m.emptyPageAge, m.startWaits, m.startWaitSeconds, m.startSeconds, m.announced)
 	return m
 }
 
