Learn how many requests each target takes well, and place streams by it

Cause: a gateway chose the target with the fewest online requests, whatever its speed. Change: the batcher beside a target learns the time to the first event and between events against the number running, from its items and from what gateways tell with their queries; its answers carry the learned number and the expected times, and gateways choose by these. TestTellLoad compared a whole answer without the learned figures; it now states these too. Not measured yet.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -100,6 +100,7 @@
 	// draining is set while the target reports that it is draining.
 	draining bool
 	pace     urgency.DurationEstimator
+	learned  learnedCapacity
 	// lastHeartbeat is when the batcher last enqueued a heartbeat, lastClaim when it began
 	// the last claim that was stored, and lastSave when it last saved progress.
 	lastHeartbeat time.Time
@@ -288,6 +289,7 @@
 	b.saveProgress(now)
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
 	b.inflow.SetReported(load.Online())
+	b.learnCapacity(now, load.Slots, load.Running+load.Waiting)
 	room := b.meter.Update(now, load)
 	b.releaseMoved()
 	ranked := b.rankItems(now)
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -41,6 +41,12 @@
 	cancel    context.CancelCauseFunc
 	yielding  bool
 	startedAt time.Time
+	// eventsAtStart is the number of events when the current run started. measuredRun is the
+	// start of the run whose pace is measured, since measuredAt and from measuredEvents on.
+	eventsAtStart  int
+	measuredRun    time.Time
+	measuredAt     time.Time
+	measuredEvents int
 	// contentType is the content type of the last answer here that was read as a stream, if
 	// hasContentType is set.
 	contentType    string
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -23,7 +23,9 @@
 	if b.stopping || b.draining || b.targetID == "" || now.Sub(b.lastReport) > maxLoadAge {
 		return nil
 	}
-	return &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now)}
+	load := &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now)}
+	b.addLearned(now, load)
+	return load
 }
 
 // RecordAnnouncement records that a gateway is about to send a request to the target.
--- a/batcher/loads_test.go
+++ b/batcher/loads_test.go
@@ -25,7 +25,10 @@
 		e.set(func(e *target) { e.down, e.online = false, 2 })
 		time.Sleep(1500 * time.Millisecond)
 		assert.Assert(t, e.busy() > 0)
-		assert.DeepEqual(t, b.ReportLoad(), &fleet.PeerLoad{Target: "t1", Online: 2})
+		load := b.ReportLoad()
+		assert.Assert(t, load.LearnedMillis < 500, "learned from the items that run, %d ms ago", load.LearnedMillis)
+		load.LearnedMillis = 0
+		assert.DeepEqual(t, load, &fleet.PeerLoad{Target: "t1", Online: 2, Capacity: slots, StepMicros: tokenTime.Microseconds()})
 		b.RecordAnnouncement()
 		assert.Equal(t, b.ReportLoad().Online, 3)
 		time.Sleep(100 * time.Millisecond)
--- a/batcher/metrics.go
+++ b/batcher/metrics.go
@@ -11,6 +11,8 @@
 	runs      *prometheus.CounterVec
 	oversized *prometheus.CounterVec
 	claims    *prometheus.CounterVec
+	// capacityChanges counts logged changes of the target's learned capacity.
+	capacityChanges *prometheus.CounterVec
 }
 
 func newMetrics(b *Batcher) *metrics {
@@ -24,8 +26,11 @@
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_batcher_claims_total", Help: "Claims of batch items by whether they were won.",
 		}, []string{"won"}),
+		capacityChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_batcher_capacity_changes_total", Help: "Changes of the number of requests that the target takes well, by what limits it.",
+		}, []string{"reason"}),
 	}
-	b.params.Registry.MustRegister(m.runs, m.oversized, m.claims)
+	b.params.Registry.MustRegister(m.runs, m.oversized, m.claims, m.capacityChanges)
 	gauge := func(name, help string, value func() float64) {
 		b.params.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -38,6 +43,12 @@
 	}
 	gauge("sycamoretally_batcher_items_held", "Items that the batcher has claimed and not finished.", locked(func() float64 { return float64(len(b.held)) }))
 	gauge("sycamoretally_batcher_items_running", "Items that run at the target.", locked(func() float64 { return float64(len(b.runningItems())) }))
+	gauge("sycamoretally_batcher_target_capacity", "Requests that the target takes well, as learned; its slots if too little was seen.", locked(func() float64 {
+		return float64(b.estimateCapacity(time.Now()).Requests)
+	}))
+	gauge("sycamoretally_batcher_target_step_seconds", "Expected time between two events of a stream at the target's current load, 0 if unknown.", locked(func() float64 {
+		return b.learned.learner.Expect(b.learned.running, b.learned.slots).Step.Seconds()
+	}))
 	gauge("sycamoretally_batcher_target_silence_seconds", "Time since the target last told its load.", locked(func() float64 {
 		if b.lastReport.IsZero() {
 			return 0
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -38,6 +38,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancel = cancel
 	h.startedAt = now
+	h.eventsAtStart = h.progress.Events
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
 	progress := h.progress
 	b.tomb.Go(func() error {
--- a/coordination/balancing/balancing.go
+++ b/coordination/balancing/balancing.go
@@ -47,6 +47,8 @@
 type Balancer struct {
 	now    func() time.Time
 	random func() float64
+	// dataCentre is that of this process, empty if unknown.
+	dataCentre string
 
 	mu      sync.Mutex
 	targets map[string]*targetState
@@ -61,6 +63,10 @@
 	return &Balancer{now: now, random: random, targets: map[string]*targetState{}}
 }
 
+// SetDataCentre sets the data centre of this process, whose targets are preferred where
+// others are not expected to serve sooner. It must be called before the balancer is used.
+func (b *Balancer) SetDataCentre(name string) { b.dataCentre = name }
+
 // Choice is the chosen target and the figures that the choice was based on.
 type Choice struct {
 	Target *fleet.Target
@@ -75,6 +81,12 @@
 	// probed or none answered.
 	ProbeAnswers int
 	ProbedOnline int
+	// Capacity is the number of requests that the target takes well, as its batcher has
+	// learned. ExpectedFirstEvent and ExpectedStep are the times that a stream should meet
+	// there, to its first event and between two events. Each is 0 if unknown.
+	Capacity           int
+	ExpectedFirstEvent time.Duration
+	ExpectedStep       time.Duration
 	// Room is the number of requests that the target takes well beyond those it has, as far
 	// as is known; it is negative if it has too many. RoomKnown is false if nothing is known.
 	Room      int
--- a/coordination/balancing/probe.go
+++ b/coordination/balancing/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
@@ -35,23 +36,30 @@
 	return append(candidates, others[:min(n-len(candidates), len(others))]...)
 }
 
-// BeginProbed chooses the candidate with the fewest online requests according to the
-// probe answers and counts a request at it, as Begin does. It returns false if none
-// of the candidates answered.
+// BeginProbed chooses a candidate by the probe answers and counts a request at it, as
+// Begin does. It returns false if none of the candidates answered.
+//
+// If nothing was learned of any of them, it chooses the one with the fewest online requests.
+// Otherwise it chooses among those that take another request well, if there are any, the one
+// that is expected to serve a stream soonest.
 func (b *Balancer) BeginProbed(candidates []*fleet.Target, answers []fleet.PeerLoad) (Choice, bool) {
-	var best *fleet.Target
-	fewest := 0
+	var probed []probedTarget
 	for _, target := range candidates {
 		i := slices.IndexFunc(answers, func(a fleet.PeerLoad) bool { return a.Target == target.ID })
-		if i >= 0 && (best == nil || answers[i].Online < fewest) {
-			best, fewest = target, answers[i].Online
+		if i >= 0 {
+			probed = append(probed, probedTarget{target: target, load: answers[i]})
 		}
 	}
-	if best == nil {
+	if len(probed) == 0 {
 		return Choice{}, false
 	}
-	choice, found := b.Begin([]*fleet.Target{best}, nil)
-	choice.ProbeAnswers, choice.ProbedOnline = len(answers), fewest
-	choice.Room, choice.RoomKnown = best.Slots-fewest, best.Slots > 0
+	b.expectTimes(probed)
+	best := slices.MinFunc(probed, compareProbed)
+	choice, found := b.Begin([]*fleet.Target{best.target}, nil)
+	choice.ProbeAnswers, choice.ProbedOnline = len(answers), best.load.Online
+	choice.Room, choice.RoomKnown = best.room()
+	choice.Capacity = best.load.Capacity
+	choice.ExpectedFirstEvent = time.Duration(best.load.FirstEventMicros) * time.Microsecond
+	choice.ExpectedStep = time.Duration(best.load.StepMicros) * time.Microsecond
 	return choice, found
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 		changed: make(chan struct{}),
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 	}
+	g.table.SetDataCentre(p.Node.DataCentre)
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.requests, g.giveUpRequests = context.WithCancel(context.Background())
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -30,6 +30,9 @@
 	// AnnounceRequest tells the batcher at the address that a request is about to be
 	// sent to its target.
 	AnnounceRequest(address string)
+	// ReportOutcome tells the batcher at the address what a stream met at its target: at
+	// once if that is urgent, otherwise with the next message there.
+	ReportOutcome(address string, outcome fleet.PeerOutcome, urgent bool)
 }
 
 // unresponsiveServices holds the services whose batchers did not answer recent load
@@ -59,8 +62,8 @@
 	}
 }
 
-// chooseTarget chooses the target of the next attempt. For a stream it is the least
-// loaded of a few targets whose load was queried. If no batcher answers, and for other
+// chooseTarget chooses the target of the next attempt. For a stream it is the one
+// of a few targets whose load was queried that is expected to serve it soonest. If no batcher answers, and for other
 // requests, the gateway's own load table decides.
 func (o *onlineRequest) chooseTarget(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
 	if choice, found := o.chooseByLoad(ctx, targets); found {
--- a/gateway/loadquery_test.go
+++ b/gateway/loadquery_test.go
@@ -19,6 +19,7 @@
 	online    map[string]int
 	queries   int
 	announced []string
+	outcomes  []fleet.PeerOutcome
 }
 
 func (b *batchers) QueryLoads(_ context.Context, addresses []string, wait time.Duration) []fleet.PeerLoad {
@@ -37,6 +38,10 @@
 
 func (b *batchers) AnnounceRequest(address string) { b.announced = append(b.announced, address) }
 
+func (b *batchers) ReportOutcome(_ string, outcome fleet.PeerOutcome, _ bool) {
+	b.outcomes = append(b.outcomes, outcome)
+}
+
 // TestStreamsGoToLeastLoaded checks that a stream is sent to the least loaded of the
 // targets queried, and that no loads are queried for other requests.
 func TestStreamsGoToLeastLoaded(t *testing.T) {
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -95,7 +95,7 @@
 	c := a.choice
 	klog.InfoS("attempt", "request", request, "number", number, "target", c.Target.ID,
 		"in_flight", c.InFlight, "others", c.ReportedOthers, "report_age", c.ReportAge,
-		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "suspect", c.Ejected, "targets_age", a.targetsAge,
+		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "capacity", c.Capacity, "expected_first", c.ExpectedFirstEvent, "expected_step", c.ExpectedStep, "suspect", c.Ejected, "targets_age", a.targetsAge,
 		"after_event", a.after, "time_left", a.timeLeft, "took", a.took,
 		"outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
 }
@@ -135,6 +135,8 @@
 	// those whose target refused it without running it.
 	possibleRuns int
 	refusals     int
+	// meter measures the current attempt of a stream.
+	meter streamMeter
 	// reason says why the request was given up. It is empty if it was not.
 	reason string
 }
@@ -191,8 +193,10 @@
 	if o.hasDeadline {
 		record.timeLeft = time.Until(o.deadline)
 	}
+	o.meter = streamMeter{begun: begun}
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
+	o.reportOutcome(choice)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
@@ -243,6 +247,7 @@
 	}
 	if answer.Load != nil {
 		o.g.table.RecordLoad(target, *answer.Load)
+		o.meter.running = answer.Load.Running + answer.Load.Waiting
 	}
 	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
 		o.g.targets.MarkLeaving(target)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/eventstream"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -102,6 +103,7 @@
 		if len(events) > 0 {
 			if eventstream.HasContent(events) {
 				stall.eventReceived()
+				o.meter.eventReceived(time.Now(), events)
 			}
 			if failure := o.relayEvents(answer, events); failure != nil {
 				return failure
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -113,6 +113,15 @@
 	return best
 }
 
+// Routes calls each with every route.
+func (c *Configuration) Routes(each func(*Route)) {
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			each(r)
+		}
+	}
+}
+
 // HasBatchRoute reports whether the host has a route that accepts jobs.
 func (c *Configuration) HasBatchRoute(host string) bool {
 	for _, r := range c.hosts[host] {
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -1,13 +1,18 @@
 package fleet
 
+import "time"
+
 // PeerMessage is a datagram between a gateway and a batcher.
 type PeerMessage struct {
-	// QueryID identifies a query; its answer repeats the ID.
+	// QueryID identifies a query; its answer repeats the ID. It is 0 in other messages.
 	QueryID uint64 `msgpack:"n"`
 	// Announcement is set if a request is about to be sent to the target. It is not answered.
 	Announcement bool `msgpack:"c,omitempty"`
 	// Load is the answer to a query, nil in other messages.
 	Load *PeerLoad `msgpack:"l,omitempty"`
+	// Outcome is what the gateway's last stream met at the target, nil if that was told
+	// before. Queries and announcements carry it, and messages of its own.
+	Outcome *PeerOutcome `msgpack:"r,omitempty"`
 }
 
 // PeerLoad is the load of a batcher's target.
@@ -17,4 +22,33 @@
 	// Online counts the target's running, waiting and announced requests. It leaves
 	// out the batcher's items, because requests preempt them.
 	Online int `msgpack:"o"`
+	// Capacity is the number of requests that the target takes well, 0 if unknown.
+	Capacity int `msgpack:"k,omitempty"`
+	// FirstEventMicros and StepMicros are the times that one more stream is expected to
+	// meet: to its first event, and between two events, in microseconds. Either is 0 if
+	// unknown.
+	FirstEventMicros int64 `msgpack:"f,omitempty"`
+	StepMicros       int64 `msgpack:"s,omitempty"`
+	// LearnedMillis is the age of the newest observation behind these figures in milliseconds.
+	LearnedMillis int64 `msgpack:"a,omitempty"`
+}
+
+// PeerOutcome is what a stream of a gateway met at a target.
+type PeerOutcome struct {
+	// Target is the ID of the target's incarnation.
+	Target string `msgpack:"t"`
+	// Running is the number of requests at the target when it began to answer, 0 if unknown.
+	Running int `msgpack:"n,omitempty"`
+	// FirstEventMicros is the time to the first event and StepMicros the mean time between
+	// two events, in microseconds. Either is 0 if unknown.
+	FirstEventMicros int64 `msgpack:"f,omitempty"`
+	StepMicros       int64 `msgpack:"s,omitempty"`
 }
+
+// FirstEvent returns the time to the first event.
+func (o PeerOutcome) FirstEvent() time.Duration { return micros(o.FirstEventMicros) }
+
+// Step returns the mean time between two events.
+func (o PeerOutcome) Step() time.Duration { return micros(o.StepMicros) }
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -25,6 +25,8 @@
 	ReportLoad() *fleet.PeerLoad
 	// RecordAnnouncement records that a request is about to be sent to the target.
 	RecordAnnouncement()
+	// RecordOutcome records what a stream of a gateway met at the target.
+	RecordOutcome(outcome fleet.PeerOutcome)
 }
 
 // Datagrams sends and receives peer messages over UDP. Messages may be lost, so a
@@ -36,6 +38,8 @@
 	mu          sync.Mutex
 	lastQueryID uint64
 	pending     map[uint64]chan fleet.PeerLoad
+	// outcomes holds the outcomes that travel with the next message to an address.
+	outcomes map[string]fleet.PeerOutcome
 }
 
 // ListenDatagrams opens the socket at the address and serves it until Close. The
@@ -50,7 +54,7 @@
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "listen at %s", address)
 	}
-	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]chan fleet.PeerLoad{}}
+	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]chan fleet.PeerLoad{}, outcomes: map[string]fleet.PeerOutcome{}}
 	go d.serve()
 	return d, nil
 }
@@ -73,15 +77,27 @@
 		if msgpack.Unmarshal(buffer[:n], &m) != nil {
 			continue // not a message of this system
 		}
-		switch {
-		case m.Load != nil:
-			d.deliverAnswer(m)
-		case d.reporter == nil:
-		case m.Announcement:
-			d.reporter.RecordAnnouncement()
-		default:
-			d.answerQuery(m.QueryID, from)
-		}
+		d.receive(m, from)
+	}
+}
+
+// receive handles a message.
+func (d *Datagrams) receive(m fleet.PeerMessage, from netip.AddrPort) {
+	if m.Load != nil {
+		d.deliverAnswer(m)
+		return
+	}
+	if d.reporter == nil {
+		return
+	}
+	if m.Outcome != nil {
+		d.reporter.RecordOutcome(*m.Outcome)
+	}
+	switch {
+	case m.Announcement:
+		d.reporter.RecordAnnouncement()
+	case m.QueryID != 0:
+		d.answerQuery(m.QueryID, from)
 	}
 }
 
@@ -137,6 +153,40 @@
 	d.send(address, fleet.PeerMessage{Announcement: true})
 }
 
+// maxKeptOutcomes bounds the outcomes that wait for a message to their address.
+const maxKeptOutcomes = 1024
+
+// ReportOutcome tells the batcher at the address what a stream met at its target: at once
+// if that is urgent, otherwise with the next message there. A later outcome replaces one
+// that waits.
+func (d *Datagrams) ReportOutcome(address string, outcome fleet.PeerOutcome, urgent bool) {
+	d.keepOutcome(address, outcome)
+	if urgent {
+		d.send(address, fleet.PeerMessage{})
+	}
+}
+
+func (d *Datagrams) keepOutcome(address string, outcome fleet.PeerOutcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.outcomes) >= maxKeptOutcomes {
+		clear(d.outcomes)
+	}
+	d.outcomes[address] = outcome
+}
+
+// takeOutcome returns the outcome that waits for a message to the address, nil if none does.
+func (d *Datagrams) takeOutcome(address string) *fleet.PeerOutcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	outcome, found := d.outcomes[address]
+	if !found {
+		return nil
+	}
+	delete(d.outcomes, address)
+	return &outcome
+}
+
 func (d *Datagrams) registerQuery(answers chan fleet.PeerLoad) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -158,6 +208,7 @@
 	if err != nil {
 		return // the target's address is not an IP address, so no message can be sent
 	}
+	m.Outcome = d.takeOutcome(address)
 	data, err := msgpack.Marshal(&m)
 	if err == nil {
 		_, _ = d.conn.WriteToUDPAddrPort(data, to) // a message may be lost anyway
--- a/transport/loads_test.go
+++ b/transport/loads_test.go
@@ -24,12 +24,15 @@
 // busyTarget is a LoadReporter with a fixed load that counts announcements.
 type busyTarget struct {
 	announced atomic.Int32
+	outcomes  atomic.Int32
 }
 
 func (b *busyTarget) ReportLoad() *fleet.PeerLoad { return &fleet.PeerLoad{Target: "t1", Online: 3} }
 
 func (b *busyTarget) RecordAnnouncement() { b.announced.Add(1) }
 
+func (b *busyTarget) RecordOutcome(fleet.PeerOutcome) { b.outcomes.Add(1) }
+
 // silentTarget is a LoadReporter that answers no query.
 type silentTarget struct{ busyTarget }
 
@@ -63,3 +66,22 @@
 	}
 	assert.Equal(t, target.announced.Load(), int32(1))
 }
+
+// TestOutcomesTravelWithMessages reports what streams met at a target: an outcome must take
+// no message of its own unless it is urgent, and must arrive once.
+func TestOutcomesTravelWithMessages(t *testing.T) {
+	target := &busyTarget{}
+	batcher := listenDatagrams(t, target)
+	gateway := listenDatagrams(t, nil)
+	query := func() { gateway.QueryLoads(t.Context(), []string{batcher.address()}, 10*time.Second) }
+	for range 3 {
+		gateway.ReportOutcome(batcher.address(), fleet.PeerOutcome{Target: "t1", StepMicros: 900}, false)
+	}
+	query()
+	query()
+	assert.Equal(t, target.outcomes.Load(), int32(1))
+	gateway.ReportOutcome(batcher.address(), fleet.PeerOutcome{Target: "t1", StepMicros: 900}, true)
+	query()
+	assert.Equal(t, target.outcomes.Load(), int32(2))
+	assert.Equal(t, target.announced.Load(), int32(0))
+}
