Weigh the streams that share a target beside the time that the next one meets

Cause: chosen by the expected time alone, quick targets were filled until they were as slow as the others, and in a play of streams at two speeds under waves streams ended no sooner than by counts. A change of pace was also taken for what load does, and a target that became slow got more streams until the first had ended there. Change: the cost is the expected time times the streams that would share the target; what load does is learned only beside samples of lower load in the same second; a first event that differs much from what was expected is told at once.

--- /dev/null
+++ b/batcher/capacity_test.go
@@ -0,0 +1,40 @@
+package batcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+)
+
+// TestSlowTargetIsTold has gateways tell that streams of a target take twice as long from one
+// second to the next: the answers of its batcher must show it within two seconds, what was
+// told of another incarnation must not count, and a new incarnation must begin anew.
+func TestSlowTargetIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		b := s.start("b", e)
+		defer func() { assert.NilError(t, b.Stop()) }()
+		time.Sleep(time.Second)
+		tell := func(target string, step time.Duration) {
+			for range 8 {
+				time.Sleep(250 * time.Millisecond)
+				b.RecordOutcome(fleet.PeerOutcome{Target: target, Running: 2, FirstEventMicros: 30_000, StepMicros: step.Microseconds()})
+			}
+		}
+		assert.Equal(t, b.ReportLoad().StepMicros, int64(0))
+		tell("t1", 10*time.Millisecond)
+		assert.Equal(t, b.ReportLoad().StepMicros, int64(10_000))
+		assert.Equal(t, b.ReportLoad().FirstEventMicros, int64(30_000))
+		tell("t0", 90*time.Millisecond)
+		assert.Equal(t, b.ReportLoad().StepMicros, int64(10_000), "told of another incarnation")
+		tell("t1", 20*time.Millisecond)
+		assert.Assert(t, b.ReportLoad().StepMicros >= 18_000, "%d", b.ReportLoad().StepMicros)
+		e.set(func(e *target) { e.id = "t2" })
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, b.ReportLoad(), &fleet.PeerLoad{Target: "t2"})
+	})
+}
--- a/coordination/balancing/expected.go
+++ b/coordination/balancing/expected.go
@@ -19,9 +19,10 @@
 type probedTarget struct {
 	target *fleet.Target
 	load   fleet.PeerLoad
-	// expected is the time that a stream is expected to take there in microseconds, 0 if
-	// nothing was learned of any target.
-	expected float64
+	// cost is the time that a stream is expected to take there in microseconds, times the
+	// number of streams that would share the target. It is 0 if nothing was learned of any
+	// target.
+	cost float64
 }
 
 // room returns how many more requests the target takes well. It returns false if that is not
@@ -33,15 +34,17 @@
 	return p.target.Slots - p.load.Online, p.target.Slots > 0
 }
 
-// expectTimes sets the expected times of the targets. A time that is unknown of one target is
-// taken to be the mean of the others.
-func (b *Balancer) expectTimes(probed []probedTarget) {
+// setCosts sets the costs of the targets. A time that is unknown of one target is taken to be
+// the mean of the others. The number of streams counts beside the time that the next one
+// meets, since each stream slows the others: by that time alone, quick targets would be filled
+// until they are as slow as the others.
+func (b *Balancer) setCosts(probed []probedTarget) {
 	first := fillUnknown(probed, func(l fleet.PeerLoad) int64 { return l.FirstEventMicros })
 	step := fillUnknown(probed, func(l fleet.PeerLoad) int64 { return l.StepMicros })
 	for i := range probed {
-		probed[i].expected = first[i] + expectedEvents*step[i]
+		probed[i].cost = (first[i] + expectedEvents*step[i]) * float64(probed[i].load.Online+1)
 		if b.dataCentre != "" && probed[i].target.DataCentre != b.dataCentre {
-			probed[i].expected *= farFactor
+			probed[i].cost *= farFactor
 		}
 	}
 }
@@ -65,13 +68,13 @@
 }
 
 // compareProbed orders targets with room before others, these by how much they lack, and
-// then by the expected time and the number of online requests.
+// then by their cost and the number of online requests.
 func compareProbed(a, b probedTarget) int {
-	if a.expected > 0 {
+	if a.cost > 0 {
 		if order := cmp.Compare(a.lack(), b.lack()); order != 0 {
 			return order
 		}
-		if order := cmp.Compare(a.expected, b.expected); order != 0 {
+		if order := cmp.Compare(a.cost, b.cost); order != 0 {
 			return order
 		}
 	}
--- a/coordination/balancing/probe.go
+++ b/coordination/balancing/probe.go
@@ -41,7 +41,7 @@
 //
 // If nothing was learned of any of them, it chooses the one with the fewest online requests.
 // Otherwise it chooses among those that take another request well, if there are any, the one
-// that is expected to serve a stream soonest.
+// where a stream costs the least time.
 func (b *Balancer) BeginProbed(candidates []*fleet.Target, answers []fleet.PeerLoad) (Choice, bool) {
 	var probed []probedTarget
 	for _, target := range candidates {
@@ -53,7 +53,7 @@
 	if len(probed) == 0 {
 		return Choice{}, false
 	}
-	b.expectTimes(probed)
+	b.setCosts(probed)
 	best := slices.MinFunc(probed, compareProbed)
 	choice, found := b.Begin([]*fleet.Target{best.target}, nil)
 	choice.ProbeAnswers, choice.ProbedOnline = len(answers), best.load.Online
--- a/coordination/capacity/curve.go
+++ b/coordination/capacity/curve.go
@@ -46,9 +46,7 @@
 // observe adds a sample and updates the pace and the slowdown of its level.
 func (c *curve) observe(at time.Time, level int, took time.Duration) {
 	s := sample{at, level, float64(took)}
-	if c.pace > 0 {
-		c.learnSlowdown(s)
-	}
+	c.learnSlowdown(s)
 	c.samples = append(c.samples, s)
 	for len(c.samples) > maxSamples || len(c.samples) > minPaceSamples && at.Sub(c.samples[0].at) > paceWindow {
 		c.samples = c.samples[1:]
@@ -56,12 +54,29 @@
 	c.updatePace()
 }
 
-// learnSlowdown moves the slowdown of the sample's level towards what the sample shows. A
-// level that was never seen begins with the slowdown expected there.
+// learnSlowdown moves the slowdown of the sample's level towards what the sample shows beside
+// those of lower levels in the same second. Without such samples it shows nothing: the
+// target's pace may have changed. A level that was never seen begins with the slowdown
+// expected there.
 func (c *curve) learnSlowdown(s sample) {
-	shown := min(s.took/c.pace, maxSlowdown)
+	var lower []float64
+	for _, other := range c.samples {
+		if other.level < s.level && s.at.Sub(other.at) <= paceWindow {
+			lower = append(lower, other.took/c.slowdownAt(other.level))
+		}
+	}
+	if len(lower) < minPaceSamples {
+		return
+	}
+	shown := min(max(1, s.took/median(lower)), maxSlowdown)
 	before := c.slowdownAt(s.level)
-	c.slowdown[s.level] = max(1, math.Exp((1-slowdownWeight)*math.Log(before)+slowdownWeight*math.Log(max(shown, 1.0/maxSlowdown))))
+	c.slowdown[s.level] = before * math.Pow(shown/before, slowdownWeight)
+}
+
+// median returns the median of the list, which it sorts.
+func median(list []float64) float64 {
+	slices.Sort(list)
+	return list[len(list)/2]
 }
 
 // slowdownAt returns the highest slowdown seen at the level or below, 1 if none was seen.
@@ -79,8 +94,7 @@
 	for _, s := range c.samples {
 		paces = append(paces, s.took/c.slowdownAt(s.level))
 	}
-	slices.Sort(paces)
-	c.pace = paces[len(paces)/2]
+	c.pace = median(paces)
 }
 
 // expect returns the expected time at the level, 0 if it is not known.
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -135,8 +135,9 @@
 	// those whose target refused it without running it.
 	possibleRuns int
 	refusals     int
-	// meter measures the current attempt of a stream.
-	meter streamMeter
+	// choice is that of the current attempt, and meter measures the attempt of a stream.
+	choice balancing.Choice
+	meter  streamMeter
 	// reason says why the request was given up. It is empty if it was not.
 	reason string
 }
@@ -193,7 +194,7 @@
 	if o.hasDeadline {
 		record.timeLeft = time.Until(o.deadline)
 	}
-	o.meter = streamMeter{begun: begun}
+	o.meter, o.choice = streamMeter{begun: begun}, choice
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
 	o.reportOutcome(choice)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -19,35 +19,59 @@
 	// running is the number of requests at the target when it began to answer, 0 if it did
 	// not tell.
 	running int
+	// firstReported is set once the time to the first event was told.
+	firstReported bool
 }
 
-// eventReceived counts complete events that arrived at the time now.
-func (m *streamMeter) eventReceived(now time.Time, events []byte) {
-	if m.events == 0 {
+// eventReceived counts complete events that arrived at the time now. It reports whether they
+// are the first ones.
+func (m *streamMeter) eventReceived(now time.Time, events []byte) (first bool) {
+	first = m.events == 0
+	if first {
 		m.first = now
 	}
 	m.last = now
 	m.events += max(1, bytes.Count(events, []byte("\n\n")))
+	return first
 }
 
-// outcome returns what the stream met at the target.
-func (m *streamMeter) outcome(target string) fleet.PeerOutcome {
-	o := fleet.PeerOutcome{Target: target, Running: m.running, FirstEventMicros: m.first.Sub(m.begun).Microseconds()}
-	if m.events > 1 {
-		o.StepMicros = (m.last.Sub(m.first) / time.Duration(m.events-1)).Microseconds()
+// firstOutcome returns how long the stream waited for its first event.
+func (m *streamMeter) firstOutcome(target string) fleet.PeerOutcome {
+	return fleet.PeerOutcome{Target: target, Running: m.running, FirstEventMicros: m.first.Sub(m.begun).Microseconds()}
+}
+
+// step returns the mean time between two events, 0 if there were fewer.
+func (m *streamMeter) step() time.Duration {
+	if m.events < 2 {
+		return 0
 	}
-	return o
+	return m.last.Sub(m.first) / time.Duration(m.events-1)
 }
 
-// reportOutcome tells the batcher beside the target what an attempt of a stream met there.
-// What differs much from what the batcher expects is told at once.
+// reportFirstEvent tells the batcher beside the target at the first event how long that took,
+// if it differs much from what the batcher expects: a target that has become slow must not
+// get more streams until this one ends.
+func (o *onlineRequest) reportFirstEvent(choice balancing.Choice) {
+	outcome := o.meter.firstOutcome(choice.Target.ID)
+	if choice.ProbeAnswers == 0 || !isNews(outcome.FirstEvent(), choice.ExpectedFirstEvent) {
+		return
+	}
+	o.meter.firstReported = true
+	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, true)
+}
+
+// reportOutcome tells the batcher beside the target what an attempt of a stream met there,
+// at once if that differs much from what the batcher expects.
 func (o *onlineRequest) reportOutcome(choice balancing.Choice) {
 	if choice.ProbeAnswers == 0 || o.meter.events == 0 {
 		return
 	}
-	outcome := o.meter.outcome(choice.Target.ID)
-	urgent := isNews(outcome.Step(), choice.ExpectedStep) || isNews(outcome.FirstEvent(), choice.ExpectedFirstEvent)
-	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, urgent)
+	outcome := o.meter.firstOutcome(choice.Target.ID)
+	if o.meter.firstReported {
+		outcome.FirstEventMicros = 0
+	}
+	outcome.StepMicros = o.meter.step().Microseconds()
+	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, isNews(outcome.Step(), choice.ExpectedStep))
 }
 
 // isNews reports whether what a stream met differs much from what was expected. 0 stands for
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -103,7 +103,9 @@
 		if len(events) > 0 {
 			if eventstream.HasContent(events) {
 				stall.eventReceived()
-				o.meter.eventReceived(time.Now(), events)
+				if o.meter.eventReceived(time.Now(), events) {
+					o.reportFirstEvent(o.choice)
+				}
 			}
 			if failure := o.relayEvents(answer, events); failure != nil {
 				return failure
