--- a/coordination/balancing/balancing.go
+++ b/coordination/balancing/balancing.go
@@ -52,6 +52,8 @@
 
 	mu      sync.Mutex
 	targets map[string]*targetState
+	// lastSuccess is when a target last served a request of this gateway.
+	lastSuccess time.Time
 }
 
 // New returns a balancer without any state. random draws from [0, 1); nil stands for
@@ -137,11 +139,17 @@
 // scoreTargets returns the targets that are not in tried with their loads. mu must
 // be held.
 func (b *Balancer) scoreTargets(now time.Time, targets []*fleet.Target, tried map[string]bool) []scoredTarget {
+	ejects := !b.isObserverAtFault(now, targets)
 	scored := make([]scoredTarget, 0, len(targets))
 	for _, target := range targets {
-		if !tried[target.ID] {
-			scored = append(scored, scoredTarget{target, b.targetLoad(target, now) + b.random()*maxRandomLoad})
+		if tried[target.ID] {
+			continue
 		}
+		load := b.targetLoad(target, now) + b.random()*maxRandomLoad
+		if ejects && b.targets[target.ID].isEjected(now) {
+			load += ejectedLoad
+		}
+		scored = append(scored, scoredTarget{target, load})
 	}
 	return scored
 }
@@ -152,11 +160,7 @@
 		return 0
 	}
 	decay := math.Exp2(-float64(now.Sub(s.reportedAt)) / float64(reportHalfLife))
-	load := float64(s.inFlight) + othersWeight*s.reportedOthers*decay
-	if now.Before(s.ejectedUntil) {
-		load += ejectedLoad
-	}
-	return load
+	return float64(s.inFlight) + othersWeight*s.reportedOthers*decay
 }
 
 func (b *Balancer) state(id string) *targetState {
@@ -218,6 +222,7 @@
 	s := b.state(target.ID)
 	s.ejectionTime = 0
 	s.ejectedUntil = time.Time{}
+	b.lastSuccess = b.now()
 }
 
 // ForgetIdle drops the state of targets that have had no request for
