Send streams where they cut no run of an item

Change: a batcher's answer tells its running items, and they count among the requests that would share the target. TestTellLoad states them too.

--- a/batcher/capacity.go
+++ b/batcher/capacity.go
@@ -112,19 +112,17 @@
 	if estimate.Reason == capacity.ReasonUnknown {
 		return
 	}
-	expected := b.expectOneMore(load.Online)
+	expected := l.expectOneMore(load)
 	load.Capacity = estimate.Requests
 	load.FirstEventMicros, load.StepMicros = expected.FirstEvent.Microseconds(), expected.Step.Microseconds()
 	load.LearnedMillis = now.Sub(estimate.ObservedAt).Milliseconds()
 }
 
-// expectOneMore returns what one more stream would meet beside the given number of online
-// requests and the running items. Where items take the last slots, it waits until one of
-// them gives its slot back. mu must be held.
-func (b *Batcher) expectOneMore(online int) capacity.Expectation {
-	l := &b.learned
-	total := online + len(b.runningItems()) + 1
-	expected := l.learner.Expect(max(online+1, min(total, l.slots)), l.slots)
+// expectOneMore returns what one more stream would meet. Where items take the last slots, it
+// waits until one of them gives its slot back.
+func (l *learnedCapacity) expectOneMore(load *fleet.PeerLoad) capacity.Expectation {
+	total := load.Online + load.Items + 1
+	expected := l.learner.Expect(max(load.Online+1, min(total, l.slots)), l.slots)
 	if total > l.slots && expected.FirstEvent > 0 {
 		expected.FirstEvent += pollInterval
 	}
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -23,7 +23,7 @@
 	if b.stopping || b.draining || b.targetID == "" || now.Sub(b.lastReport) > maxLoadAge {
 		return nil
 	}
-	load := &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now)}
+	load := &fleet.PeerLoad{Target: b.targetID, Online: b.inflow.Count(now), Items: len(b.runningItems())}
 	b.addLearned(now, load)
 	return load
 }
--- a/batcher/loads_test.go
+++ b/batcher/loads_test.go
@@ -28,7 +28,7 @@
 		load := b.ReportLoad()
 		assert.Assert(t, load.LearnedMillis < 500, "learned from the items that run, %d ms ago", load.LearnedMillis)
 		load.LearnedMillis = 0
-		assert.DeepEqual(t, load, &fleet.PeerLoad{Target: "t1", Online: 2, Capacity: slots, StepMicros: tokenTime.Microseconds()})
+		assert.DeepEqual(t, load, &fleet.PeerLoad{Target: "t1", Online: 2, Items: e.busy(), Capacity: slots, StepMicros: tokenTime.Microseconds()})
 		b.RecordAnnouncement()
 		assert.Equal(t, b.ReportLoad().Online, 3)
 		time.Sleep(100 * time.Millisecond)
--- a/coordination/balancing/expected.go
+++ b/coordination/balancing/expected.go
@@ -20,7 +20,7 @@
 	target *fleet.Target
 	load   fleet.PeerLoad
 	// cost is the time that a stream is expected to take there in microseconds, times the
-	// number of streams that would share the target. It is 0 if nothing was learned of any
+	// number of streams and items that would share the target. It is 0 if nothing was learned of any
 	// target.
 	cost float64
 }
@@ -37,12 +37,13 @@
 // setCosts sets the costs of the targets. A time that is unknown of one target is taken to be
 // the mean of the others. The number of streams counts beside the time that the next one
 // meets, since each stream slows the others: by that time alone, quick targets would be filled
-// until they are as slow as the others.
+// until they are as slow as the others. Items count like streams: where they take the last
+// slots, a stream cuts the run of one that could go on if the stream went to a free slot.
 func (b *Balancer) setCosts(probed []probedTarget) {
 	first := fillUnknown(probed, func(l fleet.PeerLoad) int64 { return l.FirstEventMicros })
 	step := fillUnknown(probed, func(l fleet.PeerLoad) int64 { return l.StepMicros })
 	for i := range probed {
-		probed[i].cost = (first[i] + expectedEvents*step[i]) * float64(probed[i].load.Online+1)
+		probed[i].cost = (first[i] + expectedEvents*step[i]) * float64(probed[i].load.Online+probed[i].load.Items+1)
 		if b.dataCentre != "" && probed[i].target.DataCentre != b.dataCentre {
 			probed[i].cost *= farFactor
 		}
--- a/coordination/balancing/uneven_test.go
+++ b/coordination/balancing/uneven_test.go
@@ -260,3 +260,19 @@
 func TestNoAnswersForASecond(t *testing.T) {
 	compareUneven(t, unevenPlay{perSecond: meanPerSecond, waves: true, deaf: func(at time.Duration) bool { return at%(4*time.Second) > 3*time.Second }})
 }
+
+// TestStreamsSpareRunningItems offers a target with few online requests whose other slots are
+// taken by items, and one with more online requests and a free slot: the stream must go where
+// it cuts no run, unless that target takes no more requests well.
+func TestStreamsSpareRunningItems(t *testing.T) {
+	balancer, _ := newBalancer()
+	list := targets(2)
+	full := fleet.PeerLoad{Target: "t0", Online: 1, Items: 7, Capacity: 8, FirstEventMicros: 65_000, StepMicros: 18_000}
+	free := fleet.PeerLoad{Target: "t1", Online: 3, Capacity: 8, FirstEventMicros: 40_000, StepMicros: 18_000}
+	choice, _ := balancer.BeginProbed(list, []fleet.PeerLoad{full, free})
+	assert.Equal(t, choice.Target.ID, "t1")
+	assert.Equal(t, choice.Room, 5)
+	free.Capacity = 3
+	choice, _ = balancer.BeginProbed(list, []fleet.PeerLoad{full, free})
+	assert.Equal(t, choice.Target.ID, "t0")
+}
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -22,6 +22,8 @@
 	// Online counts the target's running, waiting and announced requests. It leaves
 	// out the batcher's items, because requests preempt them.
 	Online int `msgpack:"o"`
+	// Items is the number of the batcher's items that run at the target.
+	Items int `msgpack:"i,omitempty"`
 	// Capacity is the number of requests that the target takes well, 0 if unknown.
 	Capacity int `msgpack:"k,omitempty"`
 	// FirstEventMicros and StepMicros are the times that one more stream is expected to
