Give back items that wait for a slot, to whoever has one

Change: an item with a due time that has waited for a second and for which there is no slot goes back to the work log with its text.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -296,6 +296,7 @@
 	b.runMostUrgent(ctx, now, ranked, room)
 	b.claim(ctx, now, room.MaxAfterStarts-countInTime(ranked), room.MaxAfterStarts-len(ranked))
 	b.releaseLate(ranked, room.MaxRunning)
+	b.releaseWaiting(now, ranked, room.MaxRunning)
 }
 
 // sendHeartbeat enqueues a heartbeat for the work log if items are held and no record of
--- a/batcher/capacity_test.go
+++ b/batcher/capacity_test.go
@@ -38,3 +38,25 @@
 		assert.DeepEqual(t, b.ReportLoad(), &fleet.PeerLoad{Target: "t2"})
 	})
 }
+
+// TestWaitingItemsGoToSpareSlots fills one of two targets with online requests while items
+// with a due time run there: they must not wait there for slots that the other target has.
+func TestWaitingItemsGoToSpareSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, busy := newFixture(t), newTarget()
+		route := s.config.Match("h", "/j/1")
+		route.ResultDeadline = time.Hour
+		s.accept("j", slots)
+		b := s.start("b", busy)
+		time.Sleep(time.Second)
+		assert.Equal(t, busy.busy(), slots)
+		spare := newTarget()
+		other := s.start("c", spare)
+		busy.set(func(e *target) { e.online = slots })
+		time.Sleep(8 * time.Second)
+		s.checkCompleted("j")
+		assert.Assert(t, spare.resumedAfter("j0") > 0, "the item began anew")
+		assert.NilError(t, b.Stop())
+		assert.NilError(t, other.Stop())
+	})
+}
--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -116,7 +116,7 @@
 	}
 	b.held[ref] = &heldItem{
 		candidate: candidateOf(job, item), ref: ref,
-		progress: progress, heldSince: time.Now(), eventsAtClaim: progress.Events, savedEvents: progress.Events,
+		progress: progress, heldSince: time.Now(), waitingSince: time.Now(), eventsAtClaim: progress.Events, savedEvents: progress.Events,
 	}
 	return true
 }
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -51,6 +51,8 @@
 	// hasContentType is set.
 	contentType    string
 	hasContentType bool
+	// waitingSince is when the item was claimed or its last run ended.
+	waitingSince time.Time
 	// notBefore is the earliest time at which the item may run again.
 	notBefore time.Time
 }
@@ -168,6 +170,22 @@
 	}
 }
 
+// maxSlotWait is how long an item with a due time waits for a slot here before others may
+// have it: online requests rise in steps of a second or two, and not at all targets alike.
+const maxSlotWait = time.Second
+
+// releaseWaiting releases items with a due time that have waited for a slot for maxSlotWait
+// and for which there still is none. In the work log they go to the next batcher with a spare
+// slot. mu must be held.
+func (b *Batcher) releaseWaiting(now time.Time, list []rankedItem, room int) {
+	for i, r := range list {
+		if i < room || r.cancel != nil || r.Due == 0 || b.held[r.ref] != r.heldItem || now.Sub(r.waitingSince) < maxSlotWait {
+			continue
+		}
+		b.release(r.heldItem, "no slot", "age", r.Age, "due", r.Due, "left", r.Remaining)
+	}
+}
+
 // releaseMoved releases waiting items whose route now goes to other services. A run that is
 // under way may go on. mu must be held.
 func (b *Batcher) releaseMoved() {
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -78,6 +78,7 @@
 	h.progress = end.progress
 	h.cancel = nil
 	h.yielding = false
+	h.waitingSince = time.Now()
 	if !errorx.IsOfType(cause, errYield) {
 		h.notBefore = time.Now().Add(brokenRunDelay)
 	}
