Judge a target by how its streams ended at all gateways

Cause: each gateway had to meet a target that fails part of its requests by itself. Change: gateways tell the batcher beside a target how streams ended, faults at once; while half of them and at least three fail within two seconds, the target takes one request at a time, until it has served three. A stream that left a stalled target tells how long it waited.

--- a/batcher/capacity.go
+++ b/batcher/capacity.go
@@ -46,7 +46,9 @@
 	if running == 0 {
 		running = l.running
 	}
-	l.learner.Observe(capacity.Observation{At: time.Now(), Running: running, FirstEvent: o.FirstEvent(), Step: o.Step()}, l.slots)
+	l.learner.Observe(capacity.Observation{
+		At: time.Now(), Running: running, FirstEvent: o.FirstEvent(), Step: o.Step(), Ended: o.Ended, Failed: o.Failed,
+	}, l.slots)
 }
 
 // learnCapacity observes the items that run at the target, and logs a change of the learned
--- a/coordination/capacity/capacity.go
+++ b/coordination/capacity/capacity.go
@@ -43,6 +43,9 @@
 	// either is 0 if it is not known.
 	FirstEvent time.Duration
 	Step       time.Duration
+	// Ended is set if the request has ended there, and Failed if by a fault of the target.
+	Ended  bool
+	Failed bool
 }
 
 // Expectation is what one more request would meet. A time is 0 if it is not known.
@@ -64,6 +67,9 @@
 	// the pauses between events, would take longer than the requests need.
 	ReasonFirstEvent Reason = "first_event"
 	ReasonEventGap   Reason = "event_gap"
+	// ReasonFailures means that the target fails most of its requests: it gets one at a time
+	// until it has served some.
+	ReasonFailures Reason = "failures"
 )
 
 // Estimate is the number of requests that a target takes well.
@@ -91,6 +97,7 @@
 // concurrent use.
 type Learner struct {
 	first, step curve
+	failures    failures
 	observedAt  time.Time
 	estimate    Estimate
 }
@@ -100,6 +107,12 @@
 
 // Observe adds an observation. slots is the target's number of slots.
 func (l *Learner) Observe(o Observation, slots int) {
+	if o.Ended {
+		l.failures.observe(o.At, o.Failed)
+	}
+	if o.At.After(l.observedAt) {
+		l.observedAt = o.At
+	}
 	if slots <= 0 || o.Running <= 0 {
 		return
 	}
@@ -110,9 +123,6 @@
 	if o.Step > 0 {
 		l.step.observe(o.At, level, o.Step)
 	}
-	if o.At.After(l.observedAt) {
-		l.observedAt = o.At
-	}
 }
 
 // Expect returns what a request meets while the given number runs, itself included.
@@ -140,7 +150,13 @@
 
 // limit returns the largest number of requests whose expected times are within the need.
 func (l *Learner) limit(now time.Time, slots int, need Need) (int, Reason) {
-	if l.first.pace == 0 && l.step.pace == 0 || now.Sub(l.observedAt) > maxAge {
+	if now.Sub(l.observedAt) > maxAge {
+		return slots, ReasonUnknown
+	}
+	if l.failures.failing {
+		return 1, ReasonFailures
+	}
+	if l.first.pace == 0 && l.step.pace == 0 {
 		return slots, ReasonUnknown
 	}
 	reason := ReasonSlots
--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -143,3 +143,29 @@
 	strict := capacity.Need{}.And(capacity.Need{FirstEvent: 2, EventGap: 3}).And(capacity.Need{EventGap: 1}).And(capacity.Need{FirstEvent: 5})
 	assert.Equal(t, strict, capacity.Need{FirstEvent: 2, EventGap: 1})
 }
+
+// TestGreyTarget fails half of a target's requests while its health is good: it must get one
+// request at a time, and be trusted again after a few that it has served. Two failures, or one
+// in four, are no evidence.
+func TestGreyTarget(t *testing.T) {
+	p := newPlay()
+	end := func(failed ...bool) {
+		for _, f := range failed {
+			p.now = p.now.Add(200 * time.Millisecond)
+			p.learner.Observe(capacity.Observation{At: p.now, Running: 1, Ended: true, Failed: f}, slots)
+		}
+	}
+	end(true, true)
+	assert.Equal(t, p.requests(), slots, "two failures")
+	p.now = p.now.Add(3 * time.Second)
+	end(false, false, false, true, false, false, true, false, false)
+	assert.Equal(t, p.requests(), slots, "one in four")
+	end(true, false, true, true, true, true)
+	estimate := p.learner.Estimate(p.now, slots, need)
+	assert.Equal(t, estimate.Requests, 1)
+	assert.Equal(t, estimate.Reason, capacity.ReasonFailures)
+	end(false, false)
+	assert.Equal(t, p.requests(), 1, "two successes")
+	end(false)
+	assert.Equal(t, p.requests(), slots, "three successes")
+}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -197,7 +197,7 @@
 	o.meter, o.choice = streamMeter{begun: begun}, choice
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
-	o.reportOutcome(choice)
+	o.reportOutcome(choice, record.err)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/sycamoretally/sycamoretally/coordination/balancing"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
@@ -21,6 +23,8 @@
 	running int
 	// firstReported is set once the time to the first event was told.
 	firstReported bool
+	// stalled is set if the stream left the target because it got no event in time.
+	stalled bool
 }
 
 // eventReceived counts complete events that arrived at the time now. It reports whether they
@@ -60,18 +64,36 @@
 	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, true)
 }
 
-// reportOutcome tells the batcher beside the target what an attempt of a stream met there,
-// at once if that differs much from what the batcher expects.
-func (o *onlineRequest) reportOutcome(choice balancing.Choice) {
-	if choice.ProbeAnswers == 0 || o.meter.events == 0 {
+// reportOutcome tells the batcher beside the target what an attempt of a stream met there and
+// how it ended: at once if the target failed or stalled, or the time differs much from what the
+// batcher expects.
+func (o *onlineRequest) reportOutcome(choice balancing.Choice, err error) {
+	failed := !o.meter.stalled && isTargetFault(err)
+	if choice.ProbeAnswers == 0 || o.meter.events == 0 && !failed && !o.meter.stalled {
 		return
 	}
-	outcome := o.meter.firstOutcome(choice.Target.ID)
-	if o.meter.firstReported {
-		outcome.FirstEventMicros = 0
+	outcome := fleet.PeerOutcome{Target: choice.Target.ID}
+	switch {
+	case o.meter.events > 0 && !o.meter.firstReported:
+		outcome = o.meter.firstOutcome(choice.Target.ID)
+	case o.meter.events == 0 && o.meter.stalled: // the first event would have taken longer still
+		outcome.FirstEventMicros = time.Since(o.meter.begun).Microseconds()
+	}
+	outcome.Running, outcome.StepMicros = o.meter.running, o.meter.step().Microseconds()
+	outcome.Ended, outcome.Failed = err == nil || failed, failed
+	urgent := failed || o.meter.stalled || isNews(outcome.Step(), choice.ExpectedStep)
+	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, urgent)
+}
+
+// isTargetFault reports whether an attempt ended by a fault of its target: it answered
+// wrongly, broke off or was not reached.
+func isTargetFault(err error) bool {
+	for _, fault := range []*errorx.Type{errForeignAnswer, errUnsignedAnswer, errNoAnswer, errTruncatedAnswer, errTargetFailed} {
+		if errorx.IsOfType(err, fault) {
+			return true
+		}
 	}
-	outcome.StepMicros = o.meter.step().Microseconds()
-	o.g.params.LoadQuerier.ReportOutcome(o.g.batcherAddress(choice.Target), outcome, isNews(outcome.Step(), choice.ExpectedStep))
+	return false
 }
 
 // isNews reports whether what a stream met differs much from what was expected. 0 stands for
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -78,7 +78,8 @@
 // reportFailure reports to the load table that the target failed, or that the request
 // left it because it did not begin the answer in time: such a target may only be busy.
 func (o *onlineRequest) reportFailure(ctx context.Context, target *fleet.Target) {
-	if isStalled(ctx) && !o.answerBegun {
+	o.meter.stalled = isStalled(ctx)
+	if o.meter.stalled && !o.answerBegun {
 		o.g.table.RecordWithdrawal(target)
 		return
 	}
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -45,6 +45,9 @@
 	// two events, in microseconds. Either is 0 if unknown.
 	FirstEventMicros int64 `msgpack:"f,omitempty"`
 	StepMicros       int64 `msgpack:"s,omitempty"`
+	// Ended is set if the request has ended there, and Failed if by a fault of the target.
+	Ended  bool `msgpack:"e,omitempty"`
+	Failed bool `msgpack:"x,omitempty"`
 }
 
 // FirstEvent returns the time to the first event.
