--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sycamoretally/sycamoretally/coordination/balancing"
 	"github.com/sycamoretally/sycamoretally/coordination/topic"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
@@ -18,6 +19,10 @@
 	attempts    *prometheus.CounterVec
 	oversized   *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
+	// choices counts choices of targets by what they were based on, and capacity is the
+	// learned capacity of the targets chosen.
+	choices  *prometheus.CounterVec
+	capacity prometheus.Histogram
 	// emptyPageAge is the age of the work log in answers that an open job has no more
 	// results.
 	emptyPageAge prometheus.Histogram
@@ -42,15 +47,39 @@
 		loadQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_targets_asked_total", Help: "Targets whose batcher was asked for their load, by whether it answered in time.",
 		}, []string{"result"}),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamoretally_gateway_choices_total", Help: "Choices of targets: by what their batchers have learned, by the online requests that these count, or by this gateway's own counts; full ones had no room.",
+		}, []string{"by"}),
+		capacity: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sycamoretally_gateway_chosen_capacity", Help: "Requests that the chosen target takes well, as its batcher has learned.",
+			Buckets: prometheus.ExponentialBuckets(1, 2, 8),
+		}),
 		emptyPageAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamoretally_gateway_empty_page_age_seconds", Help: "Age of the work log in answers that an open job has no more results yet.",
 			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.emptyPageAge)
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.oversized, m.loadQueries, m.choices, m.capacity, m.emptyPageAge)
 	return m
 }
 
+// observeChoice counts the choice of a target.
+func (m *metrics) observeChoice(c balancing.Choice) {
+	by := "own"
+	switch {
+	case c.RoomKnown && c.Room <= 0:
+		by = "full"
+	case c.Capacity > 0:
+		by = "learned"
+	case c.ProbeAnswers > 0:
+		by = "counted"
+	}
+	m.choices.WithLabelValues(by).Inc()
+	if c.Capacity > 0 {
+		m.capacity.Observe(float64(c.Capacity))
+	}
+}
+
 var kindNames = map[fleet.Kind]string{
 	fleet.KindUnsafe: "unsafe", fleet.KindSafe: "safe", fleet.KindStream: "stream", fleet.KindBatch: "batch",
 }
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -189,6 +189,7 @@
 // makeAttempt makes one attempt and records it in attempts.
 func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
 	begun := time.Now()
+	o.g.metrics.observeChoice(choice)
 	record := attemptRecord{choice: choice, after: o.lastEvent}
 	record.targetsAge, _ = o.g.targetTail.Age()
 	if o.hasDeadline {
