--- a/coordination/balancing/uneven_test.go
+++ b/coordination/balancing/uneven_test.go
@@ -276,3 +276,20 @@
 	choice, _ = balancer.BeginProbed(list, []fleet.PeerLoad{full, free})
 	assert.Equal(t, choice.Target.ID, "t0")
 }
+
+// TestNearTargetWinsWhereAsGood offers a target of the gateway's own data centre and one of
+// another: what a stream sends between data centres must be worth it.
+func TestNearTargetWinsWhereAsGood(t *testing.T) {
+	balancer, _ := newBalancer()
+	balancer.SetDataCentre("dc1")
+	far, near := &fleet.Target{ID: "far", DataCentre: "dc2"}, &fleet.Target{ID: "near", DataCentre: "dc1"}
+	choose := func(farStep int64) string {
+		choice, _ := balancer.BeginProbed([]*fleet.Target{far, near}, []fleet.PeerLoad{
+			{Target: "far", Online: 2, Capacity: 8, FirstEventMicros: 40_000, StepMicros: farStep},
+			{Target: "near", Online: 2, Capacity: 8, FirstEventMicros: 40_000, StepMicros: 18_000},
+		})
+		return choice.Target.ID
+	}
+	assert.Equal(t, choose(18_000), "near")
+	assert.Equal(t, choose(9_000), "far")
+}
