--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -51,6 +51,8 @@
 	// pages holds, for each item, the success that its next attempt is answered with in
 	// place of a stream. It is deleted with that attempt.
 	pages map[string]fleet.Answer
+	// slowdown is the factor by which events take longer, 0 for none.
+	slowdown int
 }
 
 func newTarget() *target {
@@ -160,8 +162,10 @@
 	if s.next > tokens {
 		return 0, io.EOF
 	}
+	pace := tokenTime
+	s.e.set(func(e *target) { pace *= time.Duration(max(1, e.slowdown)) })
 	select {
-	case <-time.After(tokenTime):
+	case <-time.After(pace):
 	case <-s.ctx.Done():
 		return 0, errors.New("closed")
 	}
--- a/batcher/capacity_test.go
+++ b/batcher/capacity_test.go
@@ -39,6 +39,24 @@
 	})
 }
 
+// TestItemsShowThatTargetSlows slows a target down while items run there and no stream tells
+// of it: the batcher must see it by its own items within two seconds, and that it recovers.
+func TestItemsShowThatTargetSlows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		s.accept("j", 20)
+		b := s.start("b", e)
+		defer func() { assert.NilError(t, b.Stop()) }()
+		for _, slowdown := range []int{1, 3, 1} {
+			e.set(func(e *target) { e.slowdown = slowdown })
+			time.Sleep(2 * time.Second)
+			expected := tokenTime.Microseconds() * int64(slowdown)
+			step := b.ReportLoad().StepMicros
+			assert.Assert(t, step > expected*9/10 && step < expected*11/10, "step %d at a slowdown of %d", step, slowdown)
+		}
+	})
+}
+
 // TestWaitingItemsGoToSpareSlots fills one of two targets with online requests while items
 // with a due time run there: they must not wait there for slots that the other target has.
 func TestWaitingItemsGoToSpareSlots(t *testing.T) {
