--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -53,6 +53,8 @@
 	pages map[string]fleet.Answer
 	// workspaces holds the workspace that each item was last sent for.
 	workspaces map[string]*fleet.Workspace
+	// slowdown is the factor by which events take longer, 0 for none.
+	slowdown int
 }
 
 func newTarget() *target {
@@ -163,8 +165,10 @@
 	if s.next > tokens {
 		return 0, io.EOF
 	}
+	pace := tokenTime
+	s.e.set(func(e *target) { pace *= time.Duration(max(1, e.slowdown)) })
 	select {
-	case <-time.After(tokenTime):
+	case <-time.After(pace):
 	case <-s.ctx.Done():
 		return 0, errors.New("closed")
 	}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -38,6 +38,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancel = cancel
 	h.startedAt = now
+	h.eventsAtStart = h.progress.Events
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
 	progress := h.progress
 	b.tomb.Go(func() error {
@@ -77,6 +78,7 @@
 	h.progress = end.progress
 	h.cancel = nil
 	h.yielding = false
+	h.waitingSince = time.Now()
 	if !errorx.IsOfType(cause, errYield) {
 		h.notBefore = time.Now().Add(brokenRunDelay)
 	}
--- a/coordination/balancing/balancing.go
+++ b/coordination/balancing/balancing.go
@@ -47,9 +47,13 @@
 type Balancer struct {
 	now    func() time.Time
 	random func() float64
+	// dataCentre is that of this process, empty if unknown.
+	dataCentre string
 
 	mu      sync.Mutex
 	targets map[string]*targetState
+	// lastSuccess is when a target last served a request of this gateway.
+	lastSuccess time.Time
 }
 
 // New returns a balancer without any state. random draws from [0, 1); nil stands for
@@ -61,6 +65,10 @@
 	return &Balancer{now: now, random: random, targets: map[string]*targetState{}}
 }
 
+// SetDataCentre sets the data centre of this process, whose targets are preferred where
+// others are not expected to serve sooner. It must be called before the balancer is used.
+func (b *Balancer) SetDataCentre(name string) { b.dataCentre = name }
+
 // Choice is the chosen target and the figures that the choice was based on.
 type Choice struct {
 	Target *fleet.Target
@@ -75,6 +83,12 @@
 	// probed or none answered.
 	ProbeAnswers int
 	ProbedOnline int
+	// Capacity is the number of requests that the target takes well, as its batcher has
+	// learned. ExpectedFirstEvent and ExpectedStep are the times that a stream should meet
+	// there, to its first event and between two events. Each is 0 if unknown.
+	Capacity           int
+	ExpectedFirstEvent time.Duration
+	ExpectedStep       time.Duration
 	// Room is the number of requests that the target takes well beyond those it has, as far
 	// as is known; it is negative if it has too many. RoomKnown is false if nothing is known.
 	Room      int
@@ -125,11 +139,17 @@
 // scoreTargets returns the targets that are not in tried with their loads. mu must
 // be held.
 func (b *Balancer) scoreTargets(now time.Time, targets []*fleet.Target, tried map[string]bool) []scoredTarget {
+	ejects := !b.isObserverAtFault(now, targets)
 	scored := make([]scoredTarget, 0, len(targets))
 	for _, target := range targets {
-		if !tried[target.ID] {
-			scored = append(scored, scoredTarget{target, b.targetLoad(target, now) + b.random()*maxRandomLoad})
+		if tried[target.ID] {
+			continue
+		}
+		load := b.targetLoad(target, now) + b.random()*maxRandomLoad
+		if ejects && b.targets[target.ID].isEjected(now) {
+			load += ejectedLoad
 		}
+		scored = append(scored, scoredTarget{target, load})
 	}
 	return scored
 }
@@ -140,11 +160,7 @@
 		return 0
 	}
 	decay := math.Exp2(-float64(now.Sub(s.reportedAt)) / float64(reportHalfLife))
-	load := float64(s.inFlight) + othersWeight*s.reportedOthers*decay
-	if now.Before(s.ejectedUntil) {
-		load += ejectedLoad
-	}
-	return load
+	return float64(s.inFlight) + othersWeight*s.reportedOthers*decay
 }
 
 func (b *Balancer) state(id string) *targetState {
@@ -206,6 +222,7 @@
 	s := b.state(target.ID)
 	s.ejectionTime = 0
 	s.ejectedUntil = time.Time{}
+	b.lastSuccess = b.now()
 }
 
 // ForgetIdle drops the state of targets that have had no request for
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -99,7 +99,7 @@
 	c := a.choice
 	klog.InfoS("attempt", "request", request, "number", number, "target", c.Target.ID,
 		"in_flight", c.InFlight, "others", c.ReportedOthers, "report_age", c.ReportAge,
-		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "suspect", c.Ejected, "targets_age", a.targetsAge,
+		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "capacity", c.Capacity, "expected_first", c.ExpectedFirstEvent, "expected_step", c.ExpectedStep, "suspect", c.Ejected, "targets_age", a.targetsAge,
 		"after_event", a.after, "time_left", a.timeLeft, "took", a.took,
 		"outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
 }
@@ -141,6 +141,9 @@
 	refusals     int
 	// wrongTargets counts the attempts that another incarnation answered.
 	wrongTargets int
+	// choice is that of the current attempt, and meter measures the attempt of a stream.
+	choice balancing.Choice
+	meter  streamMeter
 	// reason says why the request was given up. It is empty if it was not.
 	reason string
 }
@@ -192,13 +195,16 @@
 // makeAttempt makes one attempt and records it in attempts.
 func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
 	begun := time.Now()
+	o.g.metrics.observeChoice(choice)
 	record := attemptRecord{choice: choice, after: o.lastEvent}
 	record.targetsAge, _ = o.g.targetTail.Age()
 	if o.hasDeadline {
 		record.timeLeft = time.Until(o.deadline)
 	}
+	o.meter, o.choice = streamMeter{begun: begun}, choice
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
+	o.reportOutcome(choice, record.err)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
@@ -252,6 +258,7 @@
 	}
 	if answer.Load != nil {
 		o.g.table.RecordLoad(target, *answer.Load)
+		o.meter.running = answer.Load.Running + answer.Load.Waiting
 	}
 	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
 		o.g.targets.MarkLeaving(target)
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -201,6 +201,8 @@
 
 func (restartedBatchers) AnnounceRequest(string) {}
 
+func (restartedBatchers) ReportOutcome(string, fleet.PeerOutcome, bool) {}
+
 // TestAllStartedAtOnce starts a gateway after a loss of power: the registry names only targets
 // that have ended, and the callers of a wave wait already. Each request must be served, and the
 // ended targets must not cost each of them an attempt.
