Limit the rate of a workspace at one owner among all gateways

Cause: each process enforced an equal share of a rate, which denies workspaces with few connections, and the gateways of the users' platform knew of no other.

Only where the configuration has a workspace with a rate.

--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -171,10 +171,14 @@
 		Node: p.node, Store: p.store, Sender: targets, HasEnded: targets.HasEnded,
 		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry,
 	}
-	if datagrams := p.listenDatagrams(nil); datagrams != nil {
-		params.LoadQuerier = datagrams
+	datagrams := p.listenDatagrams(nil)
+	if datagrams != nil {
+		params.LoadQuerier, params.RateMessages = datagrams, datagrams
 	}
 	g := gateway.New(params)
+	if datagrams != nil {
+		datagrams.HandleRates(g.Rates())
+	}
 	g.Start()
 	if _, err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
 		return err
--- /dev/null
+++ b/coordination/ratelimit/members.go
@@ -0,0 +1,279 @@
+package ratelimit
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minRenewInterval is the time between two renewals of a presence record in a small
+	// deployment, and maxRenewalsPerSecond bounds those of all gateways together.
+	minRenewInterval     = 2 * time.Second
+	maxRenewalsPerSecond = 20
+	// leaseIntervals is the length of a lease in renewal intervals: two renewals may be lost.
+	leaseIntervals = 4
+	// dropMargin is the time after the end of a lease until others drop the gateway.
+	dropMargin = 1500 * time.Millisecond
+	// maxLease bounds the lease that a record may name, and defaultWeight is the weight of a
+	// gateway that does not know its share of a processor.
+	maxLease      = 5 * time.Minute
+	defaultWeight = 1.0
+	// departedFor is how long a gateway that has left may still hand its buckets over.
+	departedFor = 3 * time.Second
+	// maxCachedOrders bounds the number of workspaces whose order is kept.
+	maxCachedOrders = 1 << 14
+	// deputies is the number of gateways after the owner that stand in for it.
+	deputies = 2
+)
+
+// Member is a gateway that is present.
+type Member struct {
+	// Name is the instance's name and Process that of its process. Revision increases with
+	// each renewal.
+	Name, Process string
+	Revision      int64
+	// Address is where the gateway receives datagrams.
+	Address string
+	Weight  float64
+	// Lease is how long the gateway may act after a renewal.
+	Lease time.Duration
+}
+
+// known is a member with the time at which its last renewal was read.
+type known struct {
+	Member
+	renewedAt time.Duration
+	// addedAt is when the member came to be present.
+	addedAt time.Duration
+}
+
+// Members is what one gateway knows of all gateways. It is not safe for concurrent use.
+type Members struct {
+	name, process string
+	known         map[string]*known
+	// present holds the members that count, ordered by name.
+	present []Member
+	// departed holds the members that have deleted their records, with the time.
+	departed map[string]*known
+	// removedAt is when a member was last removed from present: only then does another
+	// become the owner of workspaces.
+	removedAt time.Duration
+	orders    map[string][]Member
+
+	// readAt is when the last read of the log began, leaseFrom when the last confirmed
+	// renewal began, and confirmed its revision. They are valid once hasRead and hasLease
+	// are set.
+	readAt, leaseFrom time.Duration
+	hasRead, hasLease bool
+	confirmed         int64
+	lease             time.Duration
+	// joinedAt is when this process's record was first read back since it last had no lease.
+	joinedAt time.Duration
+	joined   bool
+	leaving  bool
+}
+
+// NewMembers returns what the process of an instance knows before it has read anything.
+func NewMembers(name, process string) *Members {
+	return &Members{name: name, process: process, known: map[string]*known{}, departed: map[string]*known{}, orders: map[string][]Member{}, lease: leaseIntervals * minRenewInterval}
+}
+
+// RenewInterval returns the time between two renewals, and the lease that they give.
+func (m *Members) RenewInterval() (interval, lease time.Duration) {
+	interval = max(minRenewInterval, time.Duration(len(m.present))*time.Second/maxRenewalsPerSecond)
+	return interval, leaseIntervals * interval
+}
+
+// Update takes over the records of the log by a read that began at asOf.
+func (m *Members) Update(now, asOf time.Duration, list []Member) {
+	m.lapse(now)
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		listed[r.Name] = true
+		m.learn(now, r)
+	}
+	for name, k := range m.known {
+		if !listed[name] {
+			delete(m.known, name)
+			m.departed[name] = &known{Member: k.Member, renewedAt: now}
+		}
+	}
+	for name, k := range m.departed {
+		if listed[name] || now-k.renewedAt > departedFor {
+			delete(m.departed, name)
+		}
+	}
+	m.readAt, m.hasRead = asOf, true
+	m.join(now)
+	m.refresh(now, asOf)
+}
+
+// learn takes over a record.
+func (m *Members) learn(now time.Duration, r Member) {
+	k := m.known[r.Name]
+	if k == nil {
+		k = &known{addedAt: now}
+		m.known[r.Name] = k
+	}
+	if k.Revision != r.Revision || k.Process == "" {
+		k.Member, k.renewedAt = sanitized(r), now
+	}
+}
+
+// join notes that this process's record was read back.
+func (m *Members) join(now time.Duration) {
+	own := m.known[m.name]
+	if !m.joined && m.hasLease && own != nil && own.Process == m.process && own.Revision >= m.confirmed && now < m.leaseFrom+m.lease {
+		m.joined, m.joinedAt = true, now
+	}
+}
+
+// refresh determines who is present.
+func (m *Members) refresh(now, asOf time.Duration) {
+	var present []Member
+	for _, k := range m.known {
+		if asOf-k.renewedAt >= k.Lease+dropMargin {
+			k.addedAt = now // if it comes back, it does so later
+			continue
+		}
+		present = append(present, k.Member)
+	}
+	slices.SortFunc(present, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	same := func(a, b Member) bool { return a.Name == b.Name && a.Address == b.Address && a.Weight == b.Weight }
+	if !slices.EqualFunc(present, m.present, same) {
+		m.orders = map[string][]Member{}
+	}
+	for _, before := range m.present {
+		if !slices.ContainsFunc(present, func(p Member) bool { return same(p, before) }) {
+			m.removedAt = now
+		}
+	}
+	m.present = present
+}
+
+// sanitized returns the member with a weight and a lease that can be used.
+func sanitized(r Member) Member {
+	if !(r.Weight > 0 && r.Weight < math.MaxInt32) {
+		r.Weight = defaultWeight
+	}
+	r.Lease = min(max(r.Lease, minRenewInterval), maxLease)
+	return r
+}
+
+// Renewed notes that the store has confirmed a renewal that was begun at the given time,
+// and its revision and lease.
+func (m *Members) Renewed(now, begun time.Duration, revision int64, lease time.Duration) {
+	m.lapse(now)
+	m.leaseFrom, m.hasLease, m.lease = begun, true, lease
+	if !m.joined {
+		m.confirmed = revision
+	}
+}
+
+// Leave ends this gateway's part: it decides about nothing any more.
+func (m *Members) Leave() { m.leaving = true }
+
+// lapse notes that the lease has run out, and reports whether this process has a valid one.
+func (m *Members) lapse(now time.Duration) bool {
+	if m.joined && (now >= m.leaseFrom+m.lease || now >= m.readAt+m.lease) {
+		m.joined, m.hasLease = false, false
+	}
+	return m.joined
+}
+
+// acts reports whether this gateway may decide.
+func (m *Members) acts(now time.Duration) bool { return m.lapse(now) && !m.leaving }
+
+// settledAt returns from when on every other gateway knows that this one is present.
+func (m *Members) settledAt() time.Duration {
+	longest := m.lease
+	for _, k := range m.present {
+		longest = max(longest, k.Lease)
+	}
+	return m.joinedAt + longest
+}
+
+// joinedLately reports whether the gateway at the address came to be present so lately that it
+// can't have begun buckets of its own.
+func (m *Members) joinedLately(now time.Duration, address string) bool {
+	for _, k := range m.known {
+		if k.Address == address {
+			return now-k.addedAt < min(k.Lease, m.lease)/2
+		}
+	}
+	return true // its record has not been read yet
+}
+
+// Age returns the time since the last read of the log.
+func (m *Members) Age(now time.Duration) time.Duration { return now - m.readAt }
+
+// Len returns the number of gateways that are present.
+func (m *Members) Len() int { return len(m.present) }
+
+// Order returns the owner of the workspace and its deputies, as far as there are any.
+func (m *Members) Order(workspace string) []Member {
+	if order, found := m.orders[workspace]; found {
+		return order
+	}
+	order := slices.Clone(m.present)
+	sortByRank(order, workspace)
+	order = order[:min(len(order), 1+deputies)]
+	if len(m.orders) < maxCachedOrders {
+		m.orders[workspace] = order
+	}
+	return order
+}
+
+// departedOwner returns the address of a gateway that has left and would be the
+// workspace's owner, empty if there is none.
+func (m *Members) departedOwner(now time.Duration, workspace string) string {
+	var gone []Member
+	for _, k := range m.departed {
+		if now-k.renewedAt <= departedFor {
+			gone = append(gone, k.Member)
+		}
+	}
+	if len(gone) == 0 || len(m.present) == 0 {
+		return ""
+	}
+	all := append(gone, m.Order(workspace)[0])
+	sortByRank(all, workspace)
+	if all[0].Name == m.Order(workspace)[0].Name {
+		return ""
+	}
+	return all[0].Address
+}
+
+// sortByRank orders members by a weighted rendezvous hash: each is first for a share of the
+// workspaces that its weight determines.
+func sortByRank(members []Member, workspace string) {
+	ranks := make(map[string]float64, len(members))
+	for _, m := range members {
+		ranks[m.Name] = -m.Weight / math.Log(uniform(workspace, m.Name))
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(ranks[b.Name], ranks[a.Name]), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// uniform returns a number between 0 and 1, both excluded, that the two names determine.
+func uniform(workspace, member string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(workspace))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(member))
+	x := mix(h.Sum64())
+	return (float64(x>>11) + 0.5) / (1 << 53)
+}
+
+// mix spreads the differences of similar names over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// RateLimiter admits the online requests of workspaces with a rate. It is nil if rates
 	// are not limited.
 	RateLimiter RateLimiter
+	// RateMessages reaches the other gateways. If it is set and RateLimiter is nil, the gateways
+	// limit rates together.
+	RateMessages RateMessages
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
@@ -82,6 +85,8 @@
 	writer  *worklog.Writer
 	texts   *textReader
 	crashes *crashTracker
+	// rates limits the rates of workspaces, nil if another limiter or none does.
+	rates *Rates
 
 	active  atomic.Int64
 	closing atomic.Bool
@@ -128,9 +133,16 @@
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
 	g.registerGauges()
+	if p.RateMessages != nil && p.RateLimiter == nil {
+		g.rates = newRates(g, p.RateMessages)
+		g.params.RateLimiter = g.rates
+	}
 	return g
 }
 
+// Rates returns what handles messages about rates, nil if this gateway does not take part.
+func (g *Gateway) Rates() *Rates { return g.rates }
+
 // Reload puts into force the settings that may change while the gateway runs: the grace
 // period, the retention of results and the maximum size of a record.
 func (g *Gateway) Reload(node *fleet.Node) { g.node.Store(node) }
@@ -143,6 +155,9 @@
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
+	if g.rates != nil {
+		g.tomb.Go(g.rates.run)
+	}
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
 }
 
@@ -183,6 +198,9 @@
 	window := drain.NewWindow(begun, g.node.Load().GracePeriod)
 	g.drainWindow.Store(&window)
 	g.closing.Store(true)
+	if g.rates != nil {
+		g.tomb.Go(func() error { g.rates.leave(); return nil })
+	}
 	g.awaitIdle(func(now time.Time) bool { return !now.Before(window.NoticeEnd) }, window.Stop)
 	if left := g.active.Load(); left > 0 {
 		klog.InfoS("requests given up, the grace period is over", "requests", left)
--- /dev/null
+++ b/gateway/rates.go
@@ -0,0 +1,392 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
+	"github.com/sycamoretally/sycamoretally/coordination/ratelimit"
+	"github.com/sycamoretally/sycamoretally/protocol"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
+)
+
+const (
+	// presenceInterval is the time between two looks at who is present.
+	presenceInterval = 200 * time.Millisecond
+	// renewTimeout bounds one append of the presence record, renewRetryDelay is the delay
+	// before a failed one is made again.
+	renewTimeout    = time.Second
+	renewRetryDelay = 500 * time.Millisecond
+	// localInterval is the time between two attempts of this gateway to decide by a bucket
+	// that is being handed over, localTries their number.
+	localInterval = 15 * time.Millisecond
+	localTries    = 6
+	// maxAbandoned bounds the number of asks without answer that are remembered.
+	maxAbandoned = 1024
+	// suspensionTolerance is the difference between the clocks that is no suspension.
+	suspensionTolerance = 20 * time.Millisecond
+)
+
+// RateMessages sends messages about rates to other gateways. It is safe for concurrent
+// use.
+type RateMessages interface {
+	// QueryRate sends a query and returns false if it is not answered in time.
+	QueryRate(ctx context.Context, address string, id uint64, q fleet.RateQuery) (fleet.RateAnswer, bool)
+	// SendRateQuery sends a query whose answer nobody waits for.
+	SendRateQuery(address string, id uint64, q fleet.RateQuery)
+}
+
+// Rates limits the rates of workspaces together with the other gateways. It implements
+// RateLimiter.
+type Rates struct {
+	g        *Gateway
+	messages RateMessages
+	// address is where this gateway receives messages.
+	address string
+	lastID  atomic.Uint64
+	metrics *rateMetrics
+	// enabled is set once this gateway has been present.
+	enabled atomic.Bool
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	members  *ratelimit.Members
+	holder   *ratelimit.Holder
+	silences ratelimit.Silences
+	// abandoned holds the addresses that got asks which were given up without an answer, and
+	// abandonedOrder their IDs, oldest first.
+	abandoned      map[uint64]string
+	abandonedOrder []uint64
+	// admissions holds who admitted the requests in flight.
+	admissions map[uint64]string
+	renewing   bool
+	nextRenew  time.Duration
+	clocks     clocks
+}
+
+// clocks compares the clock that counts suspensions with one that does not.
+type clocks struct {
+	boot time.Duration
+	mono time.Time
+	// resumed is when the last suspension was noticed.
+	resumed time.Time
+}
+
+// newRates returns the limiter of a gateway.
+func newRates(g *Gateway, messages RateMessages) *Rates {
+	node := g.params.Node
+	r := &Rates{
+		g: g, messages: messages, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: newRateMetrics(g.metrics.registry),
+		members:   ratelimit.NewMembers(node.Name, g.writer.Name()),
+		abandoned: map[uint64]string{}, admissions: map[uint64]string{},
+	}
+	r.lastID.Store(rand.Uint64())
+	bounds := ratelimit.Bounds{Window: node.QuotaWindow, Overage: node.QuotaOverage, Slack: node.QuotaSlack}
+	r.holder = ratelimit.NewHolder(r.members, bounds, boottime.Now(), r.nextID)
+	return r
+}
+
+func (r *Rates) nextID() uint64 { return r.lastID.Add(1) }
+
+// Admit implements RateLimiter.
+func (r *Rates) Admit(ctx context.Context, workspace *fleet.Workspace) (Admission, error) {
+	rate := workspace.Rate.Sanitized()
+	if !rate.IsLimited() {
+		return Admission{}, nil
+	}
+	begun := time.Now()
+	version := r.g.configVersion()
+	q := fleet.RateQuery{Kind: fleet.RateAsk, Workspace: workspace.Name, PerSecond: rate.PerSecond, Burst: rate.Burst, Version: version}
+	a, by, inquiry := r.inquire(ctx, q)
+	r.metrics.seconds.Observe(time.Since(begun).Seconds())
+	if a.Verdict == fleet.RateAdmitted {
+		r.metrics.count(workspace.Name, outcomeAdmitted(a.Deputy))
+		return by, nil
+	}
+	decided := a.Verdict == fleet.RateExceeded
+	if id := r.nextID(); !decided && r.admitAlone(id, workspace.Name, rate) {
+		r.metrics.count(workspace.Name, "admitted_alone")
+		return Admission{Workspace: workspace.Name, ID: id}, nil
+	}
+	r.logRefusal(workspace, version, decided, a, inquiry)
+	return Admission{}, ratelimit.Refusal(workspace, decided, a, inquiry.Silent)
+}
+
+// inquire asks gateways until one decides. It returns the zero answer if none does.
+func (r *Rates) inquire(ctx context.Context, q fleet.RateQuery) (fleet.RateAnswer, Admission, *ratelimit.Inquiry) {
+	r.mu.Lock()
+	inquiry := ratelimit.NewInquiry(r.members.Order(q.Workspace))
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		now := boottime.Now()
+		step, found := inquiry.Next(func(address string) bool { return r.silences.IsSilent(now, address) })
+		r.mu.Unlock()
+		if !found {
+			break
+		}
+		id := r.nextID()
+		q.Deputy = step.Deputy
+		a, answered := r.ask(ctx, step.Address, id, q)
+		if inquiry.Heard(a, answered) {
+			if a.Verdict == fleet.RateAdmitted {
+				r.remember(id, step.Address)
+			}
+			return a, Admission{Workspace: q.Workspace, ID: id}, inquiry
+		}
+	}
+	return fleet.RateAnswer{}, Admission{}, inquiry
+}
+
+// ask asks one gateway, which may be this one.
+func (r *Rates) ask(ctx context.Context, address string, id uint64, q fleet.RateQuery) (fleet.RateAnswer, bool) {
+	if address == r.address {
+		return r.askSelf(ctx, id, q)
+	}
+	a, answered := r.messages.QueryRate(ctx, address, id, q)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		r.silences.Clear(address)
+		r.metrics.asks.WithLabelValues(verdictNames[a.Verdict]).Inc()
+		return a, true
+	}
+	if ctx.Err() == nil {
+		r.silences.Mark(boottime.Now(), address)
+	}
+	r.abandon(id, address)
+	r.metrics.asks.WithLabelValues("silent").Inc()
+	return a, false
+}
+
+// askSelf decides by this gateway's own bucket, for which it may have to wait.
+func (r *Rates) askSelf(ctx context.Context, id uint64, q fleet.RateQuery) (fleet.RateAnswer, bool) {
+	for range localTries {
+		if a, answered := r.HandleRateQuery(r.address, id, q); answered {
+			return a, true
+		}
+		pause.For(ctx, localInterval)
+	}
+	return fleet.RateAnswer{}, false
+}
+
+// abandon remembers an ask that was given up: if it is answered all the same, what it took is
+// returned. mu must be held.
+func (r *Rates) abandon(id uint64, address string) {
+	if len(r.abandonedOrder) >= maxAbandoned {
+		delete(r.abandoned, r.abandonedOrder[0])
+		r.abandonedOrder = r.abandonedOrder[1:]
+	}
+	r.abandoned[id] = address
+	r.abandonedOrder = append(r.abandonedOrder, id)
+}
+
+// remember remembers who admitted a request until it ends.
+func (r *Rates) remember(id uint64, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admissions[id] = address
+}
+
+func (r *Rates) admitAlone(id uint64, workspace string, rate fleet.Rate) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder.AdmitAlone(boottime.Now(), id, workspace, rate)
+}
+
+// forget ends an admission whose request has run, and returns who made it.
+func (r *Rates) forget(a Admission) (address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	address = r.admissions[a.ID]
+	delete(r.admissions, a.ID)
+	return address
+}
+
+// Return implements RateLimiter.
+func (r *Rates) Return(a Admission) {
+	if a.ID == 0 {
+		return
+	}
+	address := r.forget(a)
+	r.metrics.count(a.Workspace, "returned")
+	switch address {
+	case "":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.holder.ReturnAlone(a.ID)
+	case r.address:
+		r.HandleRateQuery(address, r.nextID(), fleet.RateQuery{Kind: fleet.RateReturn, Workspace: a.Workspace, AskID: a.ID})
+	default:
+		r.messages.SendRateQuery(address, r.nextID(), fleet.RateQuery{Kind: fleet.RateReturn, Workspace: a.Workspace, AskID: a.ID})
+	}
+}
+
+// HandleRateQuery decides about a query of the gateway at the address from. It returns
+// false if there is nothing to answer.
+func (r *Rates) HandleRateQuery(from string, id uint64, q fleet.RateQuery) (fleet.RateAnswer, bool) {
+	r.mu.Lock()
+	answer, answered, take := r.holder.Handle(boottime.Now(), from, id, q)
+	r.mu.Unlock()
+	if take != nil {
+		r.messages.SendRateQuery(take.Address, take.ID, take.Query)
+	}
+	return answer, answered
+}
+
+// HandleRateAnswer takes over a bucket that was handed over, or returns what a late answer
+// admitted.
+func (r *Rates) HandleRateAnswer(_ string, id uint64, a fleet.RateAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.Verdict == fleet.RateGiven || a.Verdict == fleet.RateNotHeld {
+		r.holder.Taken(boottime.Now(), id, a)
+		return
+	}
+	address, found := r.abandoned[id]
+	if !found || a.Verdict != fleet.RateAdmitted {
+		return
+	}
+	delete(r.abandoned, id)
+	r.messages.SendRateQuery(address, r.nextID(), fleet.RateQuery{Kind: fleet.RateReturn, AskID: id})
+}
+
+// run keeps this gateway present and follows who else is.
+func (r *Rates) run() error {
+	for ctx := r.g.ctx; ctx.Err() == nil; pause.For(ctx, presenceInterval) {
+		if c := r.g.configs.Current(); !r.enabled.Load() && (c == nil || c.Keyring == nil || !c.Keyring.HasRates()) {
+			continue
+		}
+		r.enabled.Store(true)
+		r.updateMembers()
+		r.renew()
+	}
+	return nil
+}
+
+// updateMembers takes over the presence records if the work log was read since it last did.
+func (r *Rates) updateMembers() {
+	age, known := r.g.workTail.Age()
+	now, mono := boottime.Now(), time.Now()
+	r.g.jobsMu.RLock()
+	records := r.g.fold.Presences()
+	r.g.jobsMu.RUnlock()
+	list := make([]ratelimit.Member, 0, len(records))
+	for _, p := range records {
+		list = append(list, ratelimit.Member{Name: p.Instance, Process: p.Writer, Revision: p.Offset, Address: p.Address, Weight: p.Weight, Lease: p.Lease})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clocks.observe(now, mono)
+	if known && mono.Add(-age).After(r.clocks.resumed) {
+		r.members.Update(now, now-age, list)
+	}
+	r.holder.Maintain(now)
+}
+
+// observe notes a suspension since the last call.
+func (c *clocks) observe(boot time.Duration, mono time.Time) {
+	if !c.mono.IsZero() && boot-c.boot > mono.Sub(c.mono)+suspensionTolerance {
+		c.resumed = mono
+	}
+	c.boot, c.mono = boot, mono
+}
+
+// renew starts to append the presence record if that is due.
+func (r *Rates) renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	begun := boottime.Now()
+	if r.renewing || begun < r.nextRenew || r.g.closing.Load() {
+		return
+	}
+	interval, lease := r.members.RenewInterval()
+	r.renewing, r.nextRenew = true, begun+interval
+	r.g.tomb.Go(func() error {
+		offset, err := r.appendPresence(lease)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.renewing = false
+		if err != nil {
+			r.nextRenew = boottime.Now() + renewRetryDelay
+			klog.InfoS("presence not renewed", "error", protocol.CauseOf(err))
+			return nil
+		}
+		r.members.Renewed(boottime.Now(), begun, offset, lease)
+		return nil
+	})
+}
+
+func (r *Rates) appendPresence(lease time.Duration) (int64, error) {
+	node := r.g.params.Node
+	record, err := r.g.writer.Record(worklog.Entry{Presence: &worklog.Presence{
+		Instance: node.Name, Address: r.address, Weight: node.ProcessorShare, Lease: lease,
+	}})
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(r.g.ctx, renewTimeout)
+	defer cancel()
+	return r.g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{record})
+}
+
+// leave ends this gateway's presence: it decides about no request any more, but still hands
+// its buckets over.
+func (r *Rates) leave() {
+	r.mu.Lock()
+	r.members.Leave()
+	r.mu.Unlock()
+	if !r.enabled.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.g.ctx, renewTimeout)
+	defer cancel()
+	_, err := r.g.params.Store.Append(ctx, fleet.TopicWork, fleet.AnyOffset, []fleet.Record{{Key: worklog.PresenceKey(r.g.params.Node.Name)}})
+	klog.InfoS("presence ended", "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+}
+
+// logRefusal logs who refused a request of a workspace, and by what.
+func (r *Rates) logRefusal(workspace *fleet.Workspace, version int64, decided bool, a fleet.RateAnswer, i *ratelimit.Inquiry) {
+	reason := "exceeded"
+	if !decided {
+		reason = "unknown"
+	}
+	r.metrics.count(workspace.Name, reason)
+	r.mu.Lock()
+	age, gateways := r.members.Age(boottime.Now()), r.members.Len()
+	r.mu.Unlock()
+	klog.InfoS("rate refused a request", "workspace", workspace.Name, "reason", reason, "version", version,
+		"per_second", workspace.Rate.PerSecond, "burst", workspace.Rate.Burst, "left", a.Tokens, "retry_after", a.RetryAfter,
+		"decided_by", i.Asked(), "silent", i.Silent, "gateways", gateways, "view_age", age)
+}
+
+// admitRate counts the request against its workspace's rate. ended must be called with the
+// outcome of the request, and with whether a target may have run it.
+func (g *Gateway) admitRate(ctx context.Context, r *fleet.Request) (ended func(err error, mayHaveRun bool), err error) {
+	if g.params.RateLimiter == nil || r.Workspace == nil || !r.Workspace.Rate.IsLimited() {
+		return func(error, bool) {}, nil
+	}
+	admission, err := g.params.RateLimiter.Admit(ctx, r.Workspace)
+	if err != nil {
+		klog.InfoS("request not admitted", "request", r.ID, "workspace", r.Workspace.Name, "error", protocol.CauseOf(err))
+		return nil, err
+	}
+	return func(err error, mayHaveRun bool) {
+		if !mayHaveRun && errorx.IsOfType(err, fleet.ErrRefused) {
+			g.params.RateLimiter.Return(admission)
+			return
+		}
+		if rates := g.rates; rates != nil {
+			rates.forget(admission)
+		}
+	}, nil
+}
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -1,6 +1,7 @@
 package fleet
 
-// PeerMessage is a datagram between a gateway and a batcher.
+// PeerMessage is a datagram between a gateway and a batcher, or between two gateways. An
+// earlier build ignores the fields that it does not know.
 type PeerMessage struct {
 	// QueryID identifies a query; its answer repeats the ID.
 	QueryID uint64 `msgpack:"n"`
@@ -8,6 +9,9 @@
 	Announcement bool `msgpack:"c,omitempty"`
 	// Load is the answer to a query, nil in other messages.
 	Load *PeerLoad `msgpack:"l,omitempty"`
+	// RateQuery and RateAnswer are messages about the rates of workspaces.
+	RateQuery  *RateQuery  `msgpack:"q,omitempty"`
+	RateAnswer *RateAnswer `msgpack:"r,omitempty"`
 }
 
 // PeerLoad is the load of a batcher's target.
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -26,6 +26,7 @@
 	// lastClaimed is when this process last applied a claim of each writer.
 	lastClaimed map[string]time.Time
 	suspects    suspects
+	presences   presences
 	// malformed counts records that could not be decoded.
 	malformed int
 }
@@ -34,7 +35,7 @@
 func NewFold() *Fold {
 	return &Fold{
 		jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, jobsByHost: map[string]int{}, waitingTokens: map[string]int64{},
-		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(),
+		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(), presences: presences{},
 	}
 }
 
@@ -97,7 +98,7 @@
 		delete(f.lastClaimed, writer)
 		return
 	}
-	if f.suspects.applyDeletion(key) {
+	if f.presences.applyDeletion(key) || f.suspects.applyDeletion(key) {
 		return
 	}
 	id, found := f.jobByAcceptKey[key]
@@ -206,6 +207,8 @@
 		f.suspects.setPart(now, r, e.PartCleared.Part, false)
 	case e.PartQuarantined != nil:
 		f.suspects.setPart(now, r, e.PartQuarantined.Part, true)
+	case e.Presence != nil:
+		f.presences[e.Presence.Instance] = PresentGateway{*e.Presence, e.Writer, offset}
 	}
 }
 
--- /dev/null
+++ b/state/worklog/presence.go
@@ -0,0 +1,53 @@
+package worklog
+
+import (
+	"strings"
+	"time"
+)
+
+// presencePrefix is the prefix of the keys of presence records, which the name of the
+// instance follows: the newest record of an instance replaces the others.
+const presencePrefix = "present/"
+
+// Presence records that a gateway is present and can be asked about rates.
+type Presence struct {
+	// Instance is the name of the gateway's instance, Address where it receives datagrams.
+	Instance string `msgpack:"i"`
+	Address  string `msgpack:"a"`
+	// Weight is the size of the gateway, as a share of a processor.
+	Weight float64 `msgpack:"w"`
+	// Lease is how long the gateway may act after it began to append the record.
+	Lease time.Duration `msgpack:"l"`
+}
+
+// PresentGateway is the newest presence record of an instance.
+type PresentGateway struct {
+	Presence
+	// Writer is the name of the process that wrote it, Offset that of the record.
+	Writer string
+	Offset int64
+}
+
+// presences holds the newest presence record of each instance.
+type presences map[string]PresentGateway
+
+// PresenceKey returns the key of an instance's presence record. A record without a value
+// under it ends the presence.
+func PresenceKey(instance string) string { return presencePrefix + instance }
+
+// Presences returns the newest presence record of each instance, in no order.
+func (f *Fold) Presences() []PresentGateway {
+	list := make([]PresentGateway, 0, len(f.presences))
+	for _, p := range f.presences {
+		list = append(list, p)
+	}
+	return list
+}
+
+// applyDeletion applies the deletion of a key and reports whether it is one of a presence
+// record.
+func (p presences) applyDeletion(key string) bool {
+	instance, found := strings.CutPrefix(key, presencePrefix)
+	delete(p, instance)
+	return found
+}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -115,6 +115,8 @@
 	// Heartbeat is set in records that only show that the writer is alive and still runs
 	// the items that it has claimed.
 	Heartbeat bool `msgpack:"v,omitempty"`
+	// Presence shows that a gateway is present. Earlier builds ignore it.
+	Presence *Presence `msgpack:"p,omitempty"`
 }
 
 // heartbeatPrefix is the prefix of the keys of heartbeat records.
@@ -179,7 +181,7 @@
 }
 
 // Encode encodes an entry into a record. Only records that a later one replaces have a
-// key: heartbeats, crashes, and records that judge a request or a part. It fails with
+// key: heartbeats, presences, crashes, and records that judge a request or a part. It fails with
 // ErrMalformed.
 func (w *Writer) Encode(e Entry) (fleet.Record, error) {
 	e.Writer = w.name
@@ -199,6 +201,8 @@
 		r.Key = partKey(e.PartQuarantined.Part)
 	case e.PartCleared != nil:
 		r.Key = partKey(e.PartCleared.Part)
+	case e.Presence != nil:
+		r.Key = PresenceKey(e.Presence.Instance)
 	}
 	return r, nil
 }
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,6 +37,9 @@
 	mu          sync.Mutex
 	lastQueryID uint64
 	pending     map[uint64]chan fleet.PeerLoad
+	// pendingRates holds the calls of QueryRate that wait, by the IDs of their queries.
+	pendingRates map[uint64]chan fleet.RateAnswer
+	rates        atomic.Pointer[RateHandler]
 }
 
 // ListenDatagrams opens the socket at the address and serves it until Close. The
@@ -50,7 +54,7 @@
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "listen at %s", address)
 	}
-	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]chan fleet.PeerLoad{}}
+	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]chan fleet.PeerLoad{}, pendingRates: map[uint64]chan fleet.RateAnswer{}}
 	go d.serve()
 	return d, nil
 }
@@ -74,6 +78,8 @@
 			continue // not a message of this system
 		}
 		switch {
+		case m.RateQuery != nil || m.RateAnswer != nil:
+			d.handleRateMessage(from, &m)
 		case m.Load != nil:
 			d.deliverAnswer(m)
 		case d.reporter == nil:
