--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,8 +133,9 @@
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
 	g.registerGauges()
+	rateMetrics := newRateMetrics(p.Registry)
 	if p.RateMessages != nil && p.RateLimiter == nil {
-		g.rates = newRates(g, p.RateMessages)
+		g.rates = newRates(g, p.RateMessages, rateMetrics)
 		g.params.RateLimiter = g.rates
 	}
 	return g
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -82,10 +82,10 @@
 }
 
 // newRates returns the limiter of a gateway.
-func newRates(g *Gateway, messages RateMessages) *Rates {
+func newRates(g *Gateway, messages RateMessages, m *rateMetrics) *Rates {
 	node := g.params.Node
 	r := &Rates{
-		g: g, messages: messages, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: newRateMetrics(g.metrics.registry),
+		g: g, messages: messages, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: m,
 		members:   ratelimit.NewMembers(node.Name, g.writer.Name()),
 		abandoned: map[uint64]string{}, admissions: map[uint64]string{},
 	}
@@ -105,16 +105,16 @@
 	}
 	begun := time.Now()
 	version := r.g.configVersion()
-	q := fleet.RateQuery{Kind: fleet.RateAsk, Workspace: workspace.Name, PerSecond: rate.PerSecond, Burst: rate.Burst, Version: version}
+	q := fleet.RateQuery{Kind: fleet.RateAsk, Workspace: workspace.RateKey(), PerSecond: rate.PerSecond, Burst: rate.Burst, Version: version}
 	a, by, inquiry := r.inquire(ctx, q)
 	r.metrics.seconds.Observe(time.Since(begun).Seconds())
 	if a.Verdict == fleet.RateAdmitted {
-		r.metrics.count(workspace.Name, outcomeAdmitted(a.Deputy))
+		r.metrics.requests.WithLabelValues(outcomeAdmitted(a.Deputy)).Inc()
 		return by, nil
 	}
 	decided := a.Verdict == fleet.RateExceeded
-	if id := r.nextID(); !decided && r.admitAlone(id, workspace.Name, rate) {
-		r.metrics.count(workspace.Name, "admitted_alone")
+	if id := r.nextID(); !decided && r.admitAlone(id, q.Workspace, rate) {
+		r.metrics.requests.WithLabelValues("admitted_alone").Inc()
 		return Admission{Workspace: workspace.Name, ID: id}, nil
 	}
 	r.logRefusal(workspace, version, decided, a, inquiry)
@@ -218,7 +218,7 @@
 		return
 	}
 	address := r.forget(a)
-	r.metrics.count(a.Workspace, "returned")
+	r.metrics.requests.WithLabelValues("returned").Inc()
 	switch address {
 	case "":
 		r.mu.Lock()
@@ -360,7 +360,7 @@
 	if !decided {
 		reason = "unknown"
 	}
-	r.metrics.count(workspace.Name, reason)
+	r.metrics.requests.WithLabelValues(reason).Inc()
 	r.mu.Lock()
 	age, gateways := r.members.Age(boottime.Now()), r.members.Len()
 	r.mu.Unlock()
--- a/protocol/fleet/rate.go
+++ b/protocol/fleet/rate.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"time"
 )
@@ -22,6 +24,19 @@
 	return r
 }
 
+// MaxRateKeyBytes is the maximum size of the name by which messages call a workspace.
+const MaxRateKeyBytes = 256
+
+// RateKey returns the name by which messages call the workspace: its own, or a hash of it if
+// it does not fit.
+func (w *Workspace) RateKey() string {
+	if len(w.Name) <= MaxRateKeyBytes {
+		return w.Name
+	}
+	sum := sha256.Sum256([]byte(w.Name))
+	return hex.EncodeToString(sum[:])
+}
+
 // RateQueryKind is what a RateQuery wants.
 type RateQueryKind uint8
 
