--- a/protocol/fleet/rate.go
+++ b/protocol/fleet/rate.go
@@ -24,6 +24,19 @@
 	return r
 }
 
+// HasRates reports whether the rate of any workspace is limited.
+func (k *Keyring) HasRates() bool {
+	if k == nil {
+		return false
+	}
+	for _, workspace := range k.workspaces {
+		if workspace.Rate.IsLimited() {
+			return true
+		}
+	}
+	return false
+}
+
 // MaxRateKeyBytes is the maximum size of the name by which messages call a workspace.
 const MaxRateKeyBytes = 256
 
--- a/protocol/fleet/workspace.go
+++ b/protocol/fleet/workspace.go
@@ -77,15 +77,5 @@
 	return ring
 }
 
-// HasRates reports whether the rate of any workspace is limited.
-func (k *Keyring) HasRates() bool {
-	for _, workspace := range k.workspaces {
-		if workspace.Rate.IsLimited() {
-			return true
-		}
-	}
-	return false
-}
-
 // Workspace returns the workspace that holds the key, nil if none does.
 func (k *Keyring) Workspace(key Key) *Workspace { return k.workspaces[digestOf(key)] }
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -35,7 +35,7 @@
 func NewFold() *Fold {
 	return &Fold{
 		jobs: map[string]*Job{}, jobByAcceptKey: map[string]string{}, jobsByHost: map[string]int{}, waitingTokens: map[string]int64{},
-		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(), presences: presences{},
+		lastHeard: map[string]time.Time{}, lastClaimed: map[string]time.Time{}, suspects: newSuspects(),
 	}
 }
 
@@ -208,7 +208,7 @@
 	case e.PartQuarantined != nil:
 		f.suspects.setPart(now, r, e.PartQuarantined.Part, true)
 	case e.Presence != nil:
-		f.presences[e.Presence.Instance] = PresentGateway{*e.Presence, e.Writer, offset}
+		f.presences.add(PresentGateway{*e.Presence, e.Writer, offset})
 	}
 }
 
--- a/state/worklog/presence.go
+++ b/state/worklog/presence.go
@@ -29,7 +29,16 @@
 }
 
 // presences holds the newest presence record of each instance.
-type presences map[string]PresentGateway
+type presences struct {
+	newest map[string]PresentGateway
+}
+
+func (p *presences) add(g PresentGateway) {
+	if p.newest == nil {
+		p.newest = map[string]PresentGateway{}
+	}
+	p.newest[g.Instance] = g
+}
 
 // PresenceKey returns the key of an instance's presence record. A record without a value
 // under it ends the presence.
@@ -37,8 +46,8 @@
 
 // Presences returns the newest presence record of each instance, in no order.
 func (f *Fold) Presences() []PresentGateway {
-	list := make([]PresentGateway, 0, len(f.presences))
-	for _, p := range f.presences {
+	list := make([]PresentGateway, 0, len(f.presences.newest))
+	for _, p := range f.presences.newest {
 		list = append(list, p)
 	}
 	return list
@@ -46,8 +55,8 @@
 
 // applyDeletion applies the deletion of a key and reports whether it is one of a presence
 // record.
-func (p presences) applyDeletion(key string) bool {
+func (p *presences) applyDeletion(key string) bool {
 	instance, found := strings.CutPrefix(key, presencePrefix)
-	delete(p, instance)
+	delete(p.newest, instance)
 	return found
 }
