Let gateways that restart decide once all others have confirmed them

Cause: a gateway that joined waited for a whole lease before it decided; after a restart of all, nobody decided for 8 s.

Change: it asks all that are present whether they count it; leases are longer, so that owners go on through outages of the store.

Result: go test ./coordination/ratelimit passes.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -83,6 +83,11 @@
 		answer, take = h.ask(now, &q)
 	case fleet.RateTake:
 		answer = h.give(now, from, &q)
+	case fleet.RateConfirm:
+		if h.confirms(now, from) {
+			return fleet.RateAnswer{Verdict: fleet.RateConfirmed}, true, nil
+		}
+		return fleet.RateAnswer{}, false, nil
 	default:
 		return fleet.RateAnswer{}, false, nil
 	}
@@ -188,7 +193,7 @@
 		return k, nil, false
 	}
 	settled := now >= h.settledAt()
-	if take, pending := h.continueHandover(now, q, rate, order, settled); pending {
+	if take, pending := h.continueHandover(now, q, rate, order); pending {
 		return nil, take, true
 	}
 	if !settled || len(h.buckets) >= maxBuckets {
@@ -209,11 +214,11 @@
 
 // continueHandover tries to get the bucket from the gateway that held it before: one that
 // has left, or the one that was the owner until this one joined.
-func (h *Holder) continueHandover(now time.Duration, q *fleet.RateQuery, rate fleet.Rate, order []Member, settled bool) (*Take, bool) {
+func (h *Holder) continueHandover(now time.Duration, q *fleet.RateQuery, rate fleet.Rate, order []Member) (*Take, bool) {
 	o := h.handovers[q.Workspace]
 	if o == nil || now-o.begun > h.lease {
 		from := h.departedOwner(now, q.Workspace)
-		if from == "" && !settled && len(order) > 1 {
+		if from == "" && now < h.joinedAt+h.lease && len(order) > 1 {
 			from = order[1].Address
 		}
 		if from == "" {
@@ -239,6 +244,7 @@
 	if k == nil {
 		k = h.unusedBucket(now, to, q)
 	}
+	h.given[q.Workspace] = given{now, to}
 	if k == nil {
 		return fleet.RateAnswer{Verdict: fleet.RateNotHeld}
 	}
@@ -246,7 +252,6 @@
 		k.fill(now)
 	}
 	delete(h.buckets, q.Workspace)
-	h.given[q.Workspace] = given{now, to}
 	return fleet.RateAnswer{Verdict: fleet.RateGiven, Tokens: k.tokens}
 }
 
@@ -255,15 +260,19 @@
 func (h *Holder) unusedBucket(now time.Duration, to string, q *fleet.RateQuery) *bucket {
 	rate := fleet.Rate{PerSecond: q.PerSecond, Burst: q.Burst}.Sanitized()
 	_, gave := h.given[q.Workspace]
-	if gave || !rate.IsLimited() || !h.lapse(now) || now < h.settledAt() || !h.joinedLately(now, to) {
+	until, owned := h.added(now, to)
+	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.settledAt() {
 		return nil
 	}
 	order := h.Order(q.Workspace)
 	rank := h.rank(order)
-	if rank == 0 || rank == 1 && order[0].Address == to {
-		return newBucket(h.bounds, rate, q.Version, max(h.removedAt, h.settledAt()))
+	if rank != 0 && !(rank == 1 && order[0].Address == to) {
+		return nil
 	}
-	return nil
+	k := newBucket(h.bounds, rate, q.Version, max(h.removedAt, h.settledAt()))
+	k.fill(until)
+	k.frozen = true
+	return k
 }
 
 // Taken takes over the answer to a Take.
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -13,8 +13,9 @@
 	// deployment, and maxRenewalsPerSecond bounds those of all gateways together.
 	minRenewInterval     = 2 * time.Second
 	maxRenewalsPerSecond = 20
-	// leaseIntervals is the length of a lease in renewal intervals: two renewals may be lost.
-	leaseIntervals = 4
+	// leaseIntervals is the length of a lease in renewal intervals. Owners go on deciding for
+	// that time while the store is away.
+	leaseIntervals = 6
 	// dropMargin is the time after the end of a lease until others drop the gateway.
 	dropMargin = 1500 * time.Millisecond
 	// maxLease bounds the lease that a record may name, and defaultWeight is the weight of a
@@ -74,6 +75,14 @@
 	joinedAt time.Duration
 	joined   bool
 	leaving  bool
+	// confirmedBy holds the gateways that know that this process has joined. allConfirmed is
+	// set, with the time, once it holds all that are present.
+	confirmedBy    map[string]bool
+	allConfirmed   bool
+	allConfirmedAt time.Duration
+	// promisedAt is when this process, not having joined, last confirmed a gateway that it had
+	// not read of: it joins by a later read only.
+	promisedAt time.Duration
 }
 
 // NewMembers returns what the process of an instance knows before it has read anything.
@@ -107,7 +116,7 @@
 		}
 	}
 	m.readAt, m.hasRead = asOf, true
-	m.join(now)
+	m.join(now, asOf)
 	m.refresh(now, asOf)
 }
 
@@ -124,10 +133,14 @@
 }
 
 // join notes that this process's record was read back.
-func (m *Members) join(now time.Duration) {
+func (m *Members) join(now, asOf time.Duration) {
 	own := m.known[m.name]
+	if asOf < m.promisedAt {
+		return
+	}
 	if !m.joined && m.hasLease && own != nil && own.Process == m.process && own.Revision >= m.confirmed && now < m.leaseFrom+m.lease {
 		m.joined, m.joinedAt = true, now
+		m.allConfirmed, m.confirmedBy = false, map[string]bool{}
 	}
 }
 
@@ -152,6 +165,50 @@
 		}
 	}
 	m.present = present
+	m.checkConfirmed(now)
+}
+
+// Unconfirmed returns the addresses of the gateways that must still confirm that they know of
+// this one: until then, one of them may act as the owner of the same workspaces.
+func (m *Members) Unconfirmed(now time.Duration) (addresses []string) {
+	if !m.lapse(now) || m.allConfirmed {
+		return nil
+	}
+	for _, p := range m.present {
+		if p.Name != m.name && !m.confirmedBy[p.Address] {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+// Confirmed notes the answer of the gateway at the address to a question that was asked after
+// this process had joined.
+func (m *Members) Confirmed(now time.Duration, address string) {
+	if m.lapse(now) {
+		m.confirmedBy[address] = true
+		m.checkConfirmed(now)
+	}
+}
+
+// checkConfirmed notes when all gateways have confirmed.
+func (m *Members) checkConfirmed(now time.Duration) {
+	if m.joined && !m.allConfirmed && len(m.Unconfirmed(now)) == 0 {
+		m.allConfirmed, m.allConfirmedAt = true, now
+	}
+}
+
+// confirms reports whether this gateway either counts the one at the address, or will have
+// read of it before it decides about anything.
+func (m *Members) confirms(now time.Duration, address string) bool {
+	if slices.ContainsFunc(m.present, func(p Member) bool { return p.Address == address }) {
+		return true
+	}
+	if m.lapse(now) {
+		return false
+	}
+	m.promisedAt = now
+	return true
 }
 
 // sanitized returns the member with a weight and a lease that can be used.
@@ -193,18 +250,21 @@
 	for _, k := range m.present {
 		longest = max(longest, k.Lease)
 	}
+	if m.allConfirmed {
+		return min(m.allConfirmedAt, m.joinedAt+longest)
+	}
 	return m.joinedAt + longest
 }
 
-// joinedLately reports whether the gateway at the address came to be present so lately that it
-// can't have begun buckets of its own.
-func (m *Members) joinedLately(now time.Duration, address string) bool {
+// added returns when the gateway at the address came to be present, and false if it was
+// present already when this one joined.
+func (m *Members) added(now time.Duration, address string) (time.Duration, bool) {
 	for _, k := range m.known {
 		if k.Address == address {
-			return now-k.addedAt < min(k.Lease, m.lease)/2
+			return k.addedAt, k.addedAt > m.joinedAt
 		}
 	}
-	return true // its record has not been read yet
+	return now, true // its record has not been read yet
 }
 
 // Age returns the time since the last read of the log.
--- a/coordination/ratelimit/simulation_test.go
+++ b/coordination/ratelimit/simulation_test.go
@@ -137,6 +137,7 @@
 						g.Update(g.clock(), asOf, list)
 					}
 					g.holder.Maintain(g.clock())
+					g.confirm()
 					g.s.after(readInterval, read)
 				})
 			})
@@ -168,6 +169,23 @@
 
 func (g *simGateway) process_() string { return fmt.Sprintf("%s-%d", g.name, g.process) }
 
+// confirm asks the others whether they know of this process.
+func (g *simGateway) confirm() {
+	process, joined := g.process, g.joinedAt
+	for _, address := range g.Unconfirmed(g.clock()) {
+		g.s.message(g.name, address, func(to *simGateway) {
+			if _, answered, _ := to.holder.Handle(to.clock(), g.name, g.s.nextID(), fleet.RateQuery{Kind: fleet.RateConfirm}); !answered {
+				return
+			}
+			g.s.message(address, g.name, func(*simGateway) {
+				if g.process == process && g.joinedAt == joined {
+					g.Confirmed(g.clock(), address)
+				}
+			})
+		})
+	}
+}
+
 // whenAwake does something once the process is not frozen, unless it has ended.
 func (g *simGateway) whenAwake(process int, do func()) {
 	switch {
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -68,9 +69,11 @@
 	abandonedOrder []uint64
 	// admissions holds who admitted the requests in flight.
 	admissions map[uint64]string
-	renewing   bool
-	nextRenew  time.Duration
-	clocks     clocks
+	// firstConfirm is the least ID of the questions for confirmation that count.
+	firstConfirm uint64
+	renewing     bool
+	nextRenew    time.Duration
+	clocks       clocks
 }
 
 // clocks compares the clock that counts suspensions with one that does not.
@@ -86,10 +89,10 @@
 	node := g.params.Node
 	r := &Rates{
 		g: g, messages: messages, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: m,
-		members:   ratelimit.NewMembers(node.Name, g.writer.Name()),
-		abandoned: map[uint64]string{}, admissions: map[uint64]string{},
+		members:      ratelimit.NewMembers(node.Name, g.writer.Name()),
+		firstConfirm: math.MaxUint64, abandoned: map[uint64]string{}, admissions: map[uint64]string{},
 	}
-	r.lastID.Store(rand.Uint64())
+	r.lastID.Store(rand.Uint64() >> 1) // leaves room to count on
 	bounds := ratelimit.Bounds{Window: node.QuotaWindow, Overage: node.QuotaOverage, Slack: node.QuotaSlack}
 	r.holder = ratelimit.NewHolder(r.members, bounds, boottime.Now(), r.nextID)
 	return r
@@ -245,9 +248,13 @@
 
 // HandleRateAnswer takes over a bucket that was handed over, or returns what a late answer
 // admitted.
-func (r *Rates) HandleRateAnswer(_ string, id uint64, a fleet.RateAnswer) {
+func (r *Rates) HandleRateAnswer(from string, id uint64, a fleet.RateAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.Verdict == fleet.RateConfirmed {
+		r.confirmed(from, id)
+		return
+	}
 	if a.Verdict == fleet.RateGiven || a.Verdict == fleet.RateNotHeld {
 		r.holder.Taken(boottime.Now(), id, a)
 		return
@@ -260,6 +267,31 @@
 	r.messages.SendRateQuery(address, r.nextID(), fleet.RateQuery{Kind: fleet.RateReturn, AskID: id})
 }
 
+// confirmed notes that the gateway at the address knows of this one, if it was asked after
+// this one joined. mu must be held.
+func (r *Rates) confirmed(from string, id uint64) {
+	if id >= r.firstConfirm {
+		r.members.Confirmed(boottime.Now(), from)
+	}
+}
+
+// confirm asks the gateways that may not know of this one whether they do.
+func (r *Rates) confirm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addresses := r.members.Unconfirmed(boottime.Now())
+	if len(addresses) == 0 {
+		r.firstConfirm = math.MaxUint64
+		return
+	}
+	if r.firstConfirm == math.MaxUint64 {
+		r.firstConfirm = r.nextID()
+	}
+	for _, address := range addresses {
+		r.messages.SendRateQuery(address, r.nextID(), fleet.RateQuery{Kind: fleet.RateConfirm})
+	}
+}
+
 // run keeps this gateway present and follows who else is.
 func (r *Rates) run() error {
 	for ctx := r.g.ctx; ctx.Err() == nil; pause.For(ctx, presenceInterval) {
@@ -269,6 +301,7 @@
 		r.enabled.Store(true)
 		r.updateMembers()
 		r.renew()
+		r.confirm()
 	}
 	return nil
 }
--- a/protocol/fleet/rate.go
+++ b/protocol/fleet/rate.go
@@ -61,6 +61,8 @@
 	RateReturn
 	// RateTake asks for a workspace's bucket, which the queried gateway then gives up.
 	RateTake
+	// RateConfirm asks whether the queried gateway knows that the asking one is present.
+	RateConfirm
 )
 
 // RateQuery is a gateway's query about the rate of a workspace.
@@ -91,6 +93,9 @@
 	// RateGiven answers a RateTake with the bucket's tokens, RateNotHeld without any.
 	RateGiven
 	RateNotHeld
+	// RateConfirmed means that the queried gateway counts the asking one, or decides about
+	// nothing until it has read that it is present.
+	RateConfirmed
 )
 
 // RateAnswer answers a RateQuery.
