--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// PeerMessage is a datagram between a gateway and a batcher.
+// PeerMessage is a datagram between a gateway and a batcher, or between two gateways. An
+// earlier build ignores the fields that it does not know.
 type PeerMessage struct {
 	// QueryID identifies a query; its answer repeats the ID. It is 0 in other messages.
 	QueryID uint64 `msgpack:"n"`
@@ -13,6 +14,9 @@
 	// Outcome is what the gateway's last stream met at the target, nil if that was told
 	// before. Queries and announcements carry it, and messages of its own.
 	Outcome *PeerOutcome `msgpack:"r,omitempty"`
+	// RateQuery and RateAnswer are messages about the rates of workspaces.
+	RateQuery  *RateQuery  `msgpack:"rq,omitempty"`
+	RateAnswer *RateAnswer `msgpack:"ra,omitempty"`
 }
 
 // PeerLoad is the load of a batcher's target.
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -40,6 +41,9 @@
 	pending     map[uint64]pendingQuery
 	// outcomes holds the outcomes that travel with the next message to an address.
 	outcomes map[string]fleet.PeerOutcome
+	// pendingRates holds the calls of QueryRate that wait, by the IDs of their queries.
+	pendingRates map[uint64]chan fleet.RateAnswer
+	rates        atomic.Pointer[RateHandler]
 }
 
 // pendingQuery is a query that is not answered yet.
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, protocol.ErrInternal.Wrap(err, "listen at %s", address)
 	}
-	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]pendingQuery{}, outcomes: map[string]fleet.PeerOutcome{}}
+	d := &Datagrams{conn: conn, reporter: reporter, pending: map[uint64]pendingQuery{}, outcomes: map[string]fleet.PeerOutcome{}, pendingRates: map[uint64]chan fleet.RateAnswer{}}
 	go d.serve()
 	return d, nil
 }
@@ -89,6 +93,10 @@
 
 // receive handles a message.
 func (d *Datagrams) receive(m fleet.PeerMessage, from netip.AddrPort) {
+	if m.RateQuery != nil || m.RateAnswer != nil {
+		d.handleRateMessage(from, &m)
+		return
+	}
 	if m.Load != nil {
 		d.deliverAnswer(m)
 		return
