Write one request to a target, or nothing

Cause: the headers, path and ID of a job's items were written to targets as the caller gave them. The grammar was checked for online requests only, by net/http, and the system's own headers were removed in one spelling.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -51,12 +51,14 @@
 	// pages holds, for each item, the success that its next attempt is answered with in
 	// place of a stream. It is deleted with that attempt.
 	pages map[string]fleet.Answer
+	// unsendable holds the items that can't be sent, after the event that is named.
+	unsendable map[string]string
 	// workspaces holds the workspace that each item was last sent for.
 	workspaces map[string]*fleet.Workspace
 }
 
 func newTarget() *target {
-	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}, pages: map[string]fleet.Answer{}, workspaces: map[string]*fleet.Workspace{}}
+	return &target{id: "t1", sends: map[string]int{}, statuses: map[string][]int{}, endless: map[string]string{}, resumed: map[string]int{}, pages: map[string]fleet.Answer{}, unsendable: map[string]string{}, workspaces: map[string]*fleet.Workspace{}}
 }
 
 func (e *target) set(change func(*target)) {
@@ -115,6 +117,9 @@
 	}
 	id := a.Request.ID
 	e.sends[id]++
+	if after, found := e.unsendable[id]; found && after == a.LastEventID {
+		return nil, fleet.ErrMalformed.New("not one request")
+	}
 	e.workspaces[id] = a.Request.Workspace
 	answer := &fleet.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, Body: strings.NewReader(""), Close: func() {}, Discard: func() {}}
 	if a.Target.ID != e.id {
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -145,6 +145,9 @@
 	watchdog := time.AfterFunc(eventTimeout, cancel)
 	defer watchdog.Stop()
 	answer, err := b.params.Sender.Send(ctx, fleet.Attempt{Request: request, Target: target, LastEventID: progress.LastEventID})
+	if errorx.IsOfType(err, fleet.ErrMalformed) {
+		return unsendableOutcome(h, progress, err)
+	}
 	if err != nil {
 		return runOutcome{progress: progress, err: err}
 	}
@@ -180,6 +183,15 @@
 	return runOutcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultCompleted, Text: progress.Text}}
 }
 
+// unsendableOutcome returns the outcome of an item that can't be sent as one request: a dead
+// letter, or a run from the beginning if that is due to the event ID after which to resume.
+func unsendableOutcome(h *heldItem, progress worklog.Progress, err error) runOutcome {
+	if progress.LastEventID != "" {
+		return runOutcome{progress: worklog.Progress{Failures: progress.Failures}, err: err}
+	}
+	return runOutcome{progress: progress, err: err, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter}}
+}
+
 // checkContentType returns ErrAnswerBroken if an earlier run of the item here has brought
 // events in an answer of another content type: this one cannot go on with them.
 func (b *Batcher) checkContentType(h *heldItem, answer *fleet.Answer) error {
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -241,6 +241,9 @@
 		a.TimeLeft = time.Until(o.deadline)
 	}
 	answer, err := o.g.params.Sender.Send(ctx, a)
+	if errorx.IsOfType(err, fleet.ErrMalformed) {
+		return o.rejectUnsendable(ctx, err)
+	}
 	if err != nil {
 		return o.handleNoAnswer(ctx, target, err)
 	}
@@ -273,6 +276,16 @@
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// rejectUnsendable ends a request that can't be written as one request to a target. That is
+// no fault of the target.
+func (o *onlineRequest) rejectUnsendable(ctx context.Context, err error) error {
+	if o.possibleRuns == 0 && !o.answerBegun {
+		o.reason = "not well-formed"
+		return err
+	}
+	return o.giveUp(ctx, "the rest can't be asked for")
+}
+
 // endReason returns why the context of a request has ended before its answer.
 func endReason(ctx context.Context) string {
 	if errorx.IsOfType(context.Cause(ctx), errStopping) {
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -95,8 +95,9 @@
 	Discard func()
 }
 
-// Sender sends attempts to targets. Send fails with ErrNotDelivered if the target
-// received nothing, and with ErrAnswerBroken if its answer is lost.
+// Sender sends attempts to targets. Send fails with ErrMalformed if the attempt can't be sent
+// as one request, with ErrNotDelivered if the target received nothing, and with
+// ErrAnswerBroken if its answer is lost.
 type Sender interface {
 	Send(ctx context.Context, a Attempt) (*Answer, error)
 }
