Read the test's clock without a race

Cause: go test -race ./gateway failed: the follower reads the time of the suspension while the test sets it. Change: it is atomic. Result: go test -race ./gateway passes (9.4 s).

--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,10 +53,10 @@
 	twoKeys  = map[fleet.Key]*fleet.Workspace{"key-2": two}
 )
 
-// guarded is a gateway with workspaces, and the time for which its instance was suspended.
+// guarded is a gateway with workspaces, and the nanoseconds for which its instance was suspended.
 type guarded struct {
 	*fixture
-	suspended time.Duration
+	suspended atomic.Int64
 }
 
 func startGuarded(t *testing.T, path fleet.Store, store *fleetstore.Store, steps ...step) *guarded {
@@ -67,7 +68,7 @@
 		Store:   path,
 		Sender:  s.sender,
 		Decoder: versions{keyrings: map[int64]map[fleet.Key]*fleet.Workspace{1: bothKeys, 2: twoKeys, 3: bothKeys}},
-		Now:     func() time.Duration { return time.Since(begun) + s.suspended },
+		Now:     func() time.Duration { return time.Since(begun) + time.Duration(s.suspended.Load()) },
 	})
 	s.Start()
 	time.Sleep(time.Second)
@@ -171,7 +172,7 @@
 		_, _, err := s.Match(t.Context(), "h", "/safe/x", "key-1")
 		assert.NilError(t, err)
 		store.SetFaults(fleetstore.Faults{Down: true})
-		s.suspended = 3 * time.Second
+		s.suspended.Store(int64(3 * time.Second))
 		_, _, err = s.Match(t.Context(), "h", "/safe/x", "key-1")
 		isOfType(t, err, fleet.ErrRefused)
 		assert.Assert(t, !s.Ready())
