Spread the first reads of the work log after a start

When power returned to all instances, those that had read the configuration first read the work log at once, 2,342 records each, and the reads of the configuration of the others waited behind them at the store for 0.3 s.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -65,6 +65,9 @@
 	Sender   fleet.Sender
 	Reporter Reporter
 	Decoder  registry.Decoder
+	// StartSpread is the time over which batchers that start at the same moment spread their
+	// first reads of the work log, at random.
+	StartSpread time.Duration
 	// Shuffle permutes n elements. If nil, the order is random.
 	Shuffle func(n int, swap func(i, j int))
 	// Registry is where the metrics are registered. If nil, a new registry is used.
@@ -144,7 +147,7 @@
 		Reset: b.configs.Apply, Apply: b.configs.Apply, StoreAnswers: func() bool { return b.workTail.Answers() },
 	})
 	b.workTail = topic.New(topic.Params{
-		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: workReadInterval,
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: workReadInterval, StartSpread: p.StartSpread,
 		Reset: b.reset, Apply: b.apply, OnRecovered: b.storeReturned,
 	})
 	return b
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -44,6 +44,9 @@
 	lastAnswersTimeout = 200 * time.Millisecond
 	// gcPercent is the growth of the heap, in percent, that starts a garbage collection.
 	gcPercent = 60
+	// startSpread is the time over which processes that start at the same moment, as after a
+	// loss of power, spread their first reads of the work log.
+	startSpread = 400 * time.Millisecond
 )
 
 // loadNode reads the platform's settings and sets the garbage collector's target and
@@ -169,7 +172,7 @@
 	targets := platform.NewTargetClient(p.pool)
 	params := gateway.Params{
 		Node: p.node, Store: p.store, Sender: targets, HasEnded: targets.HasEnded,
-		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry,
+		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry, StartSpread: startSpread,
 	}
 	if datagrams := p.listenDatagrams(nil); datagrams != nil {
 		params.LoadQuerier = datagrams
@@ -206,7 +209,7 @@
 func runBatcher(p *process) error {
 	targets := platform.NewTargetClient(p.pool)
 	b := batcher.New(batcher.Params{
-		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry,
+		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry, StartSpread: startSpread,
 	})
 	p.listenDatagrams(b)
 	b.Start()
--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,10 @@
 	Name string
 	// Interval is the time between two reads by Run.
 	Interval time.Duration
+	// StartSpread is the time over which processes that start at the same moment spread the
+	// first reads of RunAfter, at random. Otherwise the first of them take the store's
+	// bandwidth while the others wait for what they need first.
+	StartSpread time.Duration
 	// Reset replaces the caller's state by that of the newest records. Apply adds the
 	// records that follow. They are never called concurrently.
 	Reset func(records []fleet.Record)
@@ -131,6 +136,9 @@
 		case <-ctx.Done():
 		}
 	}
+	if f.params.StartSpread > 0 {
+		pause.For(ctx, rand.N(f.params.StartSpread))
+	}
 	return f.Run(ctx)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 	// RateLimiter admits the online requests of workspaces with a rate. It is nil if rates
 	// are not limited.
 	RateLimiter RateLimiter
+	// StartSpread is the time over which gateways that start at the same moment spread their
+	// first reads of the work log, at random.
+	StartSpread time.Duration
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
@@ -131,7 +134,7 @@
 		Reset: g.targets.Reset, Apply: g.targets.Apply, OnRecovered: g.targets.StoreRecovered,
 	})
 	g.workTail = topic.New(topic.Params{
-		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval, StartSpread: p.StartSpread,
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
 	g.registerGauges()
