Pause for half a second at most after a page that came in time

The first page of the work log's newest records holds the jobs, 0.8 MB; after a loss of power it took each of 115 processes 0.1 to 0.7 s. The pause after it was ten times as long, and four seconds passed before the small pages that follow: gateways refused calls about jobs and batchers ran no items until then. After a page that took less than a short read may last, the pause is now 0.5 s at most.

--- a/coordination/topic/newest.go
+++ b/coordination/topic/newest.go
@@ -16,6 +16,9 @@
 	// pages without a pause, all of them queue at the store at any time, and the short reads
 	// that tell of targets and configurations time out behind them.
 	pagePauseFactor = 10
+	// maxShortPause bounds the pause after a page that took less than a short read may last:
+	// behind such pages short reads still get their answers in time.
+	maxShortPause = 500 * time.Millisecond
 	// maxPauses bounds the sum of the pauses of one read: on a slow instance a page takes
 	// long for other reasons than a busy store.
 	maxPauses = 4 * time.Second
@@ -47,12 +50,20 @@
 		if !page.More || len(page.Records) == 0 {
 			return nil
 		}
-		wait := min(pagePauseFactor*time.Since(begun), maxPauses-n.paused)
+		wait := min(pauseAfterPage(time.Since(begun)), maxPauses-n.paused)
 		n.paused += wait
 		pause.For(ctx, wait)
 	}
 }
 
+// pauseAfterPage returns the pause after a page that took the given time.
+func pauseAfterPage(took time.Duration) time.Duration {
+	if took < readTimeout {
+		return min(pagePauseFactor*took, maxShortPause)
+	}
+	return pagePauseFactor * took
+}
+
 func (n *newestRead) add(page fleet.NewestPage) {
 	if n.next < 0 {
 		n.next = page.End
