Query silent batchers again soon

A gateway that starts together with its batchers asked in vain once, and then placed streams blindly for a second. The pause after a silent query is 60 ms now and doubles to the second of before.

--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/sycamoretally/sycamoretally/coordination/balancing"
@@ -18,9 +16,10 @@
 	// loadQueryTimeout bounds the wait for the answers: a few round trips between data
 	// centres, and a small part of a stream's latency objective.
 	loadQueryTimeout = 12 * time.Millisecond
-	// loadQueryBackoff is how long the loads of a service are not queried after none of
-	// its batchers answered.
-	loadQueryBackoff = time.Second
+	// minLoadQueryBackoff is how long the loads of a service are not queried after none of
+	// its batchers answered. The time doubles up to loadQueryBackoff while none does.
+	minLoadQueryBackoff = 60 * time.Millisecond
+	loadQueryBackoff    = time.Second
 )
 
 // LoadQuerier queries the batchers beside targets for the targets' loads.
@@ -32,33 +31,6 @@
 	AnnounceRequest(address string)
 }
 
-// unresponsiveServices holds the services whose batchers did not answer recent load
-// queries. Every stream reads it, and writes are rare.
-type unresponsiveServices struct {
-	// until maps a service to the time of the next permitted query. The map is
-	// copied on write.
-	until atomic.Pointer[map[string]time.Time]
-}
-
-func (s *unresponsiveServices) has(service string) bool {
-	until := s.until.Load()
-	return until != nil && time.Now().Before((*until)[service])
-}
-
-func (s *unresponsiveServices) add(service string) {
-	for {
-		old := s.until.Load()
-		until := map[string]time.Time{}
-		if old != nil {
-			maps.Copy(until, *old)
-		}
-		until[service] = time.Now().Add(loadQueryBackoff)
-		if s.until.CompareAndSwap(old, &until) {
-			return
-		}
-	}
-}
-
 // chooseTarget chooses the target of the next attempt. For a stream it is the least
 // loaded of a few targets whose load was queried. If no batcher answers, and for other
 // requests, the gateway's own load table decides.
@@ -73,7 +45,7 @@
 // chooseByLoad queries the loads of a few targets and chooses one of them. It returns
 // false if there is no answer to choose by.
 func (o *onlineRequest) chooseByLoad(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
-	if o.g.params.LoadQuerier == nil || o.route.Kind != fleet.KindStream || o.g.unresponsive.has(o.service) {
+	if o.g.params.LoadQuerier == nil || o.route.Kind != fleet.KindStream || o.g.unresponsive.has(time.Now(), o.service) {
 		return balancing.Choice{}, false
 	}
 	candidates := o.g.table.Candidates(targets, o.tried, loadQueryTargets, o.g.isConnected)
@@ -90,9 +62,7 @@
 	for _, target := range o.g.adoptAnnounced(candidates, addresses, answers) {
 		o.g.questionTargets(target)
 	}
-	if len(answers) == 0 {
-		o.g.unresponsive.add(o.service)
-	}
+	o.g.unresponsive.record(time.Now(), o.service, len(answers) > 0)
 	return o.g.table.BeginProbed(candidates, answers)
 }
 
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -183,6 +183,7 @@
 	for _, a := range answers {
 		if target := asked[a.Address]; target != nil {
 			g.survey.Answered(target)
+			g.unresponsive.record(time.Now(), target.Service, true)
 		}
 	}
 	g.adoptAnnounced(targets, addresses, answers)
