--- a/coordination/topic/newest_test.go
+++ b/coordination/topic/newest_test.go
@@ -20,11 +20,14 @@
 	afters []string
 	// delay is the time that each page takes.
 	delay time.Duration
+	// firstDelay is the time that the first page takes, if it is not delay.
+	firstDelay time.Duration
 }
 
 // NewestAfter implements fleet.Store.
 func (s *pagedStore) NewestAfter(_ context.Context, _ fleet.Topic, after string) (fleet.NewestPage, error) {
-	time.Sleep(s.delay)
+	time.Sleep(max(s.delay, s.firstDelay))
+	s.firstDelay = 0
 	s.afters = append(s.afters, after)
 	page := s.pages[0]
 	s.pages = s.pages[1:]
@@ -93,6 +96,21 @@
 	})
 }
 
+// TestLargeFirstPageDelaysTheRestBriefly reads a log whose first page holds nearly all of its
+// bytes, while many processes do the same. The others follow within milliseconds: a pause that
+// is measured by the first one keeps gateways from answering calls about jobs for seconds.
+func TestLargeFirstPageDelaysTheRestBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pagedStore{Store: fleetstore.New(), delay: 10 * time.Millisecond, firstDelay: 600 * time.Millisecond}
+		for i := range 5 {
+			s.pages = append(s.pages, &fleet.NewestPage{Records: []fleet.Record{{Key: string(rune('a' + i)), Offset: int64(i)}}, More: i < 4, End: 5})
+		}
+		begun := time.Now()
+		assert.NilError(t, follow(s).CatchUp(t.Context()))
+		assert.Assert(t, time.Since(begun) < 2*time.Second, "%v", time.Since(begun))
+	})
+}
+
 // TestRunAfter checks that a topic that others must precede is read after them.
 func TestRunAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
