--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,9 @@
 	// RateMessages reaches the other gateways. If it is set and RateLimiter is nil, the gateways
 	// limit rates together.
 	RateMessages RateMessages
+	// StartSpread is the time over which gateways that start at the same moment spread their
+	// first reads of the work log, at random.
+	StartSpread time.Duration
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
@@ -141,7 +144,7 @@
 		Reset: g.targets.Reset, Apply: g.targets.Apply, OnRecovered: g.targets.StoreRecovered,
 	})
 	g.workTail = topic.New(topic.Params{
-		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval, StartSpread: p.StartSpread,
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
 	g.registerGauges()
