--- a/batcher/capacity_test.go
+++ b/batcher/capacity_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/state/worklog"
 )
 
 // TestSlowTargetIsTold has gateways tell that streams of a target take twice as long from one
@@ -78,3 +79,23 @@
 		assert.NilError(t, other.Stop())
 	})
 }
+
+// TestWaitingItemsStayWhereAllAreFull lets online requests take the slots of a target while
+// more items wait than there are slots: giving items back would only begin others in their
+// place, and each would be done later.
+func TestWaitingItemsStayWhereAllAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		s.config.Match("h", "/j/1").ResultDeadline = time.Hour
+		s.accept("j", 3*slots)
+		b := s.start("b", e)
+		defer func() { assert.NilError(t, b.Stop()) }()
+		time.Sleep(1200 * time.Millisecond)
+		assert.Equal(t, e.busy(), slots)
+		e.set(func(e *target) { e.online = slots })
+		time.Sleep(3 * time.Second)
+		for _, item := range s.job("j").Items {
+			assert.Assert(t, item.Claim != worklog.NoClaim || item.Progress.Events == 0, "item %s was given back", item.ID)
+		}
+	})
+}
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/batchlimit"
+	"github.com/sycamoretally/sycamoretally/coordination/claims"
 	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -175,13 +176,20 @@
 const maxSlotWait = time.Second
 
 // releaseWaiting releases items with a due time that have waited for a slot for maxSlotWait
-// and for which there still is none. In the work log they go to the next batcher with a spare
-// slot. mu must be held.
+// and for which there still is none, if others seem to have spare slots. In the work log they
+// go to the next batcher with one. Where all are full an item is done soonest by the batcher
+// that holds it. mu must be held.
 func (b *Batcher) releaseWaiting(now time.Time, list []rankedItem, room int) {
+	var waiting []rankedItem
 	for i, r := range list {
-		if i < room || r.cancel != nil || r.Due == 0 || b.held[r.ref] != r.heldItem || now.Sub(r.waitingSince) < maxSlotWait {
-			continue
+		if i >= room && r.cancel == nil && r.Due != 0 && b.held[r.ref] == r.heldItem && now.Sub(r.waitingSince) >= maxSlotWait {
+			waiting = append(waiting, r)
 		}
+	}
+	if len(waiting) == 0 || claims.HasBacklog(now, b.fold, b.servesJob) {
+		return
+	}
+	for _, r := range waiting {
 		b.release(r.heldItem, "no slot", "age", r.Age, "due", r.Due, "left", r.Remaining)
 	}
 }
