--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -27,6 +27,8 @@
 	// before a failed one is made again.
 	renewTimeout    = time.Second
 	renewRetryDelay = 500 * time.Millisecond
+	// presenceReadTimeout bounds the reading of the presence records by a process that starts.
+	presenceReadTimeout = 900 * time.Millisecond
 	// localInterval is the time between two attempts of this gateway to decide by a bucket
 	// that is being handed over, localTries their number.
 	localInterval = 15 * time.Millisecond
@@ -299,31 +301,66 @@
 			continue
 		}
 		r.enabled.Store(true)
-		r.updateMembers()
 		r.renew()
+		r.updateMembers()
 		r.confirm()
 	}
 	return nil
 }
 
-// updateMembers takes over the presence records if the work log was read since it last did.
+// updateMembers takes over the presence records if the work log was read since it last did. A
+// process that has not read the work log yet reads these records alone.
 func (r *Rates) updateMembers() {
 	age, known := r.g.workTail.Age()
 	now, mono := boottime.Now(), time.Now()
-	r.g.jobsMu.RLock()
-	records := r.g.fold.Presences()
-	r.g.jobsMu.RUnlock()
-	list := make([]ratelimit.Member, 0, len(records))
-	for _, p := range records {
-		list = append(list, ratelimit.Member{Name: p.Instance, Process: p.Writer, Revision: p.Offset, Address: p.Address, Weight: p.Weight, Lease: p.Lease})
+	var records []worklog.PresentGateway
+	if known {
+		r.g.jobsMu.RLock()
+		records = r.g.fold.Presences()
+		r.g.jobsMu.RUnlock()
+	} else {
+		records, known = r.readPresences()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.clocks.observe(now, mono)
+	r.clocks.observe(boottime.Now(), time.Now())
 	if known && mono.Add(-age).After(r.clocks.resumed) {
-		r.members.Update(now, now-age, list)
+		r.members.Update(boottime.Now(), now-age, membersOf(records))
+	}
+	r.holder.Maintain(boottime.Now())
+}
+
+// readPresences reads the newest presence records from the store.
+func (r *Rates) readPresences() (records []worklog.PresentGateway, complete bool) {
+	ctx, cancel := context.WithTimeout(r.g.ctx, presenceReadTimeout)
+	defer cancel()
+	for key := worklog.BeforePresences; ; {
+		page, err := r.g.params.Store.NewestAfter(ctx, fleet.TopicWork, key)
+		if err != nil {
+			return nil, false
+		}
+		for _, record := range page.Records {
+			if !worklog.IsPresenceKey(record.Key) {
+				return records, true
+			}
+			key = record.Key
+			if p, ok := worklog.DecodePresence(record); ok {
+				records = append(records, p)
+			}
+		}
+		if !page.More || len(page.Records) == 0 {
+			return records, true
+		}
+	}
+}
+
+// membersOf returns the members that the records name.
+func membersOf(records []worklog.PresentGateway) []ratelimit.Member {
+	list := make([]ratelimit.Member, 0, len(records))
+	for _, p := range records {
+		list = append(list, ratelimit.Member{Name: p.Instance, Process: p.Writer, Revision: p.Offset, Address: p.Address, Weight: p.Weight, Lease: p.Lease})
 	}
-	r.holder.Maintain(now)
+	return list
 }
 
 // observe notes a suspension since the last call.
--- a/state/worklog/presence.go
+++ b/state/worklog/presence.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
 // presencePrefix is the prefix of the keys of presence records, which the name of the
@@ -60,3 +62,19 @@
 	delete(p.newest, instance)
 	return found
 }
+
+// IsPresenceKey reports whether the key is one of a presence record.
+func IsPresenceKey(key string) bool { return strings.HasPrefix(key, presencePrefix) }
+
+// BeforePresences is a key that comes before those of all presence records, and after no other
+// that comes before them.
+const BeforePresences = presencePrefix
+
+// DecodePresence returns the gateway of a presence record, or false if it is none.
+func DecodePresence(r fleet.Record) (PresentGateway, bool) {
+	e, ok := decode(r)
+	if !ok || e.Presence == nil {
+		return PresentGateway{}, false
+	}
+	return PresentGateway{*e.Presence, e.Writer, r.Offset}, true
+}
