--- a/coordination/ratelimit/bucket.go
+++ b/coordination/ratelimit/bucket.go
@@ -47,6 +47,8 @@
 	window time.Duration
 	// frozen is set once the gateway is no longer the workspace's owner.
 	frozen bool
+	// joins is the value of Members.joins by which the bucket is valid.
+	joins int
 }
 
 // newBucket returns a bucket that has filled since the given time.
--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -189,7 +189,7 @@
 // bucket returns the workspace's bucket if this gateway, as the owner, has one or may begin
 // one. pending is set while it may still come from the gateway that held it.
 func (h *Holder) bucket(now time.Duration, q *fleet.RateQuery, rate fleet.Rate, order []Member) (k *bucket, take *Take, pending bool) {
-	if k := h.buckets[q.Workspace]; k != nil && !k.frozen {
+	if k := h.held(q.Workspace); k != nil && !k.frozen {
 		return k, nil, false
 	}
 	settled := now >= h.settledAt()
@@ -208,10 +208,27 @@
 		delete(h.given, q.Workspace)
 	}
 	k = newBucket(h.bounds, rate, q.Version, since)
-	h.buckets[q.Workspace] = k
+	h.hold(q.Workspace, k)
 	return k, nil, false
 }
 
+// held returns the workspace's bucket, nil if there is none. One from before the lease
+// ran out is dropped, since another gateway may have been the owner meanwhile.
+func (h *Holder) held(workspace string) *bucket {
+	k := h.buckets[workspace]
+	if k != nil && k.joins != h.joins {
+		delete(h.buckets, workspace)
+		return nil
+	}
+	return k
+}
+
+// hold keeps a bucket of this gateway.
+func (h *Holder) hold(workspace string, k *bucket) {
+	k.joins = h.joins
+	h.buckets[workspace] = k
+}
+
 // continueHandover tries to get the bucket from the gateway that held it before: one that
 // has left, or the one that was the owner until this one joined.
 func (h *Holder) continueHandover(now time.Duration, q *fleet.RateQuery, rate fleet.Rate, order []Member) (*Take, bool) {
@@ -240,7 +257,7 @@
 
 // give gives the workspace's bucket up.
 func (h *Holder) give(now time.Duration, to string, q *fleet.RateQuery) fleet.RateAnswer {
-	k := h.buckets[q.Workspace]
+	k := h.held(q.Workspace)
 	if k == nil {
 		k = h.unusedBucket(now, to, q)
 	}
@@ -282,13 +299,13 @@
 		return
 	}
 	o.done = true
-	if held := h.buckets[workspace]; a.Verdict != fleet.RateGiven || held != nil && !held.frozen || !h.acts(now) || h.rank(h.Order(workspace)) != 0 {
+	if held := h.held(workspace); a.Verdict != fleet.RateGiven || held != nil && !held.frozen || !h.acts(now) || h.rank(h.Order(workspace)) != 0 {
 		return
 	}
 	k := newBucket(h.bounds, fleet.Rate{}, 0, now)
 	k.capacity = max(1, a.Tokens)
 	k.tokens = max(0, a.Tokens)
-	h.buckets[workspace] = k
+	h.hold(workspace, k)
 }
 
 // handover returns the hand-over with the ID and its workspace.
@@ -331,7 +348,7 @@
 	for workspace, k := range h.buckets {
 		owns := acting && h.rank(h.Order(workspace)) == 0
 		switch {
-		case !acting, k.frozen && owns, k.frozen && now-k.at > h.lease:
+		case !acting, k.joins != h.joins, k.frozen && owns, k.frozen && now-k.at > h.lease:
 			delete(h.buckets, workspace)
 		case !owns && !k.frozen:
 			k.fill(now)
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -75,6 +75,8 @@
 	joinedAt time.Duration
 	joined   bool
 	leaving  bool
+	// joins counts how often this process has joined.
+	joins int
 	// confirmedBy holds the gateways that know that this process has joined. allConfirmed is
 	// set, with the time, once it holds all that are present.
 	confirmedBy    map[string]bool
@@ -140,6 +142,7 @@
 	}
 	if !m.joined && m.hasLease && own != nil && own.Process == m.process && own.Revision >= m.confirmed && now < m.leaseFrom+m.lease {
 		m.joined, m.joinedAt = true, now
+		m.joins++
 		m.allConfirmed, m.confirmedBy = false, map[string]bool{}
 	}
 }
