--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -88,8 +88,14 @@
 	// readableSince is when the work log last became readable.
 	readableSince time.Time
 	held          map[worklog.ItemRef]*heldItem
+	// handedOver holds the items that were released or got a result here, until the log
+	// shows it. room is the number of items that the target had room for at its last poll.
+	handedOver map[worklog.ItemRef]bool
+	room       int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
+	// targetBorn is the time of its start in milliseconds since the epoch, 0 if unknown.
+	targetBorn int64
 	// lastReport is when the target last answered a poll.
 	lastReport time.Time
 	// claiming is set while a claim is in progress, which alone uses claimBackoff.
@@ -100,6 +106,7 @@
 	// draining is set while the target reports that it is draining.
 	draining bool
 	pace     urgency.DurationEstimator
+	learned  learnedCapacity
 	// lastHeartbeat is when the batcher last enqueued a heartbeat, lastClaim when it began
 	// the last claim that was stored, and lastSave when it last saved progress.
 	lastHeartbeat time.Time
@@ -127,6 +134,8 @@
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*heldItem{},
 
+		handedOver: map[worklog.ItemRef]bool{},
+
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
 		inflow:       batchlimit.OnlineCounter{Window: announceWindow},
@@ -184,6 +193,7 @@
 	b.fold = fold
 	b.readableSince = time.Now()
 	b.dropLostItems()
+	b.reconcile()
 	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
 }
 
@@ -192,6 +202,7 @@
 	defer b.mu.Unlock()
 	b.fold.Apply(time.Now(), records)
 	b.dropLostItems()
+	b.reconcile()
 }
 
 func (b *Batcher) storeReturned() {
@@ -234,9 +245,9 @@
 		return state, err
 	}
 	b.mu.Lock()
-	known := b.targetID
+	known, born := b.targetID, b.targetBorn
 	b.mu.Unlock()
-	if state.ID == "" {
+	if state.ID == "" && state.StartUnixMillis == born {
 		state.ID = known
 	}
 	if service := b.service(); state.ID == "" && service != nil {
@@ -275,6 +286,7 @@
 		klog.InfoS("target found", "target", state.ID, "before", b.targetID)
 		b.targetID = state.ID
 	}
+	b.targetBorn = state.StartUnixMillis
 	b.draining = state.Draining
 	if b.draining {
 		b.releaseAll("the target is draining")
@@ -288,12 +300,15 @@
 	b.saveProgress(now)
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
 	b.inflow.SetReported(load.Online())
+	b.learnCapacity(now, load.Slots, load.Running+load.Waiting)
 	room := b.meter.Update(now, load)
+	b.room = room.MaxAfterStarts
 	b.releaseMoved()
 	ranked := b.rankItems(now)
 	b.runMostUrgent(ctx, now, ranked, room)
 	b.claim(ctx, now, room.MaxAfterStarts-countInTime(ranked), room.MaxAfterStarts-len(ranked))
 	b.releaseLate(ranked, room.MaxRunning)
+	b.releaseWaiting(now, ranked, room.MaxRunning)
 }
 
 // sendHeartbeat enqueues a heartbeat for the work log if items are held and no record of
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -38,6 +38,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancel = cancel
 	h.startedAt = now
+	h.eventsAtStart = h.progress.Events
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
 	progress := h.progress
 	b.tomb.Go(func() error {
@@ -77,6 +78,7 @@
 	h.progress = end.progress
 	h.cancel = nil
 	h.yielding = false
+	h.waitingSince = time.Now()
 	if !errorx.IsOfType(cause, errYield) {
 		h.notBefore = time.Now().Add(brokenRunDelay)
 	}
@@ -106,6 +108,7 @@
 			b.pace.Observe(h.item.Tokens, end.progress.Events, time.Since(h.heldSince))
 		}
 		delete(b.held, h.ref)
+		b.handedOver[h.ref] = true
 		b.enqueueResult(h.ref.Job, *end.result)
 		if h.savedEvents > 0 {
 			b.deleteSave(h.ref)
@@ -122,16 +125,32 @@
 	}
 }
 
+// workspaceOf returns the workspace that the job's items run for. Whether its keys are still
+// in force does not matter: what was accepted is run.
+func (b *Batcher) workspaceOf(job *worklog.Accept) *fleet.Workspace {
+	if job.Workspace != "" {
+		return &fleet.Workspace{Name: job.Workspace}
+	}
+	if c := b.configs.Current(); c != nil && c.Keyring != nil {
+		return fleet.Anonymous
+	}
+	return nil
+}
+
 // runItem sends the item to the target once and reads its events.
 func (b *Batcher) runItem(ctx context.Context, h *heldItem, target *fleet.Target, route *fleet.Route, progress worklog.Progress) runOutcome {
 	request := &fleet.Request{
 		ID: h.item.ID, Method: http.MethodPost, Host: h.job.Job.Host, URI: h.item.Path, Path: h.item.Path, Header: h.item.Header, Body: h.item.Body,
+		Workspace: b.workspaceOf(h.job),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(eventTimeout, cancel)
 	defer watchdog.Stop()
 	answer, err := b.params.Sender.Send(ctx, fleet.Attempt{Request: request, Target: target, LastEventID: progress.LastEventID})
+	if errorx.IsOfType(err, fleet.ErrMalformed) {
+		return unsendableOutcome(h, progress, err)
+	}
 	if err != nil {
 		return runOutcome{progress: progress, err: err}
 	}
@@ -167,6 +186,15 @@
 	return runOutcome{progress: progress, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultCompleted, Text: progress.Text}}
 }
 
+// unsendableOutcome returns the outcome of an item that can't be sent as one request: a dead
+// letter, or a run from the beginning if that is due to the event ID after which to resume.
+func unsendableOutcome(h *heldItem, progress worklog.Progress, err error) runOutcome {
+	if progress.LastEventID != "" {
+		return runOutcome{progress: worklog.Progress{Failures: progress.Failures}, err: err}
+	}
+	return runOutcome{progress: progress, err: err, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter}}
+}
+
 // checkContentType returns ErrAnswerBroken if an earlier run of the item here has brought
 // events in an answer of another content type: this one cannot go on with them.
 func (b *Batcher) checkContentType(h *heldItem, answer *fleet.Answer) error {
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -40,6 +40,8 @@
 type Configurations struct {
 	decoder Decoder
 	current atomic.Pointer[fleet.Configuration]
+	// before is the configuration that was in force before.
+	before atomic.Pointer[fleet.Configuration]
 }
 
 // NewConfigurations returns Configurations without a configuration.
@@ -48,6 +50,9 @@
 // Current returns the configuration in force, or nil before the first one.
 func (c *Configurations) Current() *fleet.Configuration { return c.current.Load() }
 
+// Before returns the configuration that was in force before the current one, or nil.
+func (c *Configurations) Before() *fleet.Configuration { return c.before.Load() }
+
 // Apply puts the newest configuration among the records in force. Versions that
 // are not newer than the one in force are ignored, in whatever order they arrive.
 func (c *Configurations) Apply(records []fleet.Record) {
@@ -64,6 +69,7 @@
 		if old != nil && next.Version <= old.Version {
 			continue
 		}
+		c.before.Store(old)
 		c.current.Store(next)
 		klog.InfoS("configuration in force", "version", next.Version, "offset", r.Offset)
 	}
@@ -83,6 +89,11 @@
 	// that they leave. It outlives their registration, which may expire and come back while
 	// the store is away.
 	leaving map[string]int64
+	// provisional holds the targets, by ID, that their batchers have announced.
+	provisional map[string]provisional
+	// past holds the IDs of targets that have been registered, or whose announcement turned
+	// out to be wrong.
+	past map[string]bool
 	// recoveredAt is when the store last answered again after an outage.
 	recoveredAt time.Time
 	snapshot    atomic.Pointer[Snapshot]
@@ -90,7 +101,8 @@
 
 // Snapshot is the state of the registry at one time. It is immutable.
 type Snapshot struct {
-	// Services holds the targets of each service that are not draining.
+	// Services holds the targets of each service that are not draining and at whose address
+	// none was born later: of two incarnations at one address only the later one runs.
 	Services map[string][]*fleet.Target
 	// Addresses holds every registered target by its address; of several at one
 	// address, the one born last.
@@ -99,7 +111,7 @@
 
 // NewTargets returns a registry without targets.
 func NewTargets(d Decoder, now func() time.Time) *Targets {
-	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}, leaving: map[string]int64{}}
+	t := &Targets{decoder: d, now: now, byID: map[string]*fleet.Target{}, removeAt: map[string]time.Time{}, leaving: map[string]int64{}, provisional: map[string]provisional{}, past: map[string]bool{}}
 	t.snapshot.Store(&Snapshot{})
 	return t
 }
@@ -113,6 +125,10 @@
 func (t *Targets) RemoveIncarnation(target *fleet.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if target.Provisional {
+		t.refute(target)
+		return
+	}
 	known := t.byID[target.ID]
 	if known == nil || known.StartUnixMillis != target.StartUnixMillis {
 		return
@@ -183,7 +199,7 @@
 func (t *Targets) RemoveExpired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
+	changed := t.expireProvisional()
 	for id, until := range t.removeAt {
 		if t.now().After(until) {
 			klog.InfoS("target gone", "target", id, "reason", "not registered again after the store recovered")
@@ -221,6 +237,7 @@
 	}
 	delete(t.removeAt, target.ID)
 	t.byID[target.ID] = target
+	t.confirm(target.ID)
 }
 
 // remove removes a target, after a grace period if its registration may have
@@ -241,7 +258,8 @@
 // publishSnapshot makes a snapshot of the targets current. mu must be held.
 func (t *Targets) publishSnapshot() {
 	s := &Snapshot{Services: map[string][]*fleet.Target{}, Addresses: map[string]*fleet.Target{}}
-	for _, target := range t.byID {
+	all := make([]*fleet.Target, 0, len(t.byID))
+	for _, target := range t.known() {
 		if t.isLeaving(target) && !target.Draining {
 			draining := *target
 			draining.Draining = true
@@ -250,7 +268,10 @@
 		if old := s.Addresses[target.Address]; old == nil || old.StartUnixMillis < target.StartUnixMillis {
 			s.Addresses[target.Address] = target
 		}
-		if !target.Draining {
+		all = append(all, target)
+	}
+	for _, target := range all {
+		if !target.Draining && s.Addresses[target.Address].StartUnixMillis == target.StartUnixMillis {
 			s.Services[target.Service] = append(s.Services[target.Service], target)
 		}
 	}
--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +38,10 @@
 	// maxStartInterval is the longest time between two reads of a follower that has not read
 	// its topic yet.
 	maxStartInterval = time.Second
-	// startPollInterval is the time between two looks of RunAfter at another follower.
-	startPollInterval = 20 * time.Millisecond
+	// startSpread is the time over which processes that start at the same moment spread the
+	// reads that are not needed first. Otherwise the first of them take the store's bandwidth
+	// while the others wait for the configuration.
+	startSpread = 400 * time.Millisecond
 	// fullTimeoutEvery is the number of reads during an outage of which one has the
 	// full readTimeout, for a store that only answers slowly.
 	fullTimeoutEvery = 4
@@ -59,6 +62,9 @@
 	// StoreAnswers, if set, reports whether the store has answered reads of another topic
 	// lately.
 	StoreAnswers func() bool
+	// Now is the clock by which the state ages. If nil, it is the monotonic clock, which may
+	// stand still while the instance is suspended.
+	Now func() time.Duration
 	// OnRecovered, if set, is called when the store answers again after an outage,
 	// before its records are applied.
 	OnRecovered func()
@@ -76,8 +82,10 @@
 	// lastReadStart is the start of the last read that reached the end of the topic,
 	// in nanoseconds after base, or 0 before the first.
 	lastReadStart atomic.Int64
-	base          time.Time
-	unavailable   bool
+	base          time.Duration
+	// firstRead is closed once the topic has been read to its end for the first time.
+	firstRead   chan struct{}
+	unavailable atomic.Bool
 	// failures is the number of failed reads since the last successful one.
 	failures int
 	// largestRecord is the size of the largest record read so far, in bytes.
@@ -86,11 +94,18 @@
 
 // New returns a Follower that has read nothing.
 func New(p Params) *Follower {
-	f := &Follower{params: p, next: -1, base: time.Now().Add(-time.Nanosecond), readToken: make(chan struct{}, 1)}
+	if p.Now == nil {
+		created := time.Now()
+		p.Now = func() time.Duration { return time.Since(created) }
+	}
+	f := &Follower{params: p, next: -1, base: p.Now() - time.Nanosecond, firstRead: make(chan struct{}), readToken: make(chan struct{}, 1)}
 	f.readToken <- struct{}{}
 	return f
 }
 
+// elapsed returns the time since base.
+func (f *Follower) elapsed() time.Duration { return f.params.Now() - f.base }
+
 // acquire waits until no other read is in progress and takes the read token.
 func (f *Follower) acquire(ctx context.Context) error {
 	select {
@@ -126,16 +141,22 @@
 // process needs first. Callers of CatchUp do not wait for that.
 func (f *Follower) RunAfter(ctx context.Context, others ...*Follower) error {
 	for _, other := range others {
-		for ctx.Err() == nil {
-			if _, known := other.Age(); known {
-				break
-			}
-			pause.For(ctx, startPollInterval)
+		select {
+		case <-other.FirstRead():
+		case <-ctx.Done():
 		}
 	}
+	pause.For(ctx, rand.N(startSpread))
 	return f.Run(ctx)
 }
 
+// FirstRead returns a channel that is closed once the topic has been read to its end for
+// the first time.
+func (f *Follower) FirstRead() <-chan struct{} { return f.firstRead }
+
+// IsFailing reports whether the last read failed.
+func (f *Follower) IsFailing() bool { return f.unavailable.Load() }
+
 // Age returns the age of the state: the time since the start of the last read that
 // reached the end of the topic. It returns false if there was none.
 func (f *Follower) Age() (time.Duration, bool) {
@@ -143,7 +164,7 @@
 	if start == 0 {
 		return 0, false
 	}
-	return time.Since(f.base.Add(time.Duration(start))), true
+	return f.elapsed() - time.Duration(start), true
 }
 
 // CatchUp returns once every record that was in the topic at the time of the call has
@@ -153,7 +174,7 @@
 // CatchUpWithin returns once every record that was in the topic maxAge before the call has
 // been applied, or an error of the store.
 func (f *Follower) CatchUpWithin(ctx context.Context, maxAge time.Duration) error {
-	since := time.Since(f.base) - maxAge
+	since := f.elapsed() - maxAge
 	if f.hasReadSince(since) {
 		return nil
 	}
@@ -178,7 +199,7 @@
 
 // notifyRecovery calls OnRecovered if the store did not answer before.
 func (f *Follower) notifyRecovery() {
-	if f.unavailable && f.params.OnRecovered != nil {
+	if f.unavailable.Load() && f.params.OnRecovered != nil {
 		f.params.OnRecovered()
 	}
 }
@@ -205,7 +226,7 @@
 // readToEnd reads up to the end that the topic had at the time of the call. The read token
 // must be held.
 func (f *Follower) readToEnd(ctx context.Context) error {
-	called := time.Since(f.base)
+	called := f.elapsed()
 	for {
 		before := f.next
 		end, asOf, err := f.readOnce(ctx)
@@ -213,7 +234,7 @@
 			return err
 		}
 		if f.next >= end && asOf >= called {
-			f.lastReadStart.Store(int64(asOf))
+			f.recordReadStart(asOf)
 			return nil
 		}
 		if f.next < end && f.next == before {
@@ -222,13 +243,21 @@
 	}
 }
 
+// recordReadStart notes that a read which began at asOf has reached the end of the topic.
+// The read token must be held.
+func (f *Follower) recordReadStart(asOf time.Duration) {
+	if f.lastReadStart.Swap(int64(asOf)) == 0 {
+		close(f.firstRead)
+	}
+}
+
 // readOnce reads the newest records or one page of the records that follow. It returns the
 // end offset that the topic had at asOf, the time at which the read that told it began.
 func (f *Follower) readOnce(ctx context.Context) (end int64, asOf time.Duration, err error) {
 	if f.next < 0 {
 		return f.readNewest(ctx)
 	}
-	asOf = time.Since(f.base)
+	asOf = f.elapsed()
 	page, err := f.readPage(ctx)
 	if errorx.IsOfType(err, fleet.ErrRecordsExpired) {
 		klog.InfoS("records expired, reading the newest record of each key again", "topic", f.params.Name, "offset", f.next)
@@ -251,7 +280,7 @@
 // that of the first page, which may have been read by an earlier call.
 func (f *Follower) readNewest(ctx context.Context) (end int64, asOf time.Duration, err error) {
 	if f.newest == nil || f.newest.next < 0 {
-		f.newest = &newestRead{next: -1, begun: time.Since(f.base)}
+		f.newest = &newestRead{next: -1, begun: f.elapsed()}
 	}
 	if err := f.newest.read(ctx, f.params.Store, f.params.Topic); err != nil {
 		return 0, 0, err
@@ -306,11 +335,10 @@
 	if err == nil {
 		f.failures = 0
 	}
-	if (err != nil) == f.unavailable {
+	if f.unavailable.Swap(err != nil) == (err != nil) {
 		return
 	}
-	f.unavailable = err != nil
-	if f.unavailable {
+	if err != nil {
 		klog.InfoS("topic not readable", "topic", f.params.Name, "offset", f.next, "error", protocol.CauseOf(err))
 		return
 	}
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -62,7 +62,7 @@
 		before func(*fixture)
 		want   string
 	}{
-		"targets restarted": {"safe", []step{other, other, other, other}, nil,
+		"targets restarted": {"safe", []step{other, other, other, other, other, other}, nil,
 			"sycamoretally.elsewhere.another_lifetime, another lifetime answers at its address"},
 		"targets are full":          {"unsafe", []step{full, full, full, full}, nil, "sycamoretally.elsewhere.target_full"},
 		"targets cannot be reached": {"safe", []step{unreachable}, nil, "sycamoretally.elsewhere.no_answer"},
@@ -119,9 +119,9 @@
 		s := startGateway(t, newStore(t))
 		defer s.stop()
 		assert.NilError(t, s.submit(job("known", 3)))
-		_, err := s.Results(t.Context(), "unknown", 1, 0)
+		_, err := s.Results(t.Context(), nil, "unknown", 1, 0)
 		assert.Assert(t, err != nil)
-		_, err = s.ItemBody(t.Context(), "known", "i9")
+		_, err = s.ItemBody(t.Context(), nil, "known", "i9")
 		assert.Assert(t, err != nil)
 	})
 	recording.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoretally/sycamoretally/coordination/drain"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/coordination/registry"
+	"github.com/sycamoretally/sycamoretally/coordination/starting"
 	"github.com/sycamoretally/sycamoretally/coordination/topic"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -56,6 +57,9 @@
 	HasEnded func(ctx context.Context, address string) bool
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
+	// Now is the clock by which the configuration ages, which counts suspensions of the
+	// instance. If nil, it is the monotonic clock.
+	Now func() time.Duration
 	// Registry is where the metrics are registered. If nil, a new registry is used.
 	Registry *prometheus.Registry
 }
@@ -69,7 +73,11 @@
 	targets      *registry.Targets
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
-	metrics      *metrics
+	gate         *starting.Gate
+	survey       *starting.Survey
+	// surveyWake holds a token when the survey has new questions.
+	surveyWake chan struct{}
+	metrics    *metrics
 
 	configTail *topic.Follower
 	targetTail *topic.Follower
@@ -110,6 +118,8 @@
 		configs: registry.NewConfigurations(p.Decoder),
 		targets: registry.NewTargets(p.Decoder, time.Now),
 		table:   balancing.New(time.Now, nil),
+		gate:    starting.NewGate(time.Now()),
+		survey:  starting.NewSurvey(), surveyWake: make(chan struct{}, 1),
 		metrics: newMetrics(p.Registry),
 		fold:    worklog.NewFold(),
 		texts:   newTextReader(p.Store),
@@ -117,12 +127,14 @@
 		changed: make(chan struct{}),
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 	}
+	g.table.SetDataCentre(p.Node.DataCentre)
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.requests, g.giveUpRequests = context.WithCancel(context.Background())
 	g.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
 		Reset: g.configs.Apply, Apply: g.configs.Apply, StoreAnswers: func() bool { return g.targetTail.Answers() },
+		Now: p.Now,
 	})
 	g.targetTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicTargets, Name: "targets", Interval: readInterval,
@@ -153,6 +165,8 @@
 	g.tomb.Go(func() error { return g.configTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.targetTail.Run(g.ctx) })
 	g.tomb.Go(func() error { return g.workTail.RunAfter(g.ctx, g.configTail, g.targetTail) })
+	g.tomb.Go(g.logFirstReads)
+	g.tomb.Go(g.runSurveys)
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
@@ -183,7 +197,7 @@
 // or configuration. If no gateway reaches the store, the platform goes on using all of
 // them.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+	return !g.closing.Load() && g.mayServeKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // IsClosing implements fleet.CallerAPI.
@@ -240,7 +254,10 @@
 }
 
 // Match implements fleet.CallerAPI.
-func (g *Gateway) Match(_ context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+func (g *Gateway) Match(ctx context.Context, host, path string, key fleet.Key) (*fleet.Route, *fleet.Workspace, error) {
+	if err := g.awaitConfiguration(ctx); err != nil {
+		return nil, nil, err
+	}
 	c := g.configs.Current()
 	if c == nil {
 		return nil, nil, newRefusal("no configuration has been read yet")
@@ -253,7 +270,7 @@
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
 		return nil, nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
 	}
-	workspace, err := g.authorize(c, route, key)
+	workspace, err := g.authorize(ctx, c, route.Anonymous, key, nil)
 	return route, workspace, err
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sycamoretally/sycamoretally/protocol/eventstream"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -77,7 +78,8 @@
 // reportFailure reports to the load table that the target failed, or that the request
 // left it because it did not begin the answer in time: such a target may only be busy.
 func (o *onlineRequest) reportFailure(ctx context.Context, target *fleet.Target) {
-	if isStalled(ctx) && !o.answerBegun {
+	o.meter.stalled = isStalled(ctx)
+	if o.meter.stalled && !o.answerBegun {
 		o.g.table.RecordWithdrawal(target)
 		return
 	}
@@ -102,6 +104,9 @@
 		if len(events) > 0 {
 			if eventstream.HasContent(events) {
 				stall.eventReceived()
+				if o.meter.eventReceived(time.Now(), events) {
+					o.reportFirstEvent(o.choice)
+				}
 			}
 			if failure := o.relayEvents(answer, events); failure != nil {
 				return failure
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -113,6 +113,15 @@
 	return best
 }
 
+// Routes calls each with every route.
+func (c *Configuration) Routes(each func(*Route)) {
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			each(r)
+		}
+	}
+}
+
 // HasBatchRoute reports whether the host has a route that accepts jobs.
 func (c *Configuration) HasBatchRoute(host string) bool {
 	for _, r := range c.hosts[host] {
@@ -123,6 +132,17 @@
 	return false
 }
 
+// HasAnonymousBatchRoute reports whether the host has a route that accepts jobs without a
+// key.
+func (c *Configuration) HasAnonymousBatchRoute(host string) bool {
+	for _, r := range c.hosts[host] {
+		if r.Kind == KindBatch && r.Anonymous {
+			return true
+		}
+	}
+	return false
+}
+
 // PickService returns the route's service for a random number in [0, 1), weighted by
 // the services' weights. It returns an empty name if the route has no service.
 func (r *Route) PickService(random float64) string {
