Remove keys in the soak while gateways are cut off, frozen and killed

Cause: nothing showed with real processes that a removed key stops working in time. Change: TestRemovedKeysStopWorking replaces keys under the faults of the readers' test, and compares the keys of requests with what targets ran: none sent later than the revocation timeout after the removal, none denied whose key holds, the workspace named once, and no key. The stand-ins publish workspaces and record what targets see of them.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -47,6 +47,8 @@
 	callTargets  int
 	// eventTime is the time that an event of an item takes.
 	eventTime time.Duration
+	// keys holds the keys of the workspaces, nil if callers need none.
+	keys *keyBook
 }
 
 // smallLayout is the layout of the sites of the seeds.
@@ -170,6 +172,9 @@
 	assert.NilError(s.t, err)
 	s.t.Cleanup(r.Close)
 	node.Store, node.DataCentre, node.Grace = r.Address(), "dc", grace
+	if s.size.keys != nil {
+		node.Revocation = revocation
+	}
 	path := filepath.Join(dir, node.Name+".conf")
 	assert.NilError(s.t, os.WriteFile(path, []byte(node.Settings()), 0o600))
 	d := &daemon{name: node.Name, address: node.Address, store: r, storeFaults: faults}
@@ -204,7 +209,8 @@
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
 	s.version += 3
-	return platformtest.PublishConfiguration(ctx, s.store, s.version, routes, []platformtest.Service{model, calls})
+	services := []platformtest.Service{model, calls}
+	return platformtest.PublishWorkspaces(ctx, s.store, s.version, routes, services, s.size.keys.workspaces())
 }
 
 // workOf returns the capacity of the targets of a service.
