--- a/gateway/online.go
+++ b/gateway/online.go
@@ -65,7 +65,7 @@
 		g.metrics.observe(route, err, time.Since(begun))
 		return err
 	}
-	o := &onlineRequest{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
+	o := &onlineRequest{g: g, route: route, request: r, sink: sink, rateTook: time.Since(begun), deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
 	rated(err, o.possibleRuns > 0)
 	took := time.Since(begun)
@@ -86,7 +86,7 @@
 	}
 	klog.InfoS("request ended", "request", o.request.ID, "route", o.route.Name, "kind", kindNames[o.route.Kind], "service", o.service,
 		"version", o.version, "targets", o.knownTargets, "attempts", len(o.attempts), "runs", o.possibleRuns, "answer_begun", o.answerBegun, "last_event", o.lastEvent,
-		"took", took, "outcome", outcomeOf(err), "reason", o.reason, "error", protocol.CauseOf(err))
+		"rate_took", o.rateTook, "took", took, "outcome", outcomeOf(err), "reason", o.reason, "error", protocol.CauseOf(err))
 }
 
 // attemptRecord holds an attempt, the state on which the choice of its target was based,
@@ -118,6 +118,8 @@
 	sink        fleet.Sink
 	deadline    time.Time
 	hasDeadline bool
+	// rateTook is how long it took to decide that the request is within its workspace's rate.
+	rateTook time.Duration
 
 	// lastEvent is the ID of the last event sent to the caller. attemptLastEvent is the
 	// value of lastEvent when the current attempt began.
