Add what a new owner has gained itself to a bucket that is handed over

Cause: TestRateOfAllGateways failed: a gateway that had been the owner for 10 s got a bucket of 0.6 tokens from the one that would be the owner without it, and forgot its own.

Change: what is given is added to what the owner has gained since it decides; a gateway that leaves hands over what it has then. Presence records have keys after all others, so that reading them reads little else. Ages by the clock that counts suspensions.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -23,6 +23,8 @@
 	id             uint64
 	from           string
 	done           bool
+	rate           fleet.Rate
+	version        int64
 }
 
 // given is a bucket that another gateway took.
@@ -241,7 +243,7 @@
 		if from == "" {
 			return nil, false
 		}
-		o = &handover{begun: now, lastTry: now - takeInterval, id: h.newID(), from: from}
+		o = &handover{begun: now, lastTry: now - takeInterval, id: h.newID(), from: from, rate: rate, version: q.Version}
 		h.handovers[q.Workspace] = o
 	}
 	if o.done || now-o.begun >= takeTimeout {
@@ -302,9 +304,13 @@
 	if held := h.held(workspace); a.Verdict != fleet.RateGiven || held != nil && !held.frozen || !h.acts(now) || h.rank(h.Order(workspace)) != 0 {
 		return
 	}
-	k := newBucket(h.bounds, fleet.Rate{}, 0, now)
-	k.capacity = max(1, a.Tokens)
-	k.tokens = max(0, a.Tokens)
+	since := now
+	if h.IsSettled(now) { // whoever gave the bucket has not decided since then
+		since = max(h.removedAt, h.settledAt())
+	}
+	k := newBucket(h.bounds, o.rate, o.version, since)
+	k.fill(now)
+	k.tokens = min(k.capacity, k.tokens+max(0, a.Tokens))
 	h.hold(workspace, k)
 }
 
@@ -346,7 +352,7 @@
 func (h *Holder) Maintain(now time.Duration) {
 	acting := h.lapse(now)
 	for workspace, k := range h.buckets {
-		owns := acting && h.rank(h.Order(workspace)) == 0
+		owns := acting && !h.leaving && h.rank(h.Order(workspace)) == 0
 		switch {
 		case !acting, k.joins != h.joins, k.frozen && owns, k.frozen && now-k.at > h.lease:
 			delete(h.buckets, workspace)
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -270,6 +270,9 @@
 	return now, true // its record has not been read yet
 }
 
+// IsSettled reports whether this gateway decides without a hand-over.
+func (m *Members) IsSettled(now time.Duration) bool { return m.lapse(now) && now >= m.settledAt() }
+
 // Age returns the time since the last read of the log.
 func (m *Members) Age(now time.Duration) time.Duration { return now - m.readAt }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 	})
 	g.workTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
-		Reset: g.resetJobs, Apply: g.applyJobs,
+		Reset: g.resetJobs, Apply: g.applyJobs, Now: p.Now,
 	})
 	g.registerGauges()
 	rateMetrics := newRateMetrics(p.Registry)
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -17,12 +17,15 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
-	"github.com/sycamoretally/sycamoretally/transport/boottime"
 )
 
 const (
-	// presenceInterval is the time between two looks at who is present.
-	presenceInterval = 200 * time.Millisecond
+	// presenceInterval is the time between two looks at who is present, joinInterval that of a
+	// gateway which does not decide yet. joinIntervalPerGateway bounds the reads of all that
+	// start together.
+	presenceInterval       = 200 * time.Millisecond
+	joinInterval           = 60 * time.Millisecond
+	joinIntervalPerGateway = 2 * time.Millisecond
 	// renewTimeout bounds one append of the presence record, renewRetryDelay is the delay
 	// before a failed one is made again.
 	renewTimeout    = time.Second
@@ -35,8 +38,6 @@
 	localTries    = 6
 	// maxAbandoned bounds the number of asks without answer that are remembered.
 	maxAbandoned = 1024
-	// suspensionTolerance is the difference between the clocks that is no suspension.
-	suspensionTolerance = 20 * time.Millisecond
 )
 
 // RateMessages sends messages about rates to other gateways. It is safe for concurrent
@@ -53,6 +54,8 @@
 type Rates struct {
 	g        *Gateway
 	messages RateMessages
+	// now is a clock that counts suspensions.
+	now func() time.Duration
 	// address is where this gateway receives messages.
 	address string
 	lastID  atomic.Uint64
@@ -75,28 +78,23 @@
 	firstConfirm uint64
 	renewing     bool
 	nextRenew    time.Duration
-	clocks       clocks
-}
-
-// clocks compares the clock that counts suspensions with one that does not.
-type clocks struct {
-	boot time.Duration
-	mono time.Time
-	// resumed is when the last suspension was noticed.
-	resumed time.Time
 }
 
 // newRates returns the limiter of a gateway.
 func newRates(g *Gateway, messages RateMessages, m *rateMetrics) *Rates {
-	node := g.params.Node
+	node, now := g.params.Node, g.params.Now
+	if now == nil {
+		created := time.Now()
+		now = func() time.Duration { return time.Since(created) }
+	}
 	r := &Rates{
-		g: g, messages: messages, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: m,
+		g: g, messages: messages, now: now, address: net.JoinHostPort(node.Address, node.PeerPort), metrics: m,
 		members:      ratelimit.NewMembers(node.Name, g.writer.Name()),
 		firstConfirm: math.MaxUint64, abandoned: map[uint64]string{}, admissions: map[uint64]string{},
 	}
 	r.lastID.Store(rand.Uint64() >> 1) // leaves room to count on
 	bounds := ratelimit.Bounds{Window: node.QuotaWindow, Overage: node.QuotaOverage, Slack: node.QuotaSlack}
-	r.holder = ratelimit.NewHolder(r.members, bounds, boottime.Now(), r.nextID)
+	r.holder = ratelimit.NewHolder(r.members, bounds, now(), r.nextID)
 	return r
 }
 
@@ -133,7 +131,7 @@
 	r.mu.Unlock()
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		now := boottime.Now()
+		now := r.now()
 		step, found := inquiry.Next(func(address string) bool { return r.silences.IsSilent(now, address) })
 		r.mu.Unlock()
 		if !found {
@@ -166,7 +164,7 @@
 		return a, true
 	}
 	if ctx.Err() == nil {
-		r.silences.Mark(boottime.Now(), address)
+		r.silences.Mark(r.now(), address)
 	}
 	r.abandon(id, address)
 	r.metrics.asks.WithLabelValues("silent").Inc()
@@ -205,7 +203,7 @@
 func (r *Rates) admitAlone(id uint64, workspace string, rate fleet.Rate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.holder.AdmitAlone(boottime.Now(), id, workspace, rate)
+	return r.holder.AdmitAlone(r.now(), id, workspace, rate)
 }
 
 // forget ends an admission whose request has run, and returns who made it.
@@ -240,7 +238,7 @@
 // false if there is nothing to answer.
 func (r *Rates) HandleRateQuery(from string, id uint64, q fleet.RateQuery) (fleet.RateAnswer, bool) {
 	r.mu.Lock()
-	answer, answered, take := r.holder.Handle(boottime.Now(), from, id, q)
+	answer, answered, take := r.holder.Handle(r.now(), from, id, q)
 	r.mu.Unlock()
 	if take != nil {
 		r.messages.SendRateQuery(take.Address, take.ID, take.Query)
@@ -258,7 +256,7 @@
 		return
 	}
 	if a.Verdict == fleet.RateGiven || a.Verdict == fleet.RateNotHeld {
-		r.holder.Taken(boottime.Now(), id, a)
+		r.holder.Taken(r.now(), id, a)
 		return
 	}
 	address, found := r.abandoned[id]
@@ -273,7 +271,7 @@
 // this one joined. mu must be held.
 func (r *Rates) confirmed(from string, id uint64) {
 	if id >= r.firstConfirm {
-		r.members.Confirmed(boottime.Now(), from)
+		r.members.Confirmed(r.now(), from)
 	}
 }
 
@@ -281,7 +279,7 @@
 func (r *Rates) confirm() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	addresses := r.members.Unconfirmed(boottime.Now())
+	addresses := r.members.Unconfirmed(r.now())
 	if len(addresses) == 0 {
 		r.firstConfirm = math.MaxUint64
 		return
@@ -296,7 +294,7 @@
 
 // run keeps this gateway present and follows who else is.
 func (r *Rates) run() error {
-	for ctx := r.g.ctx; ctx.Err() == nil; pause.For(ctx, presenceInterval) {
+	for ctx := r.g.ctx; ctx.Err() == nil; pause.For(ctx, r.interval()) {
 		if c := r.g.configs.Current(); !r.enabled.Load() && (c == nil || c.Keyring == nil || !c.Keyring.HasRates()) {
 			continue
 		}
@@ -308,11 +306,21 @@
 	return nil
 }
 
+// interval returns the time until the next look at who is present.
+func (r *Rates) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.enabled.Load() && r.g.configs.Current() != nil || r.members.IsSettled(r.now()) {
+		return presenceInterval
+	}
+	return max(joinInterval, time.Duration(r.members.Len())*joinIntervalPerGateway)
+}
+
 // updateMembers takes over the presence records if the work log was read since it last did. A
 // process that has not read the work log yet reads these records alone.
 func (r *Rates) updateMembers() {
 	age, known := r.g.workTail.Age()
-	now, mono := boottime.Now(), time.Now()
+	now := r.now()
 	var records []worklog.PresentGateway
 	if known {
 		r.g.jobsMu.RLock()
@@ -323,11 +331,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.clocks.observe(boottime.Now(), time.Now())
-	if known && mono.Add(-age).After(r.clocks.resumed) {
-		r.members.Update(boottime.Now(), now-age, membersOf(records))
+	if known {
+		r.members.Update(r.now(), now-age, membersOf(records))
 	}
-	r.holder.Maintain(boottime.Now())
+	r.holder.Maintain(r.now())
 }
 
 // readPresences reads the newest presence records from the store.
@@ -363,19 +370,11 @@
 	return list
 }
 
-// observe notes a suspension since the last call.
-func (c *clocks) observe(boot time.Duration, mono time.Time) {
-	if !c.mono.IsZero() && boot-c.boot > mono.Sub(c.mono)+suspensionTolerance {
-		c.resumed = mono
-	}
-	c.boot, c.mono = boot, mono
-}
-
 // renew starts to append the presence record if that is due.
 func (r *Rates) renew() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	begun := boottime.Now()
+	begun := r.now()
 	if r.renewing || begun < r.nextRenew || r.g.closing.Load() {
 		return
 	}
@@ -387,11 +386,11 @@
 		defer r.mu.Unlock()
 		r.renewing = false
 		if err != nil {
-			r.nextRenew = boottime.Now() + renewRetryDelay
+			r.nextRenew = r.now() + renewRetryDelay
 			klog.InfoS("presence not renewed", "error", protocol.CauseOf(err))
 			return nil
 		}
-		r.members.Renewed(boottime.Now(), begun, offset, lease)
+		r.members.Renewed(r.now(), begun, offset, lease)
 		return nil
 	})
 }
@@ -414,6 +413,7 @@
 func (r *Rates) leave() {
 	r.mu.Lock()
 	r.members.Leave()
+	r.holder.Maintain(r.now())
 	r.mu.Unlock()
 	if !r.enabled.Load() {
 		return
@@ -432,7 +432,7 @@
 	}
 	r.metrics.requests.WithLabelValues(reason).Inc()
 	r.mu.Lock()
-	age, gateways := r.members.Age(boottime.Now()), r.members.Len()
+	age, gateways := r.members.Age(r.now()), r.members.Len()
 	r.mu.Unlock()
 	klog.InfoS("rate refused a request", "workspace", workspace.Name, "reason", reason, "version", version,
 		"per_second", workspace.Rate.PerSecond, "burst", workspace.Rate.Burst, "left", a.Tokens, "retry_after", a.RetryAfter,
--- a/state/worklog/presence.go
+++ b/state/worklog/presence.go
@@ -8,8 +8,9 @@
 )
 
 // presencePrefix is the prefix of the keys of presence records, which the name of the
-// instance follows: the newest record of an instance replaces the others.
-const presencePrefix = "present/"
+// instance follows: the newest record of an instance replaces the others. It comes after all other
+// keys, so that these records can be read without others.
+const presencePrefix = "~present/"
 
 // Presence records that a gateway is present and can be asked about rates.
 type Presence struct {
