--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 	})
 	g.workTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval, StartSpread: p.StartSpread,
-		Reset: g.resetJobs, Apply: g.applyJobs,
+		Reset: g.resetJobs, Apply: g.applyJobs, Now: p.Now,
 	})
 	g.registerGauges()
 	rateMetrics := newRateMetrics(p.Registry)
