Check a configuration before it is sent

sycamoretally config check FILE [--against FILE] reads the file by the decoder of the gateways and names the line of a fault, entries that never match, limits that contradict each other, and what differs from the version in force. Findings are typed values of coordination/configcheck.

--- a/cmd/sycamoretally/main.go
+++ b/cmd/sycamoretally/main.go
@@ -31,7 +31,7 @@
 	root.PersistentFlags().AddGoFlag(logFlags.Lookup("v"))
 	root.PersistentFlags().String("config", "", "settings file in TOML")
 	root.AddCommand(
-		entryCommand(), sidecarCommand(), standInCommand(), gatewayCommand(), batcherCommand(), nodeCommand(), explainCommand(),
+		entryCommand(), sidecarCommand(), standInCommand(), gatewayCommand(), batcherCommand(), nodeCommand(), configCommand(), explainCommand(),
 		applyCommand(), diffCommand(), getCommand(), historyCommand(), rollbackCommand(),
 		drainCommand(), undrainCommand(), statusCommand(), timelineCommand(), jobCommand(),
 		settingsCommand(), demoCommand(), loadCommand(),
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -88,11 +88,12 @@
 	// requests then need no key.
 	Keyring *Keyring
 	hosts   map[string][]*Route
+	routes  []*Route
 }
 
 // NewConfiguration returns a configuration of the routes.
 func NewConfiguration(version int64, routes []*Route, services []*Service, limits Limits) *Configuration {
-	c := &Configuration{Version: version, Services: map[string]*Service{}, Limits: limits, hosts: map[string][]*Route{}}
+	c := &Configuration{Version: version, Services: map[string]*Service{}, Limits: limits, hosts: map[string][]*Route{}, routes: routes}
 	for _, r := range routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
 	}
@@ -102,6 +103,9 @@
 	return c
 }
 
+// Routes returns the routes in the configuration's order. The caller must not change them.
+func (c *Configuration) Routes() []*Route { return c.routes }
+
 // Match returns the route with the longest matching prefix of the path, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	var best *Route
