--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -91,6 +91,10 @@
 	// readableSince is when the work log last became readable.
 	readableSince time.Time
 	held          map[worklog.ItemRef]*heldItem
+	// handedOver holds the items that were released or got a result here, until the log
+	// shows it. room is the number of items that the target had room for at its last poll.
+	handedOver map[worklog.ItemRef]bool
+	room       int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
 	// targetBorn is the time of its start in milliseconds since the epoch, 0 if unknown.
@@ -105,6 +109,7 @@
 	// draining is set while the target reports that it is draining.
 	draining bool
 	pace     urgency.DurationEstimator
+	learned  learnedCapacity
 	// lastHeartbeat is when the batcher last enqueued a heartbeat, lastClaim when it began
 	// the last claim that was stored, and lastSave when it last saved progress.
 	lastHeartbeat time.Time
@@ -132,6 +137,8 @@
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*heldItem{},
 
+		handedOver: map[worklog.ItemRef]bool{},
+
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
 		inflow:       batchlimit.OnlineCounter{Window: announceWindow},
@@ -189,6 +196,7 @@
 	b.fold = fold
 	b.readableSince = time.Now()
 	b.dropLostItems()
+	b.reconcile()
 	klog.InfoS("work log read", "records", len(records), "open_jobs", len(fold.OpenJobs()), "malformed", fold.Malformed())
 }
 
@@ -197,6 +205,7 @@
 	defer b.mu.Unlock()
 	b.fold.Apply(time.Now(), records)
 	b.dropLostItems()
+	b.reconcile()
 }
 
 func (b *Batcher) storeReturned() {
@@ -294,12 +303,15 @@
 	b.saveProgress(now)
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
 	b.inflow.SetReported(load.Online())
+	b.learnCapacity(now, load.Slots, load.Running+load.Waiting)
 	room := b.meter.Update(now, load)
+	b.room = room.MaxAfterStarts
 	b.releaseMoved()
 	ranked := b.rankItems(now)
 	b.runMostUrgent(ctx, now, ranked, room)
 	b.claim(ctx, now, room.MaxAfterStarts-countInTime(ranked), room.MaxAfterStarts-len(ranked))
 	b.releaseLate(ranked, room.MaxRunning)
+	b.releaseWaiting(now, ranked, room.MaxRunning)
 }
 
 // sendHeartbeat enqueues a heartbeat for the work log if items are held and no record of
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/batchlimit"
+	"github.com/sycamoretally/sycamoretally/coordination/claims"
 	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/urgency"
 	"github.com/sycamoretally/sycamoretally/protocol"
@@ -41,10 +42,18 @@
 	cancel    context.CancelCauseFunc
 	yielding  bool
 	startedAt time.Time
+	// eventsAtStart is the number of events when the current run started. measuredRun is the
+	// start of the run whose pace is measured, since measuredAt and from measuredEvents on.
+	eventsAtStart  int
+	measuredRun    time.Time
+	measuredAt     time.Time
+	measuredEvents int
 	// contentType is the content type of the last answer here that was read as a stream, if
 	// hasContentType is set.
 	contentType    string
 	hasContentType bool
+	// waitingSince is when the item was claimed or its last run ended.
+	waitingSince time.Time
 	// notBefore is the earliest time at which the item may run again.
 	notBefore time.Time
 }
@@ -162,6 +171,29 @@
 	}
 }
 
+// maxSlotWait is how long an item with a due time waits for a slot here before others may
+// have it: online requests rise in steps of a second or two, and not at all targets alike.
+const maxSlotWait = time.Second
+
+// releaseWaiting releases items with a due time that have waited for a slot for maxSlotWait
+// and for which there still is none, if others seem to have spare slots. In the work log they
+// go to the next batcher with one. Where all are full an item is done soonest by the batcher
+// that holds it. mu must be held.
+func (b *Batcher) releaseWaiting(now time.Time, list []rankedItem, room int) {
+	var waiting []rankedItem
+	for i, r := range list {
+		if i >= room && r.cancel == nil && r.Due != 0 && b.held[r.ref] == r.heldItem && now.Sub(r.waitingSince) >= maxSlotWait {
+			waiting = append(waiting, r)
+		}
+	}
+	if len(waiting) == 0 || claims.HasBacklog(now, b.fold, b.servesJob) {
+		return
+	}
+	for _, r := range waiting {
+		b.release(r.heldItem, "no slot", "age", r.Age, "due", r.Due, "left", r.Remaining)
+	}
+}
+
 // releaseMoved releases waiting items whose route now goes to other services. A run that is
 // under way may go on. mu must be held.
 func (b *Batcher) releaseMoved() {
@@ -181,6 +213,7 @@
 func (b *Batcher) release(h *heldItem, why string, details ...any) {
 	klog.InfoS("item given back", append([]any{"job", h.ref.Job, "item", h.ref.Item, "reason", why, "last_event", h.progress.LastEventID}, details...)...)
 	delete(b.held, h.ref)
+	b.handedOver[h.ref] = true
 	b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: h.ref, Progress: h.progress}})
 }
 
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/reload"
 	"github.com/sycamoretally/sycamoretally/transport"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
 )
 
 const (
@@ -172,12 +173,17 @@
 	targets := platform.NewTargetClient(p.pool)
 	params := gateway.Params{
 		Node: p.node, Store: p.store, Sender: targets, HasEnded: targets.HasEnded,
-		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry, StartSpread: startSpread,
+		Decoder: platform.Decoder{}, IsConnected: p.pool.HasIdle, Sweep: p.pool.CloseExpired, Registry: p.registry, Now: boottime.Now,
+		StartSpread: startSpread,
 	}
-	if datagrams := p.listenDatagrams(nil); datagrams != nil {
-		params.LoadQuerier = datagrams
+	datagrams := p.listenDatagrams(nil)
+	if datagrams != nil {
+		params.LoadQuerier, params.RateMessages = datagrams, datagrams
 	}
 	g := gateway.New(params)
+	if datagrams != nil {
+		datagrams.HandleRates(g.Rates())
+	}
 	g.Start()
 	if _, err := listenAndServe(p.node.ReadyAddress, platform.NewReadiness(g.Ready)); err != nil {
 		return err
--- a/coordination/configcheck/changes.go
+++ b/coordination/configcheck/changes.go
@@ -31,12 +31,12 @@
 func Compare(current, next *fleet.Configuration) []Change {
 	before, after := routesByName(current), routesByName(next)
 	var gone, added, changed []Change
-	for _, r := range current.Routes() {
+	for _, r := range routesOf(current) {
 		if after[r.Name] == nil {
 			gone = append(gone, Change{Where: whereRoute(r), What: "removed (" + r.Host + r.Prefix + ")"})
 		}
 	}
-	for _, r := range next.Routes() {
+	for _, r := range routesOf(next) {
 		if old := before[r.Name]; old != nil {
 			changed = append(changed, compareRoutes(old, r)...)
 			continue
@@ -47,9 +47,18 @@
 	return append(changes, compareLimits(current.Limits, next.Limits)...)
 }
 
+// routesOf returns the routes, ordered by host; those of one host are in the order of the
+// configuration.
+func routesOf(c *fleet.Configuration) []*fleet.Route {
+	var routes []*fleet.Route
+	c.Routes(func(r *fleet.Route) { routes = append(routes, r) })
+	slices.SortStableFunc(routes, func(a, b *fleet.Route) int { return strings.Compare(a.Host, b.Host) })
+	return routes
+}
+
 func routesByName(c *fleet.Configuration) map[string]*fleet.Route {
 	routes := map[string]*fleet.Route{}
-	for _, r := range c.Routes() {
+	for _, r := range routesOf(c) {
 		routes[r.Name] = r
 	}
 	return routes
--- a/coordination/configcheck/findings.go
+++ b/coordination/configcheck/findings.go
@@ -77,7 +77,7 @@
 	}
 	first := map[string]*fleet.Route{}
 	named := map[string]bool{}
-	for _, r := range in.Next.Routes() {
+	for _, r := range routesOf(in.Next) {
 		address := r.Host + " " + r.Prefix
 		if other := first[address]; other != nil {
 			found = append(found, Finding{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 	// RateLimiter admits the online requests of workspaces with a rate. It is nil if rates
 	// are not limited.
 	RateLimiter RateLimiter
+	// RateMessages reaches the other gateways. If it is set and RateLimiter is nil, the gateways
+	// limit rates together.
+	RateMessages RateMessages
 	// StartSpread is the time over which gateways that start at the same moment spread their
 	// first reads of the work log, at random.
 	StartSpread time.Duration
@@ -57,6 +60,9 @@
 	HasEnded func(ctx context.Context, address string) bool
 	// Sweep closes connections that have been idle for too long.
 	Sweep func()
+	// Now is the clock by which the configuration ages, which counts suspensions of the
+	// instance. If nil, it is the monotonic clock.
+	Now func() time.Duration
 	// Registry is where the metrics are registered. If nil, a new registry is used.
 	Registry *prometheus.Registry
 }
@@ -90,6 +96,8 @@
 	writer  *worklog.Writer
 	texts   *textReader
 	crashes *crashTracker
+	// rates limits the rates of workspaces, nil if another limiter or none does.
+	rates *Rates
 
 	active  atomic.Int64
 	closing atomic.Bool
@@ -122,12 +130,14 @@
 		changed: make(chan struct{}),
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 	}
+	g.table.SetDataCentre(p.Node.DataCentre)
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
 	g.requests, g.giveUpRequests = context.WithCancel(context.Background())
 	g.configTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicConfiguration, Name: "configuration", Interval: readInterval,
 		Reset: g.configs.Apply, Apply: g.configs.Apply, StoreAnswers: func() bool { return g.targetTail.Answers() },
+		Now: p.Now,
 	})
 	g.targetTail = topic.New(topic.Params{
 		Store: p.Store, Topic: fleet.TopicTargets, Name: "targets", Interval: readInterval,
@@ -138,9 +148,17 @@
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
 	g.registerGauges()
+	rateMetrics := newRateMetrics(p.Registry)
+	if p.RateMessages != nil && p.RateLimiter == nil {
+		g.rates = newRates(g, p.RateMessages, rateMetrics)
+		g.params.RateLimiter = g.rates
+	}
 	return g
 }
 
+// Rates returns what handles messages about rates, nil if this gateway does not take part.
+func (g *Gateway) Rates() *Rates { return g.rates }
+
 // Reload puts into force the settings that may change while the gateway runs: the grace
 // period, the retention of results and the maximum size of a record.
 func (g *Gateway) Reload(node *fleet.Node) { g.node.Store(node) }
@@ -155,6 +173,9 @@
 	g.tomb.Go(g.runHousekeeping)
 	g.tomb.Go(g.compactClosed)
 	g.tomb.Go(g.deleteExpired)
+	if g.rates != nil {
+		g.tomb.Go(g.rates.run)
+	}
 	klog.InfoS("gateway started", "instance", g.params.Node.Name, "data_centre", g.params.Node.DataCentre, "writer", g.writer.Name())
 }
 
@@ -179,7 +200,7 @@
 // or configuration. If no gateway reaches the store, the platform goes on using all of
 // them.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+	return !g.closing.Load() && g.mayServeKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // IsClosing implements fleet.CallerAPI.
@@ -195,6 +216,9 @@
 	window := drain.NewWindow(begun, g.node.Load().GracePeriod)
 	g.drainWindow.Store(&window)
 	g.closing.Store(true)
+	if g.rates != nil {
+		g.tomb.Go(func() error { g.rates.leave(); return nil })
+	}
 	g.awaitIdle(func(now time.Time) bool { return !now.Before(window.NoticeEnd) }, window.Stop)
 	if left := g.active.Load(); left > 0 {
 		klog.InfoS("requests given up, the grace period is over", "requests", left)
@@ -249,7 +273,7 @@
 		g.metrics.requests.WithLabelValues("none", "no_route").Inc()
 		return nil, nil, fleet.ErrNoRoute.New("no matching route in configuration version %d", c.Version)
 	}
-	workspace, err := g.authorize(c, route, key)
+	workspace, err := g.authorize(ctx, c, route.Anonymous, key, nil)
 	return route, workspace, err
 }
 
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -60,8 +60,14 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
+	rated, err := g.admitRate(ctx, r)
+	if err != nil {
+		g.metrics.observe(route, err, time.Since(begun))
+		return err
+	}
 	o := &onlineRequest{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
+	rated(err, o.possibleRuns > 0)
 	took := time.Since(begun)
 	if o.completed {
 		g.clearSuspicion(r)
@@ -99,7 +105,7 @@
 	c := a.choice
 	klog.InfoS("attempt", "request", request, "number", number, "target", c.Target.ID,
 		"in_flight", c.InFlight, "others", c.ReportedOthers, "report_age", c.ReportAge,
-		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "suspect", c.Ejected, "targets_age", a.targetsAge,
+		"answers", c.ProbeAnswers, "online", c.ProbedOnline, "capacity", c.Capacity, "expected_first", c.ExpectedFirstEvent, "expected_step", c.ExpectedStep, "suspect", c.Ejected, "targets_age", a.targetsAge,
 		"after_event", a.after, "time_left", a.timeLeft, "took", a.took,
 		"outcome", outcomeOf(a.err), "error", protocol.CauseOf(a.err))
 }
@@ -141,6 +147,9 @@
 	refusals     int
 	// wrongTargets counts the attempts that another incarnation answered.
 	wrongTargets int
+	// choice is that of the current attempt, and meter measures the attempt of a stream.
+	choice balancing.Choice
+	meter  streamMeter
 	// reason says why the request was given up. It is empty if it was not.
 	reason string
 }
@@ -192,13 +201,16 @@
 // makeAttempt makes one attempt and records it in attempts.
 func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
 	begun := time.Now()
+	o.g.metrics.observeChoice(choice)
 	record := attemptRecord{choice: choice, after: o.lastEvent}
 	record.targetsAge, _ = o.g.targetTail.Age()
 	if o.hasDeadline {
 		record.timeLeft = time.Until(o.deadline)
 	}
+	o.meter, o.choice = streamMeter{begun: begun}, choice
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
+	o.reportOutcome(choice, record.err)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
@@ -233,6 +245,9 @@
 // send sends the request to the target and relays the answer to the caller. It returns
 // errRetryElsewhere if the request may be sent to another target.
 func (o *onlineRequest) send(ctx context.Context, target *fleet.Target) error {
+	if err := o.checkAccess(ctx); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := newStallTimer(o, target, cancel)
@@ -244,11 +259,15 @@
 		a.TimeLeft = time.Until(o.deadline)
 	}
 	answer, err := o.g.params.Sender.Send(ctx, a)
+	if errorx.IsOfType(err, fleet.ErrMalformed) {
+		return o.rejectUnsendable(ctx, err)
+	}
 	if err != nil {
 		return o.handleNoAnswer(ctx, target, err)
 	}
 	if answer.Load != nil {
 		o.g.table.RecordLoad(target, *answer.Load)
+		o.meter.running = answer.Load.Running + answer.Load.Waiting
 	}
 	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
 		o.g.targets.MarkLeaving(target)
@@ -278,6 +297,16 @@
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// rejectUnsendable ends a request that can't be written as one request to a target. That is
+// no fault of the target.
+func (o *onlineRequest) rejectUnsendable(ctx context.Context, err error) error {
+	if o.possibleRuns == 0 && !o.answerBegun {
+		o.reason = "not well-formed"
+		return err
+	}
+	return o.giveUp(ctx, "the rest can't be asked for")
+}
+
 // endReason returns why the context of a request has ended before its answer.
 func endReason(ctx context.Context) string {
 	if errorx.IsOfType(context.Cause(ctx), errStopping) {
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -88,12 +88,11 @@
 	// requests then need no key.
 	Keyring *Keyring
 	hosts   map[string][]*Route
-	routes  []*Route
 }
 
 // NewConfiguration returns a configuration of the routes.
 func NewConfiguration(version int64, routes []*Route, services []*Service, limits Limits) *Configuration {
-	c := &Configuration{Version: version, Services: map[string]*Service{}, Limits: limits, hosts: map[string][]*Route{}, routes: routes}
+	c := &Configuration{Version: version, Services: map[string]*Service{}, Limits: limits, hosts: map[string][]*Route{}}
 	for _, r := range routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
 	}
@@ -103,9 +102,6 @@
 	return c
 }
 
-// Routes returns the routes in the configuration's order. The caller must not change them.
-func (c *Configuration) Routes() []*Route { return c.routes }
-
 // Match returns the route with the longest matching prefix of the path, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	var best *Route
@@ -117,6 +113,15 @@
 	return best
 }
 
+// Routes calls each with every route.
+func (c *Configuration) Routes(each func(*Route)) {
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			each(r)
+		}
+	}
+}
+
 // HasBatchRoute reports whether the host has a route that accepts jobs.
 func (c *Configuration) HasBatchRoute(host string) bool {
 	for _, r := range c.hosts[host] {
@@ -127,6 +132,17 @@
 	return false
 }
 
+// HasAnonymousBatchRoute reports whether the host has a route that accepts jobs without a
+// key.
+func (c *Configuration) HasAnonymousBatchRoute(host string) bool {
+	for _, r := range c.hosts[host] {
+		if r.Kind == KindBatch && r.Anonymous {
+			return true
+		}
+	}
+	return false
+}
+
 // PickService returns the route's service for a random number in [0, 1), weighted by
 // the services' weights. It returns an empty name if the route has no service.
 func (r *Route) PickService(random float64) string {
--- a/protocol/fleet/request.go
+++ b/protocol/fleet/request.go
@@ -26,12 +26,25 @@
 	// PromptParts are the parts of the request's prompt that other requests share, in their
 	// order.
 	PromptParts []string
-	// Key is the caller's key, empty if it sent none. Workspace holds the key; it is nil if
-	// the configuration has no workspaces or the request needs no key.
+	// Key is the caller's key, empty if it sent none. Workspace holds the key. It is nil if
+	// the configuration has no workspaces, and Anonymous if the request needs no key.
 	Key       Key
 	Workspace *Workspace
 }
 
+type requestIDKey struct{}
+
+// WithRequestID returns a copy of ctx that names the request for log lines.
+func WithRequestID(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, requestIDKey{}, id)
+}
+
+// RequestIDOf returns the ID of the request that ctx names, empty if there is none.
+func RequestIDOf(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey{}).(string)
+	return id
+}
+
 // Attempt is one attempt to run a request at a target.
 type Attempt struct {
 	Request *Request
@@ -82,8 +95,9 @@
 	Discard func()
 }
 
-// Sender sends attempts to targets. Send fails with ErrNotDelivered if the target
-// received nothing, and with ErrAnswerBroken if its answer is lost.
+// Sender sends attempts to targets. Send fails with ErrMalformed if the attempt can't be sent
+// as one request, with ErrNotDelivered if the target received nothing, and with
+// ErrAnswerBroken if its answer is lost.
 type Sender interface {
 	Send(ctx context.Context, a Attempt) (*Answer, error)
 }
