Check workspaces in config check, and describe the command

The list of workspaces is decoded by the function that gateways use, which now returns the entries that are left out; gateways log them as before.

--- a/coordination/configcheck/changes.go
+++ b/coordination/configcheck/changes.go
@@ -28,7 +28,15 @@
 
 // Compare returns what differs in the next configuration, by the names of routes and
 // services: first what is gone, then what is new, then what has changed.
-func Compare(current, next *fleet.Configuration) []Change {
+func Compare(current, next *File) []Change {
+	changes := compareAllRoutes(current.Configuration, next.Configuration)
+	changes = append(changes, compareServices(current.Configuration, next.Configuration)...)
+	changes = append(changes, compareWorkspaces(current, next)...)
+	return append(changes, compareLimits(current.Limits, next.Limits)...)
+}
+
+// compareAllRoutes returns what differs between the routes.
+func compareAllRoutes(current, next *fleet.Configuration) []Change {
 	before, after := routesByName(current), routesByName(next)
 	var gone, added, changed []Change
 	for _, r := range routesOf(current) {
@@ -43,8 +51,7 @@
 		}
 		added = append(added, Change{Where: whereRoute(r), What: "added (" + r.Host + r.Prefix + " to " + describeServices(r) + ")"})
 	}
-	changes := slices.Concat(gone, added, changed, compareServices(current, next))
-	return append(changes, compareLimits(current.Limits, next.Limits)...)
+	return slices.Concat(gone, added, changed)
 }
 
 // routesOf returns the routes, ordered by host; those of one host are in the order of the
--- a/coordination/configcheck/findings.go
+++ b/coordination/configcheck/findings.go
@@ -56,9 +56,9 @@
 
 // Input is what a check reads.
 type Input struct {
-	Next *fleet.Configuration
+	Next *File
 	// Current is the configuration in force, nil if it is not known.
-	Current *fleet.Configuration
+	Current *File
 	// Targets holds the numbers of targets by service, as far as they are known.
 	Targets map[string]int
 	// JobTokens is the number of tokens of the largest job to be expected, 0 if it is not
@@ -77,7 +77,7 @@
 	}
 	first := map[string]*fleet.Route{}
 	named := map[string]bool{}
-	for _, r := range routesOf(in.Next) {
+	for _, r := range routesOf(in.Next.Configuration) {
 		address := r.Host + " " + r.Prefix
 		if other := first[address]; other != nil {
 			found = append(found, Finding{
@@ -93,7 +93,8 @@
 		found = append(found, checkServices(in, r)...)
 		found = append(found, checkLimits(r, in.JobTokens)...)
 	}
-	return append(found, unusedServices(in.Next, named)...)
+	found = append(found, unusedServices(in.Next.Configuration, named)...)
+	return append(found, checkWorkspaces(in.Next)...)
 }
 
 func whereRoute(r *fleet.Route) string { return "route " + r.Name }
--- a/coordination/configcheck/findings_test.go
+++ b/coordination/configcheck/findings_test.go
@@ -31,8 +31,18 @@
 	})
 }
 
-func configuration(version int64, routes ...*fleet.Route) *fleet.Configuration {
-	return fleet.NewConfiguration(version, routes, []*fleet.Service{{Name: "s", Slots: 8}}, fleet.Limits{BodyBytes: 4096})
+func configuration(version int64, routes ...*fleet.Route) *configcheck.File {
+	return file(fleet.NewConfiguration(version, routes, []*fleet.Service{{Name: "s", Slots: 8}}, fleet.Limits{BodyBytes: 4096}))
+}
+
+// file returns the configuration with the workspaces.
+func file(c *fleet.Configuration, workspaces ...configcheck.Workspace) *configcheck.File {
+	return &configcheck.File{Configuration: c, Workspaces: workspaces}
+}
+
+// withWorkspace returns a configuration without findings, with the workspace.
+func withWorkspace(w configcheck.Workspace) *configcheck.File {
+	return file(configuration(2, route(nil)).Configuration, w)
 }
 
 // TestFindings checks that each fault which an operator can make is found, alone, at the entry
@@ -54,13 +64,20 @@
 		configcheck.ZeroWeight: {configcheck.Input{Next: configuration(2, route(func(r *fleet.Route) {
 			r.Services = append(r.Services, fleet.ServiceWeight{Service: "s"})
 		}))}, "route r", false},
-		configcheck.UnusedService:         {configcheck.Input{Next: fleet.NewConfiguration(2, []*fleet.Route{route(nil)}, []*fleet.Service{{Name: "s"}, {Name: "spare"}}, fleet.Limits{})}, "service spare", false},
+		configcheck.UnusedService:         {configcheck.Input{Next: file(fleet.NewConfiguration(2, []*fleet.Route{route(nil)}, []*fleet.Service{{Name: "s"}, {Name: "spare"}}, fleet.Limits{}))}, "service spare", false},
 		configcheck.TimeoutBelowObjective: {configcheck.Input{Next: configuration(2, route(func(r *fleet.Route) { r.Timeout = 200 * time.Millisecond }))}, "route r", false},
 		configcheck.DueTooEarly:           {configcheck.Input{Next: configuration(2, jobs(func(r *fleet.Route) { r.ResultDeadline = 100 * time.Millisecond }))}, "route j", true},
 		configcheck.RetentionBelowDue:     {configcheck.Input{Next: configuration(2, jobs(func(r *fleet.Route) { r.Retention = 10 * time.Second }))}, "route j", true},
 		configcheck.QuotaBelowJob:         {configcheck.Input{Next: configuration(2, jobs(func(*fleet.Route) {})), JobTokens: 1001}, "route j", true},
 		configcheck.TooManyAttempts:       {configcheck.Input{Next: configuration(2, route(nil)), Targets: map[string]int{"s": 1}}, "route r", false},
-		configcheck.VersionNotNewer:       {configcheck.Input{Next: configuration(2, route(nil)), Current: configuration(2, route(nil))}, "version", true},
+		configcheck.UnusableWorkspace: {configcheck.Input{Next: &configcheck.File{
+			Configuration: configuration(2, route(nil)).Configuration, Faults: []configcheck.Fault{{Where: "workspace at position 3", Message: "another has its key"}},
+		}}, "workspace at position 3", true},
+		configcheck.WorkspaceWithoutKey: {configcheck.Input{Next: withWorkspace(configcheck.Workspace{Name: "w"})}, "workspace w", false},
+		configcheck.BurstBelowRequest: {configcheck.Input{Next: withWorkspace(configcheck.Workspace{
+			Name: "w", Keys: []fleet.Key{"k"}, Rate: fleet.Rate{PerSecond: 5, Burst: 0.5},
+		})}, "workspace w", false},
+		configcheck.VersionNotNewer: {configcheck.Input{Next: configuration(2, route(nil)), Current: configuration(2, route(nil))}, "version", true},
 	} {
 		t.Run(string(kind), func(t *testing.T) {
 			found := configcheck.Check(test.in)
@@ -86,13 +103,13 @@
 // it moves before it is in force, and nothing that stays.
 func TestChangesInOperatorsWords(t *testing.T) {
 	current := configuration(1, route(nil), route(func(r *fleet.Route) { r.Name, r.Prefix = "old", "/old/" }))
-	next := fleet.NewConfiguration(2, []*fleet.Route{
+	next := file(fleet.NewConfiguration(2, []*fleet.Route{
 		route(func(r *fleet.Route) {
 			r.Timeout, r.MaxAttempts = 3*time.Second, 1
 			r.Services = []fleet.ServiceWeight{{Service: "s", Weight: 9}, {Service: "t", Weight: 1}}
 		}),
 		route(func(r *fleet.Route) { r.Name, r.Prefix = "new", "/new/" }),
-	}, []*fleet.Service{{Name: "s", Slots: 6}, {Name: "t"}}, fleet.Limits{BodyBytes: 8192})
+	}, []*fleet.Service{{Name: "s", Slots: 6}, {Name: "t"}}, fleet.Limits{BodyBytes: 8192}))
 	var lines []string
 	for _, c := range configcheck.Compare(current, next) {
 		lines = append(lines, c.String())
@@ -109,3 +126,20 @@
 	})
 	assert.Equal(t, len(configcheck.Compare(current, current)), 0)
 }
+
+// TestChangesOfWorkspaces compares two versions of workspaces. An operator who withdraws a key
+// must see whose it is and how many, and no key may be printed.
+func TestChangesOfWorkspaces(t *testing.T) {
+	urgent := 0
+	c := configuration(1, route(nil)).Configuration
+	current := file(c, configcheck.Workspace{Name: "a", Keys: []fleet.Key{"secret-1", "secret-2"}}, configcheck.Workspace{Name: "b", Keys: []fleet.Key{"secret-3"}})
+	next := file(c, configcheck.Workspace{Name: "a", Keys: []fleet.Key{"secret-2", "secret-4"}, Priority: &urgent, Rate: fleet.Rate{PerSecond: 5}}, configcheck.Workspace{Name: "c"})
+	var lines []string
+	for _, change := range configcheck.Compare(current, next) {
+		lines = append(lines, change.String())
+	}
+	assert.DeepEqual(t, lines, []string{
+		"workspace a: 1 keys withdrawn", "workspace a: 1 keys added", "workspace a: priority of the route -> 0", "workspace a: requests a second 0 -> 5",
+		"workspace b: removed with 1 keys", "workspace c: added with 0 keys",
+	})
+}
