--- a/coordination/topic/follower.go
+++ b/coordination/topic/follower.go
@@ -38,10 +38,6 @@
 	// maxStartInterval is the longest time between two reads of a follower that has not read
 	// its topic yet.
 	maxStartInterval = time.Second
-	// startSpread is the time over which processes that start at the same moment spread the
-	// reads that are not needed first. Otherwise the first of them take the store's bandwidth
-	// while the others wait for the configuration.
-	startSpread = 400 * time.Millisecond
 	// fullTimeoutEvery is the number of reads during an outage of which one has the
 	// full readTimeout, for a store that only answers slowly.
 	fullTimeoutEvery = 4
