--- /dev/null
+++ b/coordination/waiting/estimate.go
@@ -0,0 +1,176 @@
+package waiting
+
+import "time"
+
+const (
+	// rateGain is the weight of the newest interval in the mean time between departures.
+	rateGain = 0.2
+	// minIntervals is the number of intervals from which the mean is used.
+	minIntervals = 4
+	// maxInterval bounds an interval that counts: a longer one is the gap between two times
+	// of load.
+	maxInterval = time.Second
+)
+
+// rate estimates the time between two departures.
+type rate struct {
+	mean      time.Duration
+	intervals int
+	last      time.Time
+}
+
+// observe adds a departure.
+func (r *rate) observe(now time.Time) {
+	if !r.last.IsZero() {
+		interval := min(now.Sub(r.last), maxInterval)
+		if r.intervals == 0 {
+			r.mean = interval
+		}
+		r.intervals++
+		r.mean += time.Duration(rateGain * float64(interval-r.mean))
+	}
+	r.last = now
+}
+
+func (r *rate) known() bool { return r.intervals >= minIntervals }
+
+// silence returns the time since the last departure, 0 if there was none.
+func (r *rate) silence(now time.Time) time.Duration {
+	if r.last.IsZero() {
+		return 0
+	}
+	return now.Sub(r.last)
+}
+
+// interval returns the expected time between departures from now on: a pause since the last
+// departure that is longer than the mean counts too.
+func (r *rate) interval(now time.Time) time.Duration { return max(r.mean, r.silence(now)) }
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonLate means that the request's turn would come too late.
+	ReasonLate Reason = "turn_too_late"
+	// ReasonFull means that too many requests wait.
+	ReasonFull Reason = "queue_full"
+	// ReasonDisplaced means that a more urgent request took the place in a full queue.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonDraining means that the gateway stops before the request would have ended.
+	ReasonDraining Reason = "draining"
+	// ReasonSuspended means that the gateway was suspended while the request waited.
+	ReasonSuspended Reason = "suspended"
+)
+
+// Refusal says why a request is refused, and what that rests on.
+type Refusal struct {
+	Reason Reason
+	// Place is the number of requests whose turn comes before.
+	Place int
+	// Interval is the expected time between departures, 0 if it is not known.
+	Interval time.Duration
+	// Turn is the time until the request's turn, 0 if it is not known.
+	Turn time.Duration
+}
+
+// Review returns a refusal if the turn of a request that waits would come too late and the
+// request may still be refused for that.
+func (q *Queue) Review(now time.Time, t *Ticket) *Refusal {
+	if !t.waiting {
+		return nil
+	}
+	return q.assess(now, t.Request, t)
+}
+
+// Turn returns the time until the turn of a request that waits, and how many come before it.
+// The time is 0 if the rate of departures is not known.
+func (q *Queue) Turn(now time.Time, t *Ticket) (turn time.Duration, place int) {
+	refusal := q.refuse(now, "", t.Request, t)
+	return refusal.Turn, refusal.Place
+}
+
+// Refuse returns a refusal of a request that waits.
+func (q *Queue) Refuse(now time.Time, reason Reason, t *Ticket) *Refusal {
+	return q.refuse(now, reason, t.Request, t)
+}
+
+// assess returns a refusal if the request's turn would come too late. ticket is nil for one
+// that does not wait yet.
+func (q *Queue) assess(now time.Time, r Request, ticket *Ticket) *Refusal {
+	if !q.departure.known() || now.After(r.RefuseBy) {
+		return nil
+	}
+	refusal := q.refuse(now, ReasonLate, r, ticket)
+	if refusal.Place == 0 {
+		return nil // it may be next at once
+	}
+	begin := now.Add(refusal.Turn)
+	if begin.After(r.BeginBy) || !r.EndBy.IsZero() && begin.After(r.EndBy) {
+		return refusal
+	}
+	return nil
+}
+
+// refuse returns a refusal with the request's place and turn.
+func (q *Queue) refuse(now time.Time, reason Reason, r Request, ticket *Ticket) *Refusal {
+	refusal := &Refusal{Reason: reason, Place: q.place(r, ticket)}
+	if q.departure.known() {
+		refusal.Interval = q.departure.interval(now)
+		refusal.Turn = refusal.Interval * time.Duration(refusal.Place+1)
+	}
+	return refusal
+}
+
+// place returns the number of requests that are served before the request: all of more
+// urgent ranks, those of its class with an earlier deadline, and of each other class of its
+// rank as many as have their turn until then. The share of the last ranks comes on top.
+func (q *Queue) place(r Request, ticket *Ticket) int {
+	before := 0
+	for number, other := range q.ranks {
+		if number < r.Rank {
+			before += other.waiting
+		}
+	}
+	own := q.ranks[r.Rank]
+	if own == nil {
+		return before
+	}
+	return min(before, minorityInterval*max(1, own.waiting)) + own.place(r, ticket)
+}
+
+// place returns the number of requests of the rank that are served before the request.
+func (r *rank) place(request Request, ticket *Ticket) int {
+	start, ahead := r.clock, 0
+	if own := r.classes[request.Class]; own != nil {
+		ahead = own.ahead(request, ticket)
+		start = max(r.clock, own.finish)
+		if len(own.tickets) > 0 {
+			start = own.start
+		}
+	}
+	finish := start + float64(ahead)
+	before := ahead
+	for name, c := range r.classes {
+		if name != request.Class && len(c.tickets) > 0 && c.start <= finish {
+			before += min(len(c.tickets), int(finish-c.start)+1)
+		}
+	}
+	return before
+}
+
+// ahead returns the number of the class's requests that are served before the request.
+func (c *class) ahead(request Request, ticket *Ticket) int {
+	probe := &Ticket{Request: request}
+	for i, other := range c.tickets {
+		if other == ticket || ticket == nil && compareEnd(other, probe) > 0 {
+			return i
+		}
+	}
+	return len(c.tickets)
+}
+
+// HasOutlived reports whether a request's time was over before the gateway ran again after a
+// suspension: since its entry, more time has passed than it may take. Both times are by a
+// clock that also counts the time in suspension.
+func HasOutlived(entered, now, limit time.Duration) bool { return limit > 0 && now-entered >= limit }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	targets      *registry.Targets
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
+	waitingRoom  *waitingRoom
 	metrics      *metrics
 
 	configTail *topic.Follower
@@ -127,6 +128,7 @@
 		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
 		Reset: g.resetJobs, Apply: g.applyJobs,
 	})
+	g.waitingRoom = newWaitingRoom(newWaitingMetrics(p.Registry))
 	g.registerGauges()
 	return g
 }
@@ -183,6 +185,7 @@
 	window := drain.NewWindow(begun, g.node.Load().GracePeriod)
 	g.drainWindow.Store(&window)
 	g.closing.Store(true)
+	g.waitingRoom.wakeAll()
 	g.awaitIdle(func(now time.Time) bool { return !now.Before(window.NoticeEnd) }, window.Stop)
 	if left := g.active.Load(); left > 0 {
 		klog.InfoS("requests given up, the grace period is over", "requests", left)
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -64,7 +64,9 @@
 // requests, the gateway's own load table decides.
 func (o *onlineRequest) chooseTarget(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
 	if choice, found := o.chooseByLoad(ctx, targets); found {
-		o.g.params.LoadQuerier.AnnounceRequest(o.g.batcherAddress(choice.Target))
+		if !o.mustWait(choice) {
+			o.g.params.LoadQuerier.AnnounceRequest(o.g.batcherAddress(choice.Target))
+		}
 		return choice, true
 	}
 	return o.g.table.Begin(targets, o.tried)
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
 )
 
 const (
@@ -56,7 +57,7 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
-	o := &onlineRequest{g: g, route: route, request: r, sink: sink, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
+	o := &onlineRequest{g: g, route: route, request: r, sink: sink, begun: begun, entered: boottime.Now(), limit: limit, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
 	took := time.Since(begun)
 	if o.completed {
@@ -102,12 +103,19 @@
 
 // onlineRequest is a caller's request in flight.
 type onlineRequest struct {
-	g           *Gateway
-	route       *fleet.Route
-	request     *fleet.Request
-	sink        fleet.Sink
+	g       *Gateway
+	route   *fleet.Route
+	request *fleet.Request
+	sink    fleet.Sink
+	// begun is when the request came, entered the same time by a clock that also counts
+	// suspensions, and limit the time that it may take, 0 if there is no bound.
+	begun       time.Time
+	entered     time.Duration
+	limit       time.Duration
 	deadline    time.Time
 	hasDeadline bool
+	// waiter is the request's place in the waiting room, nil if it does not wait.
+	waiter *waiter
 
 	// lastEvent is the ID of the last event sent to the caller. attemptLastEvent is the
 	// value of lastEvent when the current attempt began.
@@ -157,14 +165,26 @@
 func (o *onlineRequest) run(ctx context.Context) error {
 	o.service = o.route.PickService(rand.Float64())
 	o.version = o.g.configVersion()
+	defer o.leaveWaitingRoom()
+	if o.g.waitingRoom.isWaitedFor(o.service) {
+		if err := o.awaitTurn(ctx, false); err != nil {
+			return err
+		}
+	}
 	for {
-		if err := o.g.checkQuarantine(o.request); err != nil {
-			o.reason = "in quarantine"
+		if err := o.checkBeforeAttempt(); err != nil {
 			return err
 		}
 		targets := o.g.targets.Current().Services[o.service]
 		o.knownTargets = len(targets)
 		choice, found := o.chooseTarget(ctx, targets)
+		if found && o.mustWait(choice) {
+			o.g.table.End(choice.Target)
+			if err := o.awaitTurn(ctx, true); err != nil {
+				return err
+			}
+			continue
+		}
 		if !found && len(targets) == 0 && len(o.attempts) == 0 {
 			o.reason = "the service has no target"
 			return fleet.WithRetryAfter(fleet.ErrRefused.New("service %s has no target", o.service), noTargetRetryAfter)
@@ -183,8 +203,19 @@
 	}
 }
 
+// checkBeforeAttempt checks before each attempt, also after the request has waited, whether
+// the request may still be sent to a target.
+func (o *onlineRequest) checkBeforeAttempt() error {
+	if err := o.g.checkQuarantine(o.request); err != nil {
+		o.reason = "in quarantine"
+		return err
+	}
+	return nil
+}
+
 // makeAttempt makes one attempt and records it in attempts.
 func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
+	o.depart()
 	begun := time.Now()
 	record := attemptRecord{choice: choice, after: o.lastEvent}
 	record.targetsAge, _ = o.g.targetTail.Age()
@@ -193,6 +224,7 @@
 	}
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
+	o.g.waitingRoom.slotMayBeFree(o.service)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
--- /dev/null
+++ b/gateway/waitingroom.go
@@ -0,0 +1,403 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sycamoretally/sycamoretally/coordination/balancing"
+	"github.com/sycamoretally/sycamoretally/coordination/waiting"
+	"github.com/sycamoretally/sycamoretally/logs"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
+)
+
+const (
+	// turnInterval is the mean time between two searches for room for the requests that wait
+	// for a service: about how often batchers read their targets' reports.
+	turnInterval = 25 * time.Millisecond
+	// beginShare is the share of a latency objective within which a request must begin. The
+	// rest suffices for the answer's first part.
+	beginShare = 0.6
+	// refusalShare is the share of a latency objective within which a request is refused that
+	// would begin too late, so that its caller can still be served elsewhere.
+	refusalShare = 0.25
+	// defaultObjective stands for the objective of a route without one.
+	defaultObjective = time.Second
+	// retrySpread is the random part of the time after which a caller is told to retry, as a
+	// share of it: those refused in one wave must not return as one.
+	retrySpread = 0.5
+	// longWait is the time in the waiting room from which a request is logged.
+	longWait = 100 * time.Millisecond
+	// maxRankLabel is the highest rank with a metric label of its own.
+	maxRankLabel = 9
+)
+
+// waitingRoom holds the requests for which no target has room, by service. Each request waits
+// in its own goroutine. One at a time of a service has its turn to look for room.
+type waitingRoom struct {
+	metrics *waitingMetrics
+
+	mu     sync.Mutex
+	queues map[string]*serviceQueue
+}
+
+// serviceQueue holds the requests that wait for a service. The room's mu guards it.
+type serviceQueue struct {
+	*waiting.Queue
+	waiters map[*waiting.Ticket]*waiter
+	// turn is the request that looks for room at the moment, nil if none does.
+	turn *waiting.Ticket
+	// timer starts the next turn.
+	timer *time.Timer
+}
+
+// waiter is a request in the waiting room.
+type waiter struct {
+	service string
+	ticket  *waiting.Ticket
+	// wake has room for one value. It is sent to when it is the request's turn, or when it
+	// must check again whether it may wait.
+	wake chan struct{}
+	// displaced is set if a more urgent request has taken the place.
+	displaced bool
+	// promised is the time until its turn as estimated at the entry, 0 if not known.
+	promised time.Duration
+	place    int
+}
+
+func newWaitingRoom(m *waitingMetrics) *waitingRoom {
+	return &waitingRoom{metrics: m, queues: map[string]*serviceQueue{}}
+}
+
+// queue returns the service's queue. mu must be held.
+func (w *waitingRoom) queue(service string) *serviceQueue {
+	q := w.queues[service]
+	if q == nil {
+		q = &serviceQueue{Queue: waiting.NewQueue(), waiters: map[*waiting.Ticket]*waiter{}}
+		w.queues[service] = q
+	}
+	return q
+}
+
+// isWaitedFor reports whether requests wait for the service.
+func (w *waitingRoom) isWaitedFor(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[service]
+	return q != nil && q.Len() > 0
+}
+
+// enter adds a request. hasLooked is set if it has just found no room.
+func (w *waitingRoom) enter(service string, r waiting.Request, hasLooked bool) (*waiter, *waiting.Refusal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	q := w.queue(service)
+	ticket, displaced, refusal := q.Add(now, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if displaced != nil {
+		q.waiters[displaced].displaced = true
+		q.waiters[displaced].signal()
+	}
+	entered := &waiter{service: service, ticket: ticket, wake: make(chan struct{}, 1)}
+	entered.promised, entered.place = q.Turn(now, ticket)
+	q.waiters[ticket] = entered
+	w.metrics.waiting.WithLabelValues(rankLabel(r.Rank)).Inc()
+	if hasLooked {
+		w.scheduleTurn(service, q)
+	} else {
+		w.startTurn(q)
+	}
+	return entered, nil
+}
+
+// signal wakes the request. It never blocks.
+func (t *waiter) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// startTurn gives the next request its turn, unless another has it. mu must be held.
+func (w *waitingRoom) startTurn(q *serviceQueue) {
+	if q.turn != nil {
+		return
+	}
+	if q.timer != nil {
+		q.timer.Stop()
+		q.timer = nil
+	}
+	if next := q.Next(); next != nil {
+		q.turn = next
+		q.waiters[next].signal()
+	}
+}
+
+// scheduleTurn starts the next turn after about turnInterval, unless one is due. mu must be
+// held.
+func (w *waitingRoom) scheduleTurn(service string, q *serviceQueue) {
+	if q.turn != nil || q.timer != nil || q.Len() == 0 {
+		return
+	}
+	q.timer = time.AfterFunc(jitter(turnInterval), func() { w.slotMayBeFree(service) })
+}
+
+// jitter returns a random time whose mean is d.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
+}
+
+// slotMayBeFree starts a turn if requests wait for the service.
+func (w *waitingRoom) slotMayBeFree(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q := w.queues[service]; q != nil {
+		w.startTurn(q)
+	}
+}
+
+// hasTurn reports whether it is the request's turn.
+func (w *waitingRoom) hasTurn(t *waiter) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queues[t.service].turn == t.ticket
+}
+
+// passTurn ends a turn in which no room was found.
+func (w *waitingRoom) passTurn(t *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[t.service]
+	if q.turn == t.ticket {
+		q.turn = nil
+	}
+	w.scheduleTurn(t.service, q)
+}
+
+// leave removes a request: a target takes it if departs is set, otherwise it is given up.
+// The next request has its turn at once.
+func (w *waitingRoom) leave(t *waiter, departs bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[t.service]
+	if q.waiters[t.ticket] == nil {
+		return
+	}
+	now := time.Now()
+	delete(q.waiters, t.ticket)
+	if departs {
+		q.Depart(now, t.ticket)
+	} else {
+		q.Remove(t.ticket)
+	}
+	w.metrics.left(t, now.Sub(t.ticket.Since), departs)
+	if q.turn == t.ticket {
+		q.turn = nil
+		w.startTurn(q)
+	}
+}
+
+// review returns a refusal of a request that waits, nil if it goes on waiting.
+func (w *waitingRoom) review(t *waiter) *waiting.Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q, now := w.queues[t.service], time.Now()
+	if t.displaced {
+		return q.Refuse(now, waiting.ReasonDisplaced, t.ticket)
+	}
+	return q.Review(now, t.ticket)
+}
+
+// refusal returns a refusal of a request that waits, for the reason.
+func (w *waitingRoom) refusal(t *waiter, reason waiting.Reason) *waiting.Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queues[t.service].Refuse(time.Now(), reason, t.ticket)
+}
+
+// countDirect counts a request that a target takes without waiting.
+func (w *waitingRoom) countDirect(service string, r waiting.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q := w.queues[service]; q != nil {
+		q.CountDirect(time.Now(), r)
+	}
+}
+
+// wakeAll lets each request check again whether it may wait.
+func (w *waitingRoom) wakeAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, q := range w.queues {
+		for _, t := range q.waiters {
+			t.signal()
+		}
+	}
+}
+
+// mustWait reports whether the request waits for room instead of going to the chosen target.
+// What may have run does not wait: it can no longer be refused.
+func (o *onlineRequest) mustWait(c balancing.Choice) bool {
+	return c.RoomKnown && c.Room <= 0 && o.mayWait()
+}
+
+// mayWait reports whether the request may wait for room: nothing of it may have run, and it
+// can still begin by its objective.
+func (o *onlineRequest) mayWait() bool {
+	return o.possibleRuns == 0 && !o.answerBegun && time.Now().Before(o.beginBy())
+}
+
+func (o *onlineRequest) objective() time.Duration {
+	if o.route.LatencyObjective > 0 {
+		return o.route.LatencyObjective
+	}
+	return defaultObjective
+}
+
+// beginBy returns when the request must begin in order to meet its objective.
+func (o *onlineRequest) beginBy() time.Time {
+	by := o.begun.Add(time.Duration(beginShare * float64(o.objective())))
+	if o.hasDeadline && o.deadline.Before(by) {
+		return o.deadline
+	}
+	return by
+}
+
+// waitingRequest describes the request to the waiting room.
+func (o *onlineRequest) waitingRequest() waiting.Request {
+	r := waiting.Request{
+		Rank: fleet.Rank(o.route, o.request.Workspace), Class: "route " + o.route.Name, Bytes: len(o.request.Body),
+		RefuseBy: o.begun.Add(time.Duration(refusalShare * float64(o.objective()))), BeginBy: o.beginBy(),
+	}
+	if o.request.Workspace != nil {
+		r.Class = "workspace " + o.request.Workspace.Name
+	}
+	if o.hasDeadline {
+		r.EndBy = o.deadline
+	}
+	return r
+}
+
+// awaitTurn returns once it is the request's turn to look for room, or once it can no longer
+// begin by its objective and goes to a target without room. It fails if the request is
+// refused or its caller leaves.
+func (o *onlineRequest) awaitTurn(ctx context.Context, hasLooked bool) error {
+	room := o.g.waitingRoom
+	if o.waiter == nil {
+		entered, refusal := room.enter(o.service, o.waitingRequest(), hasLooked)
+		if refusal != nil {
+			return o.refuseWaiting(refusal, 0)
+		}
+		o.waiter = entered
+	} else {
+		room.passTurn(o.waiter)
+	}
+	for {
+		if refusal := o.reviewWaiting(); refusal != nil {
+			return o.endWait(refusal)
+		}
+		if room.hasTurn(o.waiter) || !o.mayWait() {
+			return nil
+		}
+		if err := o.awaitSignal(ctx); err != nil {
+			room.leave(o.waiter, false)
+			return err
+		}
+	}
+}
+
+// awaitSignal returns when the request's waiter is woken, or at the next time at which
+// something about it is decided. It fails if the caller leaves or the gateway stops.
+func (o *onlineRequest) awaitSignal(ctx context.Context) error {
+	next := o.waiter.ticket.RefuseBy
+	if !time.Now().Before(next) {
+		next = o.waiter.ticket.BeginBy
+	}
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	select {
+	case <-o.waiter.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return o.giveUp(ctx, endReason(ctx))
+	}
+	return nil
+}
+
+// reviewWaiting returns a refusal of the request, nil if it may go on.
+func (o *onlineRequest) reviewWaiting() *waiting.Refusal {
+	room := o.g.waitingRoom
+	if waiting.HasOutlived(o.entered, boottime.Now(), o.limit) {
+		return room.refusal(o.waiter, waiting.ReasonSuspended)
+	}
+	if window := o.g.drainWindow.Load(); window != nil && (!o.hasDeadline || o.deadline.After(window.Stop)) {
+		return room.refusal(o.waiter, waiting.ReasonDraining)
+	}
+	return room.review(o.waiter)
+}
+
+// endWait removes the request from the waiting room and returns its final error.
+func (o *onlineRequest) endWait(refusal *waiting.Refusal) error {
+	o.g.waitingRoom.leave(o.waiter, false)
+	return o.refuseWaiting(refusal, time.Since(o.waiter.ticket.Since))
+}
+
+// refuseWaiting returns the error of a request that is refused, and logs the refusal.
+func (o *onlineRequest) refuseWaiting(refusal *waiting.Refusal, waited time.Duration) error {
+	o.reason = string(refusal.Reason)
+	o.g.waitingRoom.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
+	after := retryAfter(refusal.Turn)
+	if logs.Sampled(o.request.ID) {
+		klog.InfoS("request refused for want of room", "request", o.request.ID, "route", o.route.Name, "service", o.service,
+			"rank", fleet.Rank(o.route, o.request.Workspace), "reason", refusal.Reason, "place", refusal.Place,
+			"departure_interval", refusal.Interval, "turn", refusal.Turn, "waited", waited, "retry_after", after)
+	}
+	return fleet.WithRetryAfter(fleet.ErrRefused.New("no room: %s, place %d, turn in %v", refusal.Reason, refusal.Place, refusal.Turn), after)
+}
+
+// retryAfter returns when the caller of a request that would have its turn after the given
+// time should come again.
+func retryAfter(turn time.Duration) time.Duration {
+	return time.Duration((1 + retrySpread*rand.Float64()) * float64(max(turn, defaultRetryAfter)))
+}
+
+// depart tells the waiting room that the request goes to a target now.
+func (o *onlineRequest) depart() {
+	room := o.g.waitingRoom
+	if o.waiter == nil {
+		if len(o.attempts) == 0 {
+			room.countDirect(o.service, o.waitingRequest())
+		}
+		return
+	}
+	waited := time.Since(o.waiter.ticket.Since)
+	room.leave(o.waiter, true)
+	if waited >= longWait && logs.Sampled(o.request.ID) {
+		klog.InfoS("request waited for room", "request", o.request.ID, "route", o.route.Name, "service", o.service,
+			"rank", o.waiter.ticket.Rank, "place", o.waiter.place, "promised", o.waiter.promised, "waited", waited)
+	}
+	o.waiter = nil
+}
+
+// leaveWaitingRoom removes the request from the waiting room if it is still there.
+func (o *onlineRequest) leaveWaitingRoom() {
+	if o.waiter != nil {
+		o.g.waitingRoom.leave(o.waiter, false)
+	}
+}
+
+// rankLabel returns the metric label of a rank.
+func rankLabel(rank int) string {
+	if rank > maxRankLabel {
+		return strconv.Itoa(maxRankLabel) + "+"
+	}
+	return strconv.Itoa(max(0, rank))
+}
