Order requests that wait at the gateway, and refuse early what can't be served in time

Cause: targets admit in order of arrival, so in a wave, or beside a hot workspace, the most urgent requests stand behind all others. Change: coordination/waiting orders by rank, by start-time fair queueing between workspaces and by deadline; gateway/waitingroom.go holds what no target has room for.

--- a/coordination/waiting/estimate.go
+++ b/coordination/waiting/estimate.go
@@ -4,9 +4,11 @@
 
 const (
 	// rateGain is the weight of the newest interval in the mean time between departures.
-	rateGain = 0.2
+	rateGain = 0.1
 	// minIntervals is the number of intervals from which the mean is used.
 	minIntervals = 4
+	// silentIntervals is the number of intervals without a departure that chance explains.
+	silentIntervals = 4
 	// maxInterval bounds an interval that counts: a longer one is the gap between two times
 	// of load.
 	maxInterval = time.Second
@@ -42,9 +44,11 @@
 	return now.Sub(r.last)
 }
 
-// interval returns the expected time between departures from now on: a pause since the last
-// departure that is longer than the mean counts too.
-func (r *rate) interval(now time.Time) time.Duration { return max(r.mean, r.silence(now)) }
+// interval returns the expected time between departures from now on. It is longer than the
+// mean if none has come for several intervals: targets are lost.
+func (r *rate) interval(now time.Time) time.Duration {
+	return max(r.mean, r.silence(now)/silentIntervals)
+}
 
 // Reason says why a request is refused.
 type Reason string
@@ -72,6 +76,36 @@
 	Interval time.Duration
 	// Turn is the time until the request's turn, 0 if it is not known.
 	Turn time.Duration
+	// Return is the time after which its caller should come again.
+	Return time.Duration
+}
+
+const (
+	// minReturn is the least time after which a caller should come again: a slot becomes free
+	// within this time unless the overload lasts.
+	minReturn = 150 * time.Millisecond
+	// maxReturnShare bounds that time, as a share of the time that the request has left.
+	maxReturnShare = 1. / 3
+)
+
+// setReturn sets the time after which the caller of a refused request should come again: its
+// turn, but not before those of its class that were refused earlier, and each after the time in
+// which one request departs. So a wave of callers comes back in its order and spread over the time that
+// it takes to serve it.
+func (q *Queue) setReturn(now time.Time, refusal *Refusal, r Request) *Refusal {
+	next := now.Add(max(refusal.Turn, minReturn))
+	c := q.rank(r.Rank).class(r.Class)
+	if after := c.lastReturn.Add(refusal.Interval); after.After(next) {
+		next = after
+	}
+	if !r.EndBy.IsZero() {
+		if latest := now.Add(time.Duration(maxReturnShare * float64(r.EndBy.Sub(now)))); next.After(latest) {
+			next = latest
+		}
+	}
+	c.lastReturn = next
+	refusal.Return = next.Sub(now)
+	return refusal
 }
 
 // Review returns a refusal if the turn of a request that waits would come too late and the
@@ -92,7 +126,7 @@
 
 // Refuse returns a refusal of a request that waits.
 func (q *Queue) Refuse(now time.Time, reason Reason, t *Ticket) *Refusal {
-	return q.refuse(now, reason, t.Request, t)
+	return q.setReturn(now, q.refuse(now, reason, t.Request, t), t.Request)
 }
 
 // assess returns a refusal if the request's turn would come too late. ticket is nil for one
@@ -102,19 +136,15 @@
 		return nil
 	}
 	refusal := q.refuse(now, ReasonLate, r, ticket)
-	if refusal.Place == 0 {
-		return nil // it may be next at once
-	}
-	begin := now.Add(refusal.Turn)
-	if begin.After(r.BeginBy) || !r.EndBy.IsZero() && begin.After(r.EndBy) {
-		return refusal
+	if refusal.Place > 0 && now.Add(refusal.Turn).After(r.BeginBy) {
+		return q.setReturn(now, refusal, r)
 	}
 	return nil
 }
 
 // refuse returns a refusal with the request's place and turn.
 func (q *Queue) refuse(now time.Time, reason Reason, r Request, ticket *Ticket) *Refusal {
-	refusal := &Refusal{Reason: reason, Place: q.place(r, ticket)}
+	refusal := &Refusal{Reason: reason, Place: q.place(now, r, ticket)}
 	if q.departure.known() {
 		refusal.Interval = q.departure.interval(now)
 		refusal.Turn = refusal.Interval * time.Duration(refusal.Place+1)
@@ -122,52 +152,67 @@
 	return refusal
 }
 
-// place returns the number of requests that are served before the request: all of more
+// place returns the number of requests that are served before the request: those of more
 // urgent ranks, those of its class with an earlier deadline, and of each other class of its
-// rank as many as have their turn until then. The share of the last ranks comes on top.
-func (q *Queue) place(r Request, ticket *Ticket) int {
-	before := 0
+// rank as many as have their turn until then. Of other classes overdue ones do not count.
+func (q *Queue) place(now time.Time, r Request, ticket *Ticket) int {
+	urgent, own := 0, 0
 	for number, other := range q.ranks {
-		if number < r.Rank {
-			before += other.waiting
+		switch {
+		case number < r.Rank:
+			urgent += other.inTime(now)
+		case number == r.Rank:
+			own = other.place(now, r, ticket)
 		}
 	}
-	own := q.ranks[r.Rank]
-	if own == nil {
-		return before
+	return own + min(urgent, (minorityInterval-1)*(own+1))
+}
+
+// inTime returns the number of the rank's requests that are not overdue.
+func (r *rank) inTime(now time.Time) int {
+	count := 0
+	for _, c := range r.classes {
+		count += c.ahead(now, nil)
 	}
-	return min(before, minorityInterval*max(1, own.waiting)) + own.place(r, ticket)
+	return count
 }
 
 // place returns the number of requests of the rank that are served before the request.
-func (r *rank) place(request Request, ticket *Ticket) int {
-	start, ahead := r.clock, 0
+func (r *rank) place(now time.Time, request Request, ticket *Ticket) int {
+	probe := ticket
+	if probe == nil {
+		probe = &Ticket{Request: request, Since: now}
+	}
+	start, before := r.clock, 0
 	if own := r.classes[request.Class]; own != nil {
-		ahead = own.ahead(request, ticket)
+		before = own.ahead(now, probe)
 		start = max(r.clock, own.finish)
 		if len(own.tickets) > 0 {
 			start = own.start
 		}
 	}
-	finish := start + float64(ahead)
-	before := ahead
+	finish := start + float64(before)
 	for name, c := range r.classes {
-		if name != request.Class && len(c.tickets) > 0 && c.start <= finish {
-			before += min(len(c.tickets), int(finish-c.start)+1)
+		if name != request.Class && c.start <= finish {
+			before += min(c.ahead(now, nil), int(finish-c.start)+1)
 		}
 	}
 	return before
 }
 
-// ahead returns the number of the class's requests that are served before the request.
-func (c *class) ahead(request Request, ticket *Ticket) int {
-	probe := &Ticket{Request: request}
-	for i, other := range c.tickets {
-		if other == ticket || ticket == nil && compareEnd(other, probe) > 0 {
-			return i
+// ahead returns the number of the class's requests with an earlier deadline than the given one,
+// and if it is nil of all that are not overdue.
+func (c *class) ahead(now time.Time, ticket *Ticket) int {
+	count := 0
+	for _, other := range c.tickets {
+		if other == ticket || ticket != nil && compareEnd(other, ticket) > 0 {
+			break
+		}
+		if ticket != nil || now.Before(other.BeginBy) {
+			count++
 		}
 	}
-	return len(c.tickets)
+	return count
 }
 
 // HasOutlived reports whether a request's time was over before the gateway ran again after a
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -33,16 +33,19 @@
 	// RefuseBy is when it may be refused for the last time because its turn would come too
 	// late: its caller must have time for another attempt.
 	RefuseBy time.Time
-	// BeginBy is when it must begin in order to meet its latency objective, and EndBy when it
-	// must have ended, zero if it need not.
+	// BeginBy is when it must begin in order to meet its latency objective. From then on it
+	// is overdue: it gets what others leave, since serving it first would only make them
+	// late too.
 	BeginBy time.Time
-	EndBy   time.Time
+	// EndBy is when it must have ended, zero if it need not.
+	EndBy time.Time
 }
 
 // Ticket is a request's place in a Queue.
 type Ticket struct {
 	Request
 	Since   time.Time
+	number  uint64
 	waiting bool
 }
 
@@ -51,10 +54,25 @@
 	// start is the start tag of the class's next request, finish the finish tag of its last
 	// one, in departures of the rank.
 	start, finish float64
+	demand        demand
+	// lastReturn is the latest time at which the caller of a refused request comes again.
+	lastReturn time.Time
 	// tickets are ordered by EndBy.
 	tickets []*Ticket
 }
 
+// next returns the class's next request, nil if none waits: one that is not overdue if there
+// is one.
+func (c *class) next(now time.Time) (ticket *Ticket, overdue bool) {
+	if len(c.tickets) == 0 {
+		return nil, false
+	}
+	if i := slices.IndexFunc(c.tickets, func(t *Ticket) bool { return now.Before(t.BeginBy) }); i >= 0 {
+		return c.tickets[i], false
+	}
+	return c.tickets[0], true
+}
+
 // rank holds the classes of a rank. clock is its virtual time: the start tag of the request
 // that departed last.
 type rank struct {
@@ -72,7 +90,8 @@
 	departure rate
 	// overtaken counts the departures of the first rank since one of another rank, while
 	// another rank waited.
-	overtaken int
+	overtaken  int
+	lastNumber uint64
 }
 
 // NewQueue returns an empty queue.
@@ -91,21 +110,24 @@
 }
 
 // Add adds a request. It returns a refusal if its turn would come too late, or if the queue
-// is full. If the queue is full of less urgent requests, the one of the last rank whose turn
-// is last is displaced instead: it no longer waits and must be refused.
+// is full. If a less urgent rank or a larger class of its rank waits in a full queue, the last
+// request of the largest class of the last rank is displaced instead: it no longer waits and
+// must be refused.
 func (q *Queue) Add(now time.Time, r Request) (ticket, displaced *Ticket, refusal *Refusal) {
 	q.forgetIdle(now)
+	q.rank(r.Rank).class(r.Class).demand.add(now)
 	if refusal := q.assess(now, r, nil); refusal != nil {
 		return nil, nil, refusal
 	}
 	if q.count >= MaxRequests || q.bytes+r.Bytes > MaxBytes {
 		displaced = q.last()
-		if displaced == nil || displaced.Rank <= r.Rank || q.bytes-displaced.Bytes+r.Bytes > MaxBytes {
-			return nil, nil, q.refuse(now, ReasonFull, r, nil)
+		if displaced == nil || !q.yields(displaced, r) || q.bytes-displaced.Bytes+r.Bytes > MaxBytes {
+			return nil, nil, q.setReturn(now, q.refuse(now, ReasonFull, r, nil), r)
 		}
 		q.Remove(displaced)
 	}
-	ticket = &Ticket{Request: r, Since: now, waiting: true}
+	q.lastNumber++
+	ticket = &Ticket{Request: r, Since: now, number: q.lastNumber, waiting: true}
 	q.insert(ticket)
 	return ticket, displaced, nil
 }
@@ -143,15 +165,15 @@
 }
 
 // Next returns the request whose turn it is, nil if none waits. It stays in the queue.
-func (q *Queue) Next() *Ticket {
+func (q *Queue) Next(now time.Time) *Ticket {
 	waiting := q.waitingRanks()
 	if len(waiting) == 0 {
 		return nil
 	}
 	if len(waiting) > 1 && q.overtaken >= minorityInterval-1 {
-		return slices.MinFunc(q.heads(waiting[1:]), func(a, b *Ticket) int { return a.Since.Compare(b.Since) })
+		return slices.MinFunc(q.heads(now, waiting[1:]), func(a, b *Ticket) int { return cmp.Compare(a.number, b.number) })
 	}
-	return q.ranks[waiting[0]].head()
+	return q.ranks[waiting[0]].head(now)
 }
 
 // waitingRanks returns the ranks with requests that wait, the most urgent first.
@@ -167,10 +189,10 @@
 }
 
 // heads returns the next request of each of the ranks.
-func (q *Queue) heads(ranks []int) []*Ticket {
+func (q *Queue) heads(now time.Time, ranks []int) []*Ticket {
 	var heads []*Ticket
 	for _, number := range ranks {
-		heads = append(heads, q.ranks[number].head())
+		heads = append(heads, q.ranks[number].head(now))
 	}
 	return heads
 }
@@ -196,6 +218,7 @@
 func (q *Queue) CountDirect(now time.Time, r Request) {
 	q.forgetIdle(now)
 	if q.departure.known() {
+		q.rank(r.Rank).class(r.Class).demand.add(now)
 		q.charge(now, r)
 	}
 }
@@ -227,6 +250,16 @@
 	q.bytes -= t.Bytes
 }
 
+// yields reports whether a request that waits gives its place in a full queue to another one.
+func (q *Queue) yields(waiting *Ticket, r Request) bool {
+	if waiting.Rank != r.Rank {
+		return waiting.Rank > r.Rank
+	}
+	classes := q.ranks[r.Rank].classes
+	own := classes[r.Class]
+	return own == nil || len(classes[waiting.Class].tickets) > len(own.tickets)+1
+}
+
 // last returns the request of the last rank, and there of the largest class, whose turn is
 // last; nil if none waits.
 func (q *Queue) last() *Ticket {
@@ -277,25 +310,34 @@
 }
 
 // head returns the rank's next request: the one of the class with the least start tag, of
-// several the one with the earliest deadline.
-func (r *rank) head() *Ticket {
-	var best *class
+// several the one with the earliest deadline. Overdue requests come after all others.
+func (r *rank) head(now time.Time) *Ticket {
+	var best *Ticket
+	var bestTag tag
 	for _, c := range r.classes {
-		if len(c.tickets) > 0 && (best == nil || precedes(c, best)) {
-			best = c
+		ticket, overdue := c.next(now)
+		if ticket == nil {
+			continue
+		}
+		if t := (tag{overdue, c.start, ticket}); best == nil || t.compare(bestTag) < 0 {
+			best, bestTag = ticket, t
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.tickets[0]
+	return best
 }
 
-// precedes reports whether class a is served before b. Something of both waits.
-func precedes(a, b *class) bool {
-	if a.start != b.start {
-		return a.start < b.start
-	}
-	first, second := a.tickets[0], b.tickets[0]
-	return cmp.Or(compareEnd(first, second), first.Since.Compare(second.Since)) < 0
+// tag is what the order of the classes of a rank rests on.
+type tag struct {
+	overdue bool
+	start   float64
+	next    *Ticket
+}
+
+func (t tag) compare(other tag) int {
+	return cmp.Or(
+		cmp.Compare(boolInt(t.overdue), boolInt(other.overdue)),
+		cmp.Compare(t.start, other.start),
+		compareEnd(t.next, other.next),
+		cmp.Compare(t.next.number, other.next.number),
+	)
 }
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -17,20 +17,19 @@
 )
 
 const (
-	// turnInterval is the mean time between two searches for room for the requests that wait
-	// for a service: about how often batchers read their targets' reports.
-	turnInterval = 25 * time.Millisecond
 	// beginShare is the share of a latency objective within which a request must begin. The
 	// rest suffices for the answer's first part.
 	beginShare = 0.6
+	// waitShare is the share of its time that a request may wait for room.
+	waitShare = 0.7
 	// refusalShare is the share of a latency objective within which a request is refused that
 	// would begin too late, so that its caller can still be served elsewhere.
 	refusalShare = 0.25
 	// defaultObjective stands for the objective of a route without one.
 	defaultObjective = time.Second
 	// retrySpread is the random part of the time after which a caller is told to retry, as a
-	// share of it: those refused in one wave must not return as one.
-	retrySpread = 0.5
+	// share of it: other gateways refuse callers of the same wave.
+	retrySpread = 0.2
 	// longWait is the time in the waiting room from which a request is logged.
 	longWait = 100 * time.Millisecond
 	// maxRankLabel is the highest rank with a metric label of its own.
@@ -52,8 +51,9 @@
 	waiters map[*waiting.Ticket]*waiter
 	// turn is the request that looks for room at the moment, nil if none does.
 	turn *waiting.Ticket
-	// timer starts the next turn.
+	// timer starts the next turn, at due. It is nil if none is scheduled.
 	timer *time.Timer
+	due   time.Time
 }
 
 // waiter is a request in the waiting room.
@@ -113,7 +113,7 @@
 	if hasLooked {
 		w.scheduleTurn(service, q)
 	} else {
-		w.startTurn(q)
+		w.offerTurn(service, q)
 	}
 	return entered, nil
 }
@@ -135,33 +135,61 @@
 		q.timer.Stop()
 		q.timer = nil
 	}
-	if next := q.Next(); next != nil {
+	if next := q.Next(time.Now()); next != nil {
 		q.turn = next
 		q.waiters[next].signal()
 	}
 }
 
-// scheduleTurn starts the next turn after about turnInterval, unless one is due. mu must be
-// held.
+// scheduleTurn starts the next turn after the next request's interval, unless one is due
+// earlier. mu must be held.
 func (w *waitingRoom) scheduleTurn(service string, q *serviceQueue) {
-	if q.turn != nil || q.timer != nil || q.Len() == 0 {
+	now := time.Now()
+	next := q.Next(now)
+	if next == nil || q.turn != nil {
+		return
+	}
+	interval := q.TurnInterval(now, next, rand.Float64)
+	due := now.Add(interval)
+	switch {
+	case q.timer == nil:
+		q.timer = time.AfterFunc(interval, func() { w.startNextTurn(service) })
+	case due.Before(q.due):
+		q.timer.Reset(interval)
+	default:
 		return
 	}
-	q.timer = time.AfterFunc(jitter(turnInterval), func() { w.slotMayBeFree(service) })
+	q.due = due
 }
 
-// jitter returns a random time whose mean is d.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
+// startNextTurn starts the turn of the request that waits for the service and is next.
+func (w *waitingRoom) startNextTurn(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[service]
+	q.timer = nil
+	w.startTurn(q)
 }
 
-// slotMayBeFree starts a turn if requests wait for the service.
+// slotMayBeFree starts a turn because a slot of the service may be free, if the next request
+// takes it now.
 func (w *waitingRoom) slotMayBeFree(service string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if q := w.queues[service]; q != nil {
+		w.offerTurn(service, q)
+	}
+}
+
+// offerTurn starts a turn if the next request takes it now, and schedules one otherwise. mu
+// must be held.
+func (w *waitingRoom) offerTurn(service string, q *serviceQueue) {
+	now := time.Now()
+	if next := q.Next(now); next != nil && q.TakesTurnNow(now, next, rand.Float64) {
 		w.startTurn(q)
+		return
 	}
+	w.scheduleTurn(service, q)
 }
 
 // hasTurn reports whether it is the request's turn.
@@ -201,7 +229,7 @@
 	w.metrics.left(t, now.Sub(t.ticket.Since), departs)
 	if q.turn == t.ticket {
 		q.turn = nil
-		w.startTurn(q)
+		w.offerTurn(t.service, q)
 	}
 }
 
@@ -249,10 +277,19 @@
 	return c.RoomKnown && c.Room <= 0 && o.mayWait()
 }
 
-// mayWait reports whether the request may wait for room: nothing of it may have run, and it
-// can still begin by its objective.
+// mayWait reports whether the request may wait for room: nothing of it may have run, and
+// enough of its time is left.
 func (o *onlineRequest) mayWait() bool {
-	return o.possibleRuns == 0 && !o.answerBegun && time.Now().Before(o.beginBy())
+	return o.possibleRuns == 0 && !o.answerBegun && time.Now().Before(o.waitUntil())
+}
+
+// waitUntil returns when the request goes to a target without room, in whose own queue it
+// may still have its turn.
+func (o *onlineRequest) waitUntil() time.Time {
+	if !o.hasDeadline {
+		return o.beginBy()
+	}
+	return o.begun.Add(time.Duration(waitShare * float64(o.limit)))
 }
 
 func (o *onlineRequest) objective() time.Duration {
@@ -286,8 +323,8 @@
 	return r
 }
 
-// awaitTurn returns once it is the request's turn to look for room, or once it can no longer
-// begin by its objective and goes to a target without room. It fails if the request is
+// awaitTurn returns once it is the request's turn to look for room, or once it has waited
+// long enough and goes to a target without room. It fails if the request is
 // refused or its caller leaves.
 func (o *onlineRequest) awaitTurn(ctx context.Context, hasLooked bool) error {
 	room := o.g.waitingRoom
@@ -319,7 +356,7 @@
 func (o *onlineRequest) awaitSignal(ctx context.Context) error {
 	next := o.waiter.ticket.RefuseBy
 	if !time.Now().Before(next) {
-		next = o.waiter.ticket.BeginBy
+		next = o.waitUntil()
 	}
 	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
@@ -354,7 +391,7 @@
 func (o *onlineRequest) refuseWaiting(refusal *waiting.Refusal, waited time.Duration) error {
 	o.reason = string(refusal.Reason)
 	o.g.waitingRoom.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
-	after := retryAfter(refusal.Turn)
+	after := spread(refusal.Return)
 	if logs.Sampled(o.request.ID) {
 		klog.InfoS("request refused for want of room", "request", o.request.ID, "route", o.route.Name, "service", o.service,
 			"rank", fleet.Rank(o.route, o.request.Workspace), "reason", refusal.Reason, "place", refusal.Place,
@@ -363,10 +400,9 @@
 	return fleet.WithRetryAfter(fleet.ErrRefused.New("no room: %s, place %d, turn in %v", refusal.Reason, refusal.Place, refusal.Turn), after)
 }
 
-// retryAfter returns when the caller of a request that would have its turn after the given
-// time should come again.
-func retryAfter(turn time.Duration) time.Duration {
-	return time.Duration((1 + retrySpread*rand.Float64()) * float64(max(turn, defaultRetryAfter)))
+// spread returns d with a random part added.
+func spread(d time.Duration) time.Duration {
+	return time.Duration((1 + retrySpread*rand.Float64()) * float64(d))
 }
 
 // depart tells the waiting room that the request goes to a target now.
