End attempts whose target has ended without closing its connections

Cause: a stream that may not be resumed has no timeout of its own, so it lasted until its deadline where its target's host had lost power. Change: attempts end when a later incarnation is registered at the address, or when a silent target's host answers that nothing listens there.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	table        *balancing.Balancer
 	unresponsive unresponsiveServices
 	waitingRoom  *waitingRoom
+	inFlight     *attemptTracker
 	metrics      *metrics
 
 	configTail *topic.Follower
@@ -102,16 +103,17 @@
 		p.Registry = prometheus.NewRegistry()
 	}
 	g := &Gateway{
-		params:  p,
-		configs: registry.NewConfigurations(p.Decoder),
-		targets: registry.NewTargets(p.Decoder, time.Now),
-		table:   balancing.New(time.Now, nil),
-		metrics: newMetrics(p.Registry),
-		fold:    worklog.NewFold(),
-		texts:   newTextReader(p.Store),
-		crashes: newCrashTracker(),
-		changed: make(chan struct{}),
-		writer:  worklog.NewProcessWriter(p.Node.Name),
+		params:   p,
+		configs:  registry.NewConfigurations(p.Decoder),
+		targets:  registry.NewTargets(p.Decoder, time.Now),
+		table:    balancing.New(time.Now, nil),
+		metrics:  newMetrics(p.Registry),
+		fold:     worklog.NewFold(),
+		texts:    newTextReader(p.Store),
+		crashes:  newCrashTracker(),
+		inFlight: newAttemptTracker(),
+		changed:  make(chan struct{}),
+		writer:   worklog.NewProcessWriter(p.Node.Name),
 	}
 	g.node.Store(p.Node)
 	g.tomb, g.ctx = tomb.WithContext(context.Background())
@@ -156,6 +158,7 @@
 		pause.For(ctx, housekeepingInterval)
 		g.targets.RemoveExpired()
 		g.table.ForgetIdle()
+		g.endLostAttempts()
 		g.detectCrashes()
 		if g.params.Sweep != nil {
 			g.params.Sweep()
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -130,6 +130,8 @@
 	contentType string
 	// completed is set once a target has run the request to a successful end.
 	completed bool
+	// tracked is the current attempt.
+	tracked *trackedAttempt
 	// tried holds the IDs of targets that must not get the request again.
 	tried map[string]bool
 	// attempts holds the attempts so far. service is the service chosen for the request,
@@ -263,6 +265,8 @@
 	defer cancel(nil)
 	stall := newStallTimer(o, target, cancel)
 	defer stall.stop()
+	o.tracked = o.g.inFlight.add(target, cancel)
+	defer o.tracked.remove()
 	o.attemptLastEvent = o.lastEvent
 	o.suspectedParts = o.g.crashes.suspectedParts(o.request)
 	a := fleet.Attempt{Request: o.request, Target: target, LastEventID: o.lastEvent}
@@ -313,7 +317,7 @@
 // handleNoAnswer returns the error of an attempt that got no answer. It counts a possible
 // run unless the request was not delivered.
 func (o *onlineRequest) handleNoAnswer(ctx context.Context, target *fleet.Target, err error) error {
-	if ctx.Err() != nil && !isStalled(ctx) {
+	if ctx.Err() != nil && !isStalled(ctx) && !hasTargetEnded(ctx) {
 		if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 			o.possibleRuns++
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -66,7 +66,7 @@
 
 // handleBrokenAnswer returns the error of an attempt whose answer broke off.
 func (o *onlineRequest) handleBrokenAnswer(ctx context.Context, target *fleet.Target, err error) error {
-	if ctx.Err() != nil && !isStalled(ctx) {
+	if ctx.Err() != nil && !isStalled(ctx) && !hasTargetEnded(ctx) {
 		return o.giveUp(ctx, endReason(ctx))
 	}
 	o.reportFailure(ctx, target)
@@ -95,6 +95,7 @@
 	var splitter eventstream.Splitter
 	for {
 		n, err := answer.Body.Read(buffer)
+		o.tracked.heard()
 		events, oversized := splitter.Add(buffer[:n])
 		if oversized != nil {
 			return o.handleBrokenAnswer(ctx, target, oversized)
