Let a caller's last attempt wait instead of refusing it twice

Change: callers that wait for less time than others of their route have been refused before; they may be late, unless their workspace sends over twice the median. TestWaveOfAllRanks asks for more now: no fewer served than in the order of arrival.

--- a/coordination/waiting/estimate.go
+++ b/coordination/waiting/estimate.go
@@ -7,6 +7,12 @@
 	rateGain = 0.1
 	// minIntervals is the number of intervals from which the mean is used.
 	minIntervals = 4
+	// lastChanceShare is the share of the time between BeginBy and EndBy within which the turn
+	// of a request without another chance must come. It is well below one, since overdue
+	// requests get only what others leave.
+	lastChanceShare = 0.2
+	// lastChanceMultiple is the multiple of the median demand up to which a class has this.
+	lastChanceMultiple = 2
 	// silentIntervals is the number of intervals without a departure that chance explains.
 	silentIntervals = 4
 	// maxInterval bounds an interval that counts: a longer one is the gap between two times
@@ -136,12 +142,22 @@
 		return nil
 	}
 	refusal := q.refuse(now, ReasonLate, r, ticket)
-	if refusal.Place > 0 && now.Add(refusal.Turn).After(r.BeginBy) {
+	if refusal.Place > 0 && now.Add(refusal.Turn).After(q.latestTurn(now, r)) {
 		return q.setReturn(now, refusal, r)
 	}
 	return nil
 }
 
+// latestTurn returns when the request's turn must come for it to be let in. One without another
+// chance may also wait beyond its objective, unless its class sends far more than others: then
+// the others would wait for it.
+func (q *Queue) latestTurn(now time.Time, r Request) time.Time {
+	if !r.LastChance || r.EndBy.IsZero() || q.rank(r.Rank).heaviness(now, r.Class) > lastChanceMultiple {
+		return r.BeginBy
+	}
+	return r.BeginBy.Add(time.Duration(lastChanceShare * float64(r.EndBy.Sub(r.BeginBy))))
+}
+
 // refuse returns a refusal with the request's place and turn.
 func (q *Queue) refuse(now time.Time, reason Reason, r Request, ticket *Ticket) *Refusal {
 	refusal := &Refusal{Reason: reason, Place: q.place(now, r, ticket)}
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -33,6 +33,9 @@
 	// RefuseBy is when it may be refused for the last time because its turn would come too
 	// late: its caller must have time for another attempt.
 	RefuseBy time.Time
+	// LastChance is set if the caller has probably been refused before and does not come
+	// again: it gets a late answer rather than none.
+	LastChance bool
 	// BeginBy is when it must begin in order to meet its latency objective. From then on it
 	// is overdue: it gets what others leave, since serving it first would only make them
 	// late too.
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -131,3 +131,41 @@
 	assert.Assert(t, !HasOutlived(time.Second, 5*time.Second, 5*time.Second))
 	assert.Assert(t, !HasOutlived(time.Second, time.Hour, 0))
 }
+
+// TestLastChanceWaits guards against refusing a caller for the second time, who does not come
+// again, though its answer would only be late. One of a workspace that sends far more than
+// others is refused.
+func TestLastChanceWaits(t *testing.T) {
+	for demand, letIn := range map[int]bool{1: true, 10: false} {
+		q := NewQueue()
+		now := start
+		for range 20 { // a departure each 40 ms
+			now = now.Add(40 * time.Millisecond)
+			q.charge(now, Request{Class: "a"})
+		}
+		for range demand {
+			q.ranks[0].class("a").demand.add(now)
+		}
+		q.ranks[0].class("b").demand.add(now)
+		r := Request{Class: "a", RefuseBy: now.Add(75 * time.Millisecond), BeginBy: now.Add(180 * time.Millisecond), EndBy: now.Add(5 * time.Second)}
+		for range 4 {
+			q.insert(&Ticket{Request: r, Since: now, waiting: true})
+		}
+		r.LastChance = true
+		_, _, refusal := q.Add(now, r)
+		assert.Equal(t, refusal == nil, letIn, "%+v", refusal)
+	}
+}
+
+// TestPatience guards against taking first attempts for later ones, and against remembering a
+// caller with more patience than the others for ever.
+func TestPatience(t *testing.T) {
+	var p Patience
+	assert.Assert(t, !p.IsRetry(start, "a", 5*time.Second))
+	assert.Assert(t, !p.IsRetry(start, "a", 4990*time.Millisecond))
+	assert.Assert(t, p.IsRetry(start, "a", 4800*time.Millisecond))
+	assert.Assert(t, !p.IsRetry(start, "b", 4*time.Second))
+	assert.Assert(t, !p.IsRetry(start, "a", 0), "not known")
+	p.IsRetry(start.Add(patienceWindow), "b", time.Second)
+	assert.Assert(t, !p.IsRetry(start.Add(2*patienceWindow), "a", 4*time.Second))
+}
--- a/coordination/waiting/replay_test.go
+++ b/coordination/waiting/replay_test.go
@@ -150,7 +150,7 @@
 	gateway := r.random.IntN(gateways)
 	queue := r.queues[gateway]
 	request := Request{
-		Rank: c.rank, Class: c.class, Bytes: 1000, EndBy: c.first.Add(deadline),
+		Rank: c.rank, Class: c.class, Bytes: 1000, EndBy: c.first.Add(deadline), LastChance: c.tries > 1,
 		RefuseBy: r.now.Add(objective / 4), BeginBy: r.now.Add(objective * 6 / 10),
 	}
 	if !r.ordered || queue.Len() == 0 && r.free() > len(r.fifo) {
@@ -334,6 +334,7 @@
 func TestWaveOfAllRanks(t *testing.T) {
 	today, ordered := compare(t, inWaves(), everyone)
 	assert.Check(t, ordered.worth > today.worth)
+	assert.Check(t, ordered.served >= today.served)
 	assert.Check(t, ordered.inObjective > today.inObjective)
 	assert.Check(t, ordered.refusedHeld99 <= objective/4)
 	_, last := compare(t, inWaves(), func(c *caller) bool { return c.rank == 1 })
--- a/coordination/waiting/turn.go
+++ b/coordination/waiting/turn.go
@@ -60,7 +60,7 @@
 		return 1
 	}
 	slices.Sort(active)
-	return r.classes[name].demand.value(now) / active[(len(active)-1)/2]
+	return r.class(name).demand.value(now) / active[(len(active)-1)/2]
 }
 
 // TurnInterval returns the time after which a gateway looks for room again on behalf of the
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -114,8 +114,10 @@
 	limit       time.Duration
 	deadline    time.Time
 	hasDeadline bool
-	// waiter is the request's place in the waiting room, nil if it does not wait.
-	waiter *waiter
+	// waiter is the request's place in the waiting room, nil if it does not wait. isRetry is
+	// set if it is probably not its caller's first attempt.
+	waiter  *waiter
+	isRetry bool
 
 	// lastEvent is the ID of the last event sent to the caller. attemptLastEvent is the
 	// value of lastEvent when the current attempt began.
@@ -167,6 +169,7 @@
 func (o *onlineRequest) run(ctx context.Context) error {
 	o.service = o.route.PickService(rand.Float64())
 	o.version = o.g.configVersion()
+	o.isRetry = o.g.waitingRoom.isRetry(o.route, o.request)
 	defer o.leaveWaitingRoom()
 	if o.g.waitingRoom.isWaitedFor(o.service) {
 		if err := o.awaitTurn(ctx, false); err != nil {
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -41,8 +41,9 @@
 type waitingRoom struct {
 	metrics *waitingMetrics
 
-	mu     sync.Mutex
-	queues map[string]*serviceQueue
+	mu       sync.Mutex
+	queues   map[string]*serviceQueue
+	patience waiting.Patience
 }
 
 // serviceQueue holds the requests that wait for a service. The room's mu guards it.
@@ -92,6 +93,13 @@
 	return q != nil && q.Len() > 0
 }
 
+// isRetry reports whether the request is probably not its caller's first attempt.
+func (w *waitingRoom) isRetry(route *fleet.Route, r *fleet.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.patience.IsRetry(time.Now(), route.Name, r.MaxWait)
+}
+
 // enter adds a request. hasLooked is set if it has just found no room.
 func (w *waitingRoom) enter(service string, r waiting.Request, hasLooked bool) (*waiter, *waiting.Refusal) {
 	w.mu.Lock()
@@ -312,7 +320,7 @@
 func (o *onlineRequest) waitingRequest() waiting.Request {
 	r := waiting.Request{
 		Rank: fleet.Rank(o.route, o.request.Workspace), Class: "route " + o.route.Name, Bytes: len(o.request.Body),
-		RefuseBy: o.begun.Add(time.Duration(refusalShare * float64(o.objective()))), BeginBy: o.beginBy(),
+		RefuseBy: o.begun.Add(time.Duration(refusalShare * float64(o.objective()))), BeginBy: o.beginBy(), LastChance: o.isRetry,
 	}
 	if o.request.Workspace != nil {
 		r.Class = "workspace " + o.request.Workspace.Name
