Refuse what a hot workspace has waited for in vain when it is overdue

Change: Review refuses a request that becomes overdue if its workspace sends over four times the median.

--- a/coordination/waiting/estimate.go
+++ b/coordination/waiting/estimate.go
@@ -11,8 +11,6 @@
 	// of a request without another chance must come. It is well below one, since overdue
 	// requests get only what others leave.
 	lastChanceShare = 0.2
-	// lastChanceMultiple is the multiple of the median demand up to which a class has this.
-	lastChanceMultiple = 2
 	// silentIntervals is the number of intervals without a departure that chance explains.
 	silentIntervals = 4
 	// maxInterval bounds an interval that counts: a longer one is the gap between two times
@@ -114,15 +112,25 @@
 	return refusal
 }
 
-// Review returns a refusal if the turn of a request that waits would come too late and the
-// request may still be refused for that.
+// Review returns a refusal of a request that waits, nil if it may go on: if its turn would come
+// too late and it may still be refused for that, and when it becomes overdue while its class
+// sends far more than others. What others leave does not suffice for such a class, and its
+// requests would wait for most of their time in vain.
 func (q *Queue) Review(now time.Time, t *Ticket) *Refusal {
-	if !t.waiting {
+	switch {
+	case !t.waiting:
 		return nil
+	case !now.Before(t.BeginBy) && q.isHeavy(now, t.Request):
+		return q.Refuse(now, ReasonLate, t)
 	}
 	return q.assess(now, t.Request, t)
 }
 
+// isHeavy reports whether the request's class sends far more than others.
+func (q *Queue) isHeavy(now time.Time, r Request) bool {
+	return q.rank(r.Rank).heaviness(now, r.Class) > heavyMultiple
+}
+
 // Turn returns the time until the turn of a request that waits, and how many come before it.
 // The time is 0 if the rate of departures is not known.
 func (q *Queue) Turn(now time.Time, t *Ticket) (turn time.Duration, place int) {
@@ -152,7 +160,7 @@
 // chance may also wait beyond its objective, unless its class sends far more than others: then
 // the others would wait for it.
 func (q *Queue) latestTurn(now time.Time, r Request) time.Time {
-	if !r.LastChance || r.EndBy.IsZero() || q.rank(r.Rank).heaviness(now, r.Class) > lastChanceMultiple {
+	if !r.LastChance || r.EndBy.IsZero() || q.isHeavy(now, r) {
 		return r.BeginBy
 	}
 	return r.BeginBy.Add(time.Duration(lastChanceShare * float64(r.EndBy.Sub(r.BeginBy))))
--- a/coordination/waiting/turn.go
+++ b/coordination/waiting/turn.go
@@ -15,8 +15,8 @@
 	maxTurnFactor = 4
 	// demandHalfLife is the half-life of the weight of a request in its class's demand.
 	demandHalfLife = time.Second
-	// heavyMultiple is the multiple of the median demand up to which a class is as urgent
-	// as others: many of them exceed the median at times.
+	// heavyMultiple is the multiple of the median demand from which a class counts as sending
+	// far more than others: by chance many exceed the median by less at times.
 	heavyMultiple = 4
 	// minDemand is the demand from which a class counts as active.
 	minDemand = 0.1
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -362,11 +362,7 @@
 // awaitSignal returns when the request's waiter is woken, or at the next time at which
 // something about it is decided. It fails if the caller leaves or the gateway stops.
 func (o *onlineRequest) awaitSignal(ctx context.Context) error {
-	next := o.waiter.ticket.RefuseBy
-	if !time.Now().Before(next) {
-		next = o.waitUntil()
-	}
-	timer := time.NewTimer(time.Until(next))
+	timer := time.NewTimer(time.Until(o.nextDecision()))
 	defer timer.Stop()
 	select {
 	case <-o.waiter.wake:
@@ -377,6 +373,17 @@
 	return nil
 }
 
+// nextDecision returns the next time at which something about a request that waits is decided.
+func (o *onlineRequest) nextDecision() time.Time {
+	now := time.Now()
+	for _, t := range []time.Time{o.waiter.ticket.RefuseBy, o.waiter.ticket.BeginBy} {
+		if now.Before(t) {
+			return t
+		}
+	}
+	return o.waitUntil()
+}
+
 // reviewWaiting returns a refusal of the request, nil if it may go on.
 func (o *onlineRequest) reviewWaiting() *waiting.Refusal {
 	room := o.g.waitingRoom
