--- a/gateway/online.go
+++ b/gateway/online.go
@@ -171,7 +171,7 @@
 	o.version = o.g.configVersion()
 	o.isRetry = o.g.waitingRoom.isRetry(o.route, o.request)
 	defer o.leaveWaitingRoom()
-	if o.g.waitingRoom.isWaitedFor(o.service) {
+	if o.asksForRoom() && o.g.waitingRoom.isWaitedFor(o.service) {
 		if err := o.awaitTurn(ctx, false); err != nil {
 			return err
 		}
@@ -190,6 +190,9 @@
 			}
 			continue
 		}
+		if !choice.RoomKnown && o.waiter != nil {
+			o.g.waitingRoom.release(o.service)
+		}
 		if !found && len(targets) == 0 && len(o.attempts) == 0 {
 			o.reason = "the service has no target"
 			return fleet.WithRetryAfter(fleet.ErrRefused.New("service %s has no target", o.service), noTargetRetryAfter)
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -64,6 +64,8 @@
 	// wake has room for one value. It is sent to when it is the request's turn, or when it
 	// must check again whether it may wait.
 	wake chan struct{}
+	// released is set if nothing is known of targets' room any more.
+	released bool
 	// displaced is set if a more urgent request has taken the place.
 	displaced bool
 	// promised is the time until its turn as estimated at the entry, 0 if not known.
@@ -200,11 +202,11 @@
 	w.scheduleTurn(service, q)
 }
 
-// hasTurn reports whether it is the request's turn.
+// hasTurn reports whether it is the request's turn, or whether it need not wait for that.
 func (w *waitingRoom) hasTurn(t *waiter) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.queues[t.service].turn == t.ticket
+	return w.queues[t.service].turn == t.ticket || t.released
 }
 
 // passTurn ends a turn in which no room was found.
@@ -268,6 +270,17 @@
 	}
 }
 
+// release lets all requests that wait for the service go to targets, because nothing is known of
+// their room any more.
+func (w *waitingRoom) release(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.queue(service).waiters {
+		t.released = true
+		t.signal()
+	}
+}
+
 // wakeAll lets each request check again whether it may wait.
 func (w *waitingRoom) wakeAll() {
 	w.mu.Lock()
@@ -285,6 +298,11 @@
 	return c.RoomKnown && c.Room <= 0 && o.mayWait()
 }
 
+// asksForRoom reports whether the room of targets is asked for before the request is sent.
+func (o *onlineRequest) asksForRoom() bool {
+	return o.g.params.LoadQuerier != nil && o.route.Kind == fleet.KindStream
+}
+
 // mayWait reports whether the request may wait for room: nothing of it may have run, and
 // enough of its time is left.
 func (o *onlineRequest) mayWait() bool {
--- a/gateway/waitingroom_test.go
+++ b/gateway/waitingroom_test.go
@@ -97,15 +97,20 @@
 func TestWaitsForRoom(t *testing.T) {
 	for _, online := range []int{7, -1} {
 		synctest.Test(t, func(t *testing.T) {
-			s, loads := startLoaded(t, newStore(t), step{events: events(1, 3)})
+			s, loads := startLoaded(t, newStore(t), step{events: events(1, 3)}, step{events: events(1, 3)}, step{events: events(1, 3)})
 			defer s.stop()
-			done := s.serveAsync(t.Context(), "r1", 5*time.Second)
+			var done []<-chan result
+			for _, id := range []string{"r1", "r2", "r3"} {
+				done = append(done, s.serveAsync(t.Context(), id, 5*time.Second))
+			}
 			time.Sleep(70 * time.Millisecond)
 			assert.Equal(t, len(s.sender.sent), 0)
 			loads.set(online)
-			ended := <-done
-			assert.NilError(t, ended.err)
-			assert.Assert(t, ended.took <= 110*time.Millisecond, "%v", ended.took)
+			for _, d := range done {
+				ended := <-d
+				assert.NilError(t, ended.err)
+				assert.Assert(t, ended.took <= 110*time.Millisecond, "%v", ended.took)
+			}
 		})
 	}
 }
@@ -170,3 +175,20 @@
 		assert.Assert(t, ended.took < time.Second)
 	})
 }
+
+// TestOthersDoNotWait guards against a request whose target is not chosen by queried loads
+// waiting behind streams that do: whether there is room for it is not known.
+func TestOthersDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, loads := startLoaded(t, newStore(t), step{status: http.StatusOK}, step{events: events(1, 3)})
+		defer s.stop()
+		waits := s.serveAsync(t.Context(), "r1", 5*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		begun := time.Now()
+		_, err := s.serve(t.Context(), "safe")
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+		loads.set(0)
+		assert.NilError(t, (<-waits).err)
+	})
+}
