Replay that gateways look for room when an answer ends

The replays looked at intervals only; the gateway also looks when an answer ends there. All bounds stay.

--- a/coordination/waiting/replay_test.go
+++ b/coordination/waiting/replay_test.go
@@ -104,7 +104,13 @@
 
 // step ends what has run, takes new attempts and begins what there is room for.
 func (r *replay) step() {
-	r.running = slices.DeleteFunc(r.running, func(c *caller) bool { return !r.now.Before(c.end) })
+	r.running = slices.DeleteFunc(r.running, func(c *caller) bool {
+		if r.now.Before(c.end) {
+			return false
+		}
+		r.slotMayBeFree(c.gateway)
+		return true
+	})
 	due := slices.Clone(r.pending)
 	r.pending = r.pending[:0]
 	for _, c := range due {
@@ -148,6 +154,7 @@
 // take takes an attempt at a random gateway.
 func (r *replay) take(c *caller) {
 	gateway := r.random.IntN(gateways)
+	c.gateway = gateway
 	queue := r.queues[gateway]
 	request := Request{
 		Rank: c.rank, Class: c.class, Bytes: 1000, EndBy: c.first.Add(deadline), LastChance: c.tries > 1,
@@ -167,7 +174,6 @@
 		return
 	}
 	c.ticket = ticket
-	c.gateway = gateway
 	r.waiting = append(r.waiting, c)
 	if next := queue.Next(r.now); next == ticket {
 		r.scheduleTurn(gateway, next)
@@ -226,6 +232,15 @@
 	}
 }
 
+// slotMayBeFree makes the gateway look for room because an answer has ended there, if the next
+// request takes its turn now.
+func (r *replay) slotMayBeFree(gateway int) {
+	q := r.queues[gateway]
+	if next := q.Next(r.now); next != nil && q.TakesTurnNow(r.now, next, r.random.Float64) {
+		r.nextTry[gateway] = r.now
+	}
+}
+
 // callerOf returns the caller whose request waits with the ticket.
 func (r *replay) callerOf(t *Ticket) *caller {
 	return r.waiting[slices.IndexFunc(r.waiting, func(c *caller) bool { return c.ticket == t })]
