Measure an item's pace by the arrival of its events

Cause: the batcher took the time of its poll for that of the last event, so that the learned time between events was off by up to a poll in four events. TestTellLoad and TestItemsShowThatTargetSlows failed now and then (56.25 ms in place of 50; 75 in place of 150).

Change: the run notes when its last event came, and steps are measured between such times.

--- a/batcher/capacity.go
+++ b/batcher/capacity.go
@@ -63,7 +63,7 @@
 		l.config, l.need = config, needOf(config, b.params.Node.Service)
 	}
 	for _, h := range b.runningItems() {
-		if step := h.measureStep(now); step > 0 {
+		if step := h.measureStep(); step > 0 {
 			l.learner.Observe(capacity.Observation{At: now, Running: running, Step: step}, slots)
 		}
 	}
@@ -72,10 +72,10 @@
 
 // measureStep returns the mean time between two events since the last measurement, 0 if
 // there were too few.
-func (h *heldItem) measureStep(now time.Time) time.Duration {
+func (h *heldItem) measureStep() time.Duration {
 	if h.measuredRun != h.startedAt {
 		if h.progress.Events > h.eventsAtStart { // the time to the first event is no step
-			h.measuredRun, h.measuredAt, h.measuredEvents = h.startedAt, now, h.progress.Events
+			h.measuredRun, h.measuredAt, h.measuredEvents = h.startedAt, h.lastEventAt, h.progress.Events
 		}
 		return 0
 	}
@@ -83,8 +83,8 @@
 	if events < minStepEvents {
 		return 0
 	}
-	step := now.Sub(h.measuredAt) / time.Duration(events)
-	h.measuredAt, h.measuredEvents = now, h.progress.Events
+	step := h.lastEventAt.Sub(h.measuredAt) / time.Duration(events)
+	h.measuredAt, h.measuredEvents = h.lastEventAt, h.progress.Events
 	return step
 }
 
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -48,6 +48,8 @@
 	measuredRun    time.Time
 	measuredAt     time.Time
 	measuredEvents int
+	// lastEventAt is when the last event arrived.
+	lastEventAt time.Time
 	// contentType is the content type of the last answer here that was read as a stream, if
 	// hasContentType is set.
 	contentType    string
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -214,6 +214,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h.progress = p
+	h.lastEventAt = time.Now()
 }
 
 // failureOutcome returns the outcome of a run whose answer was not a success. The item
