Serve keys until the view has 0.75 of the revocation timeout

Cause: a view ages from the start of its read, so that a gateway refused keys up to the time between two reads before it had been without the store for 0.6 of the timeout. Change: readiness keeps 0.6; requests that come all the same are served up to 0.75. Excluded: that this serves removed keys late. A request is judged after it was sent, and a view is at least as old as what it lacks, so that any share below 1 holds.

--- a/coordination/access/access.go
+++ b/coordination/access/access.go
@@ -11,10 +11,13 @@
 import "time"
 
 const (
-	// servedShare is the share of the revocation timeout up to which a configuration may be
-	// old to serve requests with a key. The rest is the time that a read takes and that
-	// callers need to notice that they must use another gateway.
-	servedShare = 0.6
+	// readyShare is the share of the revocation timeout up to which a configuration may be old
+	// for callers with a key to be sent to a gateway, and servedShare that up to which such
+	// callers are served that come all the same. The first is what a gateway may be without
+	// the store; the second adds the time between two reads, since an age counts from the start
+	// of the last one. The rest leaves room for a process that is slow to look at its clock.
+	readyShare  = 0.6
+	servedShare = 0.75
 	// MaxDenialAge is the age of the configuration up to which a key that it does not have
 	// counts as unknown. It covers a few reads.
 	MaxDenialAge = 1500 * time.Millisecond
@@ -32,16 +35,18 @@
 }
 
 // MayServeKeys reports whether requests with a key may run at the moment.
-func (v View) MayServeKeys() bool {
+func (v View) MayServeKeys() bool { return v.isWithin(servedShare) }
+
+// MayInviteKeys reports whether callers with a key should be sent here.
+func (v View) MayInviteKeys() bool { return v.isWithin(readyShare) }
+
+// isWithin reports whether the configuration is younger than the share of the revocation
+// timeout, if there is one.
+func (v View) isWithin(share float64) bool {
 	if v.RevocationTimeout <= 0 {
 		return true
 	}
-	return v.Known && v.Age < v.maxServedAge()
-}
-
-// maxServedAge returns the age from which on no request with a key is served.
-func (v View) maxServedAge() time.Duration {
-	return time.Duration(servedShare * float64(v.RevocationTimeout))
+	return v.Known && v.Age < time.Duration(share*float64(v.RevocationTimeout))
 }
 
 // MayDeny reports whether a key that the configuration does not have is invalid.
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -39,11 +39,11 @@
 	return access.View{Known: known, Age: age, RevocationTimeout: g.params.Node.RevocationTimeout}
 }
 
-// mayServeKeys reports whether callers with a key may connect, as far as the configuration
+// mayInviteKeys reports whether callers with a key may connect, as far as the configuration
 // has workspaces.
-func (g *Gateway) mayServeKeys() bool {
+func (g *Gateway) mayInviteKeys() bool {
 	c := g.configs.Current()
-	return c == nil || c.Keyring == nil || g.configView().MayServeKeys()
+	return c == nil || c.Keyring == nil || g.configView().MayInviteKeys()
 }
 
 // Authorize implements fleet.CallerAPI.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,7 +171,7 @@
 // or configuration. If no gateway reaches the store, the platform goes on using all of
 // them.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && g.mayServeKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+	return !g.closing.Load() && g.mayInviteKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // IsClosing implements fleet.CallerAPI.
