Take presence records from a complete fold only, and explain refusals by rate

Change: the fold counts once it was read to an end that came after it was made; until then the records are read directly.

--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -62,6 +62,10 @@
 	metrics *rateMetrics
 	// enabled is set once this gateway has been present.
 	enabled atomic.Bool
+	// foldRebuilt is when the fold was last made anew, and foldFrom when that was noticed. Only
+	// run uses them.
+	foldRebuilt time.Time
+	foldFrom    time.Duration
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -77,7 +81,11 @@
 	// firstConfirm is the least ID of the questions for confirmation that count.
 	firstConfirm uint64
 	renewing     bool
-	nextRenew    time.Duration
+	// deciding is set while this gateway decides without a hand-over.
+	deciding bool
+	// unconfirmed is the number of gateways without confirmation in the last log line.
+	unconfirmed int
+	nextRenew   time.Duration
 }
 
 // newRates returns the limiter of a gateway.
@@ -306,6 +314,19 @@
 	return nil
 }
 
+// isFoldComplete reports whether the fold, which was last read at asOf, has all presence
+// records. One that was just made from the newest records lacks those that were renewed while
+// they were read, until they are read once more.
+func (r *Rates) isFoldComplete(now, asOf time.Duration) bool {
+	r.g.jobsMu.RLock()
+	rebuiltAt := r.g.rebuiltAt
+	r.g.jobsMu.RUnlock()
+	if !rebuiltAt.Equal(r.foldRebuilt) {
+		r.foldRebuilt, r.foldFrom = rebuiltAt, now
+	}
+	return asOf >= r.foldFrom
+}
+
 // interval returns the time until the next look at who is present.
 func (r *Rates) interval() time.Duration {
 	r.mu.Lock()
@@ -322,11 +343,12 @@
 	age, known := r.g.workTail.Age()
 	now := r.now()
 	var records []worklog.PresentGateway
-	if known {
+	if known && r.isFoldComplete(now, now-age) {
 		r.g.jobsMu.RLock()
 		records = r.g.fold.Presences()
 		r.g.jobsMu.RUnlock()
 	} else {
+		age = 0
 		records, known = r.readPresences()
 	}
 	r.mu.Lock()
@@ -334,9 +356,31 @@
 	if known {
 		r.members.Update(r.now(), now-age, membersOf(records))
 	}
+	r.logDeciding()
 	r.holder.Maintain(r.now())
 }
 
+// logDeciding logs when this gateway begins or ceases to decide about rates. mu must be held.
+func (r *Rates) logDeciding() {
+	deciding := r.members.IsSettled(r.now())
+	if deciding == r.deciding && (deciding || r.members.Len() == 0) {
+		return
+	}
+	if unconfirmed := r.members.Unconfirmed(r.now()); deciding != r.deciding || len(unconfirmed) > 0 && r.unconfirmed != len(unconfirmed) {
+		r.unconfirmed = len(unconfirmed)
+		klog.InfoS("rates decided here", "deciding", deciding, "gateways", r.members.Len(), "unconfirmed", len(unconfirmed), "first", first(unconfirmed),
+			"view_age", r.members.Age(r.now()))
+	}
+	r.deciding = deciding
+}
+
+func first(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
+
 // readPresences reads the newest presence records from the store.
 func (r *Rates) readPresences() (records []worklog.PresentGateway, complete bool) {
 	ctx, cancel := context.WithTimeout(r.g.ctx, presenceReadTimeout)
