Judge no target by connections that break at one moment

Cause: three streams that broke together, as when a gateway or a link loses its connections, made the batcher take its target for a failing one, at all targets at once. Change: the failures that count must span half a second.

--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -169,3 +169,14 @@
 	end(false)
 	assert.Equal(t, p.requests(), slots, "three successes")
 }
+
+// TestConnectionsThatBreakAtOnce breaks all streams of a target at one moment, as when a link
+// or a gateway loses its connections: the target must not be judged by it.
+func TestConnectionsThatBreakAtOnce(t *testing.T) {
+	p := newPlay()
+	for range 8 {
+		p.now = p.now.Add(10 * time.Millisecond)
+		p.learner.Observe(capacity.Observation{At: p.now, Running: 8, Ended: true, Failed: true}, slots)
+	}
+	assert.Equal(t, p.requests(), slots)
+}
--- a/coordination/capacity/failures.go
+++ b/coordination/capacity/failures.go
@@ -4,9 +4,11 @@
 
 const (
 	// failureWindow is the age of the oldest outcome by which a target is judged. It fails if
-	// at least minFailures of them, and half, are failures: one failed request is no evidence.
-	failureWindow = 2 * time.Second
-	minFailures   = 3
+	// at least minFailures of them, and half, are failures, over minFailureSpan: one failed
+	// request is no evidence, and neither are connections that all break at one moment.
+	failureWindow  = 2 * time.Second
+	minFailures    = 3
+	minFailureSpan = 500 * time.Millisecond
 	// minReturns is the number of successes in a row after which a failing target is trusted.
 	minReturns = 3
 	// maxOutcomes bounds the outcomes that are kept.
@@ -48,10 +50,16 @@
 // failsMost reports whether the target has failed half of the requests of failureWindow.
 func (f *failures) failsMost() bool {
 	failed := 0
+	var first, last time.Time
 	for _, o := range f.outcomes {
-		if o.failed {
-			failed++
+		if !o.failed {
+			continue
 		}
+		if failed == 0 {
+			first = o.at
+		}
+		last = o.at
+		failed++
 	}
-	return failed >= minFailures && 2*failed >= len(f.outcomes)
+	return failed >= minFailures && 2*failed >= len(f.outcomes) && last.Sub(first) >= minFailureSpan
 }
