Keep requests without a workspace one class, which never counts as hot

Cause: as classes of their own, routes of one rank with unlike rates looked like hot and other workspaces, and the most used route waited for the least used.

--- a/coordination/waiting/doc.go
+++ b/coordination/waiting/doc.go
@@ -7,7 +7,7 @@
 // caller that leaves costs nothing.
 //
 // The order is by rank; within a rank start-time fair queueing (Goyal, Vin, Cheng, 1996)
-// between classes, that is workspaces, or routes if there are none; within a class by
+// between workspaces; within a workspace, and where there are none, by
 // deadline. A share of the departures goes to ranks other than the first, so that none
 // starves. A request whose turn would come too late at the present rate of departures is
 // refused at once.
--- a/coordination/waiting/estimate.go
+++ b/coordination/waiting/estimate.go
@@ -94,8 +94,8 @@
 
 // setReturn sets the time after which the caller of a refused request should come again: its
 // turn, but not before those of its class that were refused earlier, and each after the time in
-// which one request departs. So a wave of callers comes back in its order and spread over the time that
-// it takes to serve it.
+// which one request departs. So a wave of callers comes back in its order, spread over the time
+// that it takes to serve it.
 func (q *Queue) setReturn(now time.Time, refusal *Refusal, r Request) *Refusal {
 	next := now.Add(max(refusal.Turn, minReturn))
 	c := q.rank(r.Rank).class(r.Class)
@@ -108,7 +108,7 @@
 		}
 	}
 	c.lastReturn = next
-	refusal.Return = next.Sub(now)
+	refusal.Return = max(next.Sub(now), minReturn)
 	return refusal
 }
 
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -24,8 +24,8 @@
 
 // Request is a request for which no target has room.
 type Request struct {
-	// Rank is the request's priority, 0 being the most urgent. Class names its workspace, or
-	// its route if it has none.
+	// Rank is the request's priority, 0 being the most urgent. Class names its workspace. It is
+	// empty for requests without one, which are one class.
 	Rank  int
 	Class string
 	// Bytes is the size of the body.
@@ -103,15 +103,6 @@
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int { return q.count }
 
-// Waiting returns the number of requests that wait by rank.
-func (q *Queue) Waiting() map[int]int {
-	waiting := map[int]int{}
-	for number, r := range q.ranks {
-		waiting[number] = r.waiting
-	}
-	return waiting
-}
-
 // Add adds a request. It returns a refusal if its turn would come too late, or if the queue
 // is full. If a less urgent rank or a larger class of its rank waits in a full queue, the last
 // request of the largest class of the last rank is displaced instead: it no longer waits and
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -169,3 +169,16 @@
 	p.IsRetry(start.Add(patienceWindow), "b", time.Second)
 	assert.Assert(t, !p.IsRetry(start.Add(2*patienceWindow), "a", 4*time.Second))
 }
+
+// TestRequestsWithoutWorkspace guards against taking the callers of a deployment without
+// workspaces for a hot workspace: they may be late like others.
+func TestRequestsWithoutWorkspace(t *testing.T) {
+	q := NewQueue()
+	for range 50 {
+		add(t, q, request(0, "", time.Second))
+	}
+	add(t, q, request(0, "a", time.Second))
+	next := q.Next(start)
+	assert.Equal(t, q.TurnFactor(start, next), 1.)
+	assert.Assert(t, q.Review(start.Add(200*time.Millisecond), next) == nil)
+}
--- a/coordination/waiting/turn.go
+++ b/coordination/waiting/turn.go
@@ -48,8 +48,11 @@
 }
 
 // heaviness returns the demand of a class as a multiple of the median of the rank's active
-// classes.
+// classes. Requests without a workspace come from many callers, so it is 1 for these.
 func (r *rank) heaviness(now time.Time, name string) float64 {
+	if name == "" {
+		return 1
+	}
 	var active []float64
 	for _, c := range r.classes {
 		if value := c.demand.value(now); value >= minDemand {
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -337,11 +337,11 @@
 // waitingRequest describes the request to the waiting room.
 func (o *onlineRequest) waitingRequest() waiting.Request {
 	r := waiting.Request{
-		Rank: fleet.Rank(o.route, o.request.Workspace), Class: "route " + o.route.Name, Bytes: len(o.request.Body),
+		Rank: fleet.Rank(o.route, o.request.Workspace), Bytes: len(o.request.Body),
 		RefuseBy: o.begun.Add(time.Duration(refusalShare * float64(o.objective()))), BeginBy: o.beginBy(), LastChance: o.isRetry,
 	}
 	if o.request.Workspace != nil {
-		r.Class = "workspace " + o.request.Workspace.Name
+		r.Class = o.request.Workspace.Name
 	}
 	if o.hasDeadline {
 		r.EndBy = o.deadline
