Take an item that a second late claim brings after its release

Cause: where several claims of an item are carried out late, one may come just behind the release of another. Both were read at once, so the item still had this batcher as its holder, and counted as handed over for ever.

Change: an item counts as handed over only as long as it is held by the claim by which it was handed over.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -92,8 +92,8 @@
 	readableSince time.Time
 	held          map[worklog.ItemRef]*heldItem
 	// handedOver holds the items that were released or got a result here, until the log
-	// shows it. room is the number of items that the target had room for at its last poll.
-	handedOver map[worklog.ItemRef]bool
+	// shows it, with the offset of the claim by which they were held. room is the number of items that the target had room for at its last poll.
+	handedOver map[worklog.ItemRef]int64
 	room       int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
@@ -137,7 +137,7 @@
 		writer:  worklog.NewProcessWriter(p.Node.Name),
 		held:    map[worklog.ItemRef]*heldItem{},
 
-		handedOver: map[worklog.ItemRef]bool{},
+		handedOver: map[worklog.ItemRef]int64{},
 
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -215,7 +215,7 @@
 func (b *Batcher) release(h *heldItem, why string, details ...any) {
 	klog.InfoS("item given back", append([]any{"job", h.ref.Job, "item", h.ref.Item, "reason", why, "last_event", h.progress.LastEventID}, details...)...)
 	delete(b.held, h.ref)
-	b.handedOver[h.ref] = true
+	b.handOver(h.ref)
 	b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: h.ref, Progress: h.progress}})
 }
 
--- a/batcher/reconcile.go
+++ b/batcher/reconcile.go
@@ -28,12 +28,25 @@
 
 // knowsItem reports whether the item is held, or was handed over by a record that the log
 // does not show yet. mu must be held.
-func (b *Batcher) knowsItem(ref worklog.ItemRef) bool { return b.held[ref] != nil || b.handedOver[ref] }
+func (b *Batcher) knowsItem(ref worklog.ItemRef) bool {
+	_, handedOver := b.handedOver[ref]
+	return handedOver || b.held[ref] != nil
+}
+
+// handOver notes that a record is enqueued that releases the item or has its result. mu must
+// be held.
+func (b *Batcher) handOver(ref worklog.ItemRef) {
+	if item := b.fold.Item(ref); item != nil {
+		b.handedOver[ref] = item.Claim
+	}
+}
 
-// forgetHandedOver forgets the items whose result or release the log shows. mu must be held.
+// forgetHandedOver forgets the items whose result or release the log shows. An item that is
+// held by another claim was released meanwhile, and a further claim was carried out late. mu
+// must be held.
 func (b *Batcher) forgetHandedOver() {
-	for ref := range b.handedOver {
-		if item := b.fold.Item(ref); item == nil || item.Done || item.Holder != b.writer.Name() {
+	for ref, claim := range b.handedOver {
+		if item := b.fold.Item(ref); item == nil || item.Done || item.Holder != b.writer.Name() || item.Claim != claim {
 			delete(b.handedOver, ref)
 		}
 	}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -108,7 +108,7 @@
 			b.pace.Observe(h.item.Tokens, end.progress.Events, time.Since(h.heldSince))
 		}
 		delete(b.held, h.ref)
-		b.handedOver[h.ref] = true
+		b.handOver(h.ref)
 		b.enqueueResult(h.ref.Job, *end.result)
 		if h.savedEvents > 0 {
 			b.deleteSave(h.ref)
