Fill the buckets of a new owner since nobody else has decided

Change: who confirms a gateway tells for how long it has decided nothing in its place. A process that began lately has not. TestFrozenOwnerStops now wakes 100 ms after the lease instead of 1 s, and allows 2 requests instead of 10: the bucket fills since the owner stopped.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -62,6 +62,7 @@
 	if b.Window <= 0 {
 		b.Window = defaultWindow
 	}
+	m.began = began
 	return &Holder{
 		Members: m, bounds: b, began: began, newID: newID, ledger: newLedger(),
 		buckets: map[string]*bucket{}, pools: map[string]*pool{}, alone: map[string]*pool{}, handovers: map[string]*handover{}, given: map[string]given{},
@@ -87,7 +88,7 @@
 		answer = h.give(now, from, &q)
 	case fleet.RateConfirm:
 		if h.confirms(now, from) {
-			return fleet.RateAnswer{Verdict: fleet.RateConfirmed}, true, nil
+			return fleet.RateAnswer{Verdict: fleet.RateConfirmed, Quiet: h.quiet(now, from)}, true, nil
 		}
 		return fleet.RateAnswer{}, false, nil
 	default:
@@ -201,7 +202,7 @@
 	if !settled || len(h.buckets) >= maxBuckets {
 		return nil, nil, false
 	}
-	since := max(h.removedAt, h.settledAt())
+	since := h.entitledFrom()
 	if g, found := h.given[q.Workspace]; found {
 		since = max(since, g.at+h.lease)
 		if now < since {
@@ -280,7 +281,7 @@
 	rate := fleet.Rate{PerSecond: q.PerSecond, Burst: q.Burst}.Sanitized()
 	_, gave := h.given[q.Workspace]
 	until, owned := h.added(now, to)
-	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.settledAt() {
+	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom() {
 		return nil
 	}
 	order := h.Order(q.Workspace)
@@ -288,7 +289,7 @@
 	if rank != 0 && !(rank == 1 && order[0].Address == to) {
 		return nil
 	}
-	k := newBucket(h.bounds, rate, q.Version, max(h.removedAt, h.settledAt()))
+	k := newBucket(h.bounds, rate, q.Version, h.entitledFrom())
 	k.fill(until)
 	k.frozen = true
 	return k
@@ -306,7 +307,7 @@
 	}
 	since := now
 	if h.IsSettled(now) { // whoever gave the bucket has not decided since then
-		since = max(h.removedAt, h.settledAt())
+		since = h.entitledFrom()
 	}
 	k := newBucket(h.bounds, o.rate, o.version, since)
 	k.fill(now)
@@ -359,7 +360,7 @@
 		case !owns && !k.frozen:
 			k.fill(now)
 			k.frozen = true
-		case owns && k.isFull(now) && now-max(h.removedAt, h.settledAt()) > 2*h.refill(k):
+		case owns && k.isFull(now) && now-h.entitledFrom() > 2*h.refill(k):
 			delete(h.buckets, workspace)
 		}
 	}
--- a/coordination/ratelimit/holder_test.go
+++ b/coordination/ratelimit/holder_test.go
@@ -157,7 +157,7 @@
 	}
 	h := start()
 	assert.Assert(t, !decides(h, time.Second))
-	h.Confirmed(2*time.Second, other)
+	h.Confirmed(2*time.Second, other, time.Second)
 	assert.Assert(t, decides(h, 3*time.Second))
 	h = start()
 	for now := time.Second; now < testLease; now += time.Second {
@@ -167,6 +167,25 @@
 	assert.Assert(t, decides(h, testLease+time.Second))
 }
 
+// TestBucketFillsSinceNobodyElseDecided lets a gateway join whose workspaces another one owned
+// until a second ago. Its bucket may hold what came in since then, and no more.
+func TestBucketFillsSinceNobodyElseDecided(t *testing.T) {
+	order := byRank("a", "b", "c")
+	own, other := order[0], order[1]
+	h := NewHolder(NewMembers(own, own+"-1"), testBounds, 0, newCounter())
+	h.keep(5*time.Second, own, other)
+	h.Confirmed(6*time.Second, other, time.Second)
+	ids := newCounter()
+	now := 6 * time.Second
+	a, answered, _ := h.Handle(now, "caller", ids(), ask(tenBurst, 1))
+	for !answered { // until the attempt of a hand-over has ended
+		now += takeInterval
+		a, answered, _ = h.Handle(now, "caller", ids(), ask(tenBurst, 1))
+	}
+	assert.Equal(t, a.Verdict, fleet.RateAdmitted)
+	assert.Equal(t, h.admitAll(now, ask(tenBurst, 1), ids), 9, "10 a second for 1.06 s, one of which was admitted before")
+}
+
 // TestConfirmingGatewayReadsFirst lets a gateway that has not joined confirm another one. It must
 // not join by a read that began before, which may lack the other's record: both would decide.
 func TestConfirmingGatewayReadsFirst(t *testing.T) {
@@ -199,10 +218,10 @@
 	assert.Equal(t, a.Verdict, fleet.RateAdmitted)
 	a, _, _ = h.Handle(settled+testLease, "b", 2, ask(tenBurst, 1))
 	assert.Equal(t, a.Verdict, fleet.RateElsewhere)
-	woken := settled + testLease + time.Second
+	woken := settled + testLease + 100*time.Millisecond
 	h.keep(woken, "a")
-	h.keep(woken+time.Second, "a")
-	assert.Assert(t, h.admitAll(woken+time.Second, ask(tenBurst, 1), newCounter()) <= 10, "the bucket fills anew from then on")
+	h.keep(woken+100*time.Millisecond, "a")
+	assert.Assert(t, h.admitAll(woken+100*time.Millisecond, ask(tenBurst, 1), newCounter()) <= 2, "the bucket fills anew since it stopped")
 }
 
 // TestUnconfirmedRenewalEndsTheLease lets an owner read the store but not write to it: others see
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -82,6 +82,9 @@
 	confirmedBy    map[string]bool
 	allConfirmed   bool
 	allConfirmedAt time.Duration
+	// began is when the process began. stoppedAt is when this process last decided something
+	// in an earlier joining, and quietFrom from when on no other gateway has decided in its place.
+	began, stoppedAt, quietFrom time.Duration
 	// promisedAt is when this process, not having joined, last confirmed a gateway that it had
 	// not read of: it joins by a later read only.
 	promisedAt time.Duration
@@ -144,6 +147,7 @@
 		m.joined, m.joinedAt = true, now
 		m.joins++
 		m.allConfirmed, m.confirmedBy = false, map[string]bool{}
+		m.quietFrom = max(m.began, m.stoppedAt)
 	}
 }
 
@@ -186,10 +190,11 @@
 }
 
 // Confirmed notes the answer of the gateway at the address to a question that was asked after
-// this process had joined.
-func (m *Members) Confirmed(now time.Duration, address string) {
-	if m.lapse(now) {
+// this process had joined. quiet is for how long that one has decided nothing in its place.
+func (m *Members) Confirmed(now time.Duration, address string, quiet time.Duration) {
+	if m.lapse(now) && !m.allConfirmed {
 		m.confirmedBy[address] = true
+		m.quietFrom = max(m.quietFrom, now-max(0, quiet))
 		m.checkConfirmed(now)
 	}
 }
@@ -240,6 +245,7 @@
 func (m *Members) lapse(now time.Duration) bool {
 	if m.joined && (now >= m.leaseFrom+m.lease || now >= m.readAt+m.lease) {
 		m.joined, m.hasLease = false, false
+		m.stoppedAt = now
 	}
 	return m.joined
 }
@@ -247,6 +253,33 @@
 // acts reports whether this gateway may decide.
 func (m *Members) acts(now time.Duration) bool { return m.lapse(now) && !m.leaving }
 
+// quiet returns for how long this process has decided nothing in the place of the gateway at
+// the address.
+func (m *Members) quiet(now time.Duration, address string) time.Duration {
+	if m.joins == 0 {
+		return now - m.began
+	}
+	for _, k := range m.known {
+		if k.Address != address {
+			continue
+		}
+		if m.joins == 1 && m.joined && k.addedAt <= m.joinedAt {
+			return now - m.began
+		}
+		return now - k.addedAt
+	}
+	return 0
+}
+
+// entitledFrom returns from when on the workspaces that this gateway owns have used nothing of
+// their rates elsewhere.
+func (m *Members) entitledFrom() time.Duration {
+	if m.allConfirmed {
+		return max(m.removedAt, m.quietFrom)
+	}
+	return max(m.removedAt, m.settledAt())
+}
+
 // settledAt returns from when on every other gateway knows that this one is present.
 func (m *Members) settledAt() time.Duration {
 	longest := m.lease
--- a/coordination/ratelimit/simulation_test.go
+++ b/coordination/ratelimit/simulation_test.go
@@ -174,12 +174,13 @@
 	process, joined := g.process, g.joinedAt
 	for _, address := range g.Unconfirmed(g.clock()) {
 		g.s.message(g.name, address, func(to *simGateway) {
-			if _, answered, _ := to.holder.Handle(to.clock(), g.name, g.s.nextID(), fleet.RateQuery{Kind: fleet.RateConfirm}); !answered {
+			a, answered, _ := to.holder.Handle(to.clock(), g.name, g.s.nextID(), fleet.RateQuery{Kind: fleet.RateConfirm})
+			if !answered {
 				return
 			}
 			g.s.message(address, g.name, func(*simGateway) {
 				if g.process == process && g.joinedAt == joined {
-					g.Confirmed(g.clock(), address)
+					g.Confirmed(g.clock(), address, a.Quiet)
 				}
 			})
 		})
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -260,7 +260,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a.Verdict == fleet.RateConfirmed {
-		r.confirmed(from, id)
+		r.confirmed(from, id, a.Quiet)
 		return
 	}
 	if a.Verdict == fleet.RateGiven || a.Verdict == fleet.RateNotHeld {
@@ -277,9 +277,9 @@
 
 // confirmed notes that the gateway at the address knows of this one, if it was asked after
 // this one joined. mu must be held.
-func (r *Rates) confirmed(from string, id uint64) {
+func (r *Rates) confirmed(from string, id uint64, quiet time.Duration) {
 	if id >= r.firstConfirm {
-		r.members.Confirmed(r.now(), from)
+		r.members.Confirmed(r.now(), from, quiet)
 	}
 }
 
--- a/protocol/fleet/rate.go
+++ b/protocol/fleet/rate.go
@@ -109,4 +109,7 @@
 	Owner string `msgpack:"o,omitempty"`
 	// Deputy is set if a deputy decided, by its part of the tolerance.
 	Deputy bool `msgpack:"d,omitempty"`
+	// Quiet, in a RateConfirmed, is for how long the queried gateway has decided nothing in the
+	// asking one's place.
+	Quiet time.Duration `msgpack:"q,omitempty"`
 }
