--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,9 @@
 	// RateMessages reaches the other gateways. If it is set and RateLimiter is nil, the gateways
 	// limit rates together.
 	RateMessages RateMessages
+	// StartSpread is the time over which gateways that start at the same moment spread their
+	// first reads of the work log, at random.
+	StartSpread time.Duration
 	// IsConnected reports whether an idle connection to the address can be used. It is nil
 	// if connections are not kept.
 	IsConnected func(address string) bool
@@ -76,8 +79,10 @@
 	gate         *starting.Gate
 	survey       *starting.Survey
 	// surveyWake holds a token when the survey has new questions.
-	surveyWake chan struct{}
-	metrics    *metrics
+	surveyWake  chan struct{}
+	waitingRoom *waitingRoom
+	inFlight    *attemptTracker
+	metrics     *metrics
 
 	configTail *topic.Follower
 	targetTail *topic.Follower
@@ -120,12 +125,13 @@
 		table:   balancing.New(time.Now, nil),
 		gate:    starting.NewGate(time.Now()),
 		survey:  starting.NewSurvey(), surveyWake: make(chan struct{}, 1),
-		metrics: newMetrics(p.Registry),
-		fold:    worklog.NewFold(),
-		texts:   newTextReader(p.Store),
-		crashes: newCrashTracker(),
-		changed: make(chan struct{}),
-		writer:  worklog.NewProcessWriter(p.Node.Name),
+		metrics:  newMetrics(p.Registry),
+		fold:     worklog.NewFold(),
+		texts:    newTextReader(p.Store),
+		crashes:  newCrashTracker(),
+		inFlight: newAttemptTracker(),
+		changed:  make(chan struct{}),
+		writer:   worklog.NewProcessWriter(p.Node.Name),
 	}
 	g.table.SetDataCentre(p.Node.DataCentre)
 	g.node.Store(p.Node)
@@ -141,9 +147,10 @@
 		Reset: g.targets.Reset, Apply: g.targets.Apply, OnRecovered: g.targets.StoreRecovered,
 	})
 	g.workTail = topic.New(topic.Params{
-		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval,
+		Store: p.Store, Topic: fleet.TopicWork, Name: "work", Interval: readInterval, StartSpread: p.StartSpread,
 		Reset: g.resetJobs, Apply: g.applyJobs, Now: p.Now,
 	})
+	g.waitingRoom = newWaitingRoom(newWaitingMetrics(p.Registry))
 	g.registerGauges()
 	rateMetrics := newRateMetrics(p.Registry)
 	if p.RateMessages != nil && p.RateLimiter == nil {
@@ -184,6 +191,7 @@
 		pause.For(ctx, housekeepingInterval)
 		g.targets.RemoveExpired()
 		g.table.ForgetIdle()
+		g.endLostAttempts()
 		g.detectCrashes()
 		if g.params.Sweep != nil {
 			g.params.Sweep()
@@ -197,7 +205,7 @@
 // or configuration. If no gateway reaches the store, the platform goes on using all of
 // them.
 func (g *Gateway) Ready() bool {
-	return !g.closing.Load() && g.mayServeKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
+	return !g.closing.Load() && g.mayInviteKeys() && !g.isWorkLogStale(maxStoreSilence) && g.configs.Current() != nil && len(g.targets.Current().Services) > 0
 }
 
 // IsClosing implements fleet.CallerAPI.
@@ -216,6 +224,7 @@
 	if g.rates != nil {
 		g.tomb.Go(func() error { g.rates.leave(); return nil })
 	}
+	g.waitingRoom.wakeAll()
 	g.awaitIdle(func(now time.Time) bool { return !now.Before(window.NoticeEnd) }, window.Stop)
 	if left := g.active.Load(); left > 0 {
 		klog.InfoS("requests given up, the grace period is over", "requests", left)
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -14,6 +14,7 @@
 	"github.com/sycamoretally/sycamoretally/logs"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/transport/boottime"
 )
 
 const (
@@ -65,7 +66,7 @@
 		g.metrics.observe(route, err, time.Since(begun))
 		return err
 	}
-	o := &onlineRequest{g: g, route: route, request: r, sink: sink, rateTook: time.Since(begun), deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
+	o := &onlineRequest{g: g, route: route, request: r, sink: sink, rateTook: time.Since(begun), begun: begun, entered: boottime.Now(), limit: limit, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
 	rated(err, o.possibleRuns > 0)
 	took := time.Since(begun)
@@ -112,14 +113,23 @@
 
 // onlineRequest is a caller's request in flight.
 type onlineRequest struct {
-	g           *Gateway
-	route       *fleet.Route
-	request     *fleet.Request
-	sink        fleet.Sink
+	g       *Gateway
+	route   *fleet.Route
+	request *fleet.Request
+	sink    fleet.Sink
+	// begun is when the request came, entered the same time by a clock that also counts
+	// suspensions, and limit the time that it may take, 0 if there is no bound.
+	begun       time.Time
+	entered     time.Duration
+	limit       time.Duration
 	deadline    time.Time
 	hasDeadline bool
 	// rateTook is how long it took to decide that the request is within its workspace's rate.
 	rateTook time.Duration
+	// waiter is the request's place in the waiting room, nil if it does not wait. isRetry is
+	// set if it is probably not its caller's first attempt.
+	waiter  *waiter
+	isRetry bool
 
 	// lastEvent is the ID of the last event sent to the caller. attemptLastEvent is the
 	// value of lastEvent when the current attempt began.
@@ -134,6 +144,8 @@
 	contentType string
 	// completed is set once a target has run the request to a successful end.
 	completed bool
+	// tracked is the current attempt.
+	tracked *trackedAttempt
 	// tried holds the IDs of targets that must not get the request again.
 	tried map[string]bool
 	// attempts holds the attempts so far. service is the service chosen for the request,
@@ -174,14 +186,30 @@
 func (o *onlineRequest) run(ctx context.Context) error {
 	o.service = o.route.PickService(rand.Float64())
 	o.version = o.g.configVersion()
+	o.isRetry = o.g.waitingRoom.isRetry(o.route, o.request)
+	defer o.leaveWaitingRoom()
+	if o.asksForRoom() && o.g.waitingRoom.isWaitedFor(o.service) {
+		if err := o.awaitTurn(ctx, false); err != nil {
+			return err
+		}
+	}
 	for {
-		if err := o.g.checkQuarantine(o.request); err != nil {
-			o.reason = "in quarantine"
+		if err := o.checkBeforeAttempt(); err != nil {
 			return err
 		}
 		targets := o.g.targets.Current().Services[o.service]
 		o.knownTargets = len(targets)
 		choice, found := o.chooseTarget(ctx, targets)
+		if found && o.mustWait(choice) {
+			o.g.table.End(choice.Target)
+			if err := o.awaitTurn(ctx, true); err != nil {
+				return err
+			}
+			continue
+		}
+		if !choice.RoomKnown && o.waiter != nil {
+			o.g.waitingRoom.release(o.service)
+		}
 		if !found && len(targets) == 0 && len(o.attempts) == 0 {
 			o.reason = "the service has no target"
 			return fleet.WithRetryAfter(fleet.ErrRefused.New("service %s has no target", o.service), noTargetRetryAfter)
@@ -200,8 +228,19 @@
 	}
 }
 
+// checkBeforeAttempt checks before each attempt, also after the request has waited, whether
+// the request may still be sent to a target.
+func (o *onlineRequest) checkBeforeAttempt() error {
+	if err := o.g.checkQuarantine(o.request); err != nil {
+		o.reason = "in quarantine"
+		return err
+	}
+	return nil
+}
+
 // makeAttempt makes one attempt and records it in attempts.
 func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
+	o.depart()
 	begun := time.Now()
 	o.g.metrics.observeChoice(choice)
 	record := attemptRecord{choice: choice, after: o.lastEvent}
@@ -213,6 +252,7 @@
 	record.err = o.send(ctx, choice.Target)
 	o.g.table.End(choice.Target)
 	o.reportOutcome(choice, record.err)
+	o.g.waitingRoom.slotMayBeFree(o.service)
 	record.took = time.Since(begun)
 	o.attempts = append(o.attempts, record)
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
@@ -254,6 +294,8 @@
 	defer cancel(nil)
 	stall := newStallTimer(o, target, cancel)
 	defer stall.stop()
+	o.tracked = o.g.inFlight.add(target, cancel)
+	defer o.tracked.remove()
 	o.attemptLastEvent = o.lastEvent
 	o.suspectedParts = o.g.crashes.suspectedParts(o.request)
 	a := fleet.Attempt{Request: o.request, Target: target, LastEventID: o.lastEvent}
@@ -320,7 +362,7 @@
 // handleNoAnswer returns the error of an attempt that got no answer. It counts a possible
 // run unless the request was not delivered.
 func (o *onlineRequest) handleNoAnswer(ctx context.Context, target *fleet.Target, err error) error {
-	if ctx.Err() != nil && !isStalled(ctx) {
+	if ctx.Err() != nil && !isStalled(ctx) && !hasTargetEnded(ctx) {
 		if !errorx.IsOfType(err, fleet.ErrNotDelivered) {
 			o.possibleRuns++
 		}
