Hand unused buckets over when a gateway leaves

Cause: a gateway that left had dropped full buckets, and answered that it held none (TestLeavingGatewayHandsUnusedBucketsOver failed to get tokens); the next owner began empty.

Change: it gives what its workspaces were entitled to when it left.

Result: the test passes.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -280,6 +280,12 @@
 func (h *Holder) unusedBucket(now time.Duration, to string, q *fleet.RateQuery) *bucket {
 	rate := fleet.Rate{PerSecond: q.PerSecond, Burst: q.Burst}.Sanitized()
 	_, gave := h.given[q.Workspace]
+	if h.left != nil && !gave && rate.IsLimited() && h.left.owned(q.Workspace, h.present) {
+		k := newBucket(h.bounds, rate, q.Version, h.left.from)
+		k.fill(h.left.until)
+		k.frozen = true
+		return k
+	}
 	until, owned := h.added(now, to)
 	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom() {
 		return nil
--- a/coordination/ratelimit/holder_test.go
+++ b/coordination/ratelimit/holder_test.go
@@ -275,6 +275,21 @@
 	assert.Equal(t, a.Verdict, fleet.RateNotHeld, "it is handed over once")
 }
 
+// TestLeavingGatewayHandsUnusedBucketsOver stops a gateway whose workspace had sent nothing for long.
+// The next owner must get a full bucket, or it refuses the workspace's next burst.
+func TestLeavingGatewayHandsUnusedBucketsOver(t *testing.T) {
+	order := byRank("a", "b", "c")
+	h := newTestHolder(order[0], order[1])
+	h.Leave(settled)
+	h.Update(settled+100*time.Millisecond, settled+100*time.Millisecond, []Member{present(order[1], int64(settled)+1)})
+	q := fleet.RateQuery{Kind: fleet.RateTake, Workspace: "w", PerSecond: tenBurst.PerSecond, Burst: tenBurst.Burst}
+	a, _, _ := h.Handle(settled+200*time.Millisecond, order[1], 1, q)
+	assert.Equal(t, a.Verdict, fleet.RateGiven)
+	assert.Assert(t, a.Tokens >= 10)
+	a, _, _ = h.Handle(settled+200*time.Millisecond, order[1], 2, q)
+	assert.Equal(t, a.Verdict, fleet.RateNotHeld)
+}
+
 // TestLoweredRateCutsTheBucket lowers a rate, and then delivers an ask of a gateway that knows the
 // earlier version only: the newest version counts.
 func TestLoweredRateCutsTheBucket(t *testing.T) {
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -75,6 +75,8 @@
 	joinedAt time.Duration
 	joined   bool
 	leaving  bool
+	// left is set if this gateway decided when it left.
+	left *departure
 	// joins counts how often this process has joined.
 	joins int
 	// confirmedBy holds the gateways that know that this process has joined. allConfirmed is
@@ -239,7 +241,25 @@
 }
 
 // Leave ends this gateway's part: it decides about nothing any more.
-func (m *Members) Leave() { m.leaving = true }
+func (m *Members) Leave(now time.Duration) {
+	if own := m.known[m.name]; own != nil && m.IsSettled(now) && !m.leaving {
+		m.left = &departure{own.Member, m.entitledFrom(), now}
+	}
+	m.leaving = true
+}
+
+// departure is what a gateway that leaves was entitled to.
+type departure struct {
+	Member
+	from, until time.Duration
+}
+
+// owned reports whether the gateway that leaves owned the workspace.
+func (d *departure) owned(workspace string, present []Member) bool {
+	all := append(slices.DeleteFunc(slices.Clone(present), func(m Member) bool { return m.Name == d.Name }), d.Member)
+	sortByRank(all, workspace)
+	return all[0].Name == d.Name
+}
 
 // lapse notes that the lease has run out, and reports whether this process has a valid one.
 func (m *Members) lapse(now time.Duration) bool {
--- a/coordination/ratelimit/simulation_test.go
+++ b/coordination/ratelimit/simulation_test.go
@@ -200,7 +200,7 @@
 
 // leave stops the gateway in an orderly way.
 func (g *simGateway) leave() {
-	g.Leave()
+	g.Leave(g.clock())
 	g.holder.Maintain(g.clock())
 	delete(g.s.log, g.name)
 	process := g.process
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -456,7 +456,7 @@
 // its buckets over.
 func (r *Rates) leave() {
 	r.mu.Lock()
-	r.members.Leave()
+	r.members.Leave(r.now())
 	r.holder.Maintain(r.now())
 	r.mu.Unlock()
 	if !r.enabled.Load() {
