Drop a field of ratelimit that nothing reads

Cause: given kept who took a bucket beside the time; only the time is read, and a reader looks for the use of the other. Change: the map holds the time. No change of behaviour; tests of coordination/ratelimit pass.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -27,12 +27,6 @@
 	version        int64
 }
 
-// given is a bucket that another gateway took.
-type given struct {
-	at time.Duration
-	to string
-}
-
 // Take is a query that a Holder wants sent, under its ID.
 type Take struct {
 	Address string
@@ -51,9 +45,10 @@
 	pools     map[string]*pool
 	alone     map[string]*pool
 	handovers map[string]*handover
-	given     map[string]given
-	ledger    *ledger
-	newID     func() uint64
+	// given holds when another gateway last took a workspace's bucket, or was told that there is none.
+	given  map[string]time.Duration
+	ledger *ledger
+	newID  func() uint64
 }
 
 // NewHolder returns a holder of a process that began at the given time. newID returns
@@ -64,7 +59,7 @@
 	}
 	return &Holder{
 		Members: m, bounds: b, began: began, newID: newID, ledger: newLedger(),
-		buckets: map[string]*bucket{}, pools: map[string]*pool{}, alone: map[string]*pool{}, handovers: map[string]*handover{}, given: map[string]given{},
+		buckets: map[string]*bucket{}, pools: map[string]*pool{}, alone: map[string]*pool{}, handovers: map[string]*handover{}, given: map[string]time.Duration{},
 	}
 }
 
@@ -202,8 +197,8 @@
 		return nil, nil, false
 	}
 	since := max(h.removedAt, h.settledAt())
-	if g, found := h.given[q.Workspace]; found {
-		since = max(since, g.at+h.lease)
+	if at, found := h.given[q.Workspace]; found {
+		since = max(since, at+h.lease)
 		if now < since {
 			return nil, nil, false
 		}
@@ -263,7 +258,7 @@
 	if k == nil {
 		k = h.unusedBucket(now, to, q)
 	}
-	h.given[q.Workspace] = given{now, to}
+	h.given[q.Workspace] = now
 	if k == nil {
 		return fleet.RateAnswer{Verdict: fleet.RateNotHeld}
 	}
@@ -368,8 +363,8 @@
 			delete(h.handovers, workspace)
 		}
 	}
-	for workspace, g := range h.given {
-		if now-g.at > 2*maxLease {
+	for workspace, at := range h.given {
+		if now-at > 2*maxLease {
 			delete(h.given, workspace)
 		}
 	}
