--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -1,6 +1,8 @@
 // Package budget limits extra attempts, that is retries and hedges, to a share of
 // the requests. Each entry keeps a budget that its own requests fill, so that
-// the share over all entries is the same, whatever their number.
+// the share over all entries is the same, whatever their number. It says whether another
+// attempt may be made, not whether a request is within its workspace's rate (packages quota
+// and ratelimit).
 package budget
 
 import "sync"
--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -1,7 +1,8 @@
 // Package hedge decides when to hedge an idempotent request, that is, to send it to
 // a second target while the first delivers no tokens. It estimates a service's time
 // to the first token and time between tokens, and sets the hedging delay well
-// above these.
+// above these. Package hedge decides; package hedging runs the two attempts, and package
+// budget bounds their number.
 package hedge
 
 import (
--- a/coordination/hedging/hedging.go
+++ b/coordination/hedging/hedging.go
@@ -1,7 +1,7 @@
 // Package hedging runs one attempt of a request and starts a second one beside it
 // when the first stalls. The attempt that delivers the next token first continues
 // and the other is cancelled, so that a caller gets every token once, in order,
-// whichever target it came from.
+// whichever target it came from. When to hedge is decided by package hedge.
 package hedging
 
 import (
--- a/coordination/jobquota/jobquota.go
+++ b/coordination/jobquota/jobquota.go
@@ -7,6 +7,9 @@
 // hardly used would be refused. So exactness is asked for only near the quota. Further
 // away an unconditional append is enough, since what other gateways may accept at the
 // same moment fits as well.
+//
+// Rates of online requests are limited by package ratelimit at gateways, and by package quota
+// at entries.
 package jobquota
 
 // Verdict says how to accept a job.
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -1,6 +1,8 @@
-// Package quota limits the online requests of each workspace to its rate. The entries
-// do not coordinate: each enforces an equal share of the rate, and relies on the load
-// balancer in front of them to spread the requests of a workspace evenly.
+// Package quota limits the online requests of each workspace to its rate at the entries of
+// the product's own deployment. The entries do not coordinate: each enforces an equal share
+// of the rate, and relies on the load balancer in front of them to spread the requests of a
+// workspace evenly. Package ratelimit, which gateways use, enforces one rate over all of them;
+// package jobquota limits the tokens of batch jobs, not a rate.
 package quota
 
 import (
