--- a/coordination/balancing/expected.go
+++ b/coordination/balancing/expected.go
@@ -20,8 +20,8 @@
 	target *fleet.Target
 	load   fleet.PeerLoad
 	// cost is the time that a stream is expected to take there in microseconds, times the
-	// number of streams and items that would share the target. It is 0 if nothing was learned of any
-	// target.
+	// number of streams and items that would share the target. It is 0 if nothing was learned
+	// of any target.
 	cost float64
 }
 
--- a/coordination/ratelimit/bucket.go
+++ b/coordination/ratelimit/bucket.go
@@ -7,8 +7,9 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// The parts of a workspace's tolerance. Their sum over all that may spend them in one
-// window, the owner, three deputies while views differ, and all gateways alone, is 1.
+// The parts of a workspace's tolerance. In one window the owner spends one part, each of at
+// most three deputies another (two, and a third while views differ), and all gateways together
+// the last: 0.2 + 3*0.25 + 0.05 = 1.
 const (
 	ownerPart  = 0.2
 	deputyPart = 0.25
@@ -41,13 +42,13 @@
 	capacity float64
 	tokens   float64
 	at       time.Duration
-	// turn is when the last caller that was refused has its turn, and window an upper bound
-	// of its distance.
+	// turn is when the caller that was refused last has its turn. It is at most window ahead,
+	// unless even the next token comes later.
 	turn   time.Duration
 	window time.Duration
 	// frozen is set once the gateway is no longer the workspace's owner.
 	frozen bool
-	// joins is the value of Members.joins by which the bucket is valid.
+	// joins is the value of Members.joins for which the bucket is valid.
 	joins int
 }
 
--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -39,13 +39,15 @@
 type Holder struct {
 	*Members
 	bounds Bounds
-	// began is when the process began: what it may tolerate begins a window later.
+	// began is when the process began. It admits nothing from the tolerance for a window after
+	// that, since the process before it may have done so.
 	began     time.Duration
 	buckets   map[string]*bucket
 	pools     map[string]*pool
 	alone     map[string]*pool
 	handovers map[string]*handover
-	// given holds when another gateway last took a workspace's bucket, or was told that there is none.
+	// given holds when another gateway last took a workspace's bucket, or was told that there
+	// is none.
 	given  map[string]time.Duration
 	ledger *ledger
 	newID  func() uint64
@@ -63,9 +65,9 @@
 	}
 }
 
-// Handle decides about a query of the gateway at the address from. answered is false if
-// the query must not be answered: a repetition of it will be. take, if not nil, is to be
-// sent.
+// Handle decides about a query of the gateway at the address from. answered is false if there
+// is no answer, or none yet: then the query is decided when it is repeated. If take is not nil,
+// the caller must send it.
 func (h *Holder) Handle(now time.Duration, from string, id uint64, q fleet.RateQuery) (answer fleet.RateAnswer, answered bool, take *Take) {
 	key := queryKey{from, id}
 	if q.Kind == fleet.RateReturn {
--- a/coordination/ratelimit/inquiry.go
+++ b/coordination/ratelimit/inquiry.go
@@ -16,7 +16,7 @@
 	unknownRetryAfter = 300 * time.Millisecond
 )
 
-// Step is the next gateway to ask.
+// Step is the next gateway to ask. Deputy is set if it is asked in place of the owner.
 type Step struct {
 	Address string
 	Deputy  bool
@@ -107,8 +107,9 @@
 	return found && now < until
 }
 
-// Refusal returns the error for a request that no gateway admitted. decided is set if a
-// gateway answered that the rate is used up.
+// Refusal returns the error for a request that no gateway admitted: fleet.ErrQuotaExceeded if
+// decided is set, since a gateway has answered that the rate is used up, otherwise
+// fleet.ErrRefused. silent is the number of gateways that did not answer.
 func Refusal(workspace *fleet.Workspace, decided bool, a fleet.RateAnswer, silent int) error {
 	if decided {
 		return fleet.WithRetryAfter(fleet.ErrQuotaExceeded.New(
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -38,7 +38,9 @@
 	Revision      int64
 	// Address is where the gateway receives datagrams.
 	Address string
-	Weight  float64
+	// Weight is the gateway's size as a share of a processor. The share of the workspaces that
+	// it owns is proportional to it.
+	Weight float64
 	// Lease is how long the gateway may act after a renewal.
 	Lease time.Duration
 }
@@ -87,7 +89,8 @@
 	promisedAt time.Duration
 }
 
-// NewMembers returns what the process of an instance knows before it has read anything.
+// NewMembers returns what a process knows before it has read anything. name is that of its
+// instance.
 func NewMembers(name, process string) *Members {
 	return &Members{name: name, process: process, known: map[string]*known{}, departed: map[string]*known{}, orders: map[string][]Member{}, lease: leaseIntervals * minRenewInterval}
 }
--- a/coordination/ratelimit/pool.go
+++ b/coordination/ratelimit/pool.go
@@ -8,7 +8,7 @@
 // maxPool bounds the number of admissions that a pool remembers, and so admits in a window.
 const maxPool = 1024
 
-// pool admits a number of requests in any window, counted from when the process began.
+// pool admits at most a given number of requests in any window.
 type pool struct {
 	// admitted holds when the admissions of the last window were made.
 	admitted []time.Duration
--- a/coordination/starting/survey.go
+++ b/coordination/starting/survey.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// surveyLength is how long the batcher beside a target is asked again that has not
-	// answered, and surveyInterval the shortest time between two surveys of all targets.
+	// surveyLength is how long a batcher that does not answer is asked again, and
+	// surveyInterval the shortest time between two surveys of all targets.
 	surveyLength   = time.Second
 	surveyInterval = time.Second
 	// maxQuestioned bounds the targets of a survey.
--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -24,11 +24,11 @@
 
 // Request is a request for which no target has room.
 type Request struct {
-	// Rank is the request's priority, 0 being the most urgent. Class names its workspace. It is
-	// empty for requests without one, which are one class.
+	// Rank is the request's priority, 0 being the most urgent. Class is the name of its
+	// workspace, empty for a request without one.
 	Rank  int
 	Class string
-	// Bytes is the size of the body.
+	// Bytes is the size of the body in bytes.
 	Bytes int
 	// RefuseBy is when it may be refused for the last time because its turn would come too
 	// late: its caller must have time for another attempt.
@@ -44,7 +44,7 @@
 	EndBy time.Time
 }
 
-// Ticket is a request's place in a Queue.
+// Ticket is a request's place in a Queue. Since is when the request was added.
 type Ticket struct {
 	Request
 	Since   time.Time
--- a/gateway/jobreads.go
+++ b/gateway/jobreads.go
@@ -17,10 +17,11 @@
 	maxResultWait = 2 * time.Second
 )
 
-// lookUpJob calls visit with the job. A job of another workspace counts as unknown. visit reports whether it found what it looks for,
-// which sought describes for the log. If the job is unknown or visit returns false,
-// lookUpJob reads the log to its end and tries once more. It returns ErrRefused if the log
-// cannot be read, and ErrUnknownJob if the second try fails as well.
+// lookUpJob calls visit with the job. A job of another workspace counts as unknown. visit
+// reports whether it found what it looks for, which sought describes for the log. If the job is
+// unknown or visit returns false, lookUpJob reads the log to its end and tries once more. It
+// returns ErrRefused if the log cannot be read, and ErrUnknownJob if the second try fails as
+// well.
 func (g *Gateway) lookUpJob(ctx context.Context, workspace *fleet.Workspace, id, sought string, visit func(*worklog.Job) bool) error {
 	visitOwn := func(job *worklog.Job) bool { return workspace.MayUse(job.Accept.Workspace) && visit(job) }
 	if g.viewJob(id, visitOwn) {
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -35,8 +35,8 @@
 }
 
 // chooseTarget chooses the target of the next attempt. For a stream it is, of a few targets
-// whose load was queried, the one that is expected to serve it soonest. If no batcher answers, and for other
-// requests, the gateway's own load table decides.
+// whose load was queried, the one that is expected to serve it soonest. If no batcher answers,
+// and for other requests, the gateway's own load table decides.
 func (o *onlineRequest) chooseTarget(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
 	if choice, found := o.chooseByLoad(ctx, targets); found {
 		if !o.mustWait(choice) {
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -68,7 +68,8 @@
 	released bool
 	// displaced is set if a more urgent request has taken the place.
 	displaced bool
-	// promised is the time until its turn as estimated at the entry, 0 if not known.
+	// promised is the time until its turn as estimated when it entered, 0 if not known, and
+	// place the number of requests whose turn came before at that time.
 	promised time.Duration
 	place    int
 }
@@ -350,8 +351,8 @@
 }
 
 // awaitTurn returns once it is the request's turn to look for room, or once it has waited
-// long enough and goes to a target without room. It fails if the request is
-// refused or its caller leaves.
+// long enough and goes to a target without room. It fails if the request is refused or its
+// caller leaves.
 func (o *onlineRequest) awaitTurn(ctx context.Context, hasLooked bool) error {
 	room := o.g.waitingRoom
 	if o.waiter == nil {
--- a/state/worklog/presence.go
+++ b/state/worklog/presence.go
@@ -7,9 +7,9 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// presencePrefix is the prefix of the keys of presence records, which the name of the
-// instance follows: the newest record of an instance replaces the others. It comes after all other
-// keys, so that these records can be read without others.
+// presencePrefix begins the keys of presence records; the name of the instance follows, so
+// that the newest record of an instance replaces the others. It sorts after all other keys, so
+// that these records can be read without others.
 const presencePrefix = "~present/"
 
 // Presence records that a gateway is present and can be asked about rates.
@@ -67,8 +67,7 @@
 // IsPresenceKey reports whether the key is one of a presence record.
 func IsPresenceKey(key string) bool { return strings.HasPrefix(key, presencePrefix) }
 
-// BeforePresences is a key that comes before those of all presence records, and after no other
-// that comes before them.
+// BeforePresences sorts before the keys of all presence records and after all other keys.
 const BeforePresences = presencePrefix
 
 // DecodePresence returns the gateway of a presence record, or false if it is none.
