--- a/coordination/configcheck/changes.go
+++ b/coordination/configcheck/changes.go
@@ -8,7 +8,9 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// Change is one difference between the configuration in force and the next one.
+// Change is one difference between the configuration in force and the next one. Where names
+// the entry and What its property. Before and After are its values, empty for an entry or a
+// key that was added or removed.
 type Change struct {
 	Where  string `json:"where"`
 	What   string `json:"what"`
@@ -26,8 +28,8 @@
 	}
 }
 
-// Compare returns what differs in the next configuration, by the names of routes and
-// services: first what is gone, then what is new, then what has changed.
+// Compare returns what differs in the next configuration, entries being the same if they have
+// the same name: routes (gone, new, then changed ones), services, workspaces and limits.
 func Compare(current, next *File) []Change {
 	changes := compareAllRoutes(current.Configuration, next.Configuration)
 	changes = append(changes, compareServices(current.Configuration, next.Configuration)...)
--- a/gateway/waitingmetrics.go
+++ b/gateway/waitingmetrics.go
@@ -8,10 +8,11 @@
 
 // waitingMetrics holds the metrics of the waiting room.
 type waitingMetrics struct {
-	waiting  *prometheus.GaugeVec
-	seconds  *prometheus.HistogramVec
-	refused  *prometheus.CounterVec
-	admitted *prometheus.CounterVec
+	waiting *prometheus.GaugeVec
+	seconds *prometheus.HistogramVec
+	refused *prometheus.CounterVec
+	// ended counts the requests that have left the waiting room.
+	ended *prometheus.CounterVec
 	// misjudged is the difference between the time that a request waited and the time that
 	// was estimated when it came.
 	misjudged prometheus.Histogram
@@ -29,7 +30,7 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_waiting_refused_total", Help: "Requests that were refused because no target had room, by reason.",
 		}, []string{"reason"}),
-		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamoretally_gateway_waiting_ended_total", Help: "Requests that left the waiting room, by rank and by whether a target took them.",
 		}, []string{"rank", "result"}),
 		misjudged: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -37,7 +38,7 @@
 			Buckets: []float64{-0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4},
 		}),
 	}
-	registry.MustRegister(m.waiting, m.seconds, m.refused, m.admitted, m.misjudged)
+	registry.MustRegister(m.waiting, m.seconds, m.refused, m.ended, m.misjudged)
 	return m
 }
 
@@ -47,10 +48,10 @@
 	m.waiting.WithLabelValues(rank).Dec()
 	m.seconds.WithLabelValues(rank).Observe(waited.Seconds())
 	if !departs {
-		m.admitted.WithLabelValues(rank, "given_up").Inc()
+		m.ended.WithLabelValues(rank, "given_up").Inc()
 		return
 	}
-	m.admitted.WithLabelValues(rank, "sent").Inc()
+	m.ended.WithLabelValues(rank, "sent").Inc()
 	if t.promised > 0 {
 		m.misjudged.Observe((waited - t.promised).Seconds())
 	}
