--- a/gateway/online.go
+++ b/gateway/online.go
@@ -317,15 +317,7 @@
 		o.g.targets.MarkLeaving(target)
 	}
 	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
-		answer.Discard()
-		if answer.Verdict == fleet.VerdictWrongTarget {
-			o.wrongTargets++
-			o.g.targets.RemoveIncarnation(target)
-			o.g.askBeside(ctx, target)
-			return errOtherIncarnation.New("another incarnation answered at the target's address")
-		}
-		o.refusals++
-		return errNotRun.New("target refused the request without running it")
+		return o.handleNotRun(ctx, target, answer)
 	}
 	defer answer.Close()
 	o.possibleRuns++
@@ -341,6 +333,20 @@
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// handleNotRun returns the error of an attempt that the target answered without running the
+// request: it refused, or another incarnation runs at its address.
+func (o *onlineRequest) handleNotRun(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
+	answer.Discard()
+	if answer.Verdict == fleet.VerdictWrongTarget {
+		o.wrongTargets++
+		o.g.targets.RemoveIncarnation(target)
+		o.g.askBeside(ctx, target)
+		return errOtherIncarnation.New("another incarnation answered at the target's address")
+	}
+	o.refusals++
+	return errNotRun.New("target refused the request without running it")
+}
+
 // rejectUnsendable ends a request that can't be written as one request to a target. That is
 // no fault of the target.
 func (o *onlineRequest) rejectUnsendable(ctx context.Context, err error) error {
