Say when a request counts as entered, and which outcome is kept

Cause: onlineRequest.entered is read after the rate was decided, not when the request came; Datagrams keeps one outcome for each address only. Change: comments. go test ./gateway ./transport pass.

--- a/gateway/online.go
+++ b/gateway/online.go
@@ -117,8 +117,9 @@
 	route   *fleet.Route
 	request *fleet.Request
 	sink    fleet.Sink
-	// begun is when the request came, entered the same time by a clock that also counts
-	// suspensions, and limit the time that it may take, 0 if there is no bound.
+	// begun is when the request came, and entered when it was found to be within its
+	// workspace's rate, by a clock that also counts suspensions. limit is the time that it may
+	// take, 0 if there is no bound.
 	begun       time.Time
 	entered     time.Duration
 	limit       time.Duration
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -39,7 +39,8 @@
 	mu          sync.Mutex
 	lastQueryID uint64
 	pending     map[uint64]pendingQuery
-	// outcomes holds the outcomes that travel with the next message to an address.
+	// outcomes holds the newest outcome for each address, which travels with the next message
+	// there.
 	outcomes map[string]fleet.PeerOutcome
 	// pendingRates holds the calls of QueryRate that wait, by the IDs of their queries.
 	pendingRates map[uint64]chan fleet.RateAnswer
