--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -27,12 +27,6 @@
 	version        int64
 }
 
-// given is a bucket that another gateway took.
-type given struct {
-	at time.Duration
-	to string
-}
-
 // Take is a query that a Holder wants sent, under its ID.
 type Take struct {
 	Address string
@@ -45,15 +39,18 @@
 type Holder struct {
 	*Members
 	bounds Bounds
-	// began is when the process began: what it may tolerate begins a window later.
+	// began is when the process began. It admits nothing from the tolerance for a window after
+	// that, since the process before it may have done so.
 	began     time.Duration
 	buckets   map[string]*bucket
 	pools     map[string]*pool
 	alone     map[string]*pool
 	handovers map[string]*handover
-	given     map[string]given
-	ledger    *ledger
-	newID     func() uint64
+	// given holds when another gateway last took a workspace's bucket, or was told that there
+	// is none.
+	given  map[string]time.Duration
+	ledger *ledger
+	newID  func() uint64
 }
 
 // NewHolder returns a holder of a process that began at the given time. newID returns
@@ -65,13 +62,13 @@
 	m.began = began
 	return &Holder{
 		Members: m, bounds: b, began: began, newID: newID, ledger: newLedger(),
-		buckets: map[string]*bucket{}, pools: map[string]*pool{}, alone: map[string]*pool{}, handovers: map[string]*handover{}, given: map[string]given{},
+		buckets: map[string]*bucket{}, pools: map[string]*pool{}, alone: map[string]*pool{}, handovers: map[string]*handover{}, given: map[string]time.Duration{},
 	}
 }
 
-// Handle decides about a query of the gateway at the address from. answered is false if
-// the query must not be answered: a repetition of it will be. take, if not nil, is to be
-// sent.
+// Handle decides about a query of the gateway at the address from. answered is false if there
+// is no answer, or none yet: then the query is decided when it is repeated. If take is not nil,
+// the caller must send it.
 func (h *Holder) Handle(now time.Duration, from string, id uint64, q fleet.RateQuery) (answer fleet.RateAnswer, answered bool, take *Take) {
 	key := queryKey{from, id}
 	if q.Kind == fleet.RateReturn {
@@ -203,8 +200,8 @@
 		return nil, nil, false
 	}
 	since := h.entitledFrom()
-	if g, found := h.given[q.Workspace]; found {
-		since = max(since, g.at+h.lease)
+	if at, found := h.given[q.Workspace]; found {
+		since = max(since, at+h.lease)
 		if now < since {
 			return nil, nil, false
 		}
@@ -264,7 +261,7 @@
 	if k == nil {
 		k = h.unusedBucket(now, to, q)
 	}
-	h.given[q.Workspace] = given{now, to}
+	h.given[q.Workspace] = now
 	if k == nil {
 		return fleet.RateAnswer{Verdict: fleet.RateNotHeld}
 	}
@@ -375,8 +372,8 @@
 			delete(h.handovers, workspace)
 		}
 	}
-	for workspace, g := range h.given {
-		if now-g.at > 2*maxLease {
+	for workspace, at := range h.given {
+		if now-at > 2*maxLease {
 			delete(h.given, workspace)
 		}
 	}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -117,8 +117,9 @@
 	route   *fleet.Route
 	request *fleet.Request
 	sink    fleet.Sink
-	// begun is when the request came, entered the same time by a clock that also counts
-	// suspensions, and limit the time that it may take, 0 if there is no bound.
+	// begun is when the request came, and entered when it was found to be within its
+	// workspace's rate, by a clock that also counts suspensions. limit is the time that it may
+	// take, 0 if there is no bound.
 	begun       time.Time
 	entered     time.Duration
 	limit       time.Duration
@@ -317,15 +318,7 @@
 		o.g.targets.MarkLeaving(target)
 	}
 	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
-		answer.Discard()
-		if answer.Verdict == fleet.VerdictWrongTarget {
-			o.wrongTargets++
-			o.g.targets.RemoveIncarnation(target)
-			o.g.askBeside(ctx, target)
-			return errOtherIncarnation.New("another incarnation answered at the target's address")
-		}
-		o.refusals++
-		return errNotRun.New("target refused the request without running it")
+		return o.handleNotRun(ctx, target, answer)
 	}
 	defer answer.Close()
 	o.possibleRuns++
@@ -341,6 +334,20 @@
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// handleNotRun returns the error of an attempt that the target answered without running the
+// request: it refused, or another incarnation runs at its address.
+func (o *onlineRequest) handleNotRun(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
+	answer.Discard()
+	if answer.Verdict == fleet.VerdictWrongTarget {
+		o.wrongTargets++
+		o.g.targets.RemoveIncarnation(target)
+		o.g.askBeside(ctx, target)
+		return errOtherIncarnation.New("another incarnation answered at the target's address")
+	}
+	o.refusals++
+	return errNotRun.New("target refused the request without running it")
+}
+
 // rejectUnsendable ends a request that can't be written as one request to a target. That is
 // no fault of the target.
 func (o *onlineRequest) rejectUnsendable(ctx context.Context, err error) error {
