Hold requests that no gateway can decide about, and let them wait in order only for workspaces

Cause: after a loss of all power owners decide again within a second or two.

Change: ratelimit.Persistence bounds how long a request asks again, a third of its time and two seconds, 256 at a gateway.

--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -60,6 +60,8 @@
 	address string
 	lastID  atomic.Uint64
 	metrics *rateMetrics
+	// undecided is the number of requests that no gateway could decide about so far.
+	undecided atomic.Int64
 	// enabled is set once this gateway has been present.
 	enabled atomic.Bool
 	// foldRebuilt is when the fold was last made anew, and foldFrom when that was noticed. Only
@@ -118,18 +120,52 @@
 	version := r.g.configVersion()
 	q := fleet.RateQuery{Kind: fleet.RateAsk, Workspace: workspace.RateKey(), PerSecond: rate.PerSecond, Burst: rate.Burst, Version: version}
 	a, by, inquiry := r.inquire(ctx, q)
+	if id := r.nextID(); !isDecided(a) && r.admitAlone(id, q.Workspace, rate) {
+		r.metrics.requests.WithLabelValues("admitted_alone").Inc()
+		return Admission{Workspace: workspace.Name, ID: id}, nil
+	}
+	if !isDecided(a) {
+		a, by, inquiry = r.inquireAgain(ctx, q)
+	}
 	r.metrics.seconds.Observe(time.Since(begun).Seconds())
 	if a.Verdict == fleet.RateAdmitted {
 		r.metrics.requests.WithLabelValues(outcomeAdmitted(a.Deputy)).Inc()
 		return by, nil
 	}
-	decided := a.Verdict == fleet.RateExceeded
-	if id := r.nextID(); !decided && r.admitAlone(id, q.Workspace, rate) {
-		r.metrics.requests.WithLabelValues("admitted_alone").Inc()
-		return Admission{Workspace: workspace.Name, ID: id}, nil
+	r.logRefusal(workspace, version, isDecided(a), a, inquiry)
+	return Admission{}, ratelimit.Refusal(workspace, isDecided(a), a, inquiry.Silent)
+}
+
+// isDecided reports whether the answer admits the request, or says that it exceeds the rate.
+func isDecided(a fleet.RateAnswer) bool {
+	return a.Verdict == fleet.RateAdmitted || a.Verdict == fleet.RateExceeded
+}
+
+// inquireAgain inquires for a while until a gateway can decide.
+func (r *Rates) inquireAgain(ctx context.Context, q fleet.RateQuery) (a fleet.RateAnswer, by Admission, inquiry *ratelimit.Inquiry) {
+	persistence := ratelimit.NewPersistence(r.now(), timeLeft(ctx), int(r.undecided.Add(1)-1))
+	defer r.undecided.Add(-1)
+	inquiry = &ratelimit.Inquiry{}
+	for ctx.Err() == nil && !r.g.closing.Load() {
+		wait, again := persistence.Next(r.now(), rand.Float64())
+		if !again {
+			break
+		}
+		pause.For(ctx, wait)
+		if a, by, inquiry = r.inquire(ctx, q); isDecided(a) {
+			break
+		}
+	}
+	return a, by, inquiry
+}
+
+// timeLeft returns the time until the context's deadline, 0 if it has none.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, found := ctx.Deadline()
+	if !found {
+		return 0
 	}
-	r.logRefusal(workspace, version, decided, a, inquiry)
-	return Admission{}, ratelimit.Refusal(workspace, decided, a, inquiry.Silent)
+	return time.Until(deadline)
 }
 
 // inquire asks gateways until one decides. It returns the zero answer if none does.
--- a/gateway/waitingroom.go
+++ b/gateway/waitingroom.go
@@ -296,12 +296,14 @@
 // mustWait reports whether the request waits for room instead of going to the chosen target.
 // What may have run does not wait: it can no longer be refused.
 func (o *onlineRequest) mustWait(c balancing.Choice) bool {
-	return c.RoomKnown && c.Room <= 0 && o.mayWait()
+	return o.asksForRoom() && c.RoomKnown && c.Room <= 0 && o.mayWait()
 }
 
-// asksForRoom reports whether the room of targets is asked for before the request is sent.
+// asksForRoom reports whether the request waits for room: the room of targets is asked for
+// before it is sent, and the configuration has workspaces, whose requests are put in order.
+// Without workspaces the targets' queues are as fair.
 func (o *onlineRequest) asksForRoom() bool {
-	return o.g.params.LoadQuerier != nil && o.route.Kind == fleet.KindStream
+	return o.request.Workspace != nil && o.g.params.LoadQuerier != nil && o.route.Kind == fleet.KindStream
 }
 
 // mayWait reports whether the request may wait for room: nothing of it may have run, and
