Let a removal empty only the buckets of the removed gateway's workspaces

Cause: whenever any gateway was removed, all others counted the credit of workspaces that had sent nothing lately from that moment on, and refused their next burst.

Change: credit counts from the last removal of a gateway that would be the workspace's owner.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -202,7 +202,7 @@
 	if !settled || len(h.buckets) >= maxBuckets {
 		return nil, nil, false
 	}
-	since := h.entitledFrom()
+	since := h.entitledFrom(q.Workspace)
 	if g, found := h.given[q.Workspace]; found {
 		since = max(since, g.at+h.lease)
 		if now < since {
@@ -281,13 +281,13 @@
 	rate := fleet.Rate{PerSecond: q.PerSecond, Burst: q.Burst}.Sanitized()
 	_, gave := h.given[q.Workspace]
 	if h.left != nil && !gave && rate.IsLimited() && h.left.owned(q.Workspace, h.present) {
-		k := newBucket(h.bounds, rate, q.Version, h.left.from)
+		k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(q.Workspace))
 		k.fill(h.left.until)
 		k.frozen = true
 		return k
 	}
 	until, owned := h.added(now, to)
-	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom() {
+	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom(q.Workspace) {
 		return nil
 	}
 	order := h.Order(q.Workspace)
@@ -295,7 +295,7 @@
 	if rank != 0 && !(rank == 1 && order[0].Address == to) {
 		return nil
 	}
-	k := newBucket(h.bounds, rate, q.Version, h.entitledFrom())
+	k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(q.Workspace))
 	k.fill(until)
 	k.frozen = true
 	return k
@@ -313,7 +313,7 @@
 	}
 	since := now
 	if h.IsSettled(now) { // whoever gave the bucket has not decided since then
-		since = h.entitledFrom()
+		since = h.entitledFrom(workspace)
 	}
 	k := newBucket(h.bounds, o.rate, o.version, since)
 	k.fill(now)
@@ -366,7 +366,7 @@
 		case !owns && !k.frozen:
 			k.fill(now)
 			k.frozen = true
-		case owns && k.isFull(now) && now-h.entitledFrom() > 2*h.refill(k):
+		case owns && k.isFull(now) && now-h.entitledFrom(workspace) > 2*h.refill(k):
 			delete(h.buckets, workspace)
 		}
 	}
--- a/coordination/ratelimit/holder_test.go
+++ b/coordination/ratelimit/holder_test.go
@@ -290,6 +290,15 @@
 	assert.Equal(t, a.Verdict, fleet.RateNotHeld)
 }
 
+// TestRemovalKeepsOtherBuckets removes a gateway that never owned the workspace, which has sent
+// nothing yet. Its first burst must not be refused.
+func TestRemovalKeepsOtherBuckets(t *testing.T) {
+	order := byRank("a", "b", "c")
+	h := newTestHolder(order[0], order[1])
+	h.keep(settled+100*time.Millisecond, order[0])
+	assert.Equal(t, h.admitAll(settled+100*time.Millisecond, ask(tenBurst, 1), newCounter()), 15)
+}
+
 // TestLoweredRateCutsTheBucket lowers a rate, and then delivers an ask of a gateway that knows the
 // earlier version only: the newest version counts.
 func TestLoweredRateCutsTheBucket(t *testing.T) {
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -26,6 +26,8 @@
 	departedFor = 3 * time.Second
 	// maxCachedOrders bounds the number of workspaces whose order is kept.
 	maxCachedOrders = 1 << 14
+	// maxRemovals bounds the number of removals of members that are remembered.
+	maxRemovals = 128
 	// deputies is the number of gateways after the owner that stand in for it.
 	deputies = 2
 )
@@ -59,10 +61,13 @@
 	present []Member
 	// departed holds the members that have deleted their records, with the time.
 	departed map[string]*known
-	// removedAt is when a member was last removed from present: only then does another
-	// become the owner of workspaces.
-	removedAt time.Duration
-	orders    map[string][]Member
+	// removals are the members that were removed from present, the latest last: only then does
+	// another one become the owner of their workspaces. removedBefore is the time of the latest
+	// one that is not listed any more. self is this gateway's own newest record.
+	removals      []known
+	removedBefore time.Duration
+	self          Member
+	orders        map[string][]Member
 
 	// readAt is when the last read of the log began, leaseFrom when the last confirmed
 	// renewal began, and confirmed its revision. They are valid once hasRead and hasLease
@@ -137,6 +142,9 @@
 	if k.Revision != r.Revision || k.Process == "" {
 		k.Member, k.renewedAt = sanitized(r), now
 	}
+	if r.Name == m.name {
+		m.self = k.Member
+	}
 }
 
 // join notes that this process's record was read back.
@@ -170,13 +178,25 @@
 	}
 	for _, before := range m.present {
 		if !slices.ContainsFunc(present, func(p Member) bool { return same(p, before) }) {
-			m.removedAt = now
+			m.remove(now, before)
 		}
 	}
 	m.present = present
 	m.checkConfirmed(now)
 }
 
+// remove notes that a member was removed.
+func (m *Members) remove(now time.Duration, removed Member) {
+	if removed.Name == m.name {
+		return
+	}
+	if len(m.removals) >= maxRemovals {
+		m.removedBefore = m.removals[0].renewedAt
+		m.removals = slices.Delete(m.removals, 0, 1)
+	}
+	m.removals = append(m.removals, known{Member: removed, renewedAt: now})
+}
+
 // Unconfirmed returns the addresses of the gateways that must still confirm that they know of
 // this one: until then, one of them may act as the owner of the same workspaces.
 func (m *Members) Unconfirmed(now time.Duration) (addresses []string) {
@@ -243,7 +263,7 @@
 // Leave ends this gateway's part: it decides about nothing any more.
 func (m *Members) Leave(now time.Duration) {
 	if own := m.known[m.name]; own != nil && m.IsSettled(now) && !m.leaving {
-		m.left = &departure{own.Member, m.entitledFrom(), now}
+		m.left = &departure{own.Member, now}
 	}
 	m.leaving = true
 }
@@ -251,7 +271,7 @@
 // departure is what a gateway that leaves was entitled to.
 type departure struct {
 	Member
-	from, until time.Duration
+	until time.Duration
 }
 
 // owned reports whether the gateway that leaves owned the workspace.
@@ -291,13 +311,21 @@
 	return 0
 }
 
-// entitledFrom returns from when on the workspaces that this gateway owns have used nothing of
-// their rates elsewhere.
-func (m *Members) entitledFrom() time.Duration {
+// entitledFrom returns from when on the workspace, which this gateway owns, has used nothing of
+// its rate elsewhere: since a member was removed that would be its owner.
+func (m *Members) entitledFrom(workspace string) time.Duration {
+	from := m.settledAt()
 	if m.allConfirmed {
-		return max(m.removedAt, m.quietFrom)
+		from = m.quietFrom
+	}
+	from = max(from, m.removedBefore)
+	own := rankOf(workspace, m.self)
+	for _, k := range m.removals {
+		if k.renewedAt > from && rankOf(workspace, k.Member) >= own {
+			from = k.renewedAt
+		}
 	}
-	return max(m.removedAt, m.settledAt())
+	return from
 }
 
 // settledAt returns from when on every other gateway knows that this one is present.
@@ -371,13 +399,18 @@
 func sortByRank(members []Member, workspace string) {
 	ranks := make(map[string]float64, len(members))
 	for _, m := range members {
-		ranks[m.Name] = -m.Weight / math.Log(uniform(workspace, m.Name))
+		ranks[m.Name] = rankOf(workspace, m)
 	}
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(ranks[b.Name], ranks[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
 }
 
+// rankOf returns the member's rank for the workspace; the highest one is the owner.
+func rankOf(workspace string, m Member) float64 {
+	return -m.Weight / math.Log(uniform(workspace, m.Name))
+}
+
 // uniform returns a number between 0 and 1, both excluded, that the two names determine.
 func uniform(workspace, member string) float64 {
 	h := fnv.New64a()
