--- a/coordination/registry/provisional.go
+++ b/coordination/registry/provisional.go
@@ -13,7 +13,7 @@
 	// being registered. Targets register within about this time after their start.
 	provisionalLifetime = 2 * time.Second
 	// maxProvisional bounds the announced targets, maxPast the IDs that are remembered.
-	maxProvisional = 4096
+	maxProvisional = 8192
 	maxPast        = 16384
 )
 
--- a/coordination/starting/survey.go
+++ b/coordination/starting/survey.go
@@ -13,7 +13,7 @@
 	surveyLength   = time.Second
 	surveyInterval = time.Second
 	// maxQuestioned bounds the targets of a survey.
-	maxQuestioned = 4096
+	maxQuestioned = 8192
 )
 
 // Survey keeps the targets whose batchers have to be asked which incarnation runs beside
--- a/coordination/waiting/estimate.go
+++ b/coordination/waiting/estimate.go
@@ -90,6 +90,8 @@
 	minReturn = 150 * time.Millisecond
 	// maxReturnShare bounds that time, as a share of the time that the request has left.
 	maxReturnShare = 1. / 3
+	// maxReturn bounds that time where it is not known how long the caller waits.
+	maxReturn = 5 * time.Second
 )
 
 // setReturn sets the time after which the caller of a refused request should come again: its
@@ -102,10 +104,12 @@
 	if after := c.lastReturn.Add(refusal.Interval); after.After(next) {
 		next = after
 	}
+	latest := now.Add(maxReturn)
 	if !r.EndBy.IsZero() {
-		if latest := now.Add(time.Duration(maxReturnShare * float64(r.EndBy.Sub(now)))); next.After(latest) {
-			next = latest
-		}
+		latest = now.Add(time.Duration(maxReturnShare * float64(r.EndBy.Sub(now))))
+	}
+	if next.After(latest) {
+		next = latest
 	}
 	c.lastReturn = next
 	refusal.Return = max(next.Sub(now), minReturn)
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -182,3 +182,18 @@
 	assert.Equal(t, q.TurnFactor(start, next), 1.)
 	assert.Assert(t, q.Review(start.Add(200*time.Millisecond), next) == nil)
 }
+
+// TestReturnIsBoundedWithoutDeadline refuses ten thousand requests that do not say how long they
+// wait: each would be told to return after all others, minutes later.
+func TestReturnIsBoundedWithoutDeadline(t *testing.T) {
+	q := NewQueue()
+	var longest time.Duration
+	for range 10_000 {
+		r := request(0, "one", 0)
+		r.EndBy = time.Time{}
+		if _, _, refusal := q.Add(start, r); refusal != nil {
+			longest = max(longest, refusal.Return)
+		}
+	}
+	assert.Assert(t, longest > 0 && longest <= maxReturn, "%v", longest)
+}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -61,12 +61,13 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
+	entered := boottime.Now()
 	rated, err := g.admitRate(ctx, r)
 	if err != nil {
 		g.metrics.observe(route, err, time.Since(begun))
 		return err
 	}
-	o := &onlineRequest{g: g, route: route, request: r, sink: sink, rateTook: time.Since(begun), begun: begun, entered: boottime.Now(), limit: limit, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
+	o := &onlineRequest{g: g, route: route, request: r, sink: sink, rateTook: time.Since(begun), begun: begun, entered: entered, limit: limit, deadline: begun.Add(limit), hasDeadline: limit > 0, lastEvent: r.LastEventID, tried: map[string]bool{}}
 	err = o.run(ctx)
 	rated(err, o.possibleRuns > 0)
 	took := time.Since(begun)
