Delete the presence records of instances that are gone for good

Cause: only a gateway that stops in order deleted its record, so that those of lost instances stayed in the store and in every process for ever.

A deletion of another key no longer touches a presence.

--- a/gateway/cleanup.go
+++ b/gateway/cleanup.go
@@ -33,6 +33,9 @@
 	nonAcceptorFactor = 2
 	// suspicionTTL is how long a request stays a suspect after its last crash.
 	suspicionTTL = 10 * time.Minute
+	// presenceTTL is how long the presence record of an instance is kept that has written
+	// nothing. It is well above every lease.
+	presenceTTL = 10 * time.Minute
 )
 
 // compactClosed deletes from the work log what no longer matters of the jobs that this
@@ -78,6 +81,7 @@
 	for g.ctx.Err() == nil {
 		pause.For(g.ctx, cleanupInterval)
 		g.deleteExpiredSuspects()
+		g.deleteStalePresences()
 		promised := g.node.Load().KeepResults
 		if promised == 0 {
 			continue // results are kept without limit
@@ -109,6 +113,18 @@
 	klog.InfoS("expired suspicions deleted", "records", len(deletions), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
 }
 
+// deleteStalePresences deletes the presence records of instances that are gone for good.
+func (g *Gateway) deleteStalePresences() {
+	g.jobsMu.RLock()
+	deletions := g.fold.PresenceDeletions(time.Now().Add(-presenceTTL), cleanupBatchSize)
+	g.jobsMu.RUnlock()
+	if len(deletions) == 0 {
+		return
+	}
+	err := g.deleteRecords(fleet.TopicWork, deletions)
+	klog.InfoS("stale presences deleted", "records", len(deletions), "outcome", outcomeOf(err), "error", protocol.CauseOf(err))
+}
+
 // expiredJobs returns the records that delete expired jobs and inactive writers from the
 // work log and the texts, and the number of jobs.
 func (g *Gateway) expiredJobs(retention time.Duration) (log, texts []fleet.Record, jobs int) {
--- a/state/worklog/presence.go
+++ b/state/worklog/presence.go
@@ -60,10 +60,24 @@
 // record.
 func (p *presences) applyDeletion(key string) bool {
 	instance, found := strings.CutPrefix(key, presencePrefix)
-	delete(p.newest, instance)
+	if found {
+		delete(p.newest, instance)
+	}
 	return found
 }
 
+// PresenceDeletions returns up to limit records that delete the presence records of writers
+// that were last heard of before the given time: their instances are gone for good.
+func (f *Fold) PresenceDeletions(before time.Time, limit int) []fleet.Record {
+	var deletions []fleet.Record
+	for instance, p := range f.presences.newest {
+		if len(deletions) < limit && f.lastHeard[p.Writer].Before(before) {
+			deletions = append(deletions, fleet.Record{Key: PresenceKey(instance)})
+		}
+	}
+	return deletions
+}
+
 // IsPresenceKey reports whether the key is one of a presence record.
 func IsPresenceKey(key string) bool { return strings.HasPrefix(key, presencePrefix) }
 
--- a/state/worklog/presence_test.go
+++ b/state/worklog/presence_test.go
@@ -49,3 +49,24 @@
 	assert.NilError(t, msgpack.Unmarshal(r.Value, &e))
 	assert.DeepEqual(t, e, earlierEntry{Writer: "a-1"})
 }
+
+// TestPresenceOfLostInstanceIsDeleted takes an instance away for good while another renews its
+// presence: the record of the lost one would otherwise stay in the store for ever, and each
+// process that starts would count a gateway that is gone.
+func TestPresenceOfLostInstanceIsDeleted(t *testing.T) {
+	f := NewFold()
+	apply := func(at time.Time, instance string, offset int64) {
+		r, err := NewWriter(instance + "-1").Record(Entry{Presence: &Presence{Instance: instance, Address: "10.0.0.1:1"}})
+		assert.NilError(t, err)
+		r.Offset = offset
+		f.Apply(at, []fleet.Record{r})
+	}
+	apply(now, "lost", 1)
+	apply(now, "there", 2)
+	apply(now.Add(10*time.Minute), "there", 3)
+	deletions := f.PresenceDeletions(now.Add(time.Minute), 10)
+	assert.DeepEqual(t, deletions, []fleet.Record{{Key: PresenceKey("lost")}})
+	f.Apply(now, deletions)
+	assert.Equal(t, len(f.Presences()), 1)
+	assert.Equal(t, len(f.PresenceDeletions(now.Add(time.Minute), 10)), 0)
+}
