Let the streams of a replaced target go on as long as they flow

Cause: an attempt was ended as soon as a later incarnation was registered at its target's address, or the host refused a connection.

--- a/gateway/endedtargets.go
+++ b/gateway/endedtargets.go
@@ -91,17 +91,25 @@
 	}
 }
 
-// end cancels the attempts at an incarnation that has ended.
-func (t *attemptTracker) end(name, reason string) {
+// endSilent cancels the attempts at an incarnation that seems to have ended, those that have
+// heard nothing for silenceBeforeProbe. The others go on: a target that leaves serves what it
+// has, also where its successor listens at the same address already.
+func (t *attemptTracker) endSilent(now time.Time, name, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.targets[name]
 	if known == nil {
 		return
 	}
-	klog.InfoS("attempts ended with their target", "target", name, "attempts", len(known.attempts), "reason", reason)
+	ended := 0
 	for a := range known.attempts {
-		a.cancel(errTargetEnded.New("%s", reason))
+		if a.silence(now) >= silenceBeforeProbe {
+			a.cancel(errTargetEnded.New("%s", reason))
+			ended++
+		}
+	}
+	if ended > 0 {
+		klog.InfoS("attempts ended with their target", "target", name, "attempts", ended, "reason", reason)
 	}
 }
 
@@ -146,13 +154,13 @@
 	}
 }
 
-// endLostAttempts ends the attempts at targets that have ended: those that another incarnation
-// has replaced, and those that do not leave and on whose host nothing listens any more.
+// endLostAttempts ends the silent attempts at targets that have ended: those that another
+// incarnation has replaced, and those that do not leave and on whose host nothing listens any more.
 func (g *Gateway) endLostAttempts() {
 	snapshot := g.targets.Current()
 	for name, target := range g.inFlight.all() {
 		if snapshot.HasReplaced(target) {
-			g.inFlight.end(name, "another incarnation is registered at its address")
+			g.inFlight.endSilent(time.Now(), name, "another incarnation is registered at its address")
 		}
 	}
 	if g.params.HasEnded == nil {
@@ -166,7 +174,7 @@
 		}
 		g.tomb.Go(func() error {
 			if g.probe(target) {
-				g.inFlight.end(name, "nothing listens at its address")
+				g.inFlight.endSilent(time.Now(), name, "nothing listens at its address")
 			}
 			g.inFlight.probed(name)
 			return nil
