Let owners decide once the deputies of a workspace have confirmed them

Cause: a gateway that restarts waited for the confirmation of all others, or for a whole lease.

Change: the owner of a workspace decides 0.3 s after it has joined if both deputies have confirmed it.

Excluded: that two decide at once while the lost one is alive after all. It comes after three gateways that renew, and drops nobody without reading the log.

--- a/coordination/ratelimit/holder.go
+++ b/coordination/ratelimit/holder.go
@@ -192,14 +192,14 @@
 	if k := h.held(q.Workspace); k != nil && !k.frozen {
 		return k, nil, false
 	}
-	settled := now >= h.settledAt()
+	settled := now >= h.settledAt() || h.isGuarded(now, q.Workspace)
 	if take, pending := h.continueHandover(now, q, rate, order); pending {
 		return nil, take, true
 	}
 	if !settled || len(h.buckets) >= maxBuckets {
 		return nil, nil, false
 	}
-	since := h.entitledFrom(q.Workspace)
+	since := h.entitledFrom(now, q.Workspace)
 	if at, found := h.given[q.Workspace]; found {
 		since = max(since, at+h.lease)
 		if now < since {
@@ -278,13 +278,13 @@
 	rate := fleet.Rate{PerSecond: q.PerSecond, Burst: q.Burst}.Sanitized()
 	_, gave := h.given[q.Workspace]
 	if h.left != nil && !gave && rate.IsLimited() && h.left.owned(q.Workspace, h.present) {
-		k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(q.Workspace))
+		k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(now, q.Workspace))
 		k.fill(h.left.until)
 		k.frozen = true
 		return k
 	}
 	until, owned := h.added(now, to)
-	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom(q.Workspace) {
+	if gave || !owned || !rate.IsLimited() || !h.lapse(now) || until < h.entitledFrom(now, q.Workspace) {
 		return nil
 	}
 	order := h.Order(q.Workspace)
@@ -292,7 +292,7 @@
 	if rank != 0 && !(rank == 1 && order[0].Address == to) {
 		return nil
 	}
-	k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(q.Workspace))
+	k := newBucket(h.bounds, rate, q.Version, h.entitledFrom(now, q.Workspace))
 	k.fill(until)
 	k.frozen = true
 	return k
@@ -310,7 +310,7 @@
 	}
 	since := now
 	if h.IsSettled(now) { // whoever gave the bucket has not decided since then
-		since = h.entitledFrom(workspace)
+		since = h.entitledFrom(now, workspace)
 	}
 	k := newBucket(h.bounds, o.rate, o.version, since)
 	k.fill(now)
@@ -363,7 +363,7 @@
 		case !owns && !k.frozen:
 			k.fill(now)
 			k.frozen = true
-		case owns && k.isFull(now) && now-h.entitledFrom(workspace) > 2*h.refill(k):
+		case owns && k.isFull(now) && now-h.entitledFrom(now, workspace) > 2*h.refill(k):
 			delete(h.buckets, workspace)
 		}
 	}
--- a/coordination/ratelimit/members.go
+++ b/coordination/ratelimit/members.go
@@ -30,6 +30,9 @@
 	maxRemovals = 128
 	// deputies is the number of gateways after the owner that stand in for it.
 	deputies = 2
+	// confirmPatience is how long a gateway that has joined waits for the confirmation of all
+	// others before that of those next in a workspace's order suffices.
+	confirmPatience = 300 * time.Millisecond
 )
 
 // Member is a gateway that is present.
@@ -316,9 +319,9 @@
 
 // entitledFrom returns from when on the workspace, which this gateway owns, has used nothing of
 // its rate elsewhere: since a member was removed that would be its owner.
-func (m *Members) entitledFrom(workspace string) time.Duration {
+func (m *Members) entitledFrom(now time.Duration, workspace string) time.Duration {
 	from := m.settledAt()
-	if m.allConfirmed {
+	if m.allConfirmed || now < from && m.isGuarded(now, workspace) {
 		from = m.quietFrom
 	}
 	from = max(from, m.removedBefore)
@@ -343,6 +346,22 @@
 	return m.joinedAt + longest
 }
 
+// isGuarded reports whether this gateway, the owner of the workspace, may decide although some
+// others have not confirmed it, for instance one that is gone for good and whose lease has not
+// run out: the deputies of the workspace have. One further down in its order would decide only
+// if it had dropped this gateway and both deputies. It sees in the log that they renew, and
+// without the log it drops nobody.
+func (m *Members) isGuarded(now time.Duration, workspace string) bool {
+	if !m.lapse(now) || now < m.joinedAt+confirmPatience {
+		return false
+	}
+	order := m.Order(workspace)
+	if len(order) <= deputies || order[0].Name != m.name {
+		return false
+	}
+	return !slices.ContainsFunc(order[1:], func(d Member) bool { return !m.confirmedBy[d.Address] })
+}
+
 // added returns when the gateway at the address came to be present, and false if it was
 // present already when this one joined.
 func (m *Members) added(now time.Duration, address string) (time.Duration, bool) {
