--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -92,9 +92,10 @@
 	readableSince time.Time
 	held          map[worklog.ItemRef]*heldItem
 	// handedOver holds the items that were released or got a result here, until the log
-	// shows it, with the offset of the claim by which they were held. room is the number of items that the target had room for at its last poll.
+	// shows it, with the offset of the claim by which they were held.
 	handedOver map[worklog.ItemRef]int64
-	room       int
+	// room is the number of items that the target had room for at its last poll.
+	room int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
 	targetID string
 	// targetBorn is the time of its start in milliseconds since the epoch, 0 if unknown.
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -23,7 +23,7 @@
 
 // asksForRoom reports whether the request waits for room: the room of targets is asked for
 // before it is sent, and the configuration has workspaces, whose requests are put in order.
-// Without workspaces the targets' queues are as fair.
+// Without workspaces there is nobody to be put in order.
 func (o *onlineRequest) asksForRoom() bool {
 	return o.request.Workspace != nil && o.g.params.LoadQuerier != nil && o.route.Kind == fleet.KindStream
 }
