--- a/review/cases2/client.go
+++ b/review/cases2/client.go
@@ -26,6 +26,8 @@
 // job is a batch job as its client knows it.
 type job struct {
 	id string
+	// folder is the path below the route's prefix under which the job is submitted.
+	folder string
 	// prompts holds the prompt tokens of items that have more than promptTokens.
 	prompts  map[string]int
 	items    []string
@@ -91,7 +93,7 @@
 	}
 	body, _ := json.Marshal(wire)
 	for try := range 5 {
-		status, _ := s.call(try, http.MethodPost, batchRoute+j.id, j.id, body)
+		status, _ := s.call(try, http.MethodPost, batchRoute+j.folder+j.id, j.id, body)
 		s.record.write("job %s of %d items sent to gateway %d: %d", j.id, len(j.items), try%len(s.gateways)+1, status)
 		if status == http.StatusAccepted {
 			j.accepted = true
--- a/review/cases2/jobs.go
+++ b/review/cases2/jobs.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/sycamoretally/sycamoretally/platform/platformtest"
 )
 
 const (
@@ -129,3 +131,46 @@
 	rec.write("the first job was accepted %v or more before the last read", retention+finishTime)
 	return check(jobs), nil
 }
+
+// routeAdded lets the operator add a route for other requests, whose prefix is longer than that of
+// the route for batch jobs and begins the path by which jobs were submitted.
+func routeAdded(rec *record, trouble bool) ([]string, error) {
+	const slots = 8
+	s, err := newSite(rec, 2, 3, slots, 15*time.Millisecond)
+	defer s.close()
+	if err != nil {
+		return nil, err
+	}
+	var jobs []*job
+	for range 6 {
+		j := newJob(10)
+		j.folder = "night/"
+		jobs = append(jobs, j)
+	}
+	if err := s.submitAll(jobs, 100*time.Millisecond); err != nil {
+		return nil, err
+	}
+	added := platformtest.Route{
+		Name: "night-desk", Host: siteHost, PathPrefix: otherRoute + "night/", Kind: "streaming", Service: other, TimeoutMS: 5000, LatencyMS: 300, Attempts: 2,
+	}
+	if trouble {
+		added.PathPrefix = batchRoute + "night/"
+	}
+	if err := s.publish(firstVersion+4, slots, added); err != nil {
+		return nil, err
+	}
+	s.readAll(jobs, finishTime)
+	broken := check(jobs)
+	for _, j := range jobs {
+		dead := 0
+		for _, r := range j.results {
+			if r.State == "dead_letter" {
+				dead++
+			}
+		}
+		if dead > 0 {
+			broken = append(broken, fmt.Sprintf("MIXED: job %s: %d of %d items are dead letters, and no worker answered 422 or 500", j.id, dead, len(j.items)))
+		}
+	}
+	return broken, nil
+}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -20,10 +20,11 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken []string, err error){
-	"reused":    addressReused,
-	"long-ids":  longIDs,
-	"spoiled":   spoiledAnswer,
-	"too-large": tooLarge,
+	"reused":      addressReused,
+	"long-ids":    longIDs,
+	"spoiled":     spoiledAnswer,
+	"route-added": routeAdded,
+	"too-large":   tooLarge,
 }
 
 func main() {
--- a/review/cases2/site.go
+++ b/review/cases2/site.go
@@ -34,6 +34,8 @@
 	streamRoute = "/lohu930/"
 	otherRoute  = "/gono990/"
 	other       = "provspel"
+
+	firstVersion = 7
 )
 
 // site is a small deployment on loopback addresses.
@@ -73,7 +75,7 @@
 		return s, err
 	}
 	s.storeURL = store.Addr
-	if err := s.publish(slots); err != nil {
+	if err := s.publish(firstVersion, slots); err != nil {
 		return s, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -138,9 +140,9 @@
 	return server, nil
 }
 
-// publish writes the operator's configuration: two services of model workers with a streaming
-// route each, and a route for batch jobs.
-func (s *site) publish(slots int) error {
+// publish writes a version of the operator's configuration: two services of model workers with a
+// streaming route each, a route for batch jobs, and the routes that are added.
+func (s *site) publish(version int64, slots int, added ...platformtest.Route) error {
 	var services []platformtest.Service
 	for _, name := range []string{model, other} {
 		service := platformtest.Service{Name: name, HealthPath: healthPath, Limit: 360}
@@ -156,7 +158,9 @@
 		Name: "jury-schedule", Host: siteHost, PathPrefix: batchRoute, Kind: "batch", Service: model, LatencyMS: 400, Attempts: 3,
 		Quota: 1_300_000, DueMS: 18_000, RetentionS: retention.Seconds(),
 	}
-	return platformtest.PublishConfiguration(context.Background(), s.store, 7, []platformtest.Route{stream, others, jobs}, services)
+	routes := append([]platformtest.Route{stream, others, jobs}, added...)
+	s.record.write("configuration version %d with %d routes", version, len(routes))
+	return platformtest.PublishConfiguration(context.Background(), s.store, version, routes, services)
 }
 
 // register writes the worker's registry entry once per heartbeat.
