Find a job's route by the name that its accept record has

Cause: batchers looked the route of an accepted job up anew, by the path of its submission in the newest configuration, though the accept record names the route. A longer route of another kind counted as "the route was removed", and a longer one for jobs moved accepted items to its service.

The recorded name is found among the routes for jobs of the job's host; the path decides only where there is no such route any more, and only among routes for jobs. Records of earlier builds have the name.

--- a/batcher/newroute_test.go
+++ b/batcher/newroute_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -129,3 +130,36 @@
 		assert.NilError(t, b.Stop())
 	})
 }
+
+// TestAddedRouteEndsNoAcceptedItem guards against dead letters of accepted items (review/7): half
+// of a job's items wait when the operator adds an online route with a longer prefix at the path
+// of its submission.
+func TestAddedRouteEndsNoAcceptedItem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		jobs := jobsRoute("jobs", "/j/", "llm")
+		added := &fleet.Route{Name: "desk", Host: "h", Prefix: "/j/night/", Kind: fleet.KindStream, Services: []fleet.ServiceWeight{{Service: "other", Weight: 1}}}
+		services := []*fleet.Service{{Name: "llm", Slots: slots}}
+		configs := versions{
+			"1": fleet.NewConfiguration(1, []*fleet.Route{jobs}, services, fleet.Limits{}),
+			"2": fleet.NewConfiguration(2, []*fleet.Route{jobs, added}, services, fleet.Limits{}),
+		}
+		s, e := newFixture(t), newTarget()
+		job := fleet.Job{ID: "j", Host: "h"}
+		for i := range 2 * slots {
+			job.Items = append(job.Items, fleet.Item{ID: fmt.Sprint("j", i), Path: "/j/x", Header: http.Header{}})
+		}
+		s.appendEntry(worklog.Entry{Accept: &worklog.Accept{Job: job, Route: "jobs", Path: "/j/night/1", ConfigVersion: 1}})
+		b := batcher.New(batcher.Params{
+			Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20},
+			Store: s.store, Sender: e, Reporter: e, Decoder: configs,
+		})
+		b.Start()
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, e.busy(), slots)
+		_, err := s.store.Append(t.Context(), fleet.TopicConfiguration, fleet.AnyOffset, []fleet.Record{{Key: "config", Value: []byte("2")}})
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		s.checkCompleted("j")
+		assert.NilError(t, b.Stop())
+	})
+}
--- a/coordination/jobroute/jobroute.go
+++ b/coordination/jobroute/jobroute.go
@@ -4,6 +4,10 @@
 // each other, so that either may be the newer one: during an outage a process may learn of
 // a job long before the version that added the job's route. An absent route means that it
 // was removed only in a version that is not older than the one by which the job was accepted.
+//
+// A job belongs to the route that accepted it, which the work log names. What other routes a
+// later version has at the path of its submission does not matter as long as that one is in
+// force.
 package jobroute
 
 import (
@@ -25,13 +29,18 @@
 	Removed
 )
 
-// Find returns the route of the job in the configuration, and nil if it is not in force.
+// Find returns the route of the job in the configuration, and nil if it is not in force: the
+// route by which the job was accepted or, if the configuration has no such route for jobs on
+// the job's host, the one that accepts jobs at the path of its submission now.
 func Find(c *fleet.Configuration, a *worklog.Accept) (*fleet.Route, Standing) {
 	if c == nil || c.Version < a.ConfigVersion {
 		return nil, Undecided
 	}
-	route := c.Match(a.Job.Host, a.Path)
-	if route == nil || route.Kind != fleet.KindBatch {
+	route := c.JobRoute(a.Job.Host, a.Route)
+	if route == nil {
+		route = c.MatchJobs(a.Job.Host, a.Path)
+	}
+	if route == nil {
 		return nil, Removed
 	}
 	return route, InForce
--- a/coordination/jobroute/jobroute_test.go
+++ b/coordination/jobroute/jobroute_test.go
@@ -44,3 +44,36 @@
 		}
 	}
 }
+
+// TestJobKeepsTheRouteThatAcceptedIt guards against items that are given up, or run by another
+// service, because a later version has another route at the path of their submission: a longer
+// one for jobs or for online requests, while their own is in force, moved to another prefix, or
+// renamed.
+func TestJobKeepsTheRouteThatAcceptedIt(t *testing.T) {
+	route := func(name, prefix string, kind fleet.Kind) *fleet.Route {
+		return &fleet.Route{Name: name, Host: "h", Prefix: prefix, Kind: kind}
+	}
+	own := route("jobs", "/j/", fleet.KindBatch)
+	for name, c := range map[string]struct {
+		routes   []*fleet.Route
+		route    string
+		standing jobroute.Standing
+	}{
+		"a longer online route":              {[]*fleet.Route{own, route("desk", "/j/night/", fleet.KindStream)}, "jobs", jobroute.InForce},
+		"a longer route for jobs":            {[]*fleet.Route{own, route("night", "/j/night/", fleet.KindBatch)}, "jobs", jobroute.InForce},
+		"a shorter prefix":                   {[]*fleet.Route{route("jobs", "/", fleet.KindBatch), route("night", "/j/", fleet.KindBatch)}, "jobs", jobroute.InForce},
+		"another prefix":                     {[]*fleet.Route{route("jobs", "/moved/", fleet.KindBatch), route("desk", "/j/", fleet.KindStream)}, "jobs", jobroute.InForce},
+		"another name":                       {[]*fleet.Route{route("renamed", "/j/", fleet.KindBatch), route("desk", "/j/night/", fleet.KindStream)}, "renamed", jobroute.InForce},
+		"another kind":                       {[]*fleet.Route{route("jobs", "/j/", fleet.KindStream)}, "", jobroute.Removed},
+		"another kind beside a wider route":  {[]*fleet.Route{route("jobs", "/j/", fleet.KindStream), route("wide", "/", fleet.KindBatch)}, "wide", jobroute.InForce},
+		"removed beside a longer one":        {[]*fleet.Route{route("desk", "/j/night/", fleet.KindStream)}, "", jobroute.Removed},
+		"its name at a host of other routes": {[]*fleet.Route{{Name: "jobs", Host: "elsewhere", Prefix: "/j/", Kind: fleet.KindBatch}}, "", jobroute.Removed},
+	} {
+		a := &worklog.Accept{Job: fleet.Job{ID: "j", Host: "h"}, Route: "jobs", Path: "/j/night/1", ConfigVersion: 1}
+		found, standing := jobroute.Find(fleet.NewConfiguration(2, c.routes, nil, fleet.Limits{}), a)
+		assert.Equal(t, standing, c.standing, name)
+		if found != nil {
+			assert.Equal(t, found.Name, c.route, name)
+		}
+	}
+}
--- a/gateway/jobreads.go
+++ b/gateway/jobreads.go
@@ -89,6 +89,13 @@
 	return g.lookUpJob(ctx, workspace, id, "the job on host "+host, func(job *worklog.Job) bool { return job.Accept.Job.Host == host })
 }
 
+// HasAccepted implements fleet.CallerAPI.
+func (g *Gateway) HasAccepted(workspace *fleet.Workspace, host, path, id string) bool {
+	return g.viewJob(id, func(job *worklog.Job) bool {
+		return workspace.MayUse(job.Accept.Workspace) && job.Accept.Job.Host == host && job.Accept.Path == path
+	})
+}
+
 // Results implements fleet.CallerAPI.
 func (g *Gateway) Results(ctx context.Context, workspace *fleet.Workspace, id string, after int, wait time.Duration) (fleet.ResultPage, error) {
 	leave, err := g.trackRequest(jobCallLimit)
--- a/protocol/fleet/caller.go
+++ b/protocol/fleet/caller.go
@@ -31,6 +31,9 @@
 	// is still in force. Like the calls that follow it fails with ErrUnknownJob if the job
 	// belongs to another workspace than the caller's.
 	IsAccepted(ctx context.Context, workspace *Workspace, host, job string) error
+	// HasAccepted reports whether a job of this ID that the caller may use was accepted at the
+	// host and path, as far as this process knows. Unlike IsAccepted it reads nothing.
+	HasAccepted(workspace *Workspace, host, path, job string) bool
 	// Serve answers a request of a route that accepts no jobs. If it fails after
 	// Begin, the answer must be broken off so that the caller sees the failure.
 	Serve(ctx context.Context, route *Route, r *Request, sink Sink) error
--- a/protocol/fleet/configuration.go
+++ b/protocol/fleet/configuration.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -104,15 +105,35 @@
 
 // Match returns the route with the longest matching prefix of the path, or nil.
 func (c *Configuration) Match(host, path string) *Route {
+	return c.match(host, path, func(*Route) bool { return true })
+}
+
+// MatchJobs returns the route with the longest matching prefix of the path among those that
+// accept jobs, or nil.
+func (c *Configuration) MatchJobs(host, path string) *Route {
+	return c.match(host, path, func(r *Route) bool { return r.Kind == KindBatch })
+}
+
+func (c *Configuration) match(host, path string, allowed func(*Route) bool) *Route {
 	var best *Route
 	for _, r := range c.hosts[host] {
-		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+		if allowed(r) && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
 			best = r
 		}
 	}
 	return best
 }
 
+// JobRoute returns the host's route of that name if it accepts jobs, or nil.
+func (c *Configuration) JobRoute(host, name string) *Route {
+	for _, r := range c.hosts[host] {
+		if r.Kind == KindBatch && r.Name == name && name != "" {
+			return r
+		}
+	}
+	return nil
+}
+
 // Routes calls each with every route.
 func (c *Configuration) Routes(each func(*Route)) {
 	for _, routes := range c.hosts {
@@ -124,12 +145,7 @@
 
 // HasBatchRoute reports whether the host has a route that accepts jobs.
 func (c *Configuration) HasBatchRoute(host string) bool {
-	for _, r := range c.hosts[host] {
-		if r.Kind == KindBatch {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.hosts[host], func(r *Route) bool { return r.Kind == KindBatch })
 }
 
 // HasAnonymousBatchRoute reports whether the host has a route that accepts jobs without a
