Let no record that the store never takes hold up the others

Cause: the progress of an item was saved under a key that holds the item's ID. The store's keys have 255 bytes at most, so the append failed as a whole, and the outbox tried the same batch for ever with every other text behind it.

A hash stands for an ID that does not fit into a key; keys of short IDs stay. The outbox then appends the records one by one and drops one that is refused alone three times; whoever added it is told, so that an item whose output is not taken is given back, and a release too large is stored without the output. A claim holds as many items as fit into one record.

--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -28,6 +28,7 @@
 			return b.urgencyOf(now, candidateOf(job, item), item.ResumeEvents()).CanMeetDeadline()
 		},
 	}, b.fold, want, idle)
+	chosen = claims.Fit(chosen, b.params.Node.MaxRecordBytes)
 	if len(chosen) == 0 {
 		return
 	}
--- a/batcher/results.go
+++ b/batcher/results.go
@@ -22,11 +22,21 @@
 		klog.ErrorS(nil, "record not encoded", "error", protocol.CauseOf(err))
 		return
 	}
-	b.outbox.Add(outbox.PendingRecord{Record: record})
+	b.outbox.Add(outbox.PendingRecord{Record: record, OnRefused: func() { b.entryRefused(e) }})
+}
+
+// entryRefused handles an entry that the store never takes. A released item is released without
+// its output so far, which alone can make its record too large; otherwise others would wait for
+// it as long as this batcher is alive.
+func (b *Batcher) entryRefused(e worklog.Entry) {
+	if e.Release != nil && e.Release.Progress.Events > 0 {
+		b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: e.Release.ItemRef, Progress: worklog.Progress{Failures: e.Release.Progress.Failures}}})
+	}
 }
 
 // enqueueResult enqueues an item's output and, once that is stored, the record of the
-// item's end that refers to it. A dead letter has no output.
+// item's end that refers to it. A dead letter has no output. An item whose output the store
+// never takes is given back, to be run again.
 func (b *Batcher) enqueueResult(job string, r fleet.Result) {
 	done := worklog.Done{Job: job, Item: r.Item, State: r.State}
 	if r.State == fleet.ResultDeadLetter {
@@ -34,10 +44,16 @@
 		return
 	}
 	value := worklog.EncodeText(r.Text)
-	b.texts.Add(outbox.PendingRecord{Record: fleet.Record{Value: value}, KeyPrefix: worklog.TextPrefix(job), OnStored: func(stored fleet.Record) {
-		done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: maxRecordSize(stored)}
-		b.enqueue(worklog.Entry{Done: &done})
-	}})
+	b.texts.Add(outbox.PendingRecord{
+		Record: fleet.Record{Value: value}, KeyPrefix: worklog.TextPrefix(job),
+		OnStored: func(stored fleet.Record) {
+			done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: maxRecordSize(stored)}
+			b.enqueue(worklog.Entry{Done: &done})
+		},
+		OnRefused: func() {
+			b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: worklog.ItemRef{Job: job, Item: r.Item}}})
+		},
+	})
 }
 
 // unstoredRecords returns the number of records that are not stored yet.
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -90,6 +90,27 @@
 	return append(chosen, sample(p, late, idle-len(chosen), candidates)...)
 }
 
+// claimedItemBytes is an upper bound of the size of a claimed item in a claim record beside its
+// IDs, and claimBytes that of the record beside its items.
+const (
+	claimedItemBytes = 48
+	claimBytes       = 1 << 10
+)
+
+// Fit returns the first of the chosen items, as many as fit into one claim record of maxBytes, and
+// one at least. 0 means no limit. IDs are the callers' and may be long: a claim that the store
+// does not take would be tried again for ever.
+func Fit(chosen []worklog.ClaimedItem, maxBytes int) []worklog.ClaimedItem {
+	size := claimBytes
+	for i, c := range chosen {
+		size += len(c.Job) + len(c.Item) + claimedItemBytes
+		if maxBytes > 0 && size > maxBytes && i > 0 {
+			return chosen[:i]
+		}
+	}
+	return chosen
+}
+
 // sample picks up to n items at random from the first candidates.
 func sample(p Params, list []worklog.ClaimedItem, n, candidates int) []worklog.ClaimedItem {
 	if n <= 0 {
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -1,6 +1,7 @@
 package claims_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -127,3 +128,20 @@
 	assert.Equal(t, chosen[6].Job, "old")
 	assert.Equal(t, len(claims.Choose(p, l.fold, 8, 0)), 6)
 }
+
+// TestClaimOfLongIDsFits guards against a claim that the store never takes: as many items of a
+// job with long IDs as there are slots are more than one record may hold.
+func TestClaimOfLongIDsFits(t *testing.T) {
+	const maxRecordBytes = 256 << 10
+	var chosen []worklog.ClaimedItem
+	for i := range 32 {
+		chosen = append(chosen, worklog.ClaimedItem{ItemRef: worklog.ItemRef{Job: strings.Repeat("j", 16<<10), Item: strings.Repeat("i", i)}, Replaces: worklog.NoClaim})
+	}
+	fit := claims.Fit(chosen, maxRecordBytes)
+	assert.Assert(t, len(fit) > 10 && len(fit) < len(chosen), "%d items", len(fit))
+	record, err := worklog.NewProcessWriter("side-1").Record(worklog.Entry{Claim: &worklog.Claim{Items: fit}})
+	assert.NilError(t, err)
+	assert.Assert(t, len(record.Key)+len(record.Value) < maxRecordBytes)
+	assert.Equal(t, len(claims.Fit(chosen, 0)), len(chosen), "no limit is known")
+	assert.Equal(t, len(claims.Fit(chosen[:1], 100)), 1, "an item that was accepted is claimed")
+}
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -6,6 +6,10 @@
 // batch whose append may have succeeded is appended again, and readers must
 // tolerate duplicates. Each attempt generates new keys: the store keeps only the
 // newest record of a key, and a duplicate must not replace the first copy.
+//
+// A record that the store never takes must not hold up those behind it. The records of a
+// batch that the store refuses for good are appended one by one, and one that is refused alone
+// time and again is dropped.
 package outbox
 
 import (
@@ -13,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
@@ -26,6 +31,9 @@
 	// minRetryDelay and maxRetryDelay bound the time between two attempts.
 	minRetryDelay = 250 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
+	// maxRefusals is the number of times that the store must refuse a record for good, with no
+	// other record in the append, before the record is dropped.
+	maxRefusals = 3
 )
 
 // PendingRecord is a record to append.
@@ -34,6 +42,9 @@
 	Record fleet.Record
 	// KeyPrefix is the prefix of generated keys.
 	KeyPrefix string
+	// OnRefused, if set, is called once the record is dropped since the store will never take
+	// it.
+	OnRefused func()
 	// OnStored, if set, is called once the store has confirmed the record, with the
 	// key and offset of the confirmed copy.
 	OnStored func(stored fleet.Record)
@@ -55,6 +66,10 @@
 	params Params
 	// backoff is used by Run only.
 	backoff pause.Backoff
+	// singles is the number of pending records, from the oldest on, that are appended one by
+	// one, and refusals how often the store has refused the oldest of them. Run only uses them.
+	singles  int
+	refusals int
 
 	mu      sync.Mutex
 	pending []PendingRecord
@@ -115,12 +130,16 @@
 	pending, batch := o.nextBatch()
 	begun := time.Now()
 	offset, err := o.params.Store.Append(ctx, o.params.Topic, fleet.AnyOffset, batch)
+	if errorx.IsOfType(err, fleet.ErrUnstorable) && o.isolate(pending, err) {
+		return
+	}
 	if err != nil {
 		klog.V(1).InfoS("failed to append records, will retry", "records", len(batch), "error", protocol.CauseOf(err))
 		pause.For(ctx, o.backoff.Next())
 		return
 	}
 	o.backoff.Reset()
+	o.singles, o.refusals = max(0, o.singles-len(batch)), 0
 	for i, p := range pending {
 		if p.OnStored != nil {
 			batch[i].Offset = offset + int64(i)
@@ -133,6 +152,29 @@
 	o.lastStored = begun
 }
 
+// isolate handles that the store refuses a batch for good. It reports whether to go on without a
+// delay: the records of the batch are appended one by one from now on, or its only record was
+// dropped.
+func (o *Outbox) isolate(batch []PendingRecord, refusal error) bool {
+	if len(batch) > 1 {
+		o.singles = len(batch)
+		return true
+	}
+	if o.refusals++; o.refusals < maxRefusals {
+		return false
+	}
+	dropped := batch[0]
+	klog.ErrorS(nil, "record refused by the store, dropped", "key", dropped.Record.Key, "bytes", len(dropped.Record.Value), "error", protocol.CauseOf(refusal))
+	o.singles, o.refusals = max(0, o.singles-1), 0
+	if dropped.OnRefused != nil {
+		dropped.OnRefused()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending = o.pending[1:]
+	return true
+}
+
 // nextBatch returns the oldest pending records that fit into one append, and copies
 // of them that all have keys.
 func (o *Outbox) nextBatch() (pending []PendingRecord, batch []fleet.Record) {
@@ -145,7 +187,7 @@
 			r.Key = p.KeyPrefix + o.params.NextKey()
 		}
 		size += len(r.Key) + len(r.Value)
-		if len(batch) > 0 && size > o.params.MaxBytes {
+		if len(batch) > 0 && (size > o.params.MaxBytes || o.singles > 0) {
 			break
 		}
 		batch = append(batch, r)
--- a/coordination/outbox/outbox_test.go
+++ b/coordination/outbox/outbox_test.go
@@ -81,6 +81,53 @@
 	})
 }
 
+// TestUnstorableRecordHoldsUpNoOther guards against records that wait for ever behind one that the
+// store never takes (review/10). Everything else must be stored in order, also what is added
+// later, and the refused record be reported once.
+func TestUnstorableRecordHoldsUpNoOther(t *testing.T) {
+	for name, unstorable := range map[string]fleet.Record{
+		"a long key":   {Key: strings.Repeat("k", fleet.MaxKeyBytes+1), Value: []byte("x")},
+		"a long value": {Value: make([]byte, fleetstore.MaxRecordBytes)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := fleetstore.New()
+				keys := 0
+				o := outbox.New(outbox.Params{Store: s, Topic: fleet.TopicWork, MaxBytes: 1 << 20, NextKey: func() string {
+					keys++
+					return fmt.Sprint("key ", keys)
+				}})
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = o.Run(ctx) }()
+				refused := 0
+				var want []string
+				for i := range 9 {
+					if i == 1 || i == 4 {
+						o.Add(outbox.PendingRecord{Record: unstorable, OnRefused: func() { refused++ }})
+						continue
+					}
+					want = append(want, fmt.Sprint("text ", i))
+					o.Add(outbox.PendingRecord{Record: fleet.Record{Value: []byte(want[len(want)-1])}, OnRefused: func() { t.Error("a sound record was refused") }})
+				}
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, o.Len(), 0)
+				o.Add(outbox.PendingRecord{Record: fleet.Record{Value: []byte("later")}})
+				time.Sleep(time.Second)
+				cancel()
+				synctest.Wait()
+				assert.Equal(t, refused, 2)
+				records, _, err := s.Newest(t.Context(), fleet.TopicWork)
+				assert.NilError(t, err)
+				var got []string
+				for _, r := range records {
+					got = append(got, string(r.Value))
+				}
+				assert.DeepEqual(t, got, append(want, "later"))
+			})
+		})
+	}
+}
+
 // checkKeys checks that no two copies of a record share a key: the store keeps only
 // the newest record of a key, so a process that reads only these would see the first
 // copy at a later offset.
--- a/gateway/jobreads.go
+++ b/gateway/jobreads.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxPageBytes bounds the text of one page of results.
+	// maxPageBytes bounds the texts and the items' IDs of one page of results.
 	maxPageBytes = 800 << 10
 	// maxResultWait bounds how long a read of results may wait for the next result.
 	maxResultWait = 2 * time.Second
@@ -166,6 +166,7 @@
 	f := foundResults{total: len(job.Items), open: job.Open(), changed: g.changed}
 	size := 0
 	for _, r := range job.Results[min(after, len(job.Results)):] {
+		size += len(r.Item)
 		if r.Text != nil {
 			size += r.Text.Bytes
 		}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -114,6 +114,8 @@
 		return fleet.ErrOutcomeUnknown.Wrap(err, "the job may have been accepted")
 	case errorx.IsOfType(err, fleet.ErrQuotaExceeded):
 		return err
+	case errorx.IsOfType(err, fleet.ErrUnstorable):
+		return fleet.ErrTooLarge.Wrap(err, "job of %d bytes", len(record.Value))
 	default:
 		return fleet.WithRetryAfter(fleet.ErrRefused.Wrap(err, "job not accepted"), jobRetryAfter)
 	}
--- a/protocol/fleet/errors.go
+++ b/protocol/fleet/errors.go
@@ -15,6 +15,9 @@
 	// ErrStoreOutcomeUnknown means that the store may have performed the operation, or
 	// may perform it later.
 	ErrStoreOutcomeUnknown = protocol.Errors.NewType("store_outcome_unknown")
+	// ErrUnstorable means that the store will never take the records as they are, for their
+	// size or that of a key. It has appended none of them.
+	ErrUnstorable = protocol.Errors.NewType("unstorable")
 	// ErrTopicEndMoved means that a topic does not end at the offset that the append expected.
 	ErrTopicEndMoved = protocol.Errors.NewType("topic_end_moved")
 	// ErrRecordsExpired means that the records are no longer retained.
--- a/protocol/fleet/store.go
+++ b/protocol/fleet/store.go
@@ -43,6 +43,9 @@
 	End int64
 }
 
+// MaxKeyBytes is the size limit of a record's key.
+const MaxKeyBytes = 255
+
 // AnyOffset makes an append unconditional on the end of the topic.
 const AnyOffset = -1
 
@@ -61,7 +64,8 @@
 	ReadOne(ctx context.Context, topic Topic, at int64, bytes int) (Record, error)
 	// Append appends all records or none and returns the first one's offset. It
 	// fails with ErrTopicEndMoved if the topic does not end at the offset at, with
-	// ErrStoreUnavailable if nothing was appended, and with ErrStoreOutcomeUnknown if
-	// the records may have been appended or may still be.
+	// ErrStoreUnavailable if nothing was appended, with ErrUnstorable if the store will never
+	// take the records, and with ErrStoreOutcomeUnknown if the records may have been appended
+	// or may still be.
 	Append(ctx context.Context, topic Topic, at int64, records []Record) (int64, error)
 }
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -31,6 +31,10 @@
 	Delay time.Duration
 }
 
+// MaxRecordBytes is the size limit of a record: the length of its key, in one byte, its key and
+// its value.
+const MaxRecordBytes = 256 << 10
+
 // Store is an in-memory fleet.Store. It is safe for concurrent use.
 type Store struct {
 	mu     sync.Mutex
@@ -196,6 +200,11 @@
 		time.AfterFunc(s.faults.LateBy, func() { s.appendLate(t, at, records) })
 		return 0, fleet.ErrStoreOutcomeUnknown.New("append delayed without an answer")
 	}
+	for _, r := range records {
+		if len(r.Key) > fleet.MaxKeyBytes || len(r.Key)+len(r.Value) >= MaxRecordBytes {
+			return 0, fleet.ErrUnstorable.New("record with a key of %d and a value of %d bytes", len(r.Key), len(r.Value))
+		}
+	}
 	offset, err := s.topic(t).append(at, records)
 	if err == nil && s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
--- a/state/worklog/text.go
+++ b/state/worklog/text.go
@@ -1,9 +1,13 @@
 package worklog
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
 // TextRef locates the output of an item, which is a record in the topic of texts and is
@@ -32,9 +36,23 @@
 	return string(value[1:]), true
 }
 
-// SavedKey returns the key of an item's saved partial text. It sorts after the outputs of
-// the job's items.
-func SavedKey(ref ItemRef) string { return TextPrefix(ref.Job) + "~" + ref.Item }
+// The last parts of the keys of saved partial texts begin with savedMarker and the item's ID, or
+// with hashedMarker and a hash of an ID that is too long for a key.
+const (
+	savedMarker  = "~"
+	hashedMarker = "~~#"
+)
+
+// SavedKey returns the key of an item's saved partial text, of at most fleet.MaxKeyBytes. It
+// sorts after the outputs of the job's items.
+func SavedKey(ref ItemRef) string {
+	key := TextPrefix(ref.Job) + savedMarker + ref.Item
+	if len(key) <= fleet.MaxKeyBytes {
+		return key
+	}
+	hash := sha256.Sum256([]byte(ref.Item))
+	return TextPrefix(ref.Job) + hashedMarker + hex.EncodeToString(hash[:])
+}
 
 // TextPrefix returns the common prefix of the keys of a job's texts, which makes them
 // adjacent in the store.
