Take no events of a stream that do not follow each other

Cause: the batcher appended every event to an item's progress and took its ID over, without a look at whether the IDs increase, and the progress was kept, saved and handed on. The gateway relayed online streams the same way.

The new tests fail on: TestSpoiledAnswerIsNoPartOfAnOutput, TestSpoiledProgressOfEarlierBuildIsDropped, and six new outcomes of TestOutcomes at the gateway.

An event must have the number after the last one's, or after Last-Event-Id; what came before it counts, and the run goes on from there. A target that does not go on after the progress makes the item start over. Progress of an earlier build whose events do not add up to its last number is dropped.

The targets of TestSlowStreamIsKept and of the hot workspace's test repeated one number or had none; they number their events now, and the checks are the same.

--- a/batcher/item.go
+++ b/batcher/item.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// dropSpoiledProgress drops progress after which no run can go on, which an earlier build may have
+// released or saved.
+func (h *heldItem) dropSpoiledProgress() {
+	if h.progress.CanResume() {
+		return
+	}
+	klog.InfoS("progress dropped", "job", h.ref.Job, "item", h.ref.Item, "events", h.progress.Events, "last_event", h.progress.LastEventID)
+	h.progress = worklog.Progress{Failures: h.progress.Failures}
+	h.eventsAtClaim, h.savedEvents = 0, 0
+}
+
 // runningItems returns the items that run and are not preempted, the last started first.
 // mu must be held.
 func (b *Batcher) runningItems() []*heldItem {
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -38,6 +38,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancel = cancel
 	h.startedAt = now
+	h.dropSpoiledProgress()
 	h.eventsAtStart = h.progress.Events
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
 	progress := h.progress
@@ -170,7 +171,7 @@
 		return runOutcome{progress: progress, err: err}
 	}
 	begin := progress
-	err = readEvents(answer.Body, func(e eventstream.Event) error {
+	err = readEvents(answer.Body, eventstream.After(progress.LastEventID), func(e eventstream.Event) error {
 		watchdog.Reset(eventTimeout)
 		if len(progress.Text)+len(e.Data) > fleet.MaxOutputBytes {
 			progress = begin // an output that cannot be stored is not resumed
@@ -180,6 +181,9 @@
 		b.recordProgress(h, progress)
 		return nil
 	})
+	if errorx.IsOfType(err, fleet.ErrOutOfOrder) && progress.Events == begin.Events {
+		progress = worklog.Progress{Failures: progress.Failures} // the target did not go on after it
+	}
 	if err != nil {
 		return runOutcome{progress: progress, err: err}
 	}
@@ -233,10 +237,10 @@
 	return end
 }
 
-// readEvents calls each with every event of the body that has an ID or data. It returns
-// nil only if the stream ended regularly, and otherwise ErrAnswerBroken or the error of
-// each.
-func readEvents(body io.Reader, each func(eventstream.Event) error) error {
+// readEvents calls each with every event of the body that has an ID or data and follows the one
+// before in the sequence. It returns nil only if the stream ended regularly, and otherwise
+// ErrAnswerBroken, of which ErrOutOfOrder is a subtype, or the error of each.
+func readEvents(body io.Reader, sequence eventstream.Sequence, each func(eventstream.Event) error) error {
 	buffer := make([]byte, readBufferBytes)
 	var splitter eventstream.Splitter
 	for {
@@ -245,7 +249,8 @@
 		if oversized != nil {
 			return oversized
 		}
-		for _, e := range eventstream.Parse(events) {
+		following := sequence.FollowingLen(events)
+		for _, e := range eventstream.Parse(events[:following]) {
 			if e.Empty() {
 				continue
 			}
@@ -253,6 +258,9 @@
 				return failure
 			}
 		}
+		if following < len(events) {
+			return fleet.ErrOutOfOrder.New("an event does not follow the one before")
+		}
 		if errors.Is(err, io.EOF) {
 			if splitter.EndsWithinEvent() {
 				return fleet.ErrAnswerBroken.New("stream ended within an event")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,7 +86,8 @@
 	o.g.table.RecordFailure(target)
 }
 
-// relayStream relays events to the caller as they arrive, and only complete ones.
+// relayStream relays events to the caller as they arrive, and only complete ones that follow
+// each other.
 func (o *onlineRequest) relayStream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stallTimer) error {
 	contentType := answer.Header.Get("Content-Type")
 	if o.answerBegun && contentType != o.contentType {
@@ -95,6 +96,7 @@
 	o.contentType = contentType
 	buffer := make([]byte, streamBufferBytes)
 	var splitter eventstream.Splitter
+	sequence := eventstream.After(o.lastEvent)
 	for {
 		n, err := answer.Body.Read(buffer)
 		o.tracked.heard()
@@ -102,7 +104,9 @@
 		if oversized != nil {
 			return o.handleBrokenAnswer(ctx, target, oversized)
 		}
-		if len(events) > 0 {
+		following := sequence.FollowingLen(events)
+		isSound := following == len(events)
+		if events = events[:following]; len(events) > 0 {
 			if eventstream.HasContent(events) {
 				stall.eventReceived()
 				if o.meter.eventReceived(time.Now(), events) {
@@ -113,6 +117,9 @@
 				return failure
 			}
 		}
+		if !isSound {
+			return o.handleBrokenAnswer(ctx, target, fleet.ErrOutOfOrder.New("an event does not follow event %q", o.lastEvent))
+		}
 		if errors.Is(err, io.EOF) && splitter.EndsWithinEvent() {
 			return o.handleBrokenAnswer(ctx, target, fleet.ErrAnswerBroken.New("stream ended within an event"))
 		}
--- a/protocol/fleet/errors.go
+++ b/protocol/fleet/errors.go
@@ -64,6 +64,8 @@
 	// ErrAnswerBroken means that the target may have run the attempt and its answer is
 	// lost or incomplete.
 	ErrAnswerBroken = protocol.Errors.NewType("answer_broken")
+	// ErrOutOfOrder is an ErrAnswerBroken of a stream whose events do not follow each other.
+	ErrOutOfOrder = ErrAnswerBroken.NewSubtype("out_of_order")
 )
 
 var propertyRetryAfter = errorx.RegisterProperty("retry after")
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -78,6 +78,12 @@
 	Failures int `msgpack:"f"`
 }
 
+// CanResume reports whether a run can go on after the progress: there is none, or its events are
+// numbered from 1 on, so that an event left out or taken twice shows.
+func (p Progress) CanResume() bool {
+	return p.LastEventID == "" && p.Events == 0 || p.LastEventID == strconv.Itoa(p.Events)
+}
+
 // Save records the progress of an item that its holder is still running, so that another
 // process can resume the item if the holder ends without releasing it.
 type Save struct {
