--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -200,10 +200,8 @@
 		time.AfterFunc(s.faults.LateBy, func() { s.appendLate(t, at, records) })
 		return 0, fleet.ErrStoreOutcomeUnknown.New("append delayed without an answer")
 	}
-	for _, r := range records {
-		if len(r.Key) > fleet.MaxKeyBytes || len(r.Key)+len(r.Value) >= MaxRecordBytes {
-			return 0, fleet.ErrUnstorable.New("record with a key of %d and a value of %d bytes", len(r.Key), len(r.Value))
-		}
+	if err := checkSizes(t, records); err != nil {
+		return 0, err
 	}
 	offset, err := s.topic(t).append(at, records)
 	if err == nil && s.faults.LoseAnswers > 0 {
@@ -213,6 +211,17 @@
 	return offset, err
 }
 
+// checkSizes returns ErrUnstorable if the store does not take records of such a size. The
+// operator's configuration may be larger than the system's own records.
+func checkSizes(t fleet.Topic, records []fleet.Record) error {
+	for _, r := range records {
+		if len(r.Key) > fleet.MaxKeyBytes || t != fleet.TopicConfiguration && len(r.Key)+len(r.Value) >= MaxRecordBytes {
+			return fleet.ErrUnstorable.New("record with a key of %d and a value of %d bytes", len(r.Key), len(r.Value))
+		}
+	}
+	return nil
+}
+
 // appendLate carries out an append whose caller has already got an error.
 func (s *Store) appendLate(t fleet.Topic, at int64, records []fleet.Record) {
 	s.mu.Lock()
