Give items up once their retention is over and nothing runs them

Cause: nothing read a route's retention. An item ended only by an output, a 422, as many answers of 500 as the route has attempts, or a removed route; any other outcome was tried again for ever, by the one batcher that held the item.

An item ends as a dead letter once its retention is over and a run brings nothing; one that goes on, or only waits, does not. The longer retention counts, of the accept record (new) and of the route in force. Ages are lower bounds, by the monotonic clock of the process since it read of the job, so that no clock that jumps ends an item too early. A target that refuses an item for three seconds loses it to others for five. After twice the retention a batcher of any service ends the item without running it.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -94,6 +94,9 @@
 	// handedOver holds the items that were released or got a result here, until the log
 	// shows it, with the offset of the claim by which they were held.
 	handedOver map[worklog.ItemRef]int64
+	// refused holds the items that the target has refused time and again, with the time at which
+	// they were given back.
+	refused map[worklog.ItemRef]time.Time
 	// room is the number of items that the target had room for at its last poll.
 	room int
 	// targetID is the ID of the target's incarnation, empty if it is not known.
@@ -139,6 +142,7 @@
 		held:    map[worklog.ItemRef]*heldItem{},
 
 		handedOver: map[worklog.ItemRef]int64{},
+		refused:    map[worklog.ItemRef]time.Time{},
 
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
@@ -194,6 +198,7 @@
 	fold.Restore(time.Now(), time.Now().Round(0), records)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	fold.KeepAges(b.fold)
 	b.fold = fold
 	b.readableSince = time.Now()
 	b.dropLostItems()
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -54,6 +54,8 @@
 	// repeats holds, for each item, the event after which its next attempts send others in place
 	// of the one that follows, and then break off. The first is used up by the first attempt.
 	repeats map[string][]oddEvents
+	// refused holds the items that the target refuses without running them.
+	refused map[string]bool
 	// unsendable holds the items that can't be sent, after the event that is named.
 	unsendable map[string]string
 	// workspaces holds the workspace that each item was last sent for.
@@ -137,6 +139,10 @@
 		answer.Verdict = fleet.VerdictWrongTarget
 		return answer, nil
 	}
+	if e.refused[id] {
+		answer.Verdict, answer.Status = fleet.VerdictNotRun, http.StatusServiceUnavailable
+		return answer, nil
+	}
 	if left := e.statuses[id]; len(left) > 0 {
 		answer.Status, e.statuses[id] = left[0], left[1:]
 		return answer, nil
--- a/batcher/claim.go
+++ b/batcher/claim.go
@@ -23,7 +23,8 @@
 	}
 	age, _ := b.workTail.Age()
 	chosen := claims.Choose(claims.Params{
-		Self: b.writer.Name(), Now: now, ReadAt: now.Add(-age), ReadableSince: b.readableSince, CanRun: b.servesJob, Shuffle: b.params.Shuffle,
+		Self: b.writer.Name(), Now: now, ReadAt: now.Add(-age), ReadableSince: b.readableSince, CanRun: b.mayClaim, Shuffle: b.params.Shuffle,
+		IsLeftToOthers: func(job *worklog.Job, item *worklog.Item) bool { return b.isLeftToOthers(now, job, item) },
 		CanFinishInTime: func(job *worklog.Job, item *worklog.Item) bool {
 			return b.urgencyOf(now, candidateOf(job, item), item.ResumeEvents()).CanMeetDeadline()
 		},
--- a/batcher/explain_test.go
+++ b/batcher/explain_test.go
@@ -20,6 +20,9 @@
 	t.Helper()
 	lines := r.Explain(item)
 	end := logtest.Last(lines, "item run ended")
+	if end.Value("outcome") == "given_up" {
+		return "its retention is over: " + end.Value("error")
+	}
 	if end.Value("outcome") == "dead" {
 		return deadLetterCause(end)
 	}
@@ -73,6 +76,12 @@
 			s.accept("j", 1)
 			return s.start("b", e)
 		}, "its route has been removed"},
+		"refused until its retention is over": {func(s *fixture, e *target) *batcher.Batcher {
+			s.keepFor(testRetention)
+			e.refused = map[string]bool{"j0": true}
+			s.accept("j", 1)
+			return s.start("b", e)
+		}, "its retention is over: sycamoretally.answer_broken"},
 		"holder lost": {func(s *fixture, e *target) *batcher.Batcher {
 			s.accept("j", 1)
 			s.claimBy("gone", "j", "j0")
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -56,6 +56,8 @@
 	hasContentType bool
 	// waitingSince is when the item was claimed or its last run ended.
 	waitingSince time.Time
+	// refusedSince is when the target refused the item first, if it has refused it ever since.
+	refusedSince time.Time
 	// notBefore is the earliest time at which the item may run again.
 	notBefore time.Time
 }
@@ -120,10 +122,12 @@
 	// submitted.
 	offset    int64
 	submitted time.Time
+	// knownSince is when this process first read of the job.
+	knownSince time.Time
 }
 
 func candidateOf(job *worklog.Job, item *worklog.Item) candidate {
-	return candidate{job: job.Accept, item: item.Item, offset: job.Offset, submitted: job.AcceptedAt}
+	return candidate{job: job.Accept, item: item.Item, offset: job.Offset, submitted: job.AcceptedAt, knownSince: job.KnownSince}
 }
 
 // urgencyOf returns the urgency of an item that has produced the given number of events.
@@ -215,7 +219,7 @@
 			continue
 		}
 		route, standing := jobroute.Find(b.configs.Current(), h.job)
-		if standing == jobroute.InForce && !route.Serves(b.params.Node.Service) {
+		if standing == jobroute.InForce && !route.Serves(b.params.Node.Service) && !b.isAbandoned(h.candidate, route) {
 			b.release(h, "its route goes to other services", "route", route.Name)
 		}
 	}
--- a/batcher/results.go
+++ b/batcher/results.go
@@ -1,8 +1,12 @@
 package batcher
 
 import (
+	"time"
+
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/expiry"
+	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/outbox"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -35,8 +39,7 @@
 }
 
 // enqueueResult enqueues an item's output and, once that is stored, the record of the
-// item's end that refers to it. A dead letter has no output. An item whose output the store
-// never takes is given back, to be run again.
+// item's end that refers to it. A dead letter has no output.
 func (b *Batcher) enqueueResult(job string, r fleet.Result) {
 	done := worklog.Done{Job: job, Item: r.Item, State: r.State}
 	if r.State == fleet.ResultDeadLetter {
@@ -50,11 +53,26 @@
 			done.Text = &worklog.TextRef{Key: stored.Key, Offset: stored.Offset, Bytes: maxRecordSize(stored)}
 			b.enqueue(worklog.Entry{Done: &done})
 		},
-		OnRefused: func() {
-			b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: worklog.ItemRef{Job: job, Item: r.Item}}})
-		},
+		OnRefused: func() { b.outputRefused(worklog.ItemRef{Job: job, Item: r.Item}) },
 	})
 }
 
+// outputRefused handles an item whose output the store never takes: it is given back, to be run
+// again, or given up if its retention is over.
+func (b *Batcher) outputRefused(ref worklog.ItemRef) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	job := b.fold.Job(ref.Job)
+	if job == nil {
+		return
+	}
+	route, _ := jobroute.Find(b.configs.Current(), job.Accept)
+	if expiry.IsExpired(time.Now(), job.KnownSince, route, job.Accept) {
+		b.enqueue(worklog.Entry{Done: &worklog.Done{Job: ref.Job, Item: ref.Item, State: fleet.ResultDeadLetter}})
+		return
+	}
+	b.enqueue(worklog.Entry{Release: &worklog.Release{ItemRef: ref}})
+}
+
 // unstoredRecords returns the number of records that are not stored yet.
 func (b *Batcher) unstoredRecords() int { return b.texts.Len() + b.outbox.Len() }
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -45,10 +45,14 @@
 	b.tomb.Go(func() error {
 		defer cancel(nil)
 		var end runOutcome
-		if standing == jobroute.Removed {
+		switch {
+		case standing == jobroute.Removed:
 			end = removedRouteOutcome(h, progress, config.Version)
-		} else {
+		case !route.Serves(b.params.Node.Service):
+			end = b.unservedOutcome(h, progress, route)
+		default:
 			end = b.runItem(ctx, h, target, route, progress)
+			b.giveUpExpired(ctx, h, route, &end)
 		}
 		b.handleRunEnd(ctx, h, end)
 		return nil
@@ -62,6 +66,10 @@
 	result *fleet.Result
 	// status is the status of the target's answer if that was not a success.
 	status int
+	// refused is set if the target stated that it has not run the item.
+	refused bool
+	// givenUp is set if the item has ended since its retention is over.
+	givenUp bool
 	// otherTarget is set if the answer came from another target than the one addressed.
 	otherTarget bool
 	err         error
@@ -88,6 +96,8 @@
 	}
 	outcome := "broken"
 	switch {
+	case end.givenUp:
+		outcome = "given_up"
 	case end.result != nil && end.result.State == fleet.ResultDeadLetter:
 		outcome = "dead"
 	case end.result != nil:
@@ -114,7 +124,9 @@
 		if h.savedEvents > 0 {
 			b.deleteSave(h.ref)
 		}
+		return
 	}
+	b.noteRefusal(h, end.refused)
 }
 
 // removedRouteOutcome returns the outcome of an item whose route the given version of the
@@ -157,7 +169,7 @@
 	}
 	if answer.Verdict != fleet.VerdictAnswer {
 		answer.Discard()
-		return runOutcome{progress: progress, otherTarget: answer.Verdict == fleet.VerdictWrongTarget, err: fleet.ErrAnswerBroken.New("attempt not answered by the target: verdict %d", answer.Verdict)}
+		return runOutcome{progress: progress, refused: answer.Verdict == fleet.VerdictNotRun, otherTarget: answer.Verdict == fleet.VerdictWrongTarget, err: fleet.ErrAnswerBroken.New("attempt not answered by the target: verdict %d", answer.Verdict)}
 	}
 	if answer.Status != http.StatusOK {
 		answer.Discard()
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -47,6 +47,9 @@
 	ReadableSince time.Time
 	// CanRun reports whether this process's target may run the job's items.
 	CanRun func(*worklog.Job) bool
+	// IsLeftToOthers, if set, reports whether this process should not claim the item although its
+	// target may run the job's items.
+	IsLeftToOthers func(*worklog.Job, *worklog.Item) bool
 	// CanFinishInTime reports whether this process can finish the item by its due
 	// time.
 	CanFinishInTime func(*worklog.Job, *worklog.Item) bool
@@ -71,6 +74,9 @@
 			if item.Done {
 				continue
 			}
+			if p.IsLeftToOthers != nil && p.IsLeftToOthers(job, item) {
+				continue
+			}
 			freeFor, isFree := freeTime(p, fold, item)
 			if !isFree || !order.mayClaim(item.Ref, freeFor) {
 				continue
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -86,6 +86,7 @@
 	}
 	record, err := g.writer.Record(worklog.Entry{Accept: &worklog.Accept{
 		Job: *job, Route: route.Name, Path: path, AcceptedUnixMillis: time.Now().UnixMilli(), ConfigVersion: g.configVersion(), Workspace: workspace,
+		RetentionMillis: route.Retention.Milliseconds(),
 	}})
 	if err != nil {
 		return err
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -188,6 +188,15 @@
 	}
 }
 
+// KeepAges takes over since when this process has known of the jobs from the fold that f replaces.
+func (f *Fold) KeepAges(replaced *Fold) {
+	for id, job := range f.jobs {
+		if old := replaced.jobs[id]; old != nil && old.Offset == job.Offset {
+			job.KnownSince = old.KnownSince
+		}
+	}
+}
+
 func (f *Fold) apply(now time.Time, r fleet.Record, e *Entry) {
 	offset := r.Offset
 	switch {
@@ -221,7 +230,7 @@
 	if f.jobs[a.Job.ID] != nil {
 		return
 	}
-	job := &Job{Accept: a, Acceptor: writer, Offset: offset, AcceptedAt: now, resultKeys: map[string]string{}}
+	job := &Job{Accept: a, Acceptor: writer, Offset: offset, AcceptedAt: now, KnownSince: now, resultKeys: map[string]string{}}
 	for _, item := range a.Job.Items {
 		ref := ItemRef{Job: a.Job.ID, Item: item.ID}
 		job.Items = append(job.Items, &Item{Item: item, Ref: ref, Claim: NoClaim, FreeSince: now})
--- a/state/worklog/fold_test.go
+++ b/state/worklog/fold_test.go
@@ -414,3 +414,26 @@
 	assert.Equal(t, l.fold().WaitingTokens("review", "two"), int64(0))
 	assert.Equal(t, l.fold().WaitingTokens("review", ""), int64(10))
 }
+
+// TestRebuiltFoldKnowsAges guards against a process that forgets how old jobs are when it reads the
+// log anew: items would be given up later each time. A job that was accepted again is a new one.
+func TestRebuiltFoldKnowsAges(t *testing.T) {
+	start := time.Unix(1000, 0)
+	w := NewWriter("gateway")
+	accept := func(id string, offset int64) fleet.Record {
+		r, err := w.Record(Entry{Accept: &Accept{Job: fleet.Job{ID: id}}})
+		assert.NilError(t, err)
+		r.Offset = offset
+		return r
+	}
+	kept, again := accept("kept", 0), accept("again", 1)
+	old := NewFold()
+	old.Apply(start, []fleet.Record{kept, again})
+	later := start.Add(time.Minute)
+	rebuilt := NewFold()
+	rebuilt.Restore(later, later, []fleet.Record{kept, accept("again", 7), accept("new", 8)})
+	rebuilt.KeepAges(old)
+	for id, want := range map[string]time.Time{"kept": start, "again": later, "new": later} {
+		assert.Equal(t, rebuilt.Job(id).KnownSince, want, id)
+	}
+}
--- a/state/worklog/record.go
+++ b/state/worklog/record.go
@@ -28,6 +28,9 @@
 	// older one says nothing about the job. It is 0 in records of processes that did not
 	// write it.
 	ConfigVersion int64 `msgpack:"v,omitempty"`
+	// RetentionMillis is how long the route kept items when the job was accepted, 0 in records of
+	// processes that did not write it and if the route keeps them for ever.
+	RetentionMillis int64 `msgpack:"n,omitempty"`
 	// Workspace is the name of the workspace that the job belongs to. It is empty in records
 	// of processes that did not write it, of callers without a key, and where the
 	// configuration had no workspaces: such a job is open to all callers.
@@ -285,6 +288,9 @@
 	// while the job is open.
 	AcceptedAt time.Time
 	ClosedAt   time.Time
+	// KnownSince is when this process first read of the job, by its monotonic clock. The job is
+	// at least that old, whatever the clocks of others say.
+	KnownSince time.Time
 	// recordKeys holds the keys of all records that refer to the job, textKeys those of
 	// its outputs.
 	recordKeys []string
