Learn the service of a batcher's target from the registry

Cause: the batcher took whatever answers at its machine's address for a target of the service in the settings of its start. It asked the address for an ID and then named that ID, so that the guard always passed, and told gateways that the ID serves the old service.

TestReusedAddressRunsNothingOfItsFormerService fails on the commit before (4 of 4 items run at the new target).

A batcher knows the service of its target from the registry, by the ID; from the target before, if the new one follows sooner than bounds.reuse_after_s; or from its settings, for a target that it finds within two seconds of its own start, as after a loss of power. The last was added after TestAllKilledUnderLoad had failed without it: nothing was served until targets had registered. Until the service is known nothing runs there and gateways are told nothing; afterwards the batcher serves the service that the target has.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/batchlimit"
+	"github.com/sycamoretally/sycamoretally/coordination/beside"
 	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/outbox"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
@@ -103,6 +104,11 @@
 	targetID string
 	// targetBorn is the time of its start in milliseconds since the epoch, 0 if unknown.
 	targetBorn int64
+	// identity tells the service of the target. usableAt is when that was last known and in the
+	// configuration.
+	identity beside.Identity
+	usableAt time.Time
+	lookup   serviceLookup
 	// lastReport is when the target last answered a poll.
 	lastReport time.Time
 	// claiming is set while a claim is in progress, which alone uses claimBackoff.
@@ -143,6 +149,8 @@
 
 		handedOver: map[worklog.ItemRef]int64{},
 		refused:    map[worklog.ItemRef]time.Time{},
+		identity:   beside.Identity{AddressReuse: p.Node.AddressReuse, StartedAt: time.Now(), Settings: p.Node.Service},
+		lookup:     serviceLookup{backoff: pause.Backoff{Min: minLookupDelay, Max: maxLookupDelay}},
 
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
 		meter:        batchlimit.Limiter{SettleTime: settleTime},
@@ -233,47 +241,6 @@
 	}
 }
 
-// pollTarget polls the target's state periodically and adjusts the items that run there.
-func (b *Batcher) pollTarget() error {
-	ctx := b.ctx
-	for ctx.Err() == nil {
-		state, err := b.readTargetState(ctx)
-		b.adjustItems(ctx, state, err)
-		pause.For(ctx, pollInterval)
-	}
-	return nil
-}
-
-// readTargetState returns the target's state. If the target reports no ID, the state has
-// the ID known before, or the one that Identify returns.
-func (b *Batcher) readTargetState(ctx context.Context) (fleet.TargetState, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	state, err := b.params.Reporter.Report(ctx, b.params.Node.TargetAddress)
-	if err != nil {
-		return state, err
-	}
-	b.mu.Lock()
-	known, born := b.targetID, b.targetBorn
-	b.mu.Unlock()
-	if state.ID == "" && state.StartUnixMillis == born {
-		state.ID = known
-	}
-	if service := b.service(); state.ID == "" && service != nil {
-		state.ID, err = b.params.Reporter.Identify(ctx, b.params.Node.TargetAddress, service.HealthPath)
-	}
-	return state, err
-}
-
-// service returns the configuration of the target's service, nil if there is none.
-func (b *Batcher) service() *fleet.Service {
-	c := b.configs.Current()
-	if c == nil {
-		return nil
-	}
-	return c.Services[b.params.Node.Service]
-}
-
 // adjustItems starts, preempts, claims and releases items according to the target's state.
 func (b *Batcher) adjustItems(ctx context.Context, state fleet.TargetState, failure error) {
 	b.mu.Lock()
@@ -303,8 +270,10 @@
 	}
 	service := b.service()
 	if service == nil || b.targetID == "" {
+		b.releaseUnserved(now)
 		return
 	}
+	b.usableAt = now
 	b.sendHeartbeat(now)
 	b.saveProgress(now)
 	load := batchlimit.Load{Slots: service.Slots, Running: state.Running, Waiting: state.Waiting, Items: len(b.runningItems())}
@@ -343,7 +312,7 @@
 	route, standing := jobroute.Find(b.configs.Current(), job.Accept)
 	switch standing {
 	case jobroute.InForce:
-		return route.Serves(b.params.Node.Service)
+		return route.Serves(b.targetService())
 	case jobroute.Removed:
 		return true
 	default:
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -60,6 +60,8 @@
 	unsendable map[string]string
 	// workspaces holds the workspace that each item was last sent for.
 	workspaces map[string]*fleet.Workspace
+	// healthPath, if set, is the only path at which the target tells its ID.
+	healthPath string
 	// slowdown is the factor by which events take longer, 0 for none.
 	slowdown int
 }
@@ -109,11 +111,22 @@
 	if e.down {
 		return fleet.TargetState{}, fleet.ErrNotDelivered.New("down")
 	}
-	return fleet.TargetState{ID: e.id, Running: e.running + e.online, Waiting: e.waiting, Draining: e.draining}, nil
+	id := e.id
+	if e.healthPath != "" {
+		id = ""
+	}
+	return fleet.TargetState{ID: id, Running: e.running + e.online, Waiting: e.waiting, Draining: e.draining}, nil
 }
 
 // Identify implements batcher.Reporter.
-func (e *target) Identify(context.Context, string, string) (string, error) { return e.id, nil }
+func (e *target) Identify(_ context.Context, _, path string) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.healthPath != "" && path != e.healthPath {
+		return "", fleet.ErrAnswerBroken.New("no ID at %s", path)
+	}
+	return e.id, nil
+}
 
 // oddEvents are numbers of events that are sent after the one with the number after.
 type oddEvents struct {
@@ -228,7 +241,15 @@
 type decoder struct{ config *fleet.Configuration }
 
 func (d decoder) Configuration(fleet.Record) (*fleet.Configuration, error) { return d.config, nil }
-func (decoder) Target(fleet.Record) (*fleet.Target, error)                 { return nil, nil }
+func (decoder) Target(r fleet.Record) (*fleet.Target, error)               { return decodeTarget(r) }
+
+// decodeTarget decodes the value of a target's record as the name of its service.
+func decodeTarget(r fleet.Record) (*fleet.Target, error) {
+	if len(r.Value) == 0 {
+		return nil, nil
+	}
+	return &fleet.Target{ID: r.Key, Service: string(r.Value), Address: "t1"}, nil
+}
 
 // fixture is a store with a work log, a writer for it and a configuration.
 type fixture struct {
@@ -244,9 +265,17 @@
 	s.config = fleet.NewConfiguration(1, []*fleet.Route{route}, []*fleet.Service{{Name: "llm", Slots: slots}}, fleet.Limits{})
 	_, err := s.store.Append(t.Context(), fleet.TopicConfiguration, fleet.AnyOffset, []fleet.Record{{Key: "config", Value: []byte("1")}})
 	assert.NilError(t, err)
+	s.register("t1", "llm")
 	return s
 }
 
+// register registers a target under a service.
+func (s *fixture) register(id, service string) {
+	s.t.Helper()
+	_, err := s.store.Append(s.t.Context(), fleet.TopicTargets, fleet.AnyOffset, []fleet.Record{{Key: id, Value: []byte(service)}})
+	assert.NilError(s.t, err)
+}
+
 func (s *fixture) appendEntry(e worklog.Entry) {
 	s.t.Helper()
 	record, err := s.writer.Record(e)
@@ -260,7 +289,12 @@
 	for i := range items {
 		job.Items = append(job.Items, fleet.Item{ID: fmt.Sprint(id, i), Path: "/j/x", Header: http.Header{}})
 	}
-	s.appendEntry(worklog.Entry{Accept: &worklog.Accept{Job: job, Route: "jobs", Path: "/j/1"}})
+	s.acceptJob(job, "jobs", "/j/1")
+}
+
+func (s *fixture) acceptJob(job fleet.Job, route, path string) {
+	s.t.Helper()
+	s.appendEntry(worklog.Entry{Accept: &worklog.Accept{Job: job, Route: route, Path: path}})
 }
 
 func (s *fixture) start(name string, e *target) *batcher.Batcher {
@@ -463,6 +497,7 @@
 		b := s.start("b", e)
 		time.Sleep(1200 * time.Millisecond)
 		e.set(func(e *target) { e.id = "t2" })
+		s.register("t2", "llm")
 		s.accept("j", 2)
 		time.Sleep(5 * time.Second)
 		s.checkCompleted("j")
@@ -491,6 +526,7 @@
 				}
 				e.set(func(e *target) { e.down = true })
 				time.Sleep(2 * tokenTime)
+				s.register(fmt.Sprint("life", i, crashes), "llm")
 				e.set(func(e *target) { e.down, e.id = false, fmt.Sprint("life", i, crashes) })
 			}
 			time.Sleep(tokenTime)
--- a/batcher/capacity.go
+++ b/batcher/capacity.go
@@ -60,7 +60,7 @@
 	}
 	l.slots, l.running = slots, running
 	if config := b.configs.Current(); config != l.config {
-		l.config, l.need = config, needOf(config, b.params.Node.Service)
+		l.config, l.need = config, needOf(config, b.targetService())
 	}
 	for _, h := range b.runningItems() {
 		if step := h.measureStep(); step > 0 {
--- a/batcher/capacity_test.go
+++ b/batcher/capacity_test.go
@@ -34,6 +34,7 @@
 		assert.Equal(t, b.ReportLoad().StepMicros, int64(10_000), "told of another incarnation")
 		tell("t1", 20*time.Millisecond)
 		assert.Assert(t, b.ReportLoad().StepMicros >= 18_000, "%d", b.ReportLoad().StepMicros)
+		s.register("t2", "llm")
 		e.set(func(e *target) { e.id = "t2" })
 		time.Sleep(100 * time.Millisecond)
 		assert.DeepEqual(t, b.ReportLoad(), &fleet.PeerLoad{Target: "t2", Service: "llm"})
--- a/batcher/giveup_test.go
+++ b/batcher/giveup_test.go
@@ -177,6 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, e := newFixture(t), newTarget()
 		s.keepFor(testRetention / 2)
+		s.register("t1", "other")
 		b := batcher.New(batcher.Params{
 			Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: "other", MaxCallBytes: 1 << 20},
 			Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config},
--- a/batcher/item.go
+++ b/batcher/item.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		route, standing := jobroute.Find(b.configs.Current(), h.job)
-		if standing == jobroute.InForce && !route.Serves(b.params.Node.Service) && !b.isAbandoned(h.candidate, route) {
+		if standing == jobroute.InForce && !route.Serves(b.targetService()) && !b.isAbandoned(h.candidate, route) {
 			b.release(h, "its route goes to other services", "route", route.Name)
 		}
 	}
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -14,17 +14,18 @@
 const maxLoadAge = 200 * time.Millisecond
 
 // ReportLoad returns the target's load, for gateways that query it. It returns nil if the
-// target is not known, has not reported its load within maxLoadAge or is draining, or if
+// target or its service is not known, has not reported its load within maxLoadAge or is draining, or if
 // the batcher is stopping.
 func (b *Batcher) ReportLoad() *fleet.PeerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	if b.stopping || b.draining || b.targetID == "" || now.Sub(b.lastReport) > maxLoadAge {
+	service := b.targetService()
+	if b.stopping || b.draining || service == "" || now.Sub(b.lastReport) > maxLoadAge {
 		return nil
 	}
 	load := &fleet.PeerLoad{
-		Target: b.targetID, Online: b.inflow.Count(now), Service: b.params.Node.Service, StartUnixMillis: b.targetBorn, Items: len(b.runningItems()),
+		Target: b.targetID, Online: b.inflow.Count(now), Service: service, StartUnixMillis: b.targetBorn, Items: len(b.runningItems()),
 	}
 	b.addLearned(now, load)
 	return load
--- a/batcher/newroute_test.go
+++ b/batcher/newroute_test.go
@@ -24,7 +24,7 @@
 	return v[string(r.Value)], nil
 }
 
-func (versions) Target(fleet.Record) (*fleet.Target, error) { return nil, nil }
+func (versions) Target(r fleet.Record) (*fleet.Target, error) { return decodeTarget(r) }
 
 // withheld is a store that does not answer reads of the configuration while hidden is set.
 type withheld struct {
--- a/batcher/reconcile.go
+++ b/batcher/reconcile.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		taken++
-		if b.targetID == "" || b.draining || b.stopping || len(b.held) > b.room {
+		if b.targetService() == "" || b.draining || b.stopping || len(b.held) > b.room {
 			b.release(b.held[ref], "claimed late, and there is no room")
 		}
 	}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -42,13 +42,14 @@
 	h.eventsAtStart = h.progress.Events
 	target := &fleet.Target{ID: b.targetID, Address: b.params.Node.TargetAddress}
 	progress := h.progress
+	serves := route != nil && route.Serves(b.targetService())
 	b.tomb.Go(func() error {
 		defer cancel(nil)
 		var end runOutcome
 		switch {
 		case standing == jobroute.Removed:
 			end = removedRouteOutcome(h, progress, config.Version)
-		case !route.Serves(b.params.Node.Service):
+		case !serves:
 			end = b.unservedOutcome(h, progress, route)
 		default:
 			end = b.runItem(ctx, h, target, route, progress)
--- /dev/null
+++ b/batcher/target_test.go
@@ -0,0 +1,140 @@
+package batcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoretally/sycamoretally/batcher"
+	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
+)
+
+// addressReuse is how long the address of a target is not used again by another service.
+const addressReuse = 2 * time.Second
+
+// startTwoServices sets up a route for jobs to each of the services llm and other, whose health
+// paths differ, and starts a batcher with the service in its settings.
+func (s *fixture) startTwoServices(e *target, service string) *batcher.Batcher {
+	services := []*fleet.Service{{Name: "llm", Slots: slots, HealthPath: "/llm"}, {Name: "other", Slots: slots, HealthPath: "/other"}}
+	s.config = fleet.NewConfiguration(1, []*fleet.Route{jobsRoute("jobs", "/j/", "llm"), jobsRoute("others", "/o/", "other")}, services, fleet.Limits{})
+	b := batcher.New(batcher.Params{
+		Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: service, MaxCallBytes: 1 << 20, AddressReuse: addressReuse},
+		Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config},
+	})
+	b.Start()
+	return b
+}
+
+// reuseAddress lets the target end in the middle of a job, and one with another ID start at its
+// address, once that may be used again by another service.
+func (s *fixture) reuseAddress(e *target) {
+	s.accept("j", slots)
+	time.Sleep(time.Second)
+	assert.Equal(s.t, e.busy(), slots)
+	e.set(func(e *target) { e.down = true })
+	time.Sleep(addressReuse + 100*time.Millisecond)
+	e.set(func(e *target) { e.down, e.id, e.sends = false, "t9", map[string]int{} })
+}
+
+// TestReusedAddressRunsNothingOfItsFormerService guards against items and streams that run at a
+// target of another service, which uses the address of one that has ended (review/6): before it is
+// registered, while the store is away, and after a restart of the batcher with its old settings.
+// Gateways must not be told that it belongs to the service before. Once it is registered, it
+// serves its own.
+func TestReusedAddressRunsNothingOfItsFormerService(t *testing.T) {
+	for name, disturb := range map[string]func(s *fixture, e *target, b *batcher.Batcher) *batcher.Batcher{
+		"nothing else": func(_ *fixture, _ *target, b *batcher.Batcher) *batcher.Batcher { return b },
+		"its ID is told at its own health path only": func(_ *fixture, e *target, b *batcher.Batcher) *batcher.Batcher {
+			e.set(func(e *target) { e.healthPath = "/other" })
+			return b
+		},
+		"the store is away": func(s *fixture, _ *target, b *batcher.Batcher) *batcher.Batcher {
+			s.store.SetFaults(fleetstore.Faults{Down: true})
+			time.Sleep(6 * time.Second)
+			s.store.SetFaults(fleetstore.Faults{})
+			return b
+		},
+		"the settings change": func(_ *fixture, _ *target, b *batcher.Batcher) *batcher.Batcher {
+			b.Reload(&fleet.Node{Service: "other"})
+			return b
+		},
+		"the batcher is restarted, long before the target comes": func(s *fixture, e *target, b *batcher.Batcher) *batcher.Batcher {
+			e.set(func(e *target) { e.down = true })
+			assert.NilError(s.t, b.Stop())
+			b = s.startTwoServices(e, "llm")
+			time.Sleep(addressReuse)
+			e.set(func(e *target) { e.down = false })
+			return b
+		},
+		"an entry that can't be read": func(s *fixture, _ *target, b *batcher.Batcher) *batcher.Batcher {
+			s.register("t9", "")
+			return b
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e := newFixture(t), newTarget()
+				b := s.startTwoServices(e, "llm")
+				time.Sleep(time.Second)
+				s.reuseAddress(e)
+				b = disturb(s, e, b)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, e.sent(""), 0, "nobody knows what it serves")
+				assert.Assert(t, b.ReportLoad() == nil)
+				s.register("t9", "other")
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, e.sent(""), 0, "it serves another service")
+				assert.Equal(t, b.ReportLoad().Service, "other")
+				for _, item := range s.job("j").Items {
+					assert.Equal(t, item.Holder, "", "others can run the items")
+				}
+				job := fleet.Job{ID: "o", Host: "h", Items: []fleet.Item{{ID: "o0", Path: "/o/x"}}}
+				s.acceptJob(job, "others", "/o/1")
+				time.Sleep(5 * time.Second)
+				s.checkCompleted("o")
+				assert.NilError(t, b.Stop())
+			})
+		})
+	}
+}
+
+// TestRestartedBatcherServesByItsSettings restarts the batcher beside a target of another service that
+// is not registered yet. The settings in effect name that service.
+func TestRestartedBatcherServesByItsSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		b := s.startTwoServices(e, "llm")
+		time.Sleep(time.Second)
+		s.reuseAddress(e)
+		assert.NilError(t, b.Stop())
+		b = s.startTwoServices(e, "other")
+		s.acceptJob(fleet.Job{ID: "o", Host: "h", Items: []fleet.Item{{ID: "o0", Path: "/o/x"}}}, "others", "/o/1")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.ReportLoad().Service, "other")
+		assert.Equal(t, e.sent(""), 1, "the items of the service before wait")
+		s.checkCompleted("o")
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// TestQuickRestartNeedsNoRegistry guards against targets that stand idle until they are registered,
+// or for as long as the store is away, although their address can't have been used again yet.
+func TestQuickRestartNeedsNoRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		b := s.startTwoServices(e, "llm")
+		time.Sleep(time.Second)
+		s.store.SetFaults(fleetstore.Faults{Down: true})
+		e.set(func(e *target) { e.down = true })
+		time.Sleep(addressReuse - 300*time.Millisecond)
+		e.set(func(e *target) { e.down, e.id = false, "t9" })
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, b.ReportLoad(), &fleet.PeerLoad{Target: "t9", Service: "llm"})
+		s.store.SetFaults(fleetstore.Faults{})
+		time.Sleep(time.Second)
+		assert.NilError(t, b.Stop())
+	})
+}
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -219,7 +219,7 @@
 	})
 	p.listenDatagrams(b)
 	b.Start()
-	p.awaitStop(func(*fleet.Node) {})
+	p.awaitStop(b.Reload)
 	return b.Stop()
 }
 
--- a/gateway/texts.go
+++ b/gateway/texts.go
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), oldTextReadTimeout)
 	defer cancel()
-	page, err := t.store.NewestAfter(ctx, fleet.TopicTexts, keyBefore(ref.Key))
+	page, err := t.store.NewestAfter(ctx, fleet.TopicTexts, fleet.KeyBefore(ref.Key))
 	if err != nil {
 		return "", err
 	}
@@ -105,13 +105,6 @@
 	return "", fleet.ErrStoreUnavailable.New("no text with key %s", ref.Key)
 }
 
-// keyBefore returns a key that sorts before the given one, such that no key that the
-// system uses lies between them.
-func keyBefore(key string) string {
-	last := len(key) - 1
-	return key[:last] + string(rune(key[last]-1)) + "~"
-}
-
 // resolve returns the results with their outputs, up to the first output that cannot be
 // read within textReadTimeout. It also returns the error of that read.
 func (t *textReader) resolve(ctx context.Context, job string, results []worklog.Result) ([]fleet.Result, error) {
--- a/protocol/fleet/node.go
+++ b/protocol/fleet/node.go
@@ -44,6 +44,9 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   int
+	// AddressReuse is how long the address of a target that has ended is not used again by another
+	// service, 0 if that is not known.
+	AddressReuse time.Duration
 	// ProcessorShare is the share of a core that the process has, 0 if unknown.
 	ProcessorShare float64
 }
@@ -72,6 +75,7 @@
 	note("quota_window", n.QuotaWindow, next.QuotaWindow, true)
 	note("quota_overage", n.QuotaOverage, next.QuotaOverage, true)
 	note("quota_slack", n.QuotaSlack, next.QuotaSlack, true)
+	note("address_reuse", n.AddressReuse, next.AddressReuse, true)
 	note("processor_share", n.ProcessorShare, next.ProcessorShare, true)
 	note("max_call_bytes", n.MaxCallBytes, next.MaxCallBytes, true)
 	note("name", n.Name, next.Name, true)
--- a/protocol/fleet/store.go
+++ b/protocol/fleet/store.go
@@ -46,6 +46,13 @@
 // MaxKeyBytes is the size limit of a record's key.
 const MaxKeyBytes = 255
 
+// KeyBefore returns a key that sorts before the given one, such that few others lie between: a read
+// of the newest records after it begins with the given one.
+func KeyBefore(key string) string {
+	last := len(key) - 1
+	return key[:last] + string(rune(key[last]-1)) + "~"
+}
+
 // AnyOffset makes an append unconditional on the end of the topic.
 const AnyOffset = -1
 
