Take no answer for whole that was cut by a reset

The users told of other systems: a part of an answer without a length reached the caller as a complete one, since the target had answered a long upload at once and reset the connection while the upload was still being written.

Cause: a reset is reported once, and net/http's write of the request may get it, so that the read finds an end that looks like that of a whole answer.

A connection to a service or engine has no end while a write has failed or is in progress: the read fails.

--- a/backend/deadline_body.go
+++ b/backend/deadline_body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http/httptrace"
@@ -78,11 +79,41 @@
 	return protocol.ErrNotSent.New("deadline for sending has passed")
 }
 
+// writeEndTimeout is how long the end of what a target sends waits for a write to return.
+const writeEndTimeout = 100 * time.Millisecond
+
 // deadlineConn is a connection to a target. Its writes fail after the deadline of the
 // request body that it is sending, if that has one.
+//
+// A reset is reported once, by a read or by a write. If a write has got it, reads find an end that
+// looks like that of a whole answer. So there is no end while the request is not written.
 type deadlineConn struct {
 	net.Conn
 	body atomic.Pointer[deadlineBody]
+	// writing holds a token while a write is in progress. failed is set once one has failed.
+	writing chan struct{}
+	failed  atomic.Bool
+}
+
+// Read implements io.Reader. It fails with io.ErrUnexpectedEOF if the target has ended the
+// connection and a write has failed or is still in progress.
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && !c.isWritten() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// isWritten reports whether every write has succeeded.
+func (c *deadlineConn) isWritten() bool {
+	select {
+	case c.writing <- struct{}{}:
+		<-c.writing
+		return !c.failed.Load()
+	case <-time.After(writeEndTimeout):
+		return false
+	}
 }
 
 // setBody sets the body that the connection is sending, nil for none with a deadline.
@@ -98,12 +129,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &deadlineConn{Conn: conn}, nil
+	return &deadlineConn{Conn: conn, writing: make(chan struct{}, 1)}, nil
 }
 
 // Write implements io.Writer. It fails with ErrNotSent once the body's deadline has
 // passed.
 func (c *deadlineConn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	n, err := c.writeInTime(p)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+// writeInTime writes within the deadline of the body.
+func (c *deadlineConn) writeInTime(p []byte) (int, error) {
 	body := c.body.Load()
 	if body == nil {
 		return c.Conn.Write(p)
