Take no answer with an impossible status

The users told of other systems: an answer with the status 000 reached the caller as an answer.

Cause: statuses were checked for three digits only. On the users' platform one below 200 counted as an interim answer, and what followed as the answer; the result of a plain service had no check.

--- a/backend/service.go
+++ b/backend/service.go
@@ -31,6 +31,9 @@
 // maxServiceAnswer is the maximum size of a plain service's answer in bytes.
 const maxServiceAnswer = 16 << 20
 
+// maxStatus is the highest status that an answer may have.
+const maxStatus = 599
+
 // Do sends one call once, on a connection of its own. Do fails with ErrNotSent if the
 // service was not reached, and with ErrTargetFailed or ErrTruncated if the call may have run.
 func (s *PlainService) Do(ctx context.Context, key string, call *protocol.Call) (protocol.Result, error) {
@@ -56,6 +59,9 @@
 	if err != nil {
 		return result, protocol.ErrTruncated.Wrap(err, "service answer")
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return result, protocol.ErrTargetFailed.New("service answered with status %03d", resp.StatusCode)
+	}
 	if len(body) > maxServiceAnswer {
 		return result, protocol.ErrTargetFailed.New("service answer exceeds the limit of %d bytes", maxServiceAnswer)
 	}
