--- a/protocol/eventstream/sequence.go
+++ b/protocol/eventstream/sequence.go
@@ -75,15 +75,12 @@
 		return true
 	}
 	number, err := strconv.ParseInt(string(id), 10, 64)
-	switch {
-	case s.state == sequenceNumbered:
-		if err != nil || number != s.last+1 {
-			return false
-		}
-	case err != nil:
+	if s.state == sequenceNew && err != nil {
 		s.state = sequenceUnchecked
 		return true
-	case number < 0 || number > 1:
+	}
+	isNext := number == s.last+1 || s.state == sequenceNew && number == 0
+	if err != nil || !isNext {
 		return false
 	}
 	s.last, s.state = number, sequenceNumbered
