Bound the clean-up of old jobs by bytes

Cause: the clean-up was bounded by 10,000 records of any size, and only for the work log.

Both topics' deletions are bounded by 512 KiB, but for those of the last job.

--- a/gateway/cleanup.go
+++ b/gateway/cleanup.go
@@ -13,11 +13,11 @@
 
 const (
 	// cleanupInterval is the time between two clean-ups. cleanupBatchSize bounds the jobs
-	// and the writers that one clean-up deletes, and maxDeletions bounds, approximately,
-	// the records, so that they fit into one append.
+	// and the writers that one clean-up deletes, and maxDeletionBytes bounds the records but for
+	// those of the last job, so that they fit into one append.
 	cleanupInterval  = 10 * time.Second
 	cleanupBatchSize = 100
-	maxDeletions     = 10_000
+	maxDeletionBytes = 512 << 10
 	// compactInterval is the time between two compactions of closed jobs. compactDelay is the
 	// time from the end of a job to its compaction, within which the last records that
 	// refer to it arrive.
@@ -65,7 +65,7 @@
 	defer g.jobsMu.RUnlock()
 	isOwn := func(job *worklog.Job) bool { return worklog.SameInstance(job.Acceptor, g.writer.Name()) }
 	for _, job := range g.fold.Compactable(time.Now().Add(-compactDelay), isOwn) {
-		if len(deletions) > maxDeletions {
+		if deletionBytes(deletions) > maxDeletionBytes {
 			break
 		}
 		jobs = append(jobs, job)
@@ -136,7 +136,7 @@
 		return age > nonAcceptorFactor*retention || age > retention && job.Acceptor == g.writer.Name()
 	}
 	for _, job := range g.fold.ForgettableJobs(isExpired, cleanupBatchSize) {
-		if len(log) > maxDeletions {
+		if deletionBytes(log) > maxDeletionBytes || deletionBytes(texts) > maxDeletionBytes {
 			break
 		}
 		l, t := job.Deletions()
@@ -146,6 +146,16 @@
 	return append(log, g.fold.WriterDeletions(now.Add(-retention), cleanupBatchSize)...), texts, jobs
 }
 
+// deletionBytes returns an upper bound of the size of deletions in the store.
+func deletionBytes(deletions []fleet.Record) int {
+	const overhead = 8
+	size := 0
+	for _, r := range deletions {
+		size += len(r.Key) + overhead
+	}
+	return size
+}
+
 // deleteRecords appends deletions. If the append fails, the next clean-up makes them
 // again, since the jobs stay in the fold until the deletions are read back.
 func (g *Gateway) deleteRecords(topic fleet.Topic, records []fleet.Record) error {
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -384,6 +385,44 @@
 	})
 }
 
+// TestExpiredJobsWithLongIDsAreDeleted guards against a clean-up that fails each time, since the keys of
+// the saved texts of many jobs are more than one append may hold: no job would be deleted any
+// more, and the store would fill.
+func TestExpiredJobsWithLongIDsAreDeleted(t *testing.T) {
+	const jobs, items = 50, 200
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(t)
+		w := worklog.NewWriter("batcher")
+		for i := range jobs {
+			accepted := fleet.Job{ID: fmt.Sprint("j", i), Host: "h"}
+			var records []fleet.Record
+			add := func(e worklog.Entry) {
+				record, err := w.Record(e)
+				assert.NilError(t, err)
+				records = append(records, record)
+			}
+			for n := range items {
+				accepted.Items = append(accepted.Items, fleet.Item{ID: fmt.Sprintf("%0237d", n), Path: "/x"})
+			}
+			add(worklog.Entry{Accept: &worklog.Accept{Job: accepted, Route: "jobs", Path: "/j/1"}})
+			for _, item := range accepted.Items {
+				add(worklog.Entry{Save: &worklog.Save{ItemRef: worklog.ItemRef{Job: accepted.ID, Item: item.ID}, Events: 3}})
+			}
+			add(worklog.Entry{End: &worklog.End{Job: accepted.ID}})
+			_, err := store.Append(t.Context(), fleet.TopicWork, fleet.AnyOffset, records)
+			assert.NilError(t, err)
+		}
+		s := startGateway(t, store)
+		defer s.stop()
+		time.Sleep(12 * keepResults)
+		left, _, err := store.Newest(t.Context(), fleet.TopicWork)
+		assert.NilError(t, err)
+		for _, r := range left {
+			assert.Assert(t, !strings.HasPrefix(r.Key, "batcher/"), "%d records are left", len(left))
+		}
+	})
+}
+
 // TestExpiredJobsAreDeleted checks that a completed job is deleted after five times the
 // promised time, and one whose acceptor no longer exists after twice that, and that then
 // neither the store nor a gateway holds anything of them. An open job is kept.
--- a/standin/fleetstore/fleetstore.go
+++ b/standin/fleetstore/fleetstore.go
@@ -35,6 +35,9 @@
 // its value.
 const MaxRecordBytes = 256 << 10
 
+// MaxCallBytes is the size limit of the records of one append.
+const MaxCallBytes = 2 << 20
+
 // Store is an in-memory fleet.Store. It is safe for concurrent use.
 type Store struct {
 	mu     sync.Mutex
@@ -214,7 +217,12 @@
 // checkSizes returns ErrUnstorable if the store does not take records of such a size. The
 // operator's configuration may be larger than the system's own records.
 func checkSizes(t fleet.Topic, records []fleet.Record) error {
+	size := 0
 	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+		if size > MaxCallBytes {
+			return fleet.ErrUnstorable.New("%d records with more than %d bytes in one call", len(records), MaxCallBytes)
+		}
 		if len(r.Key) > fleet.MaxKeyBytes || t != fleet.TopicConfiguration && len(r.Key)+len(r.Value) >= MaxRecordBytes {
 			return fleet.ErrUnstorable.New("record with a key of %d and a value of %d bytes", len(r.Key), len(r.Value))
 		}
