--- a/batcher/metrics.go
+++ b/batcher/metrics.go
@@ -56,6 +56,9 @@
 		return time.Since(b.lastReport).Seconds()
 	}))
 	gauge("sycamoretally_batcher_records_waiting", "Records that the store has not taken yet.", func() float64 { return float64(b.unstoredRecords()) })
+	b.params.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sycamoretally_batcher_records_refused_total", Help: "Records that were dropped since the store never takes them, for their size.",
+	}, func() float64 { return float64(b.outbox.Refused() + b.texts.Refused()) }))
 	gauge("sycamoretally_batcher_work_age_seconds", "Time since the work log was last known to be current.", func() float64 {
 		age, _ := b.workTail.Age()
 		return age.Seconds()
--- a/coordination/outbox/outbox.go
+++ b/coordination/outbox/outbox.go
@@ -73,6 +73,8 @@
 
 	mu      sync.Mutex
 	pending []PendingRecord
+	// refused is the number of records dropped.
+	refused int
 	// lastStored is the start of the last successful append.
 	lastStored time.Time
 	added      chan struct{}
@@ -101,6 +103,13 @@
 	return len(o.pending)
 }
 
+// Refused returns the number of records that were dropped since the store never takes them.
+func (o *Outbox) Refused() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.refused
+}
+
 // LastStored returns when the last successful append began, the zero time if there was
 // none.
 func (o *Outbox) LastStored() time.Time {
@@ -172,6 +181,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pending = o.pending[1:]
+	o.refused++
 	return true
 }
 
--- a/coordination/outbox/outbox_test.go
+++ b/coordination/outbox/outbox_test.go
@@ -116,6 +116,7 @@
 				cancel()
 				synctest.Wait()
 				assert.Equal(t, refused, 2)
+				assert.Equal(t, o.Refused(), 2)
 				records, _, err := s.Newest(t.Context(), fleet.TopicWork)
 				assert.NilError(t, err)
 				var got []string
