Reword how items are given up

A last reading of the change found a sentence to read twice, and an item of another service that is not given up yet failed with "retention over". It fails as not delivered. The package's tests pass.

--- a/batcher/giveup.go
+++ b/batcher/giveup.go
@@ -22,8 +22,8 @@
 // errExpired means that an item was given up since its retention is over.
 var errExpired = fleet.ErrAnswerBroken.NewSubtype("retention_over")
 
-// giveUpExpired ends the item as a dead letter if its retention is over and the run, which was not
-// cut short, has brought nothing. An item that has produced something since goes on.
+// giveUpExpired ends the item as a dead letter if its retention is over and the run has brought
+// nothing, though it was not cancelled here. One that brought something goes on.
 func (b *Batcher) giveUpExpired(ctx context.Context, h *heldItem, route *fleet.Route, end *runOutcome) {
 	if end.result != nil || context.Cause(ctx) != nil || end.otherTarget {
 		return
@@ -35,18 +35,20 @@
 	end.result = &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter}
 }
 
-// unservedOutcome returns the outcome of an item that runs at another service: it is given up if no
-// batcher of that service has taken it in time.
+// unservedOutcome returns the outcome of an item whose route does not go to the target's service. It
+// is not sent, and is given up if it is abandoned.
 func (b *Batcher) unservedOutcome(h *heldItem, progress worklog.Progress, route *fleet.Route) runOutcome {
-	err := errExpired.New("nobody has run the item in %v", expiry.Retention(route, h.job))
 	if !b.isAbandoned(h.candidate, route) {
-		return runOutcome{progress: progress, err: err}
+		return runOutcome{progress: progress, err: fleet.ErrNotDelivered.New("route %s goes to other services", route.Name)}
+	}
+	return runOutcome{
+		progress: progress, givenUp: true, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter},
+		err: errExpired.New("no batcher of its service has run the item in %v", expiry.Retention(route, h.job)),
 	}
-	return runOutcome{progress: progress, givenUp: true, err: err, result: &fleet.Result{Item: h.ref.Item, State: fleet.ResultDeadLetter}}
 }
 
-// isAbandoned reports whether this batcher may give the item up although its target's service
-// does not run it.
+// isAbandoned reports whether this batcher is to give the item up although its target belongs to
+// another service.
 func (b *Batcher) isAbandoned(c candidate, route *fleet.Route) bool {
 	return expiry.IsAbandoned(time.Now(), c.knownSince, route, c.job)
 }
--- a/batcher/loads.go
+++ b/batcher/loads.go
@@ -14,8 +14,8 @@
 const maxLoadAge = 200 * time.Millisecond
 
 // ReportLoad returns the target's load, for gateways that query it. It returns nil if the
-// target or its service is not known, has not reported its load within maxLoadAge or is draining, or if
-// the batcher is stopping.
+// target or its service is not known, if the target has not reported its load within maxLoadAge
+// or is draining, or if the batcher is stopping.
 func (b *Batcher) ReportLoad() *fleet.PeerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
