--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -149,7 +149,7 @@
 
 		handedOver: map[worklog.ItemRef]int64{},
 		refused:    map[worklog.ItemRef]time.Time{},
-		identity:   beside.Identity{AddressReuse: p.Node.AddressReuse, StartedAt: time.Now(), Settings: p.Node.Service},
+		identity:   beside.Identity{AddressReuse: p.Node.AddressReuse, StartedAt: time.Now(), SettingsService: p.Node.Service},
 		lookup:     serviceLookup{backoff: pause.Backoff{Min: minLookupDelay, Max: maxLookupDelay}},
 
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
--- a/batcher/giveup.go
+++ b/batcher/giveup.go
@@ -86,6 +86,11 @@
 	if !found || now.Sub(at) >= refusalPause {
 		return false
 	}
+	return !b.isExpired(now, job)
+}
+
+// isExpired reports whether the retention of the job's items is over.
+func (b *Batcher) isExpired(now time.Time, job *worklog.Job) bool {
 	route, _ := jobroute.Find(b.configs.Current(), job.Accept)
-	return !expiry.IsExpired(now, job.KnownSince, route, job.Accept)
+	return expiry.IsExpired(now, job.KnownSince, route, job.Accept)
 }
--- a/batcher/giveup_test.go
+++ b/batcher/giveup_test.go
@@ -178,11 +178,7 @@
 		s, e := newFixture(t), newTarget()
 		s.keepFor(testRetention / 2)
 		s.register("t1", "other")
-		b := batcher.New(batcher.Params{
-			Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: "other", MaxCallBytes: 1 << 20},
-			Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config},
-		})
-		b.Start()
+		b := s.startWith(s.store, decoder{s.config}, &fleet.Node{Name: "b", TargetAddress: "t1", Service: "other", MaxCallBytes: 1 << 20}, e)
 		time.Sleep(time.Second)
 		s.accept("j", 1)
 		s.checkGivenUp(time.Now(), "j", "j0")
--- a/batcher/newroute_test.go
+++ b/batcher/newroute_test.go
@@ -149,11 +149,7 @@
 			job.Items = append(job.Items, fleet.Item{ID: fmt.Sprint("j", i), Path: "/j/x", Header: http.Header{}})
 		}
 		s.appendEntry(worklog.Entry{Accept: &worklog.Accept{Job: job, Route: "jobs", Path: "/j/night/1", ConfigVersion: 1}})
-		b := batcher.New(batcher.Params{
-			Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20},
-			Store: s.store, Sender: e, Reporter: e, Decoder: configs,
-		})
-		b.Start()
+		b := s.startWith(s.store, configs, &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20}, e)
 		time.Sleep(1500 * time.Millisecond)
 		assert.Equal(t, e.busy(), slots)
 		_, err := s.store.Append(t.Context(), fleet.TopicConfiguration, fleet.AnyOffset, []fleet.Record{{Key: "config", Value: []byte("2")}})
--- a/batcher/results.go
+++ b/batcher/results.go
@@ -5,8 +5,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/sycamoretally/sycamoretally/coordination/expiry"
-	"github.com/sycamoretally/sycamoretally/coordination/jobroute"
 	"github.com/sycamoretally/sycamoretally/coordination/outbox"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -66,8 +64,7 @@
 	if job == nil {
 		return
 	}
-	route, _ := jobroute.Find(b.configs.Current(), job.Accept)
-	if expiry.IsExpired(time.Now(), job.KnownSince, route, job.Accept) {
+	if b.isExpired(time.Now(), job) {
 		b.enqueue(worklog.Entry{Done: &worklog.Done{Job: ref.Job, Item: ref.Item, State: fleet.ResultDeadLetter}})
 		return
 	}
--- a/batcher/target_test.go
+++ b/batcher/target_test.go
@@ -20,12 +20,8 @@
 func (s *fixture) startTwoServices(e *target, service string) *batcher.Batcher {
 	services := []*fleet.Service{{Name: "llm", Slots: slots, HealthPath: "/llm"}, {Name: "other", Slots: slots, HealthPath: "/other"}}
 	s.config = fleet.NewConfiguration(1, []*fleet.Route{jobsRoute("jobs", "/j/", "llm"), jobsRoute("others", "/o/", "other")}, services, fleet.Limits{})
-	b := batcher.New(batcher.Params{
-		Node:  &fleet.Node{Name: "b", TargetAddress: "t1", Service: service, MaxCallBytes: 1 << 20, AddressReuse: addressReuse},
-		Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config},
-	})
-	b.Start()
-	return b
+	node := &fleet.Node{Name: "b", TargetAddress: "t1", Service: service, MaxCallBytes: 1 << 20, AddressReuse: addressReuse}
+	return s.startWith(s.store, decoder{s.config}, node, e)
 }
 
 // reuseAddress lets the target end in the middle of a job, and one with another ID start at its
--- a/batcher/unstorable_test.go
+++ b/batcher/unstorable_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoretally/sycamoretally/batcher"
+	"github.com/sycamoretally/sycamoretally/coordination/registry"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 	"github.com/sycamoretally/sycamoretally/state/worklog"
@@ -73,11 +74,14 @@
 	return s.Store.Append(ctx, t, at, records)
 }
 
+// startOn starts a batcher on the store, beside a target of the service llm by its settings.
 func (s *fixture) startOn(store fleet.Store, name string, e *target) *batcher.Batcher {
-	b := batcher.New(batcher.Params{
-		Node:  &fleet.Node{Name: name, TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20},
-		Store: store, Sender: e, Reporter: e, Decoder: decoder{s.config},
-	})
+	return s.startWith(store, decoder{s.config}, &fleet.Node{Name: name, TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20}, e)
+}
+
+// startWith starts a batcher with the settings.
+func (s *fixture) startWith(store fleet.Store, d registry.Decoder, node *fleet.Node, e *target) *batcher.Batcher {
+	b := batcher.New(batcher.Params{Node: node, Store: store, Sender: e, Reporter: e, Decoder: d})
 	b.Start()
 	return b
 }
--- a/coordination/beside/beside.go
+++ b/coordination/beside/beside.go
@@ -22,9 +22,9 @@
 	// AddressReuse is how long the address of a target that has ended is not used again by
 	// another service, 0 if that is not known.
 	AddressReuse time.Duration
-	// StartedAt is when the batcher has started, and Settings the service in its settings.
-	StartedAt time.Time
-	Settings  string
+	// StartedAt is when the batcher has started, and SettingsService the service in its settings.
+	StartedAt       time.Time
+	SettingsService string
 
 	id      string
 	service string
@@ -50,7 +50,7 @@
 func (i *Identity) inferService(now time.Time) string {
 	switch {
 	case i.id == "" && now.Sub(i.StartedAt) < settingsValidity:
-		return i.Settings
+		return i.SettingsService
 	case i.id != "" && now.Sub(i.answeredAt) < i.AddressReuse:
 		return i.service
 	}
@@ -67,7 +67,7 @@
 // SettingsChanged notes that the settings name another service now than when the batcher started.
 // A target that is not registered may belong to either.
 func (i *Identity) SettingsChanged() {
-	i.Settings = ""
+	i.SettingsService = ""
 	if !i.isRegistered {
 		i.service = ""
 	}
--- a/coordination/beside/beside_test.go
+++ b/coordination/beside/beside_test.go
@@ -25,7 +25,7 @@
 		"before it may be":                    {reuse, reuse - time.Millisecond, "llm"},
 		"not known when it may be":            {0, time.Millisecond, ""},
 	} {
-		i := beside.Identity{AddressReuse: c.reuse, StartedAt: start.Add(-time.Hour), Settings: "llm"}
+		i := beside.Identity{AddressReuse: c.reuse, StartedAt: start.Add(-time.Hour), SettingsService: "llm"}
 		assert.Assert(t, i.Answered(start, "a"))
 		assert.Equal(t, i.Service("a"), "", "the settings are old")
 		i.Registered("b", "other")
@@ -52,7 +52,7 @@
 // power since its target is not registered yet.
 func TestSettingsSpeakOfTheTargetAtTheStart(t *testing.T) {
 	identity := func() *beside.Identity {
-		return &beside.Identity{AddressReuse: reuse, StartedAt: start, Settings: "llm"}
+		return &beside.Identity{AddressReuse: reuse, StartedAt: start, SettingsService: "llm"}
 	}
 	i := identity()
 	i.Answered(start.Add(time.Second), "a")
--- a/protocol/eventstream/sequence.go
+++ b/protocol/eventstream/sequence.go
@@ -61,17 +61,8 @@
 
 // follows reports whether the event follows the last one, and takes it over if it does.
 func (s *Sequence) follows(block []byte) bool {
-	var id []byte
-	content := false
-	for line := range bytes.SplitSeq(block, []byte("\n")) {
-		switch value, isID := bytes.CutPrefix(line, idField); {
-		case isID:
-			id, content = bytes.TrimSpace(value), true
-		case bytes.HasPrefix(line, dataField):
-			content = true
-		}
-	}
-	if !content || s.state == sequenceUnchecked {
+	id, hasContent := findID(block)
+	if !hasContent || s.state == sequenceUnchecked {
 		return true
 	}
 	number, err := strconv.ParseInt(string(id), 10, 64)
@@ -86,3 +77,16 @@
 	s.last, s.state = number, sequenceNumbered
 	return true
 }
+
+// findID returns the event's ID, empty if it has none, and whether the event has an ID or data.
+func findID(block []byte) (id []byte, hasContent bool) {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		switch value, isID := bytes.CutPrefix(line, idField); {
+		case isID:
+			id, hasContent = bytes.TrimSpace(value), true
+		case bytes.HasPrefix(line, dataField):
+			hasContent = true
+		}
+	}
+	return id, hasContent
+}
