Read the registry later where the service of a target is known

What callers saw: nothing wrong. When a fleet starts, each batcher read a page of the registry at once, and again every 0.2 to 2 s until its target was in it, while gateways wait for the same store. With 5,700 workers that are as many pages of up to 500 entries in one second.

Cause: the read confirms a service that the settings, or the target before, have told already; it is urgent only without them.

Why it works: without another word the registry is read at once, as before. Otherwise it is read 5 to 60 s later, at random. A service that changes in the settings makes an unconfirmed target unknown, and so the read urgent.

--- a/batcher/target.go
+++ b/batcher/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,11 +13,16 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// minLookupDelay and maxLookupDelay bound the delay between two reads of the registry for a target
-// that is not registered yet, or while the store does not answer.
 const (
+	// minLookupDelay and maxLookupDelay bound the delay between two reads of the registry for a
+	// target that is not registered yet, or while the store does not answer.
 	minLookupDelay = 200 * time.Millisecond
 	maxLookupDelay = 2 * time.Second
+	// minConfirmDelay and maxConfirmDelay bound the delay of the read if the service is known
+	// without it. It is random: all batchers may have started at the same moment, and each read
+	// costs the store a page of the registry.
+	minConfirmDelay = 5 * time.Second
+	maxConfirmDelay = time.Minute
 )
 
 // serviceLookup is the state of the reads of the registry for the target's service.
@@ -25,9 +31,11 @@
 	// did not. pollTarget only uses it.
 	unidentified int
 	inProgress   bool
-	// notBefore is the earliest time of the next read.
-	notBefore time.Time
-	backoff   pause.Backoff
+	// notBefore is the earliest time of the next read, and confirmAfter that of a read while the
+	// service is known without it.
+	notBefore    time.Time
+	confirmAfter time.Time
+	backoff      pause.Backoff
 }
 
 // pollTarget polls the target's state periodically and adjusts the items that run there.
@@ -102,9 +110,11 @@
 func (b *Batcher) noteIdentity(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.identity.Answered(time.Now(), id) {
+	now := time.Now()
+	if b.identity.Answered(now, id) {
 		b.lookup.backoff.Reset()
 		b.lookup.notBefore = time.Time{}
+		b.lookup.confirmAfter = now.Add(minConfirmDelay + rand.N(maxConfirmDelay-minConfirmDelay))
 	}
 }
 
@@ -141,12 +151,17 @@
 	}
 }
 
-// lookUpService starts to read the service of the target from the registry, unless it is known.
+// lookUpService starts to read the service of the target from the registry, unless that has named
+// it or the next read is not due yet.
 func (b *Batcher) lookUpService(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	id := b.identity.Unregistered()
-	if id == "" || b.lookup.inProgress || time.Now().Before(b.lookup.notBefore) {
+	now := time.Now()
+	if id == "" || b.lookup.inProgress || now.Before(b.lookup.notBefore) {
+		return
+	}
+	if b.identity.Service(id) != "" && now.Before(b.lookup.confirmAfter) {
 		return
 	}
 	b.lookup.inProgress = true
--- a/batcher/target_test.go
+++ b/batcher/target_test.go
@@ -1,6 +1,8 @@
 package batcher_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,21 @@
 // addressReuse is how long the address of a target is not used again by another service.
 const addressReuse = 2 * time.Second
 
+// countedReads is a store that counts the reads of the registry.
+type countedReads struct {
+	fleet.Store
+
+	registry atomic.Int64
+}
+
+// NewestAfter implements fleet.Store.
+func (s *countedReads) NewestAfter(ctx context.Context, topic fleet.Topic, key string) (fleet.NewestPage, error) {
+	if topic == fleet.TopicTargets {
+		s.registry.Add(1)
+	}
+	return s.Store.NewestAfter(ctx, topic, key)
+}
+
 // startTwoServices sets up a route for jobs to each of the services llm and other, whose health
 // paths differ, and starts a batcher with the service in its settings.
 func (s *fixture) startTwoServices(e *target, service string) *batcher.Batcher {
@@ -134,3 +151,41 @@
 		assert.NilError(t, b.Stop())
 	})
 }
+
+// TestBatchersThatStartTogetherLeaveTheRegistryAlone guards against reads of the registry by all batchers
+// at the same moment, which know the service otherwise: after a loss of power the store has much else
+// to answer. Within a minute the registry is read all the same, once. A changed service in the
+// settings makes it urgent.
+func TestBatchersThatStartTogetherLeaveTheRegistryAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		isReloaded bool
+		within     time.Duration
+	}{
+		"unchanged settings": {false, time.Minute},
+		"changed settings":   {true, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e := newFixture(t), newTarget()
+				store := &countedReads{Store: s.store}
+				services := []*fleet.Service{{Name: "llm", Slots: slots}}
+				config := fleet.NewConfiguration(1, []*fleet.Route{jobsRoute("jobs", "/j/", "llm")}, services, fleet.Limits{})
+				node := &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20, AddressReuse: addressReuse}
+				b := s.startWith(store, decoder{config}, node, e)
+				s.register(e.id, "llm")
+				time.Sleep(4 * time.Second)
+				assert.Equal(t, b.ReportLoad().Service, "llm")
+				assert.Equal(t, store.registry.Load(), int64(0))
+				if c.isReloaded {
+					b.Reload(&fleet.Node{Service: "other"})
+				}
+				time.Sleep(c.within)
+				assert.Equal(t, store.registry.Load(), int64(1))
+				assert.Equal(t, b.ReportLoad().Service, "llm")
+				time.Sleep(2 * time.Minute)
+				assert.Equal(t, store.registry.Load(), int64(1))
+				assert.NilError(t, b.Stop())
+			})
+		})
+	}
+}
--- a/coordination/beside/beside_test.go
+++ b/coordination/beside/beside_test.go
@@ -57,7 +57,7 @@
 	i := identity()
 	i.Answered(start.Add(time.Second), "a")
 	assert.Equal(t, i.Service("a"), "llm")
-	assert.Equal(t, i.Unregistered(), "a", "the registry is asked all the same")
+	assert.Equal(t, i.Unregistered(), "a", "the registry is asked all the same, if later")
 	i.Registered("a", "other")
 	assert.Equal(t, i.Service("a"), "other")
 	i.SettingsChanged()
