Let no result that the log never takes hold up the others of a sidecar

What callers saw: an answer of almost 16 MB to a call that runs at most once. Its record, larger than an entry of the product's own log may be, was refused each time and tried for ever; the results of all later calls waited behind it, and repeated calls were told that the outcome is unknown. At 1024 records the sidecar took no such calls any more.

Cause: the limit of a plain service's answer was that of an entry, which also holds the record; a refusal for good was taken for an outage.

The stand-in for the log took entries of any size when used in one process; it refuses now what it refuses over HTTP.

Why it works: an answer leaves room for its record and counts as too large above that, as one above 16 MiB did before. A 413 of the log is an ErrTooLarge, which is not tried again: the outbox appends such a batch one by one, drops the record that is refused alone, logs it and counts it.

--- a/backend/log.go
+++ b/backend/log.go
@@ -35,7 +35,8 @@
 // Log is the platform's append-only log.
 type Log interface {
 	// Append appends an entry and returns its offset. It fails with ErrLogUnavailable
-	// if the entry was not appended, and with ErrAnswerLost if that is not known.
+	// if the entry was not appended, with ErrTooLarge if it never can be, and with
+	// ErrAnswerLost if that is not known.
 	Append(ctx context.Context, stream string, data []byte) (uint64, error)
 	// Read returns up to limit entries from an offset on, waiting up to wait for the
 	// first one. From zero it reads from the oldest entry. It fails with
@@ -70,6 +71,9 @@
 		return 0, classifyAppendError(err, "append to %s", stream)
 	}
 	defer drainBody(resp.Body)
+	if resp.StatusCode == http.StatusRequestEntityTooLarge {
+		return 0, protocol.ErrTooLarge.New("append to %s: entry of %d bytes", stream, len(data))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, protocol.ErrLogUnavailable.New("append to %s: status %d", stream, resp.StatusCode)
 	}
--- a/backend/service.go
+++ b/backend/service.go
@@ -28,8 +28,12 @@
 // HeaderIdempotencyKey is the header that carries the request's key to the service.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
-// maxServiceAnswer is the maximum size of a plain service's answer in bytes.
-const maxServiceAnswer = 16 << 20
+// maxServiceAnswer is the maximum size of a plain service's answer in bytes: together with
+// recordBytes, which bounds what else its record holds, it fits into an entry of the log.
+const (
+	recordBytes      = 256 << 10
+	maxServiceAnswer = protocol.MaxEntryBytes - recordBytes
+)
 
 // maxStatus is the highest status that an answer may have.
 const maxStatus = 599
--- a/protocol/position.go
+++ b/protocol/position.go
@@ -9,6 +9,9 @@
 
 const indexBits = 12
 
+// MaxEntryBytes is the size limit of one entry of the log. The log refuses larger ones, each time.
+const MaxEntryBytes = 16 << 20
+
 // MaxBatchRecords is the maximum number of records in one log entry.
 const MaxBatchRecords = 1 << indexBits
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -50,6 +50,13 @@
 	}, func() float64 { return float64(o.pending()) })
 }
 
+func newRefusedCounter(o *outbox) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sycamoretally_sidecar_records_refused_total",
+		Help: "Records that were dropped since the log never takes them, for their size.",
+	}, func() float64 { return float64(o.refusals()) })
+}
+
 // slotCollector collects slot counts and target health when metrics are scraped.
 type slotCollector struct{ sidecar *Sidecar }
 
--- a/sidecar/outbox.go
+++ b/sidecar/outbox.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"k8s.io/klog/v2"
 
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
@@ -26,7 +27,7 @@
 
 // outbox holds the records that are not in the log yet, and appends them in the
 // background. While it is full, the sidecar starts no call whose record might have to
-// wait here.
+// wait here. A record that the log refuses for its size is dropped.
 type outbox struct {
 	appendRecords func(context.Context, []protocol.Record) error
 
@@ -34,7 +35,9 @@
 	reserved int
 	records  []protocol.Record
 	bytes    int
-	wake     chan struct{}
+	// refused is the number of records that were dropped.
+	refused int
+	wake    chan struct{}
 	// empty is closed and replaced whenever the last record has been appended.
 	empty chan struct{}
 }
@@ -99,7 +102,16 @@
 			}
 			continue
 		}
-		if err := o.appendRecords(ctx, batch); err != nil {
+		err := o.appendRecords(ctx, batch)
+		if errorx.IsOfType(err, protocol.ErrTooLarge) && len(batch) > 1 {
+			batch = batch[:1]
+			err = o.appendRecords(ctx, batch)
+		}
+		if errorx.IsOfType(err, protocol.ErrTooLarge) {
+			o.dropRefused(&batch[0])
+			continue
+		}
+		if err != nil {
 			klog.V(1).InfoS("records not stored; retrying", "records", len(batch), "error", protocol.CauseOf(err))
 			pause.For(ctx, appendRetryDelay)
 			continue
@@ -114,6 +126,23 @@
 	return nil
 }
 
+// dropRefused drops the oldest record, which the log will never take: it must not hold up those
+// behind it.
+func (o *outbox) dropRefused(rec *protocol.Record) {
+	klog.ErrorS(nil, "record refused by the log, dropped", "record", rec.ID, "bytes", resultBytes(rec))
+	o.removeFirst(1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refused++
+}
+
+// refusals returns the number of records that were dropped since the log never takes them.
+func (o *outbox) refusals() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.refused
+}
+
 // nextBatch returns the oldest records that fit in one append.
 func (o *outbox) nextBatch() []protocol.Record {
 	o.mu.Lock()
--- a/sidecar/outbox_test.go
+++ b/sidecar/outbox_test.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	down    bool
 	records []protocol.Record
+	// maxBytes is the size limit of an append, 0 if there is none.
+	maxBytes int
 }
 
 func (l *fakeLog) append(_ context.Context, records []protocol.Record) error {
@@ -27,6 +29,13 @@
 	if l.down {
 		return protocol.ErrLogUnavailable.New("outage")
 	}
+	size := 0
+	for i := range records {
+		size += resultBytes(&records[i])
+	}
+	if l.maxBytes > 0 && size > l.maxBytes {
+		return protocol.ErrTooLarge.New("%d bytes", size)
+	}
 	l.records = append(l.records, records...)
 	return nil
 }
@@ -68,6 +77,29 @@
 	})
 }
 
+// TestOversizedResultHoldsUpNoOther guards against a result that the log never takes and that is
+// tried for ever, with the results of all later calls behind it.
+func TestOversizedResultHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{maxBytes: 1000}
+		o := newOutbox(log.append)
+		for n, size := range []int{400, 400, 400, 1001, 400, 2000, 1000} {
+			o.add(completion(n, size))
+		}
+		go func() { _ = o.run(t.Context()) }()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		o.awaitEmpty(ctx)
+		assert.Equal(t, o.pending(), 0)
+		assert.Equal(t, o.refusals(), 2)
+		var stored []string
+		for _, rec := range log.records {
+			stored = append(stored, rec.ID)
+		}
+		assert.DeepEqual(t, stored, []string{"0", "1", "2", "4", "6"})
+	})
+}
+
 // TestOutboxIsBounded checks that reserve fails while the record of another call might
 // not fit.
 func TestOutboxIsBounded(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -112,7 +112,7 @@
 	sc.entries = &entryClient{members: sc.members, peers: sc.peers}
 	sc.batchEntries = &entryClient{members: sc.members, peers: batchPeers}
 	sc.outbox = newOutbox(func(ctx context.Context, records []protocol.Record) error { return sc.appendRecords(ctx, "", records) })
-	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox))
+	sc.metrics.registry.MustRegister(newOutboxGauge(sc.outbox), newRefusedCounter(sc.outbox))
 	sc.pullCtx, sc.stopPull = context.WithCancel(context.Background())
 	var err error
 	sc.httpListener, sc.peerListener, err = s.Process.Listen()
--- a/standin/logservice/http.go
+++ b/standin/logservice/http.go
@@ -14,9 +14,6 @@
 	"github.com/sycamoretally/sycamoretally/protocol"
 )
 
-// maxEntryBytes is the maximum size of one entry.
-const maxEntryBytes = 16 << 20
-
 // Handler serves the API that backend.HTTPLog uses, and POST /faults, which
 // replaces the injected faults.
 func (s *Service) Handler() http.Handler {
@@ -28,7 +25,7 @@
 }
 
 func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEntryBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxEntryBytes))
 	if err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -88,6 +88,9 @@
 
 // Append implements backend.Log.
 func (s *Service) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	if len(data) > protocol.MaxEntryBytes {
+		return 0, protocol.ErrTooLarge.New("entry of %d bytes", len(data))
+	}
 	if err := s.delay(ctx); err != nil {
 		return 0, err
 	}
