Confirm the service of a target within seconds

What callers saw: nothing yet. A read of the registry up to a minute later would have left a batcher with settings that are not those in effect in its error for that minute, and its target with requests of another service, where it was a second before the read was put off.

Cause: the delay weighed only the store. What it protects from is spread over a few seconds as well: 144 batchers read a page each in four seconds.

Evidence: TestBatchersThatStartTogetherLeaveTheRegistryAlone asks for exactly one read between 0.9 and 5.9 s after the start now, and for one at once when the settings change.

--- a/batcher/target.go
+++ b/batcher/target.go
@@ -21,8 +21,8 @@
 	// minConfirmDelay and maxConfirmDelay bound the delay of the read if the service is known
 	// without it. It is random: all batchers may have started at the same moment, and each read
 	// costs the store a page of the registry.
-	minConfirmDelay = 5 * time.Second
-	maxConfirmDelay = time.Minute
+	minConfirmDelay = time.Second
+	maxConfirmDelay = 5 * time.Second
 )
 
 // serviceLookup is the state of the reads of the registry for the target's service.
--- a/batcher/target_test.go
+++ b/batcher/target_test.go
@@ -154,15 +154,15 @@
 
 // TestBatchersThatStartTogetherLeaveTheRegistryAlone guards against reads of the registry by all batchers
 // at the same moment, which know the service otherwise: after a loss of power the store has much else
-// to answer. Within a minute the registry is read all the same, once. A changed service in the
-// settings makes it urgent.
+// to answer. Within seconds the registry is read all the same, once. A changed service in the settings
+// makes it urgent.
 func TestBatchersThatStartTogetherLeaveTheRegistryAlone(t *testing.T) {
 	for name, c := range map[string]struct {
 		isReloaded bool
 		within     time.Duration
 	}{
-		"unchanged settings": {false, time.Minute},
-		"changed settings":   {true, 3 * time.Second},
+		"unchanged settings": {false, 5 * time.Second},
+		"changed settings":   {true, 200 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -173,7 +173,7 @@
 				node := &fleet.Node{Name: "b", TargetAddress: "t1", Service: "llm", MaxCallBytes: 1 << 20, AddressReuse: addressReuse}
 				b := s.startWith(store, decoder{config}, node, e)
 				s.register(e.id, "llm")
-				time.Sleep(4 * time.Second)
+				time.Sleep(900 * time.Millisecond)
 				assert.Equal(t, b.ReportLoad().Service, "llm")
 				assert.Equal(t, store.registry.Load(), int64(0))
 				if c.isReloaded {
