Pass a refusal for size on as what it is

Cause: an entry takes an error of a gatherer that it does not know for a lost answer, and ErrTooLarge was new there.

Evidence: TestOversizedRecordIsNoLostAnswer, twelve entries, got answer_lost before.

Why it works: the log has appended nothing that it refuses for its size, whoever asked it.

--- a/coordination/commit/gatherers.go
+++ b/coordination/commit/gatherers.go
@@ -74,7 +74,7 @@
 // appended the records and will not append them.
 func isKnownNotAppended(err error) bool {
 	return errorx.IsOfType(err, protocol.ErrNotSent) || errorx.IsOfType(err, protocol.ErrLogUnavailable) ||
-		errorx.IsOfType(err, protocol.ErrLeaving)
+		errorx.IsOfType(err, protocol.ErrLeaving) || errorx.IsOfType(err, protocol.ErrTooLarge)
 }
 
 // candidates returns the gatherer for this process and the entry to try next. It
--- a/coordination/commit/gatherers_test.go
+++ b/coordination/commit/gatherers_test.go
@@ -191,6 +191,19 @@
 	assert.Equal(t, kinds[true], 12-commit.GatherersPerDataCentre)
 }
 
+// TestOversizedRecordIsNoLostAnswer guards against a record that is tried for ever: a refusal of the log
+// for its size, passed on by a gatherer, looked like a lost answer.
+func TestOversizedRecordIsNoLostAnswer(t *testing.T) {
+	c := newCluster(12, true, logservice.Params{})
+	c.run(t)
+	oversized := protocol.Record{ID: "x", Complete: &protocol.RequestComplete{Result: protocol.Result{Body: make([]byte, protocol.MaxEntryBytes)}}}
+	for name, w := range c.writers {
+		_, err := w.Append(t.Context(), oversized)
+		assert.Assert(t, errorx.IsOfType(err, protocol.ErrTooLarge), "%s: %v", name, err)
+	}
+	assert.Equal(t, len(c.logged(t)), 0)
+}
+
 // BenchmarkGatherers compares writers that append all records themselves with
 // writers that forward them, on a log of 300 appends a second. Each writer gets 40
 // records a second from 8 loops, each of which sends one record at a time.
