Let a call fail only for its own records

What callers saw: nothing yet, by a test: calls of several requests share an entry of the log, and an entry that is too large fails all of them. The estimate of a group's size counts bodies only, while callers choose keys of up to a megabyte.

Cause: the refusal of an entry was the result of each call in it.

Evidence: TestCallFailsOnlyForItsOwnRecords; before, three calls that fit failed with the one that did not.

Why it works: the calls of an entry that is refused for its size are appended one by one.

--- a/coordination/commit/commit.go
+++ b/coordination/commit/commit.go
@@ -81,8 +81,8 @@
 }
 
 // Append appends records in one entry of the log and returns the position of the
-// last one. It fails with ErrLogUnavailable if none was or will be appended, and
-// with ErrAnswerLost if that is unknown.
+// last one. It fails with ErrLogUnavailable if none was or will be appended, with
+// ErrTooLarge if they never can be in one entry, and with ErrAnswerLost if that is unknown.
 func (w *Writer) Append(ctx context.Context, records ...protocol.Record) (protocol.Position, error) {
 	return w.enqueue(ctx, &pending{records: records, done: make(chan result, 1)})
 }
@@ -163,6 +163,8 @@
 	}
 }
 
+// commit appends the records of a group of calls in one entry. If that is too large for the log,
+// those of each call get an entry of their own, so that a call fails only for its own records.
 func (w *Writer) commit(group []*pending) {
 	var all []protocol.Record
 	local := w.params.Forward == nil
@@ -171,6 +173,12 @@
 		local = local || p.local
 	}
 	last, err := w.store(all, local)
+	if errorx.IsOfType(err, protocol.ErrTooLarge) && len(group) > 1 {
+		for i := range group {
+			w.commit(group[i : i+1])
+		}
+		return
+	}
 	index := last.Index() - len(all)
 	for _, p := range group {
 		index += len(p.records)
--- a/coordination/commit/gatherers_test.go
+++ b/coordination/commit/gatherers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -204,6 +205,33 @@
 	assert.Equal(t, len(c.logged(t)), 0)
 }
 
+// TestCallFailsOnlyForItsOwnRecords guards against calls that fail since they shared an entry with
+// large records: the estimate of a group's size leaves out keys and IDs, which callers choose.
+func TestCallFailsOnlyForItsOwnRecords(t *testing.T) {
+	log := logservice.New(logservice.Params{})
+	w := commit.New(commit.Params{Stream: stream, Log: log, Linger: 200 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = w.Run(ctx) })
+	var appends sync.WaitGroup
+	for _, id := range []string{strings.Repeat("a", protocol.MaxEntryBytes-1<<20), "b", strings.Repeat("c", protocol.MaxEntryBytes), "d"} {
+		appends.Go(func() {
+			_, err := w.Append(ctx, protocol.Record{ID: id, Cancel: &protocol.JobCancel{Job: "j"}})
+			if len(id) == protocol.MaxEntryBytes {
+				assert.Check(t, errorx.IsOfType(err, protocol.ErrTooLarge), "%v", err)
+				return
+			}
+			assert.Check(t, err)
+		})
+	}
+	appends.Wait()
+	cancel()
+	group.Wait()
+	page, err := log.Read(t.Context(), stream, 0, backend.PageLimit, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Entries), 3, "one entry for each call")
+}
+
 // BenchmarkGatherers compares writers that append all records themselves with
 // writers that forward them, on a log of 300 appends a second. Each writer gets 40
 // records a second from 8 loops, each of which sends one record at a time.
