--- a/backend/service.go
+++ b/backend/service.go
@@ -28,10 +28,12 @@
 // HeaderIdempotencyKey is the header that carries the request's key to the service.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
-// maxServiceAnswer is the maximum size of a plain service's answer in bytes: together with
-// recordBytes, which bounds what else its record holds, it fits into an entry of the log.
 const (
-	recordBytes      = 256 << 10
+	// recordBytes bounds what the record of an answer holds beside its body: the key, which is
+	// part of the head of a call, the content type, which is part of that of the answer, and IDs.
+	recordBytes = 2 * http.DefaultMaxHeaderBytes
+	// maxServiceAnswer is the size limit of a plain service's answer in bytes, so that its record
+	// fits into an entry of the log.
 	maxServiceAnswer = protocol.MaxEntryBytes - recordBytes
 )
 
--- a/batcher/target.go
+++ b/batcher/target.go
@@ -18,9 +18,10 @@
 	// target that is not registered yet, or while the store does not answer.
 	minLookupDelay = 200 * time.Millisecond
 	maxLookupDelay = 2 * time.Second
-	// minConfirmDelay and maxConfirmDelay bound the delay of the read if the service is known
-	// without it. It is random: all batchers may have started at the same moment, and each read
-	// costs the store a page of the registry.
+	// minConfirmDelay and maxConfirmDelay bound the delay of the first read if the service is
+	// known without it. The delay is random, since all batchers may have started at the same
+	// moment, and each read costs the store a page of the registry. It is short, since what is
+	// known without the registry may be wrong.
 	minConfirmDelay = time.Second
 	maxConfirmDelay = 5 * time.Second
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,10 +88,10 @@
 	targetTail *topic.Follower
 	workTail   *topic.Follower
 
-	// jobsMu guards fold, rebuiltAt and changed.
+	// jobsMu guards fold, rebuiltAt and changed, and the writes of accepts.
 	jobsMu sync.RWMutex
 	fold   *worklog.Fold
-	// accepts are those of the fold. Online requests read them without waiting for jobsMu.
+	// accepts belong to the fold. Online requests read them without waiting for jobsMu.
 	accepts atomic.Pointer[worklog.Accepts]
 	// rebuiltAt is when the fold was last made anew from the newest records.
 	rebuiltAt time.Time
--- a/gateway/jobreads.go
+++ b/gateway/jobreads.go
@@ -91,8 +91,8 @@
 
 // HasAccepted implements fleet.CallerAPI.
 func (g *Gateway) HasAccepted(workspace *fleet.Workspace, host, path, id string) bool {
-	job := g.accepts.Load().Find(id)
-	return job != nil && workspace.MayUse(job.Workspace) && job.Job.Host == host && job.Path == path
+	accept := g.accepts.Load().Find(id)
+	return accept != nil && workspace.MayUse(accept.Workspace) && accept.Job.Host == host && accept.Path == path
 }
 
 // Results implements fleet.CallerAPI.
--- a/protocol/position.go
+++ b/protocol/position.go
@@ -9,7 +9,8 @@
 
 const indexBits = 12
 
-// MaxEntryBytes is the size limit of one entry of the log. The log refuses larger ones, each time.
+// MaxEntryBytes is the size limit of one entry of the log in bytes. The log service refuses larger
+// ones, each time.
 const MaxEntryBytes = 16 << 20
 
 // MaxBatchRecords is the maximum number of records in one log entry.
--- a/sidecar/outbox.go
+++ b/sidecar/outbox.go
@@ -35,7 +35,7 @@
 	reserved int
 	records  []protocol.Record
 	bytes    int
-	// refused is the number of records that were dropped.
+	// refused is the number of records that were dropped since the log never takes them.
 	refused int
 	wake    chan struct{}
 	// empty is closed and replaced whenever the last record has been appended.
@@ -108,7 +108,7 @@
 			err = o.appendRecords(ctx, batch)
 		}
 		if errorx.IsOfType(err, protocol.ErrTooLarge) {
-			o.dropRefused(&batch[0])
+			o.dropOldest()
 			continue
 		}
 		if err != nil {
@@ -126,17 +126,18 @@
 	return nil
 }
 
-// dropRefused drops the oldest record, which the log will never take: it must not hold up those
+// dropOldest drops the oldest record, which the log will never take: it must not hold up those
 // behind it.
-func (o *outbox) dropRefused(rec *protocol.Record) {
-	klog.ErrorS(nil, "record refused by the log, dropped", "record", rec.ID, "bytes", resultBytes(rec))
-	o.removeFirst(1)
+func (o *outbox) dropOldest() {
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	rec := o.records[0]
 	o.refused++
+	o.mu.Unlock()
+	klog.ErrorS(nil, "record refused by the log, dropped", "record", rec.ID, "bytes", resultBytes(&rec))
+	o.removeFirst(1)
 }
 
-// refusals returns the number of records that were dropped since the log never takes them.
+// refusals returns the number of records that were dropped.
 func (o *outbox) refusals() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/standin/logservice/http_test.go
+++ b/standin/logservice/http_test.go
@@ -52,7 +52,7 @@
 // TestLargestAnswerFitsIntoTheLog guards against an answer that is passed on although its record, by
 // which a repeated call gets it again, is larger than an entry of the log may be.
 func TestLargestAnswerFitsIntoTheLog(t *testing.T) {
-	const largest = protocol.MaxEntryBytes - 256<<10
+	const largest = protocol.MaxEntryBytes - 2*http.DefaultMaxHeaderBytes
 	var size atomic.Int64
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/"+strings.Repeat("x", 32<<10))
@@ -65,7 +65,7 @@
 	defer server.Close()
 	log := backend.NewHTTPLog(server.URL)
 	store := func(result protocol.Result) error {
-		complete := &protocol.RequestComplete{Key: strings.Repeat("k", 256), Fingerprint: strings.Repeat("f", 64), Result: result}
+		complete := &protocol.RequestComplete{Key: strings.Repeat("k", http.DefaultMaxHeaderBytes), Fingerprint: strings.Repeat("f", 64), Result: result}
 		data, err := protocol.EncodeBatch([]protocol.Record{{ID: "r", Complete: complete}})
 		assert.NilError(t, err)
 		_, err = log.Append(t.Context(), "s", data)
--- a/state/worklog/accepts.go
+++ b/state/worklog/accepts.go
@@ -2,9 +2,9 @@
 
 import "sync"
 
-// Accepts holds the accepted jobs of a fold by their IDs. Unlike the fold it is safe for
-// concurrent use, so that requests which only ask for a job need not wait while records are
-// applied.
+// Accepts holds, by the ID of the job, how each job of a fold was accepted. Unlike the fold it is
+// safe for concurrent use, so that a request which asks only that need not wait while records are
+// applied. It has as many entries as the fold has jobs.
 type Accepts struct{ byID sync.Map }
 
 // Find returns how the job was accepted, nil if the fold does not know the job.
--- a/state/worklog/fold.go
+++ b/state/worklog/fold.go
@@ -11,7 +11,7 @@
 // Fold is the state that results from the records. It is not safe for concurrent use.
 type Fold struct {
 	jobs map[string]*Job
-	// accepts holds the accepts of jobs.
+	// accepts holds how each of them was accepted.
 	accepts *Accepts
 	// jobByAcceptKey holds the IDs of jobs by the keys of their accept records.
 	jobByAcceptKey map[string]string
@@ -335,7 +335,7 @@
 	f.openJobs = slices.DeleteFunc(f.openJobs, func(other *Job) bool { return other == job })
 }
 
-// Accepts returns the accepted jobs, which change with the fold.
+// Accepts returns how the jobs were accepted. It changes with the fold.
 func (f *Fold) Accepts() *Accepts { return f.accepts }
 
 // Job returns the job with the given ID, or nil if there is none.
