Show that a stopping gateway cuts streams for a worker's silence

All workers are full, one has preempted its newest streams for 2 s, and a gateway gets SIGTERM. The gateway takes such streams from their worker after 1.2 s without an event although no other worker has room, and cuts them in the middle. The worker was sound and still at work, with 1.5 s and more of the streams' time left.

--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -21,7 +21,8 @@
 
 // cases are the scripts by name. Each returns the ways in which its rule was broken.
 var cases = map[string]func(s *site, trouble bool) ([]string, error){
-	"reuse": playReuse,
+	"reuse":   playReuse,
+	"silence": playSilence,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
