Show that streams are sent on while a slow worker goes on with them

One of seven workers is slow for 5 s, and doesn't drop a request when its channel closes, as some don't. The gateways send its streams to other workers after 150 ms without an event, and both work on them.

--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(s *site, trouble bool) ([]string, error){
 	"reuse":   playReuse,
 	"silence": playSilence,
+	"twice":   playTwice,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -38,7 +38,8 @@
 
 // run is one request that a worker began to work on.
 type run struct {
-	at                             time.Time
+	// at is when it began, and worked when it last produced an event.
+	at, worked                     time.Time
 	request, worker, service, path string
 	after, events                  int
 }
@@ -55,6 +56,13 @@
 	j.runs = append(j.runs, r)
 }
 
+// worked notes that a run has produced an event.
+func (j *journal) worked(r *run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.worked = time.Now()
+}
+
 // all returns copies of the runs so far.
 func (j *journal) all() []run {
 	j.mu.Lock()
@@ -74,6 +82,9 @@
 	step  time.Duration
 	// pause, if set, returns how long the run waits before event n beyond the step.
 	pause func(w *worker, r *run, n int) time.Duration
+	// keeps, if set, reports whether the worker goes on with a request whose channel is closed, as
+	// some do.
+	keeps func(w *worker) bool
 	// crashes, if set, reports whether the worker crashes before event n.
 	crashes func(r *run, n int) bool
 }
@@ -254,6 +265,9 @@
 	one := &run{at: time.Now(), request: id, worker: w.id, service: w.service, path: r.URL.Path, after: after, events: eventsOf(r.URL.Path)}
 	w.journal.add(one)
 	w.record.write("worker %s of service %s runs %s, path %s, after event %d", w.id, w.service, id, r.URL.Path, after)
+	if w.keeps != nil && w.keeps(w) {
+		r = r.WithContext(context.WithoutCancel(r.Context()))
+	}
 	ctx, cancel := untilDeadline(r)
 	defer cancel()
 	rw.Header().Set(headerStamp, "stamp-"+id)
@@ -271,6 +285,7 @@
 			w.record.write("worker %s drops %s before event %d: its channel is closed or its time is up", w.id, id, n)
 			panic(http.ErrAbortHandler)
 		}
+		w.journal.worked(one)
 		_, _ = io.WriteString(rw, event(id, n)) // a caller that has left is noticed above
 		_ = http.NewResponseController(rw).Flush()
 	}
