Show that a request that crashes workers gets five retries

The store turns one of three gateways away for 9 s. A request crashes three workers through that gateway, which can't record it. The next gateway lets five more runs crash workers, each later than 4.5 s after the third crash; the rule leaves three.

--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -24,6 +24,7 @@
 	"reuse":   playReuse,
 	"silence": playSilence,
 	"twice":   playTwice,
+	"deadly":  playDeadly,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -53,12 +53,50 @@
 type process struct {
 	name, role, address string
 	settings            string
-	site                *site
+	// store is how this machine reaches the store.
+	store *storePath
+	site  *site
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
 
+// storePath is the path of one machine to the store, which can be cut.
+type storePath struct {
+	store http.Handler
+	mu    sync.Mutex
+	// cut is closed when the path is whole again. It is nil while it is whole.
+	cut chan struct{}
+}
+
+// ServeHTTP implements http.Handler. While the path is cut, calls get no answer and are not done.
+func (p *storePath) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	cut := p.cut
+	p.mu.Unlock()
+	if cut != nil {
+		select {
+		case <-cut:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
+	p.store.ServeHTTP(w, r)
+}
+
+// setCut cuts the path, or heals it.
+func (p *storePath) setCut(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut != nil {
+		close(p.cut)
+		p.cut = nil
+	}
+	if on {
+		p.cut = make(chan struct{})
+	}
+}
+
 // errUnusable means that the case could not run.
 var errUnusable = errors.New("the case could not run")
 
@@ -107,12 +145,12 @@
 // startProcess starts a program of the deploy file on a machine. app and service are those of
 // the worker beside a batcher.
 func (s *site) startProcess(role string, machine int, app, service string) (*process, error) {
-	p := &process{name: fmt.Sprintf("%s-%d", role, machine), role: role, address: s.address(machine), site: s}
+	p := &process{name: fmt.Sprintf("%s-%d", role, machine), role: role, address: s.address(machine), site: s, store: &storePath{store: s.handler}}
 	l, err := net.Listen("tcp", s.address(200)+":0")
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: s.handler}
+	server := &http.Server{Handler: p.store}
 	go func() { _ = server.Serve(l) }() // it ends with close
 	s.closers = append(s.closers, func() { _ = server.Close() })
 	p.settings = filepath.Join(s.folder, p.name+".conf")
