--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -46,6 +48,7 @@
 		return exitUnusable
 	}
 	defer s.close()
+	go closeOnSignal(s)
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.write("case %s, disruption %t", args[0], trouble)
 	broken, err := cases[args[0]](s, trouble)
@@ -64,3 +67,12 @@
 	fmt.Println("held")
 	return exitHeld
 }
+
+// closeOnSignal ends the site's processes if this one is to end early.
+func closeOnSignal(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	s.close()
+	os.Exit(exitUnusable)
+}
