Believe the settings only of a target that is there at the start

What callers saw: a machine lost power, its batcher was back after a second and its target was not.

Cause: a batcher took whoever answered first within 2 s of its own start for a target of the service in its settings. They speak of the moment at which they were read; an address is free for others reuse_after_s after the end of its target, which the batcher had not seen. Gateways believed the batcher.

Why this works: the settings count only if the first question after the start is answered, within 0.5 s, and are read again after that answer. Nobody can have the address by then but the one whose settings these are. The target before counts from when it was last asked, not from when a process that may have been frozen read the answer, and by the clock that counts suspensions. Otherwise the registry decides, looked up after up to 0.2 s at random at the start of many.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -69,6 +69,11 @@
 	// StartSpread is the time over which batchers that start at the same moment spread their
 	// first reads of the work log, at random.
 	StartSpread time.Duration
+	// ReadSettings reads the settings that are in effect now. If nil, those in Node are.
+	ReadSettings func() (*fleet.Node, error)
+	// Now is the clock by which the target's identity ages, which counts suspensions of the
+	// instance. If nil, it is the monotonic clock.
+	Now func() time.Duration
 	// Shuffle permutes n elements. If nil, the order is random.
 	Shuffle func(n int, swap func(i, j int))
 	// Registry is where the metrics are registered. If nil, a new registry is used.
@@ -140,6 +145,10 @@
 	if p.Registry == nil {
 		p.Registry = prometheus.NewRegistry()
 	}
+	if p.Now == nil {
+		begun := time.Now()
+		p.Now = func() time.Duration { return time.Since(begun) }
+	}
 	b := &Batcher{
 		params:  p,
 		configs: registry.NewConfigurations(p.Decoder),
@@ -149,7 +158,7 @@
 
 		handedOver: map[worklog.ItemRef]int64{},
 		refused:    map[worklog.ItemRef]time.Time{},
-		identity:   beside.Identity{AddressReuse: p.Node.AddressReuse, StartedAt: time.Now(), SettingsService: p.Node.Service},
+		identity:   beside.Identity{AddressReuse: p.Node.AddressReuse, StartedAt: p.Now(), SettingsService: p.Node.Service},
 		lookup:     serviceLookup{backoff: pause.Backoff{Min: minLookupDelay, Max: maxLookupDelay}},
 
 		claimBackoff: pause.Backoff{Min: minClaimRetryDelay, Max: maxClaimRetryDelay},
--- a/batcher/target.go
+++ b/batcher/target.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sycamoretally/sycamoretally/coordination/beside"
 	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/protocol"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
@@ -32,6 +33,8 @@
 	// did not. pollTarget only uses it.
 	unidentified int
 	inProgress   bool
+	// hasBegun is set once the first target has answered.
+	hasBegun bool
 	// notBefore is the earliest time of the next read, and confirmAfter that of a read while the
 	// service is known without it.
 	notBefore    time.Time
@@ -56,28 +59,39 @@
 func (b *Batcher) readTargetState(ctx context.Context) (fleet.TargetState, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	answer := beside.Answer{AskedAt: b.params.Now()}
 	state, err := b.params.Reporter.Report(ctx, b.params.Node.TargetAddress)
 	if err != nil {
+		b.noteNoAnswer()
 		return state, err
 	}
+	answer.At = b.params.Now()
+	b.confirmSettings()
 	b.mu.Lock()
 	known, born := b.targetID, b.targetBorn
 	b.mu.Unlock()
-	isCertain := state.ID != ""
+	answer.ID = state.ID
 	if state.ID == "" && state.StartUnixMillis == born {
-		state.ID, isCertain = known, born != 0
-	}
-	if paths := b.healthPaths(); state.ID == "" && len(paths) > 0 {
-		state.ID, err = b.params.Reporter.Identify(ctx, b.params.Node.TargetAddress, paths[b.lookup.unidentified%len(paths)])
-		if err != nil {
-			b.lookup.unidentified++
-			return state, err
+		state.ID = known
+		if born != 0 {
+			answer.ID = known
 		}
-		b.lookup.unidentified, isCertain = 0, true
 	}
-	if isCertain && state.ID != "" {
-		b.noteIdentity(state.ID)
+	b.noteAnswer(answer)
+	paths := b.healthPaths()
+	if state.ID != "" || len(paths) == 0 {
+		return state, nil
 	}
+	answer = beside.Answer{AskedAt: b.params.Now()}
+	answer.ID, err = b.params.Reporter.Identify(ctx, b.params.Node.TargetAddress, paths[b.lookup.unidentified%len(paths)])
+	if err != nil {
+		b.lookup.unidentified++
+		return state, err
+	}
+	b.lookup.unidentified = 0
+	answer.At = b.params.Now()
+	b.noteAnswer(answer)
+	state.ID = answer.ID
 	return state, nil
 }
 
@@ -107,16 +121,45 @@
 	return slices.Compact(paths)
 }
 
-// noteIdentity notes which target has answered.
-func (b *Batcher) noteIdentity(id string) {
+// noteAnswer notes an answer of the target.
+func (b *Batcher) noteAnswer(a beside.Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.identity.Answered(a) {
+		return
+	}
 	now := time.Now()
-	if b.identity.Answered(now, id) {
-		b.lookup.backoff.Reset()
-		b.lookup.notBefore = time.Time{}
-		b.lookup.confirmAfter = now.Add(minConfirmDelay + rand.N(maxConfirmDelay-minConfirmDelay))
+	b.lookup.backoff.Reset()
+	b.lookup.notBefore = now
+	if !b.lookup.hasBegun { // all batchers may have started at the same moment
+		b.lookup.hasBegun = true
+		b.lookup.notBefore = now.Add(rand.N(minLookupDelay))
+	}
+	b.lookup.confirmAfter = now.Add(minConfirmDelay + rand.N(maxConfirmDelay-minConfirmDelay))
+}
+
+// noteNoAnswer notes that the target did not answer.
+func (b *Batcher) noteNoAnswer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.identity.NotAnswered()
+}
+
+// confirmSettings reads the settings again once the target has answered, if its service is to be
+// taken from them. They may have changed between the start of this process and the answer.
+func (b *Batcher) confirmSettings() {
+	b.mu.Lock()
+	goesBySettings := b.identity.GoesBySettings()
+	b.mu.Unlock()
+	if !goesBySettings || b.params.ReadSettings == nil {
+		return
+	}
+	node, err := b.params.ReadSettings()
+	if err != nil {
+		klog.InfoS("settings not read again", "error", protocol.CauseOf(err))
+		node = &fleet.Node{}
 	}
+	b.Reload(node)
 }
 
 // Reload applies changed settings. The service in them says nothing of a target that was there
--- a/batcher/target_test.go
+++ b/batcher/target_test.go
@@ -35,10 +35,15 @@
 // startTwoServices sets up a route for jobs to each of the services llm and other, whose health
 // paths differ, and starts a batcher with the service in its settings.
 func (s *fixture) startTwoServices(e *target, service string) *batcher.Batcher {
+	return startBatcher(s.twoServices(e, service))
+}
+
+// twoServices sets up the same, for a batcher that is still to be started.
+func (s *fixture) twoServices(e *target, service string) batcher.Params {
 	services := []*fleet.Service{{Name: "llm", Slots: slots, HealthPath: "/llm"}, {Name: "other", Slots: slots, HealthPath: "/other"}}
 	s.config = fleet.NewConfiguration(1, []*fleet.Route{jobsRoute("jobs", "/j/", "llm"), jobsRoute("others", "/o/", "other")}, services, fleet.Limits{})
 	node := &fleet.Node{Name: "b", TargetAddress: "t1", Service: service, MaxCallBytes: 1 << 20, AddressReuse: addressReuse}
-	return s.startWith(s.store, decoder{s.config}, node, e)
+	return batcher.Params{Node: node, Store: s.store, Sender: e, Reporter: e, Decoder: decoder{s.config}}
 }
 
 // reuseAddress lets the target end in the middle of a job, and one with another ID start at its
@@ -133,6 +138,151 @@
 	})
 }
 
+// TestTargetAfterAStartHasNoServiceOfTheSettings guards against a batcher that takes a target for one of
+// the service in its settings though the target came after them (review/11): a machine loses power, its
+// batcher is back before the address of its target is used again, by one of another service. The
+// batcher must not tell gateways the service in its settings either.
+func TestTargetAfterAStartHasNoServiceOfTheSettings(t *testing.T) {
+	const tick = time.Millisecond
+	for name, c := range map[string]struct {
+		// vacant is how long after the batcher's start the target starts.
+		vacant time.Duration
+		// healthPath is where alone the target tells its ID, any if empty.
+		healthPath string
+		outage     time.Duration
+		// restarts is the number of further starts of the batcher before the target comes.
+		restarts int
+	}{
+		"at once":                             {vacant: tick},
+		"after a second":                      {vacant: time.Second},
+		"late":                                {vacant: addressReuse - tick},
+		"its ID is told at a health path":     {vacant: 200 * time.Millisecond, healthPath: "/other"},
+		"the store is away":                   {vacant: 300 * time.Millisecond, outage: 6 * time.Second},
+		"the batcher starts again and again":  {vacant: 100 * time.Millisecond, restarts: 3},
+		"the store is away, its ID is hidden": {vacant: tick, healthPath: "/other", outage: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e := newFixture(t), newTarget()
+				s.accept("j", slots)
+				e.down = true
+				b := s.startTwoServices(e, "llm")
+				for range c.restarts {
+					time.Sleep(c.vacant)
+					assert.NilError(t, b.Stop())
+					b = s.startTwoServices(e, "llm")
+				}
+				time.Sleep(c.vacant)
+				e.set(func(e *target) { e.down, e.id, e.healthPath = false, "t9", c.healthPath })
+				s.store.SetFaults(fleetstore.Faults{Down: c.outage > 0})
+				time.Sleep(c.outage)
+				s.store.SetFaults(fleetstore.Faults{})
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, e.sent(""), 0, "nobody knows what it serves")
+				assert.Assert(t, b.ReportLoad() == nil)
+				s.register("t9", "other")
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, e.sent(""), 0, "it serves another service")
+				assert.Equal(t, b.ReportLoad().Service, "other")
+				assert.NilError(t, b.Stop())
+			})
+		})
+	}
+}
+
+// TestSettingsAreReadAgainOnceTheTargetAnswers guards against settings that change between the start of a
+// batcher and the first answer of its target, which then are those of the target before. Settings that
+// can't be read say nothing.
+func TestSettingsAreReadAgainOnceTheTargetAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		service string
+		err     error
+		want    int
+	}{
+		"unchanged":         {service: "llm", want: slots},
+		"another service":   {service: "other"},
+		"no service":        {},
+		"can't be read now": {err: fleet.ErrMalformed.New("no such file")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, e := newFixture(t), newTarget()
+				s.accept("j", slots)
+				e.id = "t9"
+				p := s.twoServices(e, "llm")
+				p.ReadSettings = func() (*fleet.Node, error) { return &fleet.Node{Service: c.service}, c.err }
+				b := startBatcher(p)
+				time.Sleep(time.Second)
+				assert.Equal(t, e.sent(""), c.want)
+				assert.Equal(t, b.ReportLoad() != nil, c.want > 0)
+				assert.NilError(t, b.Stop())
+			})
+		})
+	}
+}
+
+// TestSuspensionCountsForTheUseOfAnAddress guards against a machine that is suspended while the address of its
+// target is used again: the monotonic clock doesn't count that time, and the target before seems
+// to have answered a moment ago.
+func TestSuspensionCountsForTheUseOfAnAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		p, begun := s.twoServices(e, "llm"), time.Now()
+		var suspended atomic.Int64
+		p.Now = func() time.Duration { return time.Since(begun) + time.Duration(suspended.Load()) }
+		b := startBatcher(p)
+		s.accept("j", slots)
+		time.Sleep(time.Second)
+		assert.Equal(t, e.busy(), slots)
+		suspended.Add(int64(addressReuse))
+		e.set(func(e *target) { e.id, e.sends = "t9", map[string]int{} })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, e.sent(""), 0, "nobody knows what it serves")
+		assert.Assert(t, b.ReportLoad() == nil)
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// slowReporter is a target whose next report comes only after a delay, as to a process that is frozen
+// meanwhile.
+type slowReporter struct {
+	*target
+
+	delay atomic.Int64
+}
+
+// Report implements batcher.Reporter.
+func (r *slowReporter) Report(ctx context.Context, address string) (fleet.TargetState, error) {
+	state, err := r.target.Report(ctx, address)
+	time.Sleep(time.Duration(r.delay.Swap(0)))
+	return state, err
+}
+
+// TestLateAnswerSaysWhenItWasAskedFor guards against an answer of the target before that is taken for a sign of
+// its life at the time at which the batcher, frozen meanwhile, reads it.
+func TestLateAnswerSaysWhenItWasAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newFixture(t), newTarget()
+		r := &slowReporter{target: e}
+		p := s.twoServices(e, "llm")
+		p.Reporter = r
+		b := startBatcher(p)
+		s.accept("j", slots)
+		time.Sleep(time.Second)
+		assert.Equal(t, e.busy(), slots)
+		r.delay.Store(int64(addressReuse))
+		time.Sleep(pollDelay)
+		e.set(func(e *target) { e.id, e.sends = "t9", map[string]int{} })
+		time.Sleep(addressReuse + 2*time.Second)
+		assert.Equal(t, e.sent(""), 0, "nobody knows what it serves")
+		assert.Assert(t, b.ReportLoad() == nil)
+		assert.NilError(t, b.Stop())
+	})
+}
+
+// pollDelay is longer than the time between two polls of a target.
+const pollDelay = 30 * time.Millisecond
+
 // TestQuickRestartNeedsNoRegistry guards against targets that stand idle until they are registered,
 // or for as long as the store is away, although their address can't have been used again yet.
 func TestQuickRestartNeedsNoRegistry(t *testing.T) {
--- a/batcher/unstorable_test.go
+++ b/batcher/unstorable_test.go
@@ -81,7 +81,11 @@
 
 // startWith starts a batcher with the settings.
 func (s *fixture) startWith(store fleet.Store, d registry.Decoder, node *fleet.Node, e *target) *batcher.Batcher {
-	b := batcher.New(batcher.Params{Node: node, Store: store, Sender: e, Reporter: e, Decoder: d})
+	return startBatcher(batcher.Params{Node: node, Store: store, Sender: e, Reporter: e, Decoder: d})
+}
+
+func startBatcher(p batcher.Params) *batcher.Batcher {
+	b := batcher.New(p)
 	b.Start()
 	return b
 }
--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -216,6 +216,7 @@
 	targets := platform.NewTargetClient(p.pool)
 	b := batcher.New(batcher.Params{
 		Node: p.node, Store: p.store, Sender: targets, Reporter: targets, Decoder: platform.Decoder{}, Registry: p.registry, StartSpread: startSpread,
+		ReadSettings: func() (*fleet.Node, error) { return platform.LoadNode(platform.SettingsPath()) }, Now: boottime.Now,
 	})
 	p.listenDatagrams(b)
 	b.Start()
