Let a silent stream go on until another target has its next event

Before the first event callers got an error though their request had a place in a queue.

Cause: an attempt without an event for 1.2 s, or for half of the objective before the first, was ended as soon as the registry named any other target. Only then was another one asked, and full ones refuse. The run that would have gone on was lost by then.

Drain has no part in it.

Why this works: the attempt goes on while another target gets the rest of the stream as a trial. Whichever sends the next event first keeps the stream. A refusal costs a delay before the next trial; what may have run counts as one of the route's attempts. Nothing is relayed of a run that lost, since events are taken under one lock. Before the first event targets without room get no trial for 1.2 s, so that full queues are not filled twice.

--- a/gateway/access.go
+++ b/gateway/access.go
@@ -110,15 +110,7 @@
 // attempt: the key may have been removed while the request waited or ran elsewhere. A
 // request that may have run is given up with its true outcome.
 func (o *onlineRequest) checkAccess(ctx context.Context) error {
-	c := o.g.configs.Current()
-	if c == nil || c.Keyring == nil {
-		return nil
-	}
-	before := o.request.Workspace
-	if before != nil && before.IsAnonymous() {
-		before = nil
-	}
-	workspace, err := o.g.authorize(ctx, c, o.route.Anonymous, o.request.Key, before)
+	workspace, err := o.currentWorkspace(ctx)
 	if err == nil {
 		o.request.Workspace = workspace
 		return nil
@@ -129,3 +121,15 @@
 	}
 	return err
 }
+
+// currentWorkspace returns the workspace that holds the request's key now.
+func (o *onlineRequest) currentWorkspace(ctx context.Context) (*fleet.Workspace, error) {
+	c, before := o.g.configs.Current(), o.request.Workspace
+	if c == nil || c.Keyring == nil {
+		return before, nil
+	}
+	if before != nil && before.IsAnonymous() {
+		before = nil
+	}
+	return o.g.authorize(ctx, c, o.route.Anonymous, o.request.Key, before)
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -81,15 +81,22 @@
 // broke off. An attempt that the gateway itself broke off because the target was
 // unresponsive is no sign of a crash.
 func (o *onlineRequest) recordBreak(ctx context.Context, target *fleet.Target) {
-	if isStalled(ctx) || target.Provisional { // the registry cannot tell the end of the latter
+	if !isStalled(ctx) {
+		o.g.recordBreak(o.request, target, o.lastEvent != o.attemptLastEvent, o.suspectedParts)
+	}
+}
+
+// recordBreak records a broken run of the request at the target. produced is set if it has sent
+// events, and suspectedParts are the parts of the prompt that were suspected when it began.
+func (g *Gateway) recordBreak(r *fleet.Request, target *fleet.Target, produced bool, suspectedParts []string) {
+	if target.Provisional { // the registry cannot tell its end
 		return
 	}
-	c := o.g.crashes
+	c := g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.breaks.Add(quarantine.BrokenRun{
-		Fingerprint: fingerprintOf(o.request), Target: incarnation(target), Produced: o.lastEvent != o.attemptLastEvent, At: time.Now(),
-		PromptParts: o.request.PromptParts, SuspectedParts: o.suspectedParts,
+		Fingerprint: fingerprintOf(r), Target: incarnation(target), Produced: produced, At: time.Now(), PromptParts: r.PromptParts, SuspectedParts: suspectedParts,
 	})
 	if name := incarnation(target); !c.probing[name] && len(c.unprobed) < maxProbes {
 		c.unprobed[name] = target
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/coordination/pause"
 	"github.com/sycamoretally/sycamoretally/gateway"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
@@ -40,6 +41,10 @@
 	status  int
 	// delay is the time before the first event.
 	delay time.Duration
+	// gap is the time between the first event and the second, and headDelay that before the
+	// head. Both end with the attempt.
+	gap       time.Duration
+	headDelay time.Duration
 	// events are sent as a stream. Then the stream breaks off if broken is set, sends
 	// nothing until the attempt is cancelled if silent is set, and ends otherwise.
 	events []string
@@ -51,6 +56,8 @@
 	pause    time.Duration
 	unsigned bool
 	leaving  bool
+	// contentType is that of the answer.
+	contentType string
 }
 
 // sender is a fake fleet.Sender whose attempts follow the steps in order, whichever
@@ -63,7 +70,8 @@
 	before func()
 }
 
-func (s *sender) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
+// next records the attempt and returns its step.
+func (s *sender) next(a fleet.Attempt) step {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.before != nil {
@@ -74,12 +82,27 @@
 	if len(s.steps) > 0 {
 		next, s.steps = s.steps[0], s.steps[1:]
 	}
+	return next
+}
+
+func (s *sender) Send(ctx context.Context, a fleet.Attempt) (*fleet.Answer, error) {
+	next := s.next(a)
+	if next.headDelay > 0 {
+		pause.For(ctx, next.headDelay)
+		if ctx.Err() != nil {
+			return nil, fleet.ErrAnswerBroken.New("closed")
+		}
+	}
 	if next.err != nil {
 		return nil, next.err
 	}
 	status := max(next.status, http.StatusOK)
+	header := http.Header{}
+	if next.contentType != "" {
+		header.Set("Content-Type", next.contentType)
+	}
 	return &fleet.Answer{
-		Verdict: next.verdict, Status: status, Header: http.Header{}, Signed: !next.unsigned, Leaving: next.leaving, Length: -1,
+		Verdict: next.verdict, Status: status, Header: header, Signed: !next.unsigned, Leaving: next.leaving, Length: -1,
 		Body: &script{ctx: ctx, step: next}, Close: func() {}, Discard: func() {},
 	}, nil
 }
@@ -91,7 +114,9 @@
 type script struct {
 	ctx  context.Context
 	step step
-	// repeated is the number of events sent in place of nextNumber.
+	// read is the number of events that were read, and repeated that of events sent in place of
+	// nextNumber.
+	read     int
 	repeated int
 }
 
@@ -102,6 +127,12 @@
 	if err := s.ctx.Err(); err != nil {
 		return 0, err
 	}
+	if s.read++; s.read == 2 && s.step.gap > 0 {
+		pause.For(s.ctx, s.step.gap)
+		if s.ctx.Err() != nil {
+			return 0, errors.New("closed")
+		}
+	}
 	if len(s.step.events) > 0 {
 		n := copy(p, s.step.events[0])
 		s.step.events = s.step.events[1:]
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -38,7 +38,7 @@
 // whose load was queried, the one that is expected to serve it soonest. If no batcher answers,
 // and for other requests, the gateway's own load table decides.
 func (o *onlineRequest) chooseTarget(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
-	if choice, found := o.chooseByLoad(ctx, targets); found {
+	if choice, found := o.chooseByLoad(ctx, targets, o.tried); found {
 		if !o.mustWait(choice) {
 			o.g.params.LoadQuerier.AnnounceRequest(o.g.batcherAddress(choice.Target))
 		}
@@ -47,13 +47,13 @@
 	return o.g.table.Begin(targets, o.tried)
 }
 
-// chooseByLoad queries the loads of a few targets and chooses one of them. It returns
+// chooseByLoad queries the loads of a few targets that are not in tried and chooses one of them. It returns
 // false if there is no answer to choose by.
-func (o *onlineRequest) chooseByLoad(ctx context.Context, targets []*fleet.Target) (balancing.Choice, bool) {
+func (o *onlineRequest) chooseByLoad(ctx context.Context, targets []*fleet.Target, tried map[string]bool) (balancing.Choice, bool) {
 	if o.g.params.LoadQuerier == nil || o.route.Kind != fleet.KindStream || o.g.unresponsive.has(time.Now(), o.service) {
 		return balancing.Choice{}, false
 	}
-	candidates := o.g.table.Candidates(targets, o.tried, loadQueryTargets, o.g.isConnected)
+	candidates := o.g.table.Candidates(targets, tried, loadQueryTargets, o.g.isConnected)
 	if len(candidates) < 2 {
 		return balancing.Choice{}, false
 	}
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -24,17 +24,17 @@
 	// incarnation answered. Such an answer takes a round trip only, and after a loss of power
 	// most registered targets are of that kind.
 	maxWrongTargets = 16
-	// firstEventShare is the share of a stream's latency objective after which the stream
-	// leaves a target that has sent no event. Gateways that send at the same moment fill
-	// some targets while others have free slots, and the rest of the objective suffices
+	// firstEventShare is the share of a stream's latency objective after which another target
+	// gets the stream too, if the first has sent no event. Gateways that send at the same moment
+	// fill some targets while others have free slots, and the rest of the objective suffices
 	// to begin the stream at one of those.
 	firstEventShare = 0.5
 	// minFirstEventTimeout is a lower bound of that timeout. defaultFirstEventTimeout is
 	// used if the route has no objective.
 	minFirstEventTimeout     = 100 * time.Millisecond
 	defaultFirstEventTimeout = 1500 * time.Millisecond
-	// nextEventTimeout is the time without a further event after which a stream is
-	// resumed at another target. It is well above the gap between events that counts as
+	// nextEventTimeout is the time without a further event after which another target gets
+	// the rest of a stream too. It is well above the gap between events that counts as
 	// on time.
 	nextEventTimeout = 1200 * time.Millisecond
 	// noTargetRetryAfter is the delay after which a caller should retry if the service
@@ -148,6 +148,10 @@
 	completed bool
 	// tracked is the current attempt.
 	tracked *trackedAttempt
+	// successor is the attempt that goes on with the stream in place of the last one, nil if
+	// there is none. trials holds the attempts that were made in vain beside the last one.
+	successor *successor
+	trials    []attemptRecord
 	// tried holds the IDs of targets that must not get the request again.
 	tried map[string]bool
 	// attempts holds the attempts so far. service is the service chosen for the request,
@@ -181,6 +185,7 @@
 	errNoAnswer         = errRetryElsewhere.NewSubtype("no_answer")
 	errTruncatedAnswer  = errRetryElsewhere.NewSubtype("answer_cut")
 	errTargetFailed     = errRetryElsewhere.NewSubtype("target_fails")
+	errOvertaken        = errRetryElsewhere.NewSubtype("overtaken")
 )
 
 // run sends the request to targets, one after the other, until one answers or the
@@ -219,11 +224,10 @@
 		if !found {
 			return o.giveUp(ctx, "no target left")
 		}
-		err := o.makeAttempt(ctx, choice)
+		err := o.makeAttempts(ctx, choice)
 		if err == nil || !errorx.IsOfType(err, errRetryElsewhere) {
 			return err
 		}
-		o.tried[choice.Target.ID] = true
 		if ctx.Err() != nil || !o.mayRetry() {
 			return o.giveUp(ctx, "no attempt left")
 		}
@@ -240,23 +244,31 @@
 	return nil
 }
 
-// makeAttempt makes one attempt and records it in attempts.
-func (o *onlineRequest) makeAttempt(ctx context.Context, choice balancing.Choice) error {
+// makeAttempts makes an attempt, and those that go on in its place.
+func (o *onlineRequest) makeAttempts(ctx context.Context, choice balancing.Choice) error {
 	o.depart()
-	begun := time.Now()
+	err := o.makeAttempt(choice, time.Now(), func() error { return o.send(ctx, choice.Target) })
+	for o.successor != nil {
+		next := o.successor
+		err = o.makeAttempt(next.choice, next.begun, func() error { return o.goOn(ctx, next) })
+	}
+	return err
+}
+
+// makeAttempt makes one attempt, which began at the time begun, and records it in attempts.
+func (o *onlineRequest) makeAttempt(choice balancing.Choice, begun time.Time, make func() error) error {
 	o.g.metrics.observeChoice(choice)
-	record := attemptRecord{choice: choice, after: o.lastEvent}
+	record := attemptRecord{choice: choice, after: o.lastEvent, timeLeft: o.timeLeft()}
 	record.targetsAge, _ = o.g.targetTail.Age()
-	if o.hasDeadline {
-		record.timeLeft = time.Until(o.deadline)
-	}
 	o.meter, o.choice = streamMeter{begun: begun}, choice
-	record.err = o.send(ctx, choice.Target)
+	record.err = make()
+	o.tried[choice.Target.ID] = true
 	o.g.table.End(choice.Target)
 	o.reportOutcome(choice, record.err)
 	o.g.waitingRoom.slotMayBeFree(o.service)
 	record.took = time.Since(begun)
-	o.attempts = append(o.attempts, record)
+	o.attempts = append(append(o.attempts, record), o.trials...)
+	o.trials = nil
 	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
 	if limit := fleet.ExceededLimit(record.err); limit != "" {
 		o.g.metrics.oversized.WithLabelValues(limit).Inc()
@@ -264,6 +276,14 @@
 	return record.err
 }
 
+// timeLeft returns how long the request may still take, 0 if there is no bound.
+func (o *onlineRequest) timeLeft() time.Duration {
+	if !o.hasDeadline {
+		return 0
+	}
+	return time.Until(o.deadline)
+}
+
 // mayRetry reports whether the request may be sent to another target.
 func (o *onlineRequest) mayRetry() bool {
 	if o.refusals >= maxRefusals || o.wrongTargets >= maxWrongTargets {
@@ -287,23 +307,26 @@
 }
 
 // send sends the request to the target and relays the answer to the caller. It returns
-// errRetryElsewhere if the request may be sent to another target.
+// errRetryElsewhere if the request may be sent to another target, or goes on at its successor.
 func (o *onlineRequest) send(ctx context.Context, target *fleet.Target) error {
 	if err := o.checkAccess(ctx); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := newStallTimer(o, target, cancel)
-	defer stall.stop()
+	h := newHandover(ctx, o, target, cancel)
 	o.tracked = o.g.inFlight.add(target, cancel)
 	defer o.tracked.remove()
 	o.attemptLastEvent = o.lastEvent
 	o.suspectedParts = o.g.crashes.suspectedParts(o.request)
-	a := fleet.Attempt{Request: o.request, Target: target, LastEventID: o.lastEvent}
-	if o.hasDeadline {
-		a.TimeLeft = time.Until(o.deadline)
-	}
+	err := o.sendAndRelay(attemptCtx, target, h)
+	o.endHandover(h, err)
+	return err
+}
+
+// sendAndRelay does the part of send that another target may take over.
+func (o *onlineRequest) sendAndRelay(ctx context.Context, target *fleet.Target, h *handover) error {
+	a := fleet.Attempt{Request: o.request, Target: target, LastEventID: o.lastEvent, TimeLeft: o.timeLeft()}
 	answer, err := o.g.params.Sender.Send(ctx, a)
 	if errorx.IsOfType(err, fleet.ErrMalformed) {
 		return o.rejectUnsendable(ctx, err)
@@ -312,12 +335,9 @@
 		return o.handleNoAnswer(ctx, target, err)
 	}
 	if answer.Load != nil {
-		o.g.table.RecordLoad(target, *answer.Load)
 		o.meter.running = answer.Load.Running + answer.Load.Waiting
 	}
-	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
-		o.g.targets.MarkLeaving(target)
-	}
+	o.g.recordHead(target, answer)
 	if answer.Verdict == fleet.VerdictNotRun || answer.Verdict == fleet.VerdictWrongTarget {
 		return o.handleNotRun(ctx, target, answer)
 	}
@@ -330,11 +350,21 @@
 		return errUnsignedAnswer.New("unsigned answer with status %d", answer.Status)
 	}
 	if o.route.Kind == fleet.KindStream && answer.Status == http.StatusOK {
-		return o.relayStream(ctx, target, answer, stall)
+		return o.relayStream(ctx, target, answer, answer.Body, h)
 	}
 	return o.relayBuffered(ctx, target, answer)
 }
 
+// recordHead records what the head of an answer tells of its target.
+func (g *Gateway) recordHead(target *fleet.Target, answer *fleet.Answer) {
+	if answer.Load != nil {
+		g.table.RecordLoad(target, *answer.Load)
+	}
+	if answer.Leaving && (answer.Verdict == fleet.VerdictAnswer || answer.Verdict == fleet.VerdictNotRun) {
+		g.targets.MarkLeaving(target)
+	}
+}
+
 // handleNotRun returns the error of an attempt that the target answered without running the
 // request: it refused, or another incarnation runs at its address.
 func (o *onlineRequest) handleNotRun(ctx context.Context, target *fleet.Target, answer *fleet.Answer) error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,9 +86,9 @@
 	o.g.table.RecordFailure(target)
 }
 
-// relayStream relays events to the caller as they arrive, and only complete ones that follow
-// each other.
-func (o *onlineRequest) relayStream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, stall *stallTimer) error {
+// relayStream relays the events of the answer's body to the caller as they arrive, and only complete
+// ones that follow each other.
+func (o *onlineRequest) relayStream(ctx context.Context, target *fleet.Target, answer *fleet.Answer, body io.Reader, h *handover) error {
 	contentType := answer.Header.Get("Content-Type")
 	if o.answerBegun && contentType != o.contentType {
 		return o.handleBrokenAnswer(ctx, target, fleet.ErrAnswerBroken.New("target resumed a stream of type %q with one of type %q", o.contentType, contentType))
@@ -98,7 +98,7 @@
 	var splitter eventstream.Splitter
 	sequence := eventstream.After(o.lastEvent)
 	for {
-		n, err := answer.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		o.tracked.heard()
 		events, oversized := splitter.Add(buffer[:n])
 		if oversized != nil {
@@ -108,7 +108,9 @@
 		isSound := following == len(events)
 		if events = events[:following]; len(events) > 0 {
 			if eventstream.HasContent(events) {
-				stall.eventReceived()
+				if !h.eventsReceived(eventstream.LastID(events), contentType) {
+					return errOvertaken.New("another target has sent the next event before")
+				}
 				if o.meter.eventReceived(time.Now(), events) {
 					o.reportFirstEvent(o.choice)
 				}
