End no silent attempt for an entry of a service that nobody has named

Cause: any entry born later at the address counted as proof that the target had ended.

Why this works: only an entry of a service of the configuration ends the attempt. Where the gateway doesn't know a new service yet, a silent attempt lasts until it does, or until nothing listens at the address.

TestForeignEntryEndsNoSilentStream fails before (the stream is cut after its first event). TestReplacedBy checks what TestHasReplaced did, and which entry it is.

--- a/coordination/registry/replaced.go
+++ b/coordination/registry/replaced.go
@@ -2,10 +2,13 @@
 
 import "github.com/sycamoretally/sycamoretally/protocol/fleet"
 
-// HasReplaced reports whether another incarnation, born later, is registered at the target's
-// address: then the target has ended. That a target is no longer registered does not show that,
-// since it may go on serving what it has.
-func (s *Snapshot) HasReplaced(target *fleet.Target) bool {
+// ReplacedBy returns the incarnation, born later, that is registered at the target's address, nil if
+// there is none. If its service is one that the configuration names, the target has ended. That a
+// target is no longer registered does not show that, since it may go on serving what it has.
+func (s *Snapshot) ReplacedBy(target *fleet.Target) *fleet.Target {
 	current := s.Addresses[target.Address]
-	return current != nil && target.StartUnixMillis != 0 && current.StartUnixMillis > target.StartUnixMillis
+	if current == nil || target.StartUnixMillis == 0 || current.StartUnixMillis <= target.StartUnixMillis {
+		return nil
+	}
+	return current
 }
--- a/coordination/registry/replaced_test.go
+++ b/coordination/registry/replaced_test.go
@@ -9,12 +9,12 @@
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
 )
 
-// TestHasReplaced guards against ending the requests of a target that has only lost its
+// TestReplacedBy guards against ending the requests of a target that has only lost its
 // registration, or whose time of start is not known: it may still serve them.
-func TestHasReplaced(t *testing.T) {
+func TestReplacedBy(t *testing.T) {
 	s := registry.Snapshot{Addresses: map[string]*fleet.Target{"a": {ID: "new", Address: "a", StartUnixMillis: 20}}}
-	assert.Assert(t, s.HasReplaced(&fleet.Target{ID: "old", Address: "a", StartUnixMillis: 10}))
-	assert.Assert(t, !s.HasReplaced(s.Addresses["a"]))
-	assert.Assert(t, !s.HasReplaced(&fleet.Target{ID: "unknown", Address: "a"}))
-	assert.Assert(t, !s.HasReplaced(&fleet.Target{ID: "gone", Address: "b", StartUnixMillis: 10}))
+	assert.Equal(t, s.ReplacedBy(&fleet.Target{ID: "old", Address: "a", StartUnixMillis: 10}), s.Addresses["a"])
+	assert.Assert(t, s.ReplacedBy(s.Addresses["a"]) == nil)
+	assert.Assert(t, s.ReplacedBy(&fleet.Target{ID: "unknown", Address: "a"}) == nil)
+	assert.Assert(t, s.ReplacedBy(&fleet.Target{ID: "gone", Address: "b", StartUnixMillis: 10}) == nil)
 }
--- a/gateway/endedtargets.go
+++ b/gateway/endedtargets.go
@@ -154,12 +154,19 @@
 	}
 }
 
+// isService reports whether the configuration names the service. An entry of the registry that names
+// another one may be of a foreign writer, and says nothing of the target at its address.
+func (g *Gateway) isService(name string) bool {
+	config := g.configs.Current()
+	return config != nil && config.Services[name] != nil
+}
+
 // endLostAttempts ends the silent attempts at targets that have ended: those that another
 // incarnation has replaced, and those that do not leave and on whose host nothing listens any more.
 func (g *Gateway) endLostAttempts() {
 	snapshot := g.targets.Current()
 	for name, target := range g.inFlight.all() {
-		if snapshot.HasReplaced(target) {
+		if next := snapshot.ReplacedBy(target); next != nil && g.isService(next.Service) {
 			g.inFlight.endSilent(time.Now(), name, "another incarnation is registered at its address")
 		}
 	}
--- a/gateway/endedtargets_test.go
+++ b/gateway/endedtargets_test.go
@@ -9,7 +9,9 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoretally/sycamoretally/gateway"
 	"github.com/sycamoretally/sycamoretally/protocol/fleet"
+	"github.com/sycamoretally/sycamoretally/standin/fleetstore"
 )
 
 // endAll marks all targets as ended: nothing listens at their addresses.
@@ -44,3 +46,48 @@
 		assert.Assert(t, s.sender.sent[0].Target.ID != s.sender.sent[1].Target.ID)
 	})
 }
+
+// bornDecoder is a decoder of records of targets that read "SERVICE ADDRESS BORN".
+type bornDecoder struct{ decoder }
+
+// Target implements registry.Decoder.
+func (bornDecoder) Target(r fleet.Record) (*fleet.Target, error) {
+	target := &fleet.Target{ID: r.Key}
+	if _, err := fmt.Sscan(string(r.Value), &target.Service, &target.Address, &target.StartUnixMillis); err != nil {
+		return nil, fleet.ErrMalformed.Wrap(err, "target")
+	}
+	return target, nil
+}
+
+// TestForeignEntryEndsNoSilentStream guards against a stream of a sound target that is cut while the target
+// is silent, since an entry with its address and a later start names a service that there is not: the
+// entry of another writer. An entry of a service shows that the target has ended.
+func TestForeignEntryEndsNoSilentStream(t *testing.T) {
+	for service, want := range map[string]string{"unnamed": fullStream, "other": text(events(1, 1)...)} {
+		synctest.Test(t, func(t *testing.T) {
+			store := fleetstore.New()
+			put := func(topic fleet.Topic, key, value string) {
+				_, err := store.Append(t.Context(), topic, fleet.AnyOffset, []fleet.Record{{Key: key, Value: []byte(value)}})
+				assert.NilError(t, err)
+			}
+			put(fleet.TopicConfiguration, "config", "1")
+			put(fleet.TopicTargets, "t0", "llm a0 1000")
+			services := []*fleet.Service{{Name: "llm"}, {Name: "other"}}
+			s := &fixture{t: t, store: store, sender: &sender{steps: []step{{events: events(1, 3), gap: 3 * time.Second}}}}
+			s.Gateway = gateway.New(gateway.Params{
+				Node: &fleet.Node{Name: "gateway-1", GracePeriod: 8 * time.Second}, Store: store, Sender: s.sender,
+				Decoder: bornDecoder{decoder{fleet.NewConfiguration(1, []*fleet.Route{routes["stream"]}, services, fleet.Limits{})}},
+			})
+			s.Start()
+			defer s.stop()
+			time.Sleep(time.Second)
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				put(fleet.TopicTargets, "t1", service+" a0 2000")
+			}()
+			body, err := s.serve(t.Context(), "stream")
+			assert.Equal(t, body, want, service)
+			assert.Equal(t, err == nil, want == fullStream, "%v", err)
+		})
+	}
+}
