Leave a stream at a slow target that has a slot for it

Cause: a stream without its first event after half of the objective, 150 ms, went to another target as if it stood in a queue. A slow target with a free slot has begun it, and if it doesn't drop requests whose connection closes, goes on with it.

Why this works: the batcher beside the target tells how many requests it has. With more requests than slots, or without an answer, it is tried elsewhere as before.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -107,6 +107,16 @@
 	}, nil
 }
 
+// firstTarget returns the ID of the target that got the first attempt, empty if there was none.
+func (s *sender) firstTarget() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sent) == 0 {
+		return ""
+	}
+	return s.sent[0].Target.ID
+}
+
 // nextNumber stands for the number of an event: 2 for the first one after the step's events.
 const nextNumber = "<number>"
 
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -38,7 +38,8 @@
 // may only be busy, and the other one may have no room. Whichever sends the next event
 // first keeps the stream, and the other run is dropped.
 type handover struct {
-	o *onlineRequest
+	o      *onlineRequest
+	target *fleet.Target
 	// ctx is the context of the request, and end cancels the attempt.
 	ctx context.Context
 	end context.CancelCauseFunc
@@ -92,7 +93,7 @@
 // request may not be resumed elsewhere. ctx is the context of the request, and end cancels the
 // attempt.
 func newHandover(ctx context.Context, o *onlineRequest, target *fleet.Target, end context.CancelCauseFunc) *handover {
-	h := &handover{o: o, ctx: ctx, end: end, begun: time.Now(), maxRuns: o.route.MaxAttempts - o.possibleRuns - 1}
+	h := &handover{o: o, target: target, ctx: ctx, end: end, begun: time.Now(), maxRuns: o.route.MaxAttempts - o.possibleRuns - 1}
 	if o.route.Kind != fleet.KindStream || !o.route.Resumable || h.maxRuns <= 0 {
 		return h
 	}
@@ -232,6 +233,9 @@
 
 // run makes the trial. It returns the delay before the next one.
 func (t *trial) run() time.Duration {
+	if !t.isBegun && time.Since(t.begun) < nextEventTimeout && t.hasSlot() {
+		return alternativePollInterval
+	}
 	choice, found := t.choose()
 	if !found {
 		return alternativePollInterval
@@ -258,6 +262,17 @@
 	return t.backoff.Next()
 }
 
+// hasSlot reports whether the target is known to have a slot for each of its requests: then it has
+// begun this one and is slow, and may go on with it when another target gets it as well.
+func (t *trial) hasSlot() bool {
+	g := t.o.g
+	if g.params.LoadQuerier == nil || g.unresponsive.has(time.Now(), t.o.service) {
+		return false
+	}
+	answers := g.params.LoadQuerier.QueryLoads(t.ctx, []string{g.batcherAddress(t.target)}, loadQueryTimeout)
+	return len(answers) == 1 && answers[0].Target == t.target.ID && answers[0].Online <= t.target.Slots
+}
+
 // choose chooses the target of the trial. Unless the stream has waited for long, a target that
 // has no room is no better than the one where it waits.
 func (t *trial) choose() (balancing.Choice, bool) {
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -207,3 +207,54 @@
 		})
 	}
 }
+
+// unevenBatchers is a fake of the batchers beside the six targets, of which the first one that is sent a
+// request has as many requests as are set, and the others have none.
+type unevenBatchers struct {
+	loadedBatchers
+	sender *sender
+}
+
+// QueryLoads implements gateway.LoadQuerier.
+func (b *unevenBatchers) QueryLoads(ctx context.Context, addresses []string, wait time.Duration) []fleet.PeerLoad {
+	loads := b.loadedBatchers.QueryLoads(ctx, addresses, wait)
+	first := b.sender.firstTarget()
+	for i := range loads {
+		if loads[i].Target != first {
+			loads[i].Online = 0
+		}
+	}
+	return loads
+}
+
+// TestSlowTargetKeepsWhatItHasBegun guards against a stream that two targets work on: one that is slow, but has a
+// slot for it, and doesn't drop requests whose connection closes, and the one that gets it for the
+// lack of a first event (review/13). A stream in a queue moves; so does one at a target whose batcher is
+// silent, and one that has waited for long.
+func TestSlowTargetKeepsWhatItHasBegun(t *testing.T) {
+	for name, c := range map[string]struct {
+		online int
+		delay  time.Duration
+		sent   int
+	}{
+		"slow":       {3, 200 * time.Millisecond, 1},
+		"very slow":  {8, time.Second, 1},
+		"queued":     {9, time.Second, 2},
+		"no answer":  {-1, time.Second, 2},
+		"for longer": {3, 2 * time.Second, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &sender{steps: []step{{events: events(1, 3), delay: c.delay}, {events: events(1, 3)}}}
+				loads := &unevenBatchers{sender: out}
+				loads.set(c.online)
+				s := startLoadedBy(t, newStore(t), loads, out)
+				defer s.stop()
+				body, err := s.serve(t.Context(), "quick")
+				assert.NilError(t, err)
+				assert.Equal(t, body, fullStream)
+				assert.Equal(t, len(s.sender.sent), c.sent)
+			})
+		})
+	}
+}
--- a/gateway/waitingroom_test.go
+++ b/gateway/waitingroom_test.go
@@ -61,18 +61,24 @@
 func startLoaded(t *testing.T, store *fleetstore.Store, steps ...step) (*fixture, *loadedBatchers) {
 	t.Helper()
 	loads := &loadedBatchers{online: 8}
+	return startLoadedBy(t, store, loads, &sender{steps: steps}), loads
+}
+
+// startLoadedBy starts a gateway whose targets have eight slots and the loads. The caller must stop it.
+func startLoadedBy(t *testing.T, store *fleetstore.Store, loads gateway.LoadQuerier, out *sender) *fixture {
+	t.Helper()
 	var list []*fleet.Route
 	for _, r := range routes {
 		list = append(list, r)
 	}
-	s := &fixture{t: t, store: store, sender: &sender{steps: steps}}
+	s := &fixture{t: t, store: store, sender: out}
 	s.Gateway = gateway.New(gateway.Params{
 		Node:  &fleet.Node{Name: "gateway-1", GracePeriod: 8 * time.Second, MaxRecordBytes: 1 << 18, KeepResults: keepResults, PeerPort: "7660"},
 		Store: store, Sender: s.sender, LoadQuerier: loads, Decoder: slotDecoder{decoder{fleet.NewConfiguration(1, list, nil, fleet.Limits{})}},
 	})
 	s.Start()
 	time.Sleep(time.Second)
-	return s, loads
+	return s
 }
 
 // result is how a request ended.
