Pass on crashes that the store does not take to batchers

What callers saw: nothing is lost, but targets are.

Cause: a crash counted nowhere before its record was in the work log, and the gateway that had seen it had no other way to tell.

Why this works: batchers reach the store by paths of their own. Two of them, at random, are asked to record a crash that isn't stored after 0.3 s, up to three times; records of one crash replace each other, so that it counts once. Gateways go on to believe the log only, besides the crashes that they have seen themselves, which count there at once, for a minute or until the request runs to completion. What is kept and sent is bounded; an odd message is dropped, and an earlier build ignores it.

--- a/cmd/sycamoretally/fleet.go
+++ b/cmd/sycamoretally/fleet.go
@@ -178,7 +178,7 @@
 	}
 	datagrams := p.listenDatagrams(nil)
 	if datagrams != nil {
-		params.LoadQuerier, params.RateMessages = datagrams, datagrams
+		params.LoadQuerier, params.RateMessages, params.CrashRecorder = datagrams, datagrams, datagrams
 	}
 	g := gateway.New(params)
 	if datagrams != nil {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -47,6 +47,8 @@
 	// an append is in progress.
 	pending   []worklog.Entry
 	appending bool
+	// unstored are the crashes that are not known to be in the work log.
+	unstored unstoredCrashes
 	// verdicts holds the verdicts that were enqueued while verdictsOn were the known
 	// suspicions.
 	verdicts   map[string]bool
@@ -150,6 +152,9 @@
 		failed := g.appendQuarantineRecords(entries)
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if failed == nil {
+			c.unstored.remove(entries)
+		}
 		c.appending = false
 		added := c.pending
 		c.pending = nil
@@ -166,9 +171,11 @@
 	for _, b := range c.breaks.Crashed(time.Now(), status) {
 		klog.InfoS("target ended under a request", "target", b.Target, "fingerprint", b.Fingerprint, "produced", b.Produced,
 			"probed", c.breaks.HasEnded(b.Target), "after", time.Since(b.At), "parts", b.PromptParts, "suspected_parts", b.SuspectedParts)
-		c.enqueue(worklog.Entry{Crash: &worklog.Crash{
+		crash := &worklog.Crash{
 			Fingerprint: b.Fingerprint, Target: b.Target, Produced: b.Produced, Parts: b.PromptParts, SuspectedParts: b.SuspectedParts,
-		}})
+		}
+		c.unstored.add(time.Now(), crash)
+		c.enqueue(worklog.Entry{Crash: crash})
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// LoadQuerier queries batchers for the loads of targets. It is nil if there are no
 	// batchers to query.
 	LoadQuerier LoadQuerier
+	// CrashRecorder reaches the batchers that record crashes while the store turns this gateway
+	// away. It is nil if there are none.
+	CrashRecorder CrashRecorder
 	// RateLimiter admits the online requests of workspaces with a rate. It is nil if rates
 	// are not limited.
 	RateLimiter RateLimiter
@@ -196,6 +199,7 @@
 		g.table.ForgetIdle()
 		g.endLostAttempts()
 		g.detectCrashes()
+		g.passOnCrashes()
 		if g.params.Sweep != nil {
 			g.params.Sweep()
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -60,6 +60,10 @@
 			return fleet.ErrQuarantined.New("part %s of the prompt was in flight at too many crashes", part)
 		}
 	}
+	if _, quarantined := g.crashes.unstored.verdict(r); quarantined {
+		klog.InfoS("request in quarantine", "request", r.ID, "reason", "crashes that are not stored yet")
+		return fleet.ErrQuarantined.New("request was in flight at too many crashes that are not stored yet")
+	}
 	if len(known.byFingerprint) == 0 {
 		return nil
 	}
@@ -128,7 +132,8 @@
 func (g *Gateway) clearSuspicion(r *fleet.Request) {
 	c := g.crashes
 	known := c.suspicions.Load()
-	if len(known.byFingerprint) == 0 {
+	isUnstored, _ := c.unstored.verdict(r)
+	if len(known.byFingerprint) == 0 && !isUnstored {
 		return
 	}
 	c.mu.Lock()
@@ -140,7 +145,10 @@
 		c.enqueueOnce(known, worklog.Entry{PartCleared: &worklog.PartCleared{Part: part}}, part)
 	}
 	fingerprint := fingerprintOf(r)
-	if _, suspected := known.byFingerprint[fingerprint]; suspected {
+	if isUnstored {
+		c.unstored.clear(fingerprint)
+	}
+	if _, suspected := known.byFingerprint[fingerprint]; suspected || isUnstored {
 		c.enqueueOnce(known, worklog.Entry{Cleared: &worklog.Cleared{Fingerprint: fingerprint}}, fingerprint)
 	}
 }
--- a/protocol/fleet/peer.go
+++ b/protocol/fleet/peer.go
@@ -14,6 +14,8 @@
 	// Outcome is what the gateway's last stream met at the target, nil if that was told
 	// before. Queries and announcements carry it, and messages of its own.
 	Outcome *PeerOutcome `msgpack:"r,omitempty"`
+	// Crash is a crash that a batcher is to record for a gateway that does not reach the store.
+	Crash *PeerCrash `msgpack:"cr,omitempty"`
 	// RateQuery and RateAnswer are messages about the rates of workspaces.
 	RateQuery  *RateQuery  `msgpack:"rq,omitempty"`
 	RateAnswer *RateAnswer `msgpack:"ra,omitempty"`
@@ -60,6 +62,19 @@
 	Failed bool `msgpack:"x,omitempty"`
 }
 
+// PeerCrash is the end of a target under a request, as the work log records it.
+type PeerCrash struct {
+	// Fingerprint identifies the request by its content, and Target the incarnation of the target.
+	Fingerprint string `msgpack:"f"`
+	Target      string `msgpack:"t"`
+	// Produced is set if the request had produced output there.
+	Produced bool `msgpack:"p,omitempty"`
+	// Parts are the shared parts of the request's prompt, and SuspectedParts those that were
+	// suspected when the run began.
+	Parts          []string `msgpack:"a,omitempty"`
+	SuspectedParts []string `msgpack:"s,omitempty"`
+}
+
 // FirstEvent returns the time to the first event.
 func (o PeerOutcome) FirstEvent() time.Duration { return micros(o.FirstEventMicros) }
 
--- a/transport/loads.go
+++ b/transport/loads.go
@@ -28,6 +28,8 @@
 	RecordAnnouncement()
 	// RecordOutcome records what a stream of a gateway met at the target.
 	RecordOutcome(outcome fleet.PeerOutcome)
+	// RecordCrash records a crash for a gateway that does not reach the store.
+	RecordCrash(crash fleet.PeerCrash)
 }
 
 // Datagrams sends and receives peer messages over UDP. Messages may be lost, so a
@@ -108,6 +110,9 @@
 	if m.Outcome != nil {
 		d.reporter.RecordOutcome(*m.Outcome)
 	}
+	if m.Crash != nil {
+		d.reporter.RecordCrash(*m.Crash)
+	}
 	switch {
 	case m.Announcement:
 		d.reporter.RecordAnnouncement()
@@ -172,6 +177,18 @@
 	d.send(address, fleet.PeerMessage{Announcement: true})
 }
 
+// RecordCrash asks the batcher at the address to record a crash. A prompt that has more parts than a
+// message takes counts by its request alone.
+func (d *Datagrams) RecordCrash(address string, crash fleet.PeerCrash) {
+	if data, err := msgpack.Marshal(&crash); err == nil && len(data) > maxCrashBytes {
+		crash.Parts, crash.SuspectedParts = nil, nil
+	}
+	d.send(address, fleet.PeerMessage{Crash: &crash})
+}
+
+// maxCrashBytes is the size of a crash that leaves room for an outcome in the same message.
+const maxCrashBytes = maxDatagramBytes - 192
+
 // maxKeptOutcomes bounds the outcomes that wait for a message to their address.
 const maxKeptOutcomes = 1024
 
--- a/transport/loads_test.go
+++ b/transport/loads_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -25,6 +26,8 @@
 type busyTarget struct {
 	announced atomic.Int32
 	outcomes  atomic.Int32
+	// crashes, if set, gets the crashes.
+	crashes chan fleet.PeerCrash
 }
 
 func (b *busyTarget) ReportLoad() *fleet.PeerLoad { return &fleet.PeerLoad{Target: "t1", Online: 3} }
@@ -33,6 +36,8 @@
 
 func (b *busyTarget) RecordOutcome(fleet.PeerOutcome) { b.outcomes.Add(1) }
 
+func (b *busyTarget) RecordCrash(c fleet.PeerCrash) { b.crashes <- c }
+
 // silentTarget is a LoadReporter that answers no query.
 type silentTarget struct{ busyTarget }
 
@@ -67,6 +72,24 @@
 	assert.Equal(t, target.announced.Load(), int32(1))
 }
 
+// TestCrashesReachTheBatcher guards against crashes that get lost on the way to a batcher, since a prompt has more
+// parts than a message takes: the request itself must count all the same.
+func TestCrashesReachTheBatcher(t *testing.T) {
+	target := &busyTarget{crashes: make(chan fleet.PeerCrash, 1)}
+	batcher, gateway := listenDatagrams(t, target), listenDatagrams(t, nil)
+	small := fleet.PeerCrash{Fingerprint: "f", Target: "t@1", Produced: true, Parts: []string{"a", "b"}, SuspectedParts: []string{"b"}}
+	gateway.RecordCrash(batcher.address(), small)
+	assert.DeepEqual(t, <-target.crashes, small)
+	large := small
+	for i := range 100 {
+		large.Parts = append(large.Parts, fmt.Sprintf("%016x", i))
+	}
+	gateway.ReportOutcome(batcher.address(), fleet.PeerOutcome{Target: "t1"}, false)
+	gateway.RecordCrash(batcher.address(), large)
+	assert.DeepEqual(t, <-target.crashes, fleet.PeerCrash{Fingerprint: "f", Target: "t@1", Produced: true})
+	gateway.RecordCrash("no address", small)
+}
+
 // TestOutcomesTravelWithMessages reports what streams met at a target: an outcome must take
 // no message of its own unless it is urgent, and must arrive once.
 func TestOutcomesTravelWithMessages(t *testing.T) {
