Bound what a trial of a stream keeps before its first event

What callers saw: nothing; found on reading the change. A target that sends comments without end in answer to a trial made the gateway keep all of them until the stream went on or the request ended.

Why this works: the bytes before the first event are bounded like an event. Trials that exceed a limit are counted like other attempts now.

TestEndlessCommentsOfATrialAreBounded fails before (1,802 reads, under 100 wanted).

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -71,13 +71,18 @@
 	record.took = time.Since(begun)
 	o.attempts = append(append(o.attempts, record), o.trials...)
 	o.trials = nil
-	o.g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
-	if limit := fleet.ExceededLimit(record.err); limit != "" {
-		o.g.metrics.oversized.WithLabelValues(limit).Inc()
-	}
+	o.g.metrics.countAttempt(record.err)
 	return record.err
 }
 
+// countAttempt counts an attempt that ended with err.
+func (m *metrics) countAttempt(err error) {
+	m.attempts.WithLabelValues(outcomeOf(err)).Inc()
+	if limit := fleet.ExceededLimit(err); limit != "" {
+		m.oversized.WithLabelValues(limit).Inc()
+	}
+}
+
 // log logs each attempt and the outcome of the request.
 func (o *onlineRequest) log(err error, took time.Duration) {
 	for i, a := range o.attempts {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +67,8 @@
 	mu    sync.Mutex
 	steps []step
 	sent  []fleet.Attempt
+	// lastReads counts the reads of the answer to the last attempt.
+	lastReads *atomic.Int64
 	// before, if set, is called before each attempt.
 	before func()
 }
@@ -101,12 +104,23 @@
 	if next.contentType != "" {
 		header.Set("Content-Type", next.contentType)
 	}
+	body := &script{ctx: ctx, step: next}
+	s.mu.Lock()
+	s.lastReads = &body.reads
+	s.mu.Unlock()
 	return &fleet.Answer{
 		Verdict: next.verdict, Status: status, Header: header, Signed: !next.unsigned, Leaving: next.leaving, Length: -1,
-		Body: &script{ctx: ctx, step: next}, Close: func() {}, Discard: func() {},
+		Body: body, Close: func() {}, Discard: func() {},
 	}, nil
 }
 
+// read returns the number of attempts, and how often the answer to the last one was read.
+func (s *sender) read() (attempts int, reads int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sent), s.lastReads.Load()
+}
+
 // firstTarget returns the ID of the target that got the first attempt, empty if there was none.
 func (s *sender) firstTarget() string {
 	s.mu.Lock()
@@ -128,10 +142,12 @@
 	// nextNumber.
 	read     int
 	repeated int
+	reads    atomic.Int64
 }
 
 // Read implements io.Reader.
 func (s *script) Read(p []byte) (int, error) {
+	s.reads.Add(1)
 	time.Sleep(s.step.delay)
 	s.step.delay = 0
 	if err := s.ctx.Err(); err != nil {
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// TestEndlessCommentsOfATrialAreBounded guards against a process that keeps all that a target sends in place of
+// an event, until it has no memory left. The stream stays where it is.
+func TestEndlessCommentsOfATrialAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endless := step{endless: ":" + strings.Repeat(" ", 4000) + "\n\n", pause: time.Millisecond}
+		s := startGateway(t, newStore(t), step{events: events(1, 3), gap: 3 * time.Second}, endless)
+		defer s.stop()
+		body, err := s.serve(t.Context(), "resumable")
+		assert.NilError(t, err)
+		assert.Equal(t, body, fullStream)
+		sent, trial := s.sender.read()
+		assert.Equal(t, sent, 2)
+		assert.Assert(t, trial < 100, "%d reads of the trial", trial)
+	})
+}
+
 // TestFirstToSendKeepsTheStream guards against events of two runs that are joined or sent twice, where
 // both targets go on at about the same time, and against a stream that is lost since the first
 // target breaks off while another has it in its queue.
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -59,7 +59,7 @@
 	}
 	record.took = time.Since(begun)
 	t.records = append(t.records, record)
-	g.metrics.attempts.WithLabelValues(outcomeOf(record.err)).Inc()
+	g.metrics.countAttempt(record.err)
 	return t.backoff.Next()
 }
 
@@ -158,7 +158,7 @@
 }
 
 // readFirstEvents reads the answer until it has sent an event that follows the last one, or has
-// ended. It returns the body from its beginning.
+// ended. It returns the body from its beginning. What comes before an event is bounded like the event.
 func (t *trial) readFirstEvents(s *successor) (io.Reader, error) {
 	var splitter eventstream.Splitter
 	var read bytes.Buffer
@@ -172,6 +172,9 @@
 		if oversized != nil {
 			return nil, oversized
 		}
+		if read.Len() > fleet.MaxEventBytes+streamBufferBytes {
+			return nil, fleet.ErrOversizedEvent.New("%d bytes without an event", read.Len())
+		}
 		if following := sequence.FollowingLen(events); following < len(events) {
 			return nil, fleet.ErrOutOfOrder.New("an event does not follow event %q", t.lastEvent)
 		}
