--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -62,7 +62,8 @@
 	events int
 	// cancelTrial cancels the trial in progress. It is nil if there is none.
 	cancelTrial context.CancelFunc
-	// runs counts the trials that may have run, without the successor. records holds all trials.
+	// runs counts the trials that may have run, and records holds them and those that were refused;
+	// neither includes the successor.
 	runs    int
 	records []attemptRecord
 	// successor is set once another target has sent the next event.
@@ -182,7 +183,7 @@
 		h.timer.Reset(alternativePollInterval)
 		return nil
 	}
-	t := &trial{handover: h, lastEvent: h.lastEvent, contentType: h.contentType, isBegun: h.isBegun, after: h.events}
+	t := &trial{handover: h, lastEvent: h.lastEvent, contentType: h.contentType, isBegun: h.isBegun, eventsBefore: h.events}
 	t.ctx, t.cancel = context.WithCancelCause(h.ctx)
 	h.cancelTrial = func() { t.cancel(nil) }
 	h.trials.Add(1)
@@ -206,7 +207,7 @@
 	if t.ran {
 		h.runs++
 	}
-	if h.timer != nil && t.after == h.events {
+	if h.timer != nil && t.eventsBefore == h.events {
 		h.timer.Reset(delay)
 	}
 }
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -22,11 +22,11 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// lastEvent, contentType and isBegun are those of the handover when the trial began, and
-	// after is its number of events by then.
-	lastEvent   string
-	contentType string
-	isBegun     bool
-	after       int
+	// eventsBefore is its number of events by then.
+	lastEvent    string
+	contentType  string
+	isBegun      bool
+	eventsBefore int
 	// ran is set if the target may have run the trial, and successor once it has sent an event.
 	ran       bool
 	successor *successor
